--- a/api.go
+++ b/api.go
@@ -1,11 +1,11 @@
-// Package arrowridge decides for a dispatcher that pushes jobs to workers.
+// Package ravendale decides for a dispatcher that pushes jobs to workers.
 //
 // A Dispatcher is a pure state machine. The owner hands it the time and an
 // Event; it appends the Actions that the owner is to carry out, in order. It
 // reads no clock, starts no goroutine and does no I/O, and equal events with
 // an equal seed give equal actions. Every decision is in dispatcher.go; this
 // file is the interface and nothing else.
-package arrowridge
+package ravendale
 
 import "time"
 
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"arrowridge"
-	"arrowridge/internal/wire"
+	"ravendale"
+	"ravendale/internal/wire"
 )
 
 func main() {
@@ -23,12 +23,12 @@
 // between two batches.
 func serve(in io.Reader, out io.Writer) error {
 	reader := wire.NewReader(in)
-	instances := make(map[string]*arrowridge.Dispatcher)
+	instances := make(map[string]*ravendale.Dispatcher)
 	var (
 		m       wire.Message
 		batch   wire.Message // the clock line of the batch in hand
 		reply   []byte
-		actions []arrowridge.Action
+		actions []ravendale.Action
 		writing string // the instance whose actions the reply is at
 	)
 	for {
@@ -43,7 +43,7 @@
 			batch = m
 			reply, writing = reply[:0], ""
 		case wire.Start:
-			d, err := arrowridge.New(m.Settings, m.Seed)
+			d, err := ravendale.New(m.Settings, m.Seed)
 			if err != nil {
 				return fmt.Errorf("%s: %w", m.Instance, err)
 			}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,118 @@
+// Package config reads what a scheduler is told at its start: a JSON file named by PROXY_CONFIG, and the
+// PROXY_ variables, which come before the file. JSON is read with encoding/json: the adapter reads none.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	"ravendale"
+	"ravendale/internal/wire"
+)
+
+// Config is all that a scheduler is told.
+type Config struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	MemoryMB, Sockets       int
+	Known                   json.RawMessage // the list as last held, in discovery's form
+	Settings                ravendale.Settings
+	Names                   Names
+	ConnectTimeout          time.Duration
+	IdleClose               time.Duration // a backend server closes what has been idle so long
+}
+
+// Names are the words that stand for the indices in Settings.
+type Names = wire.Names
+
+// file is the form of the JSON file.
+type file struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// Load reads the file that PROXY_CONFIG names, by way of the two functions given.
+func Load(getenv func(string) string, read func(string) ([]byte, error)) (*Config, error) {
+	path := getenv("PROXY_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("PROXY_CONFIG is not set")
+	}
+	text, err := read(path)
+	if err != nil {
+		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
+	}
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("PROXY_CONFIG: %s: %w", path, err)
+	}
+	for name, field := range map[string]*string{"PROXY_NAME": &f.Name, "PROXY_LISTEN": &f.Listen, "PROXY_DISCOVERY": &f.Discovery} {
+		if v := getenv(name); v != "" {
+			*field = v
+		}
+	}
+	return f.config()
+}
+
+func (f *file) config() (*Config, error) {
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Known: f.Known,
+		MemoryMB: int(f.Limits.MemoryMB), Sockets: f.Limits.Sockets}
+	if c.Name == "" {
+		return nil, fmt.Errorf("name is missing")
+	}
+	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	var err error
+	if f.Seed != "" {
+		if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+			return nil, fmt.Errorf("seed: %q is no hex number of 64 bits", f.Seed)
+		}
+	}
+	if c.MemoryMB < 0 || c.MemoryMB > 0 && c.MemoryMB < 32 {
+		return nil, fmt.Errorf("limits.memory_mb: %d is too little to run in", c.MemoryMB)
+	}
+	if c.Sockets == 0 {
+		c.Sockets = 1024
+	}
+	if c.Sockets < 64 {
+		return nil, fmt.Errorf("limits.sockets: %d is too few to run with", c.Sockets)
+	}
+	if len(f.Settings) == 0 {
+		return nil, fmt.Errorf("settings is missing")
+	}
+	var pairs map[string]string
+	if c.Settings, c.Names, pairs, err = wire.Nested(f.Settings); err != nil {
+		return nil, err
+	}
+	if c.ConnectTimeout, err = micros(pairs, "ceilings.connect-timeout-us", 250*time.Millisecond); err != nil {
+		return nil, err
+	}
+	c.IdleClose, err = micros(pairs, "ceilings.idle-close-us", 5*time.Second)
+	return c, err
+}
+
+func micros(pairs map[string]string, name string, otherwise time.Duration) (time.Duration, error) {
+	text, given := pairs[name]
+	if !given {
+		return otherwise, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 40)
+	if err != nil || n <= 0 {
+		return 0, fmt.Errorf("settings.%s: %q is no time in microseconds", name, text)
+	}
+	return time.Duration(n) * time.Microsecond, nil
+}
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -3,7 +3,7 @@
 // The ordinary path is the rule pi-gamma of Lee, Pedarsani and Ramchandran, "On Scheduling Redundant
 // Requests with Cancellation Overheads". docs/design.md says what was kept, what was changed and why.
 
-package arrowridge
+package ravendale
 
 import (
 	"cmp"
--- a/example_test.go
+++ b/example_test.go
@@ -1,20 +1,20 @@
-package arrowridge_test
+package ravendale_test
 
 import (
 	"fmt"
 	"time"
 
-	"arrowridge"
+	"ravendale"
 )
 
 // The owner of a dispatcher tells it what happens and carries out what it asks for.
 func Example() {
-	d, err := arrowridge.New(arrowridge.Settings{
+	d, err := ravendale.New(ravendale.Settings{
 		Dispatchers: 1,
 		MaxAttempts: 3,
 		MayCancel:   true,
-		Classes: []arrowridge.Class{{
-			Name: "render", Effect: arrowridge.Safe, Kind: -1,
+		Classes: []ravendale.Class{{
+			Name: "render", Effect: ravendale.Safe, Kind: -1,
 			Aim: time.Second, Stretch: 2, Deadline: 10 * time.Second, Worth: 1,
 		}},
 	}, 42)
@@ -23,26 +23,26 @@
 		return
 	}
 	now := time.Hour // any clock that only goes forward
-	tell := func(ev arrowridge.Event) {
+	tell := func(ev ravendale.Event) {
 		for _, a := range d.Handle(now, &ev, nil) {
 			switch a.Kind {
-			case arrowridge.Send:
+			case ravendale.Send:
 				fmt.Printf("send job %d to %s\n", a.Job, a.Worker)
-			case arrowridge.SetTimer:
+			case ravendale.SetTimer:
 				fmt.Printf("wake me in %v\n", a.Wait)
-			case arrowridge.Refuse:
+			case ravendale.Refuse:
 				fmt.Printf("refuse job %d\n", a.Job)
 			}
 		}
 	}
-	tell(arrowridge.Event{Kind: arrowridge.WorkersListed, List: arrowridge.Full, Entries: []arrowridge.Entry{
-		{Worker: "alpha", State: arrowridge.Ready, Weight: 1},
+	tell(ravendale.Event{Kind: ravendale.WorkersListed, List: ravendale.Full, Entries: []ravendale.Entry{
+		{Worker: "alpha", State: ravendale.Ready, Weight: 1},
 	}})
-	tell(arrowridge.Event{Kind: arrowridge.JobArrived, Job: 7, Left: 10 * time.Second})
+	tell(ravendale.Event{Kind: ravendale.JobArrived, Job: 7, Left: 10 * time.Second})
 	now += 50 * time.Millisecond
-	tell(arrowridge.Event{Kind: arrowridge.AttemptEnded, Job: 7, Outcome: arrowridge.FullUp})
+	tell(ravendale.Event{Kind: ravendale.AttemptEnded, Job: 7, Outcome: ravendale.FullUp})
 	now += 6 * time.Second
-	tell(arrowridge.Event{Kind: arrowridge.TimerFired})
+	tell(ravendale.Event{Kind: ravendale.TimerFired})
 	// Output:
 	// send job 7 to alpha
 	// wake me in 10s
--- /dev/null
+++ b/internal/wire/nested.go
@@ -0,0 +1,71 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"ravendale"
+)
+
+// Names are the words that the settings give to what the decision module counts by index.
+type Names struct{ Classes, Tenants, Zones, Kinds []string }
+
+// Nested reads settings that come as nested JSON instead of a line of pairs. Both have the same names,
+// so the object is flattened into the pairs that a line would hold and read by the same code. It returns
+// the pairs too, for what the module is not told.
+func Nested(text []byte) (ravendale.Settings, Names, map[string]string, error) {
+	dec := json.NewDecoder(strings.NewReader(string(text)))
+	dec.UseNumber()
+	var object map[string]any
+	if err := dec.Decode(&object); err != nil {
+		return ravendale.Settings{}, Names{}, nil, fmt.Errorf("settings: %w", err)
+	}
+	pairs := make(config)
+	for name, v := range object {
+		flatten(pairs, name, v)
+	}
+	s, t, err := pairs.settings()
+	if err != nil {
+		return s, Names{}, nil, err
+	}
+	return s, Names{Classes: t.classes, Tenants: t.tenants, Zones: t.zones, Kinds: t.kinds}, pairs, nil
+}
+
+func flatten(pairs config, path string, v any) {
+	switch v := v.(type) {
+	case nil:
+	case map[string]any:
+		for name, item := range v {
+			flatten(pairs, path+"."+name, item)
+		}
+	case []any:
+		if len(v) == 0 {
+			pairs[path] = ""
+			return
+		}
+		if _, nested := v[0].(map[string]any); !nested {
+			words := make([]string, len(v))
+			for i := range v {
+				words[i] = word(v[i])
+			}
+			pairs[path] = strings.Join(words, ",")
+			return
+		}
+		pairs[path+".count"] = strconv.Itoa(len(v))
+		for i := range v {
+			flatten(pairs, fmt.Sprintf("%s.%d", path, i), v[i])
+		}
+	default:
+		pairs[path] = word(v)
+	}
+}
+
+// word writes a scalar as a line does: spaces and commas become underscores.
+func word(v any) string {
+	return strings.NewReplacer(" ", "_", ",", "_").Replace(fmt.Sprint(v))
+}
+
+// Index returns the place of a name, -1 if it is none of them.
+func Index(names []string, name string) int { return index(names, []byte(name)) }
--- a/internal/wire/reader.go
+++ b/internal/wire/reader.go
@@ -12,7 +12,7 @@
 	"strconv"
 	"time"
 
-	"arrowridge"
+	"ravendale"
 )
 
 // MessageKind tells what a Message is.
@@ -33,8 +33,8 @@
 	Frame    uint64
 	Instance string
 	Seed     uint64
-	Settings arrowridge.Settings
-	Event    arrowridge.Event
+	Settings ravendale.Settings
+	Event    ravendale.Event
 }
 
 // Reader reads messages. The entries and data of an event are valid until the next call of Next.
@@ -49,7 +49,7 @@
 	name    string
 
 	words   map[string]string // one copy of each worker's name
-	entries []arrowridge.Entry
+	entries []ravendale.Entry
 }
 
 // tables resolve the names of one instance's settings.
@@ -207,17 +207,17 @@
 }
 
 // parseList reads a list and the entry lines that follow it.
-func (r *Reader) parseList(f *fields, e *arrowridge.Event) error {
-	e.Kind = arrowridge.WorkersListed
+func (r *Reader) parseList(f *fields, e *ravendale.Event) error {
+	e.Kind = ravendale.WorkersListed
 	var count uint64
 	for f.next() {
 		switch string(f.key) {
 		case "kind":
 			kind := f.uint(8)
-			if kind > uint64(arrowridge.Failed) {
+			if kind > uint64(ravendale.Failed) {
 				return fmt.Errorf("list kind %d is unknown", kind)
 			}
-			e.List = arrowridge.ListKind(kind)
+			e.List = ravendale.ListKind(kind)
 		case "members-list":
 			count = f.uint(32)
 		}
@@ -241,8 +241,8 @@
 	return nil
 }
 
-func (r *Reader) parseEntry(text []byte) (arrowridge.Entry, error) {
-	entry := arrowridge.Entry{Zone: -1, Kind: -1, Cell: -1, State: arrowridge.Ready, Weight: 1}
+func (r *Reader) parseEntry(text []byte) (ravendale.Entry, error) {
+	entry := ravendale.Entry{Zone: -1, Kind: -1, Cell: -1, State: ravendale.Ready, Weight: 1}
 	f := fields{rest: text}
 	if word := f.word(); string(word) != "m" {
 		return entry, fmt.Errorf("a list entry was expected, not %q", word)
@@ -259,10 +259,10 @@
 			entry.Cell = f.int()
 		case "availability":
 			state := f.uint(8)
-			if state > uint64(arrowridge.Draining) {
+			if state > uint64(ravendale.Draining) {
 				return entry, fmt.Errorf("availability %d is unknown", state)
 			}
-			entry.State = arrowridge.Availability(state)
+			entry.State = ravendale.Availability(state)
 		case "heft":
 			entry.Weight = f.float()
 		case "boot-time-us":
@@ -275,28 +275,28 @@
 	return entry, f.err
 }
 
-var eventKinds = map[string]arrowridge.EventKind{
-	"accept":      arrowridge.JobArrived,
-	"started":     arrowridge.StreamBegan,
-	"progress":    arrowridge.JobProgressed,
-	"resolved":    arrowridge.AttemptEnded,
-	"client_left": arrowridge.ClientLeft,
-	"reminder":    arrowridge.TimerFired,
-	"health":      arrowridge.ProbeAnswered,
-	"whisper":     arrowridge.PeerMessage,
+var eventKinds = map[string]ravendale.EventKind{
+	"accept":      ravendale.JobArrived,
+	"started":     ravendale.StreamBegan,
+	"progress":    ravendale.JobProgressed,
+	"resolved":    ravendale.AttemptEnded,
+	"client_left": ravendale.ClientLeft,
+	"reminder":    ravendale.TimerFired,
+	"health":      ravendale.ProbeAnswered,
+	"whisper":     ravendale.PeerMessage,
 }
 
-func (r *Reader) parseEvent(word string, f *fields, e *arrowridge.Event) error {
+func (r *Reader) parseEvent(word string, f *fields, e *ravendale.Event) error {
 	kind, known := eventKinds[word]
 	if !known {
 		return fmt.Errorf("message %q is unknown", word)
 	}
-	*e = arrowridge.Event{Kind: kind, Class: -1, Tenant: -1}
+	*e = ravendale.Event{Kind: kind, Class: -1, Tenant: -1}
 	named := false
 	for f.next() {
 		switch string(f.key) {
 		case "ticket":
-			e.Job = arrowridge.JobID(f.uint(32))
+			e.Job = ravendale.JobID(f.uint(32))
 			named = true
 		case "class":
 			e.Class = index(r.current.classes, f.val)
@@ -326,7 +326,7 @@
 			e.Closed = string(f.val) == "1"
 		case "what":
 			if f.int() == 1 {
-				e.Kind = arrowridge.JobStarted
+				e.Kind = ravendale.JobStarted
 			}
 		case "level":
 			e.Done = f.float()
@@ -341,23 +341,23 @@
 	if f.err == nil && !named && needsJob(kind) {
 		return fmt.Errorf("%s names no ticket", word)
 	}
-	if f.err == nil && kind == arrowridge.ProbeAnswered && e.Worker == "" {
+	if f.err == nil && kind == ravendale.ProbeAnswered && e.Worker == "" {
 		return fmt.Errorf("%s names no worker", word)
 	}
 	return f.err
 }
 
-func needsJob(kind arrowridge.EventKind) bool {
+func needsJob(kind ravendale.EventKind) bool {
 	switch kind {
-	case arrowridge.TimerFired, arrowridge.ProbeAnswered, arrowridge.PeerMessage:
+	case ravendale.TimerFired, ravendale.ProbeAnswered, ravendale.PeerMessage:
 		return false
 	}
 	return true
 }
 
 // load reads a report; the values of x0 and x1 mean what the settings say.
-func (t *tables) load(f *fields) arrowridge.Load {
-	load := arrowridge.Load{Given: true, InFlight: -1, FreeSlots: -1, Busy: -1}
+func (t *tables) load(f *fields) ravendale.Load {
+	load := ravendale.Load{Given: true, InFlight: -1, FreeSlots: -1, Busy: -1}
 	rest := f.val
 	for len(rest) > 0 {
 		var pair []byte
@@ -501,25 +501,25 @@
 	return data
 }
 
-func (f *fields) outcome() arrowridge.Outcome {
+func (f *fields) outcome() ravendale.Outcome {
 	switch string(f.val) {
 	case "S":
-		return arrowridge.OK
+		return ravendale.OK
 	case "E":
-		return arrowridge.Error
+		return ravendale.Error
 	case "F":
-		return arrowridge.FullUp
+		return ravendale.FullUp
 	case "T":
-		return arrowridge.TimedOut
+		return ravendale.TimedOut
 	case "C":
-		return arrowridge.ConnectFailed
+		return ravendale.ConnectFailed
 	case "R":
-		return arrowridge.Reset
+		return ravendale.Reset
 	case "X":
-		return arrowridge.Cancelled
+		return ravendale.Cancelled
 	case "N":
-		return arrowridge.NotSent
+		return ravendale.NotSent
 	}
 	f.bad("outcome", f.val)
-	return arrowridge.Error
+	return ravendale.Error
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -7,14 +7,14 @@
 	"strings"
 	"time"
 
-	"arrowridge"
+	"ravendale"
 )
 
 // config is the settings as they came: path to value.
 type config map[string]string
 
 // settings translates config, and returns the names that later lines use.
-func (c config) settings() (arrowridge.Settings, *tables, error) {
+func (c config) settings() (ravendale.Settings, *tables, error) {
 	get := getter{config: c}
 	names := &tables{
 		zones: get.list("dcs"),
@@ -22,7 +22,7 @@
 		x0:    c["specifics.report-x0"],
 		x1:    c["specifics.report-x1"],
 	}
-	s := arrowridge.Settings{
+	s := ravendale.Settings{
 		Dispatchers:    get.int("balancers"),
 		Me:             get.int("me"),
 		Zones:          len(names.zones),
@@ -47,7 +47,7 @@
 		Tick:           get.time("tick-us"),
 		WorthByJob:     c["worth-by"] == "request",
 		OverShareWorth: get.float("over-share-worth"),
-		Prices: arrowridge.Prices{
+		Prices: ravendale.Prices{
 			CrossZone:  get.float("tariffs.cross-zone"),
 			Waste:      get.float("tariffs.waste"),
 			Connection: get.float("tariffs.connection"),
@@ -59,9 +59,9 @@
 	}
 	switch c["report.how"] {
 	case "inline":
-		s.ReportsIn = arrowridge.ReportsInAnswers
+		s.ReportsIn = ravendale.ReportsInAnswers
 	case "on_probe":
-		s.ReportsIn = arrowridge.ReportsInProbes
+		s.ReportsIn = ravendale.ReportsInProbes
 	}
 	kinds := get.list("specifics.class-kind")
 	stretches := get.list("specifics.class-stretch")
@@ -72,7 +72,7 @@
 		if _, own := c[at+"aim-stretch"]; own {
 			stretch = get.float(at + "aim-stretch")
 		}
-		class := arrowridge.Class{
+		class := ravendale.Class{
 			Name:      c[at+"name"],
 			Aim:       get.time(at + "aim-us"),
 			Stretch:   stretch,
@@ -89,7 +89,7 @@
 	}
 	for i := range get.count("projects.count") {
 		at := fmt.Sprintf("projects.%d.", i)
-		s.Tenants = append(s.Tenants, arrowridge.Tenant{
+		s.Tenants = append(s.Tenants, ravendale.Tenant{
 			Name:  c[at+"name"],
 			Share: get.float(at + "share"),
 			Quota: get.float(at + "quota-per-s"),
@@ -190,23 +190,23 @@
 	return v
 }
 
-func (g *getter) effect(at string) (arrowridge.Effect, arrowridge.Group) {
-	effect, group := arrowridge.Safe, arrowridge.GroupAll
+func (g *getter) effect(at string) (ravendale.Effect, ravendale.Group) {
+	effect, group := ravendale.Safe, ravendale.GroupAll
 	switch g.config[at+"effect"] {
 	case "idempotent":
 	case "deduplicated":
-		effect = arrowridge.Keyed
+		effect = ravendale.Keyed
 	case "at_most_once":
-		effect = arrowridge.Unsafe
+		effect = ravendale.Unsafe
 	default:
 		g.bad(at+"effect", "known effect")
 	}
 	switch g.config[at+"group"] {
 	case "", "all":
 	case "zone":
-		group = arrowridge.GroupZone
+		group = ravendale.GroupZone
 	case "cell":
-		group = arrowridge.GroupCell
+		group = ravendale.GroupCell
 	default:
 		g.bad(at+"group", "known group")
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"arrowridge"
+	"ravendale"
 )
 
 const start = "start salt=5 balancers=3 me=1 ceilings.attempts-cap=5 ceilings.may-duplicate=true " +
@@ -29,7 +29,7 @@
 			}
 			return all, err
 		}
-		m.Event.Entries = append([]arrowridge.Entry(nil), m.Event.Entries...)
+		m.Event.Entries = append([]ravendale.Entry(nil), m.Event.Entries...)
 		all = append(all, m)
 	}
 }
@@ -50,14 +50,14 @@
 	if s.Dispatchers != 3 || s.Me != 1 || s.MaxAttempts != 5 || !s.MayCopy || s.MayCancel || !s.MustAsk || !s.WorthByJob {
 		t.Errorf("limits are wrong: %+v", s)
 	}
-	if s.Zones != 2 || s.Zone != 1 || s.ReportsIn != arrowridge.ReportsInAnswers || s.Tick != 5*time.Millisecond {
+	if s.Zones != 2 || s.Zone != 1 || s.ReportsIn != ravendale.ReportsInAnswers || s.Tick != 5*time.Millisecond {
 		t.Errorf("zones, reports or tick are wrong: %+v", s)
 	}
 	if len(s.Tenants) != 1 || s.Tenants[0].Share != 0.5 {
 		t.Errorf("tenants are wrong: %+v", s.Tenants)
 	}
 	c := s.Classes[1]
-	if c.Effect != arrowridge.Keyed || c.Group != arrowridge.GroupCell || c.Window != 40*time.Second || c.Kind != 1 || c.Stretch != 2 {
+	if c.Effect != ravendale.Keyed || c.Group != ravendale.GroupCell || c.Window != 40*time.Second || c.Kind != 1 || c.Stretch != 2 {
 		t.Errorf("second class is wrong: %+v", c)
 	}
 	if s.Classes[0].Kind != -1 || s.Classes[0].Aim != 400*time.Millisecond {
@@ -80,7 +80,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var events []arrowridge.Event
+	var events []ravendale.Event
 	for _, m := range all {
 		if m.Kind == Event {
 			events = append(events, m.Event)
@@ -90,12 +90,12 @@
 		t.Fatalf("%d events, want 10 and an exit", len(events))
 	}
 	list := events[0]
-	wantA := arrowridge.Entry{Worker: "worker_a", Zone: 0, Kind: 1, Cell: 7, State: arrowridge.Ready, Weight: 1.5,
+	wantA := ravendale.Entry{Worker: "worker_a", Zone: 0, Kind: 1, Cell: 7, State: ravendale.Ready, Weight: 1.5,
 		StartedAt: 900 * time.Microsecond}
-	if list.List != arrowridge.Cached || len(list.Entries) != 2 || list.Entries[0] != wantA {
+	if list.List != ravendale.Cached || len(list.Entries) != 2 || list.Entries[0] != wantA {
 		t.Errorf("list is wrong: %+v", list)
 	}
-	if b := list.Entries[1]; b.Zone != -1 || b.State != arrowridge.Draining || b.Weight != 1 {
+	if b := list.Entries[1]; b.Zone != -1 || b.State != ravendale.Draining || b.Weight != 1 {
 		t.Errorf("entry with absent values is wrong: %+v", b)
 	}
 	job := events[1]
@@ -106,15 +106,15 @@
 	if events[2].Class != -1 || events[2].Tenant != -1 {
 		t.Errorf("unknown class or tenant is not -1: %+v", events[2])
 	}
-	if events[3].Kind != arrowridge.JobStarted || events[4].Kind != arrowridge.JobProgressed || events[4].Done != 0.5 {
+	if events[3].Kind != ravendale.JobStarted || events[4].Kind != ravendale.JobProgressed || events[4].Done != 0.5 {
 		t.Errorf("notes are wrong: %+v", events[3:5])
 	}
 	end := events[5]
-	wantLoad := arrowridge.Load{Given: true, InFlight: 7, FreeSlots: 0.4, Busy: -1}
-	if end.Outcome != arrowridge.FullUp || end.Attempt != 1 || !end.Closed || end.Load != wantLoad {
+	wantLoad := ravendale.Load{Given: true, InFlight: 7, FreeSlots: 0.4, Busy: -1}
+	if end.Outcome != ravendale.FullUp || end.Attempt != 1 || !end.Closed || end.Load != wantLoad {
 		t.Errorf("outcome is wrong: %+v", end)
 	}
-	if events[6].Outcome != arrowridge.TimedOut || events[6].Load.Given {
+	if events[6].Outcome != ravendale.TimedOut || events[6].Load.Given {
 		t.Errorf("probe is wrong: %+v", events[6])
 	}
 	if string(events[7].Data) != "hi 7" || events[7].From != 2 {
@@ -167,18 +167,18 @@
 }
 
 func TestActionsAreWritten(t *testing.T) {
-	for want, a := range map[string]arrowridge.Action{
-		"forward ticket=7 worker=worker_a\n":                        {Kind: arrowridge.Send, Job: 7, Worker: "worker_a"},
-		"forward ticket=7 worker=worker_a give-up-after-us=80000\n": {Kind: arrowridge.Send, Job: 7, Worker: "worker_a", Wait: 80 * time.Millisecond},
-		"abort_attempt ticket=7 trial=2\n":                          {Kind: arrowridge.Cancel, Job: 7, Attempt: 2},
-		"decline ticket=7\n":                                        {Kind: arrowridge.Refuse, Job: 7},
-		"decline ticket=7 retry-in-us=250000\n":                     {Kind: arrowridge.Refuse, Job: 7, Wait: 250 * time.Millisecond},
-		"end_failed ticket=7\n":                                     {Kind: arrowridge.Fail, Job: 7},
-		"notify_me wait-us=2 ctx=w\n":                               {Kind: arrowridge.SetTimer, Wait: 1500},
-		"health_check worker=worker_a\n":                            {Kind: arrowridge.Probe, Worker: "worker_a"},
-		"stream_changes on=1\n":                                     {Kind: arrowridge.WatchList},
-		"broadcast_to dest=all blob=aGkgNw==\n":                     {Kind: arrowridge.Tell, To: -1, Data: []byte("hi 7")},
-		"broadcast_to dest=4 blob=-\n":                              {Kind: arrowridge.Tell, To: 4},
+	for want, a := range map[string]ravendale.Action{
+		"forward ticket=7 worker=worker_a\n":                        {Kind: ravendale.Send, Job: 7, Worker: "worker_a"},
+		"forward ticket=7 worker=worker_a give-up-after-us=80000\n": {Kind: ravendale.Send, Job: 7, Worker: "worker_a", Wait: 80 * time.Millisecond},
+		"abort_attempt ticket=7 trial=2\n":                          {Kind: ravendale.Cancel, Job: 7, Attempt: 2},
+		"decline ticket=7\n":                                        {Kind: ravendale.Refuse, Job: 7},
+		"decline ticket=7 retry-in-us=250000\n":                     {Kind: ravendale.Refuse, Job: 7, Wait: 250 * time.Millisecond},
+		"end_failed ticket=7\n":                                     {Kind: ravendale.Fail, Job: 7},
+		"notify_me wait-us=2 ctx=w\n":                               {Kind: ravendale.SetTimer, Wait: 1500},
+		"health_check worker=worker_a\n":                            {Kind: ravendale.Probe, Worker: "worker_a"},
+		"stream_changes on=1\n":                                     {Kind: ravendale.WatchList},
+		"broadcast_to dest=all blob=aGkgNw==\n":                     {Kind: ravendale.Tell, To: -1, Data: []byte("hi 7")},
+		"broadcast_to dest=4 blob=-\n":                              {Kind: ravendale.Tell, To: 4},
 	} {
 		if got := string(AppendAction(nil, &a)); got != want {
 			t.Errorf("wrote %q, want %q", got, want)
--- a/internal/wire/writer.go
+++ b/internal/wire/writer.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"time"
 
-	"arrowridge"
+	"ravendale"
 )
 
 // timerToken marks the one timer that an instance keeps.
@@ -26,35 +26,35 @@
 }
 
 // AppendAction writes one action as a line.
-func AppendAction(b []byte, a *arrowridge.Action) []byte {
+func AppendAction(b []byte, a *ravendale.Action) []byte {
 	switch a.Kind {
-	case arrowridge.Send:
+	case ravendale.Send:
 		b = appendTicket(b, "forward", a.Job)
 		b = append(b, " worker="...)
 		b = append(b, a.Worker...)
 		if a.Wait != 0 {
 			b = appendMicros(b, " give-up-after-us=", a.Wait)
 		}
-	case arrowridge.Cancel:
+	case ravendale.Cancel:
 		b = appendTicket(b, "abort_attempt", a.Job)
 		b = append(b, " trial="...)
 		b = strconv.AppendInt(b, int64(a.Attempt), 10)
-	case arrowridge.Refuse:
+	case ravendale.Refuse:
 		b = appendTicket(b, "decline", a.Job)
 		if a.Wait > 0 {
 			b = appendMicros(b, " retry-in-us=", a.Wait)
 		}
-	case arrowridge.Fail:
+	case ravendale.Fail:
 		b = appendTicket(b, "end_failed", a.Job)
-	case arrowridge.SetTimer:
+	case ravendale.SetTimer:
 		b = appendMicros(b, "notify_me wait-us=", a.Wait)
 		b = append(b, " ctx="+timerToken...)
-	case arrowridge.Probe:
+	case ravendale.Probe:
 		b = append(b, "health_check worker="...)
 		b = append(b, a.Worker...)
-	case arrowridge.WatchList:
+	case ravendale.WatchList:
 		b = append(b, "stream_changes on=1"...)
-	case arrowridge.Tell:
+	case ravendale.Tell:
 		b = append(b, "broadcast_to dest="...)
 		if a.To < 0 {
 			b = append(b, "all"...)
@@ -70,7 +70,7 @@
 	return append(b, '\n')
 }
 
-func appendTicket(b []byte, word string, job arrowridge.JobID) []byte {
+func appendTicket(b []byte, word string, job ravendale.JobID) []byte {
 	b = append(b, word...)
 	b = append(b, " ticket="...)
 	return strconv.AppendUint(b, uint64(job), 10)
--- a/rules_test.go
+++ b/rules_test.go
@@ -1,4 +1,4 @@
-package arrowridge
+package ravendale
 
 import (
 	"fmt"
--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,255 @@
+// Package scheduler runs the decision module among real events. It knows sessions (a client's request),
+// dispatches (one attempt at a backend server) and time, but no protocol: frontends and backends of
+// any kind meet in an Exchange.
+package scheduler
+
+import (
+	"fmt"
+	"log/slog"
+	"time"
+
+	"ravendale"
+	"ravendale/deadline"
+)
+
+// Backend carries out dispatches. Each Send is to lead to exactly one Dispatch.End, unless Withdraw comes before.
+type Backend interface {
+	Send(d *Dispatch)
+	Withdraw(d *Dispatch) // stop waiting for it, and stop the work if possible
+	Avoid(worker string)  // it drains or is gone: what is not on its way there must not go
+}
+
+// ServerTable watches the list of backend servers, and tells Scheduler.Listed.
+type ServerTable interface{ Watch() }
+
+// answerSlack is how long after the client's time the module may still end a session. It acts at that time
+// itself; this only guards the rule that nothing taken stays unanswered.
+const answerSlack = 5 * time.Millisecond
+
+// Scheduler carries out what the decision module decides. All of it belongs to the loop's goroutine.
+type Scheduler struct {
+	loop     *Loop
+	module   *ravendale.Dispatcher
+	settings ravendale.Settings
+	backend  Backend
+	table    ServerTable
+	log      *slog.Logger
+
+	lastJob  ravendale.JobID
+	sessions map[ravendale.JobID]*Session
+	byID     map[string]*Session // those that are owed an answer
+
+	events  []ravendale.Event // not handled yet
+	actions []ravendale.Action
+	busy    bool
+}
+
+// New returns a scheduler, or the module's word on a setting that makes no sense.
+func New(loop *Loop, settings ravendale.Settings, seed uint64, log *slog.Logger) (*Scheduler, error) {
+	module, err := ravendale.New(settings, seed)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return &Scheduler{loop: loop, module: module, settings: settings, log: log,
+		sessions: make(map[ravendale.JobID]*Session), byID: make(map[string]*Session)}, nil
+}
+
+// Connect gives the scheduler its server side; it comes before the first event.
+func (s *Scheduler) Connect(b Backend, t ServerTable) { s.backend, s.table = b, t }
+
+// Owed is how many requests wait for their answer.
+func (s *Scheduler) Owed() int { return len(s.byID) }
+
+// Session is a request in hand.
+type Session struct {
+	s          *Scheduler
+	job        ravendale.JobID
+	ex         *Exchange
+	answerBy   time.Duration
+	guard      *deadline.Deadline
+	dispatches []*Dispatch
+	out        int  // dispatches without an outcome
+	closed     bool // it has had its answer, or the client has left
+}
+
+// Dispatch is one attempt of a session at one backend server.
+type Dispatch struct {
+	Session  *Session
+	Worker   string
+	Deadline time.Duration // when the scheduler stops waiting
+
+	number int
+	sentAt time.Duration
+	timer  *deadline.Deadline
+	ended  bool
+}
+
+// Exchange is the request that the dispatch is for.
+func (d *Dispatch) Exchange() *Exchange { return d.Session.ex }
+
+// Accept takes a request. It returns false where one with that id is in hand already.
+func (s *Scheduler) Accept(ex *Exchange) bool {
+	if s.byID[ex.ID] != nil {
+		return false
+	}
+	s.lastJob++
+	now := s.loop.Now()
+	n := &Session{s: s, job: s.lastJob, ex: ex, answerBy: now + ex.Facts.Left}
+	ex.session = n
+	s.sessions[n.job], s.byID[ex.ID] = n, n
+	// Guards against a module that stays silent: the answer is owed before the client gives up.
+	n.guard = s.loop.Deadlines.Add(n.answerBy+answerSlack, func() {
+		s.log.Error("session ended by its guard", "id", ex.ID)
+		n.end(Answer{Kind: Failed})
+		s.feed(ravendale.Event{Kind: ravendale.ClientLeft, Job: n.job})
+	})
+	f := &ex.Facts
+	s.feed(ravendale.Event{Kind: ravendale.JobArrived, Job: n.job, Class: f.Class, Tenant: f.Tenant, Key: f.Key,
+		Left: f.Left, Work: f.Work, Slots: f.Slots, Memory: f.Memory, Retry: f.Retry})
+	return true
+}
+
+// Listed takes what the server table learnt. Servers that drain or have gone are avoided at once; the
+// module hears of them before it hears what became of the dispatches that were still here.
+func (s *Scheduler) Listed(kind ravendale.ListKind, entries []ravendale.Entry) {
+	s.feed(ravendale.Event{Kind: ravendale.WorkersListed, List: kind, Entries: entries})
+	for i := range entries {
+		if entries[i].State != ravendale.Ready {
+			s.backend.Avoid(entries[i].Worker)
+		}
+	}
+}
+
+// feed hands the module an event and carries out its actions in order. Events that come up meanwhile wait.
+func (s *Scheduler) feed(ev ravendale.Event) {
+	s.events = append(s.events, ev)
+	if s.busy {
+		return
+	}
+	s.busy = true
+	for i := 0; i < len(s.events); i++ {
+		s.actions = s.module.Handle(s.loop.Now(), &s.events[i], s.actions[:0])
+		for j := range s.actions {
+			s.carryOut(&s.actions[j])
+		}
+	}
+	clear(s.events)
+	s.events, s.busy = s.events[:0], false
+}
+
+func (s *Scheduler) carryOut(a *ravendale.Action) {
+	n := s.sessions[a.Job]
+	switch a.Kind {
+	case ravendale.SetTimer:
+		s.loop.After(a.Wait, func() { s.feed(ravendale.Event{Kind: ravendale.TimerFired}) })
+	case ravendale.WatchList:
+		s.table.Watch()
+	case ravendale.Send:
+		if n != nil {
+			n.send(a)
+		}
+	case ravendale.Cancel:
+		if n != nil && a.Attempt >= 0 && a.Attempt < len(n.dispatches) {
+			if d := n.dispatches[a.Attempt]; !d.ended {
+				s.backend.Withdraw(d)
+				d.finish(ravendale.Cancelled)
+			}
+		}
+	case ravendale.Refuse:
+		if n != nil {
+			n.end(Answer{Kind: Refused, RetryAfter: a.Wait})
+		}
+	case ravendale.Fail:
+		if n != nil {
+			n.end(Answer{Kind: Failed})
+		}
+	case ravendale.Probe, ravendale.Tell: // ruled out at every site of this platform
+	}
+}
+
+func (n *Session) send(a *ravendale.Action) {
+	s, now := n.s, n.s.loop.Now()
+	d := &Dispatch{Session: n, Worker: a.Worker, Deadline: n.answerBy, number: len(n.dispatches), sentAt: now}
+	if a.Wait > 0 {
+		d.Deadline = min(d.Deadline, now+a.Wait)
+	}
+	n.dispatches = append(n.dispatches, d)
+	n.out++
+	if n.closed || a.Wait < 0 || now >= d.Deadline || len(n.dispatches) > s.settings.MaxAttempts {
+		d.finish(ravendale.NotSent)
+		return
+	}
+	d.timer = s.loop.Deadlines.Add(d.Deadline, func() {
+		s.backend.Withdraw(d)
+		d.finish(ravendale.TimedOut)
+	})
+	s.backend.Send(d)
+}
+
+// Started tells that the job runs.
+func (d *Dispatch) Started() { d.note(ravendale.JobStarted, 0) }
+
+// Progressed tells which part of the job is done.
+func (d *Dispatch) Progressed(done float64) { d.note(ravendale.JobProgressed, done) }
+
+func (d *Dispatch) note(kind ravendale.EventKind, done float64) {
+	if !d.ended {
+		d.Session.s.feed(ravendale.Event{Kind: kind, Job: d.Session.job, Attempt: d.number, Done: done})
+	}
+}
+
+// End gives the outcome of a dispatch; only the first counts. The first OK of a session is its answer.
+func (d *Dispatch) End(outcome ravendale.Outcome, result []byte) {
+	if d.ended {
+		return
+	}
+	if outcome == ravendale.OK {
+		d.Session.end(Answer{Kind: Served, Result: result})
+	}
+	d.finish(outcome)
+}
+
+// finish tells the module an outcome, once.
+func (d *Dispatch) finish(outcome ravendale.Outcome) {
+	if d.ended {
+		return
+	}
+	n := d.Session
+	d.ended = true
+	n.s.loop.Deadlines.Drop(d.timer)
+	n.out--
+	n.s.feed(ravendale.Event{Kind: ravendale.AttemptEnded, Job: n.job, Attempt: d.number, Outcome: outcome,
+		Took: n.s.loop.Now() - d.sentAt, Closed: n.closed})
+	n.forget()
+}
+
+// end gives the final answer; only the first counts.
+func (n *Session) end(a Answer) {
+	if n.closed {
+		return
+	}
+	n.close()
+	n.ex.Answer(a)
+}
+
+func (n *Session) clientLeft() {
+	if n.closed {
+		return
+	}
+	n.close()
+	n.s.feed(ravendale.Event{Kind: ravendale.ClientLeft, Job: n.job})
+}
+
+func (n *Session) close() {
+	n.closed = true
+	n.s.loop.Deadlines.Drop(n.guard)
+	delete(n.s.byID, n.ex.ID)
+	n.forget()
+}
+
+// forget drops a session of which nothing more can come.
+func (n *Session) forget() {
+	if n.closed && n.out == 0 {
+		delete(n.s.sessions, n.job)
+	}
+}
--- /dev/null
+++ b/transport/nbionet/nbionet.go
@@ -0,0 +1,238 @@
+// Package nbionet serves package transport on the core engine of lesismal/nbio. Its callbacks copy
+// bytes and post to the loop; they touch no state of the program.
+package nbionet
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+
+	"ravendale/transport"
+)
+
+const readBuffer = 32 << 10
+
+// Poster takes work for the owner's goroutine.
+type Poster interface{ Post(func()) }
+
+// Engine owns the listener and all connections.
+type Engine struct {
+	nb      *nbio.Engine
+	loop    Poster
+	timeout time.Duration
+	accept  func(transport.Conn) transport.Handler
+	slots   chan struct{} // one for each client connection that may be open
+	// drained is closed by the owner when nothing new is to be accepted any more
+	listener net.Listener
+}
+
+// Options say how an Engine is to run.
+type Options struct {
+	Loop           Poster
+	Listen         string
+	ConnectTimeout time.Duration
+	MaxAccepted    int // connections of clients at once; more wait in the system's queue
+	Accept         func(transport.Conn) transport.Handler
+	Log            *slog.Logger
+}
+
+// New returns an engine that is not started yet.
+func New(o Options) *Engine {
+	e := &Engine{loop: o.Loop, timeout: o.ConnectTimeout, accept: o.Accept, slots: make(chan struct{}, max(o.MaxAccepted, 1))}
+	logging.SetLogger(nbioLog{o.Log})
+	e.nb = nbio.NewEngine(nbio.Config{Name: "ravendale", Network: "tcp", Addrs: []string{o.Listen}, NPoller: 1,
+		ReadBufferSize: readBuffer, MaxConnReadTimesPerEventLoop: 64, Listen: e.listen})
+	// nbio leaves its buffer cut to the length of the last read: hand it out whole each time.
+	whole := make([]byte, readBuffer)
+	buf := whole
+	e.nb.OnReadBufferAlloc(func(*nbio.Conn) *[]byte {
+		buf = whole
+		return &buf
+	})
+	e.nb.OnOpen(e.opened)
+	e.nb.OnData(func(c *nbio.Conn, data []byte) {
+		if n, ok := c.Session().(*conn); ok {
+			b := append([]byte(nil), data...)
+			e.loop.Post(func() { n.data(b) })
+			runtime.Gosched() // lets the owner run before the poller blocks its processor in a wait
+		}
+	})
+	e.nb.OnWrittenSize(func(c *nbio.Conn, _ []byte, written int) {
+		if n, ok := c.Session().(*conn); ok {
+			n.written.Add(int64(written))
+		}
+	})
+	e.nb.OnClose(func(c *nbio.Conn, err error) {
+		if n, ok := c.Session().(*conn); ok {
+			n.release()
+			e.loop.Post(func() { n.lost(err) })
+		}
+	})
+	return e
+}
+
+// Start listens and serves.
+func (e *Engine) Start() error {
+	if err := e.nb.Start(); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	return nil
+}
+
+// Addr is where the engine listens.
+func (e *Engine) Addr() net.Addr { return e.listener.Addr() }
+
+func (e *Engine) listen(network, addr string) (net.Listener, error) {
+	ln, err := net.Listen(network, addr)
+	if err != nil {
+		return nil, err
+	}
+	e.listener = &limited{Listener: ln, slots: e.slots}
+	return e.listener, nil
+}
+
+// limited accepts while there are slots. It guards against running out of descriptors, upon
+// which nbio would try again without a pause.
+type limited struct {
+	net.Listener
+	slots chan struct{}
+}
+
+func (l *limited) Accept() (net.Conn, error) {
+	l.slots <- struct{}{}
+	for {
+		c, err := l.Listener.Accept()
+		if err == nil {
+			return c, nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			<-l.slots
+			return nil, err
+		}
+		time.Sleep(time.Millisecond) // a moment's want of descriptors must not become a busy loop
+	}
+}
+
+func (e *Engine) opened(c *nbio.Conn) {
+	n := &conn{nb: c, slots: e.slots}
+	c.SetSession(n)
+	e.loop.Post(func() {
+		n.open = true
+		if n.handler = e.accept(n); n.gone {
+			n.handler.Closed(net.ErrClosed)
+		}
+	})
+}
+
+// Dial connects. Its own deadline, kept by whoever dials, decides when to give up; nbio's only frees
+// the descriptor.
+func (e *Engine) Dial(addr string, h transport.Handler) transport.Conn {
+	n := &conn{handler: h}
+	err := e.nb.DialAsyncTimeout("tcp", addr, e.timeout, func(c *nbio.Conn, err error) {
+		if err == nil {
+			// nbio calls this also for a connection that was refused
+			if code, e := syscall.GetsockoptInt(c.Hash(), syscall.SOL_SOCKET, syscall.SO_ERROR); e != nil {
+				err = os.NewSyscallError("getsockopt", e)
+			} else if code != 0 {
+				err = os.NewSyscallError("connect", syscall.Errno(code))
+			}
+		}
+		if err == nil {
+			_ = c.SetNoDelay(true)
+			c.SetSession(n)
+		}
+		e.loop.Post(func() { n.connected(c, err) })
+		runtime.Gosched()
+	})
+	if err != nil {
+		e.loop.Post(func() { n.lost(err) })
+	}
+	return n
+}
+
+// conn is a connection as the owner sees it. Only written is shared with nbio's goroutines.
+type conn struct {
+	nb      *nbio.Conn
+	handler transport.Handler
+	open    bool
+	gone    bool // closed by either side
+	queued  int64
+	written atomic.Int64
+	slots   chan struct{}
+	freed   atomic.Bool
+}
+
+func (n *conn) connected(c *nbio.Conn, err error) {
+	if n.gone {
+		_ = c.Close() // given up while it was being made
+		return
+	}
+	if err != nil {
+		n.lost(err)
+		return
+	}
+	n.nb, n.open = c, true
+	n.handler.Connected()
+}
+
+func (n *conn) data(b []byte) {
+	if !n.gone {
+		n.handler.Data(b)
+	}
+}
+
+func (n *conn) lost(err error) {
+	if n.gone {
+		return
+	}
+	n.gone = true
+	if n.handler != nil {
+		n.handler.Closed(err)
+	}
+}
+
+func (n *conn) release() {
+	if n.slots != nil && n.freed.CompareAndSwap(false, true) {
+		<-n.slots
+	}
+}
+
+func (n *conn) Write(b []byte) {
+	if n.gone || !n.open {
+		return
+	}
+	n.queued += int64(len(b))
+	_, _ = n.nb.Write(b) // an error closes the connection, and that is reported
+}
+
+func (n *conn) Unwritten() int { return int(n.queued - n.written.Load()) }
+
+func (n *conn) Close() {
+	if !n.gone {
+		n.gone = true
+		if n.open {
+			_ = n.nb.Close()
+		}
+	}
+}
+
+// nbioLog passes on nbio's warnings and errors.
+type nbioLog struct{ log *slog.Logger }
+
+func (nbioLog) Debug(string, ...any) {}
+func (nbioLog) Info(string, ...any)  {}
+func (l nbioLog) Warn(format string, v ...any) {
+	l.log.Warn("network", "text", fmt.Sprintf(format, v...))
+}
+func (l nbioLog) Error(format string, v ...any) {
+	l.log.Error("network", "text", fmt.Sprintf(format, v...))
+}
--- /dev/null
+++ b/transport/transport.go
@@ -0,0 +1,24 @@
+// Package transport is what the protocol packages see of the network. Everything in it is called by
+// the loop's goroutine alone; the package nbio below it serves it on real sockets.
+package transport
+
+// Conn is one side of a stream.
+type Conn interface {
+	Write(b []byte) // what can't be written at once is buffered
+	Close()         // drops what is buffered; the handler hears no more
+	// Unwritten is how many bytes are known not to have been handed to the system. It still counts
+	// after the connection has closed.
+	Unwritten() int
+}
+
+// Handler hears of one connection. Closed comes once, unless the connection is closed by Conn.Close.
+type Handler interface {
+	Connected() // of a dialled connection
+	Data(b []byte)
+	Closed(err error)
+}
+
+// Network dials. Closed comes for a dial that failed; Connected comes before anything else otherwise.
+type Network interface {
+	Dial(addr string, h Handler) Conn
+}
