--- a/transport/nbionet/nbionet.go
+++ b/transport/nbionet/nbionet.go
@@ -3,14 +3,13 @@
 package nbionet
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"log/slog"
 	"net"
-	"os"
 	"runtime"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -26,12 +25,11 @@
 
 // Engine owns the listener and all connections.
 type Engine struct {
-	nb      *nbio.Engine
-	loop    Poster
-	timeout time.Duration
-	accept  func(transport.Conn) transport.Handler
-	slots   chan struct{} // one for each client connection that may be open
-	// drained is closed by the owner when nothing new is to be accepted any more
+	nb       *nbio.Engine
+	loop     Poster
+	timeout  time.Duration
+	accept   func(transport.Conn) transport.Handler
+	slots    chan struct{} // one for each client connection that may be open
 	listener net.Listener
 }
 
@@ -123,6 +121,9 @@
 }
 
 func (e *Engine) opened(c *nbio.Conn) {
+	if c.Session() != nil {
+		return // dialled
+	}
 	n := &conn{nb: c, slots: e.slots}
 	c.SetSession(n)
 	e.loop.Post(func() {
@@ -133,30 +134,32 @@
 	})
 }
 
-// Dial connects. Its own deadline, kept by whoever dials, decides when to give up; nbio's only frees
-// the descriptor.
+// Dial connects with the standard library and hands the connection to nbio. nbio's own DialAsync takes the
+// first four bytes of an IPv4 address that the standard library gives in sixteen (net_unix.go:136 in
+// v1.6.8), and so connects to 0.0.0.0: seen as 'connection refused' by discovery at 127.8.200.1.
 func (e *Engine) Dial(addr string, h transport.Handler) transport.Conn {
-	n := &conn{handler: h}
-	err := e.nb.DialAsyncTimeout("tcp", addr, e.timeout, func(c *nbio.Conn, err error) {
-		if err == nil {
-			// nbio calls this also for a connection that was refused
-			if code, e := syscall.GetsockoptInt(c.Hash(), syscall.SOL_SOCKET, syscall.SO_ERROR); e != nil {
-				err = os.NewSyscallError("getsockopt", e)
-			} else if code != 0 {
-				err = os.NewSyscallError("connect", syscall.Errno(code))
-			}
-		}
-		if err == nil {
-			_ = c.SetNoDelay(true)
-			c.SetSession(n)
-		}
+	ctx, cancel := context.WithTimeout(context.Background(), e.timeout)
+	n := &conn{handler: h, cancel: cancel}
+	go func() {
+		defer cancel()
+		c, err := e.dial(ctx, addr, n)
 		e.loop.Post(func() { n.connected(c, err) })
-		runtime.Gosched()
-	})
+	}()
+	return n
+}
+
+func (e *Engine) dial(ctx context.Context, addr string, n *conn) (*nbio.Conn, error) {
+	std, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	c, err := nbio.NBConn(std)
 	if err != nil {
-		e.loop.Post(func() { n.lost(err) })
+		_ = std.Close()
+		return nil, err
 	}
-	return n
+	c.SetSession(n)
+	return e.nb.AddConn(c)
 }
 
 // conn is a connection as the owner sees it. Only written is shared with nbio's goroutines.
@@ -169,16 +172,19 @@
 	written atomic.Int64
 	slots   chan struct{}
 	freed   atomic.Bool
+	cancel  func() // ends a dial
 }
 
 func (n *conn) connected(c *nbio.Conn, err error) {
-	if n.gone {
+	switch {
+	case n.gone && c != nil:
 		_ = c.Close() // given up while it was being made
 		return
-	}
-	if err != nil {
+	case err != nil:
 		n.lost(err)
 		return
+	case n.gone:
+		return
 	}
 	n.nb, n.open = c, true
 	n.handler.Connected()
@@ -219,6 +225,9 @@
 func (n *conn) Close() {
 	if !n.gone {
 		n.gone = true
+		if n.cancel != nil {
+			n.cancel()
+		}
 		if n.open {
 			_ = n.nb.Close()
 		}
