--- a/dispatcher.go
+++ b/dispatcher.go
@@ -657,14 +657,23 @@
 
 // giveUp ends a job unserved.
 func (d *Dispatcher) giveUp(j *job) {
-	kind := Fail
+	a := Action{Kind: Fail, Job: j.id}
 	if j.mayRefuse() {
-		kind = Refuse
+		a.Kind, a.Wait = Refuse, d.comeBack(j)
 	}
-	d.acts = append(d.acts, Action{Kind: kind, Job: j.id})
+	d.acts = append(d.acts, a)
 	d.close(j)
 }
 
+// comeBack is how long a refused client should stay away, 0 where clients are not told. Refused means that
+// no room was found: a run of that class, as seen of late, frees some.
+func (d *Dispatcher) comeBack(j *job) time.Duration {
+	if !d.set.RetryAfter {
+		return 0
+	}
+	return min(max(d.seen[j.classNo].run, holdRetry), max(d.set.MaxRetryAfter, 0))
+}
+
 // close takes a job out of the open ones and cancels what is still out.
 func (d *Dispatcher) close(j *job) {
 	if !j.open {
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -608,3 +608,25 @@
 		t.Errorf("%d lines that are not blank, at most %d are wanted", filled, maxLines)
 	}
 }
+
+// A given-up job is answered at once, and its client is told when to come back; never later than clients
+// heed, and not at all where they are not told.
+func TestARefusalSaysWhenToComeBack(t *testing.T) {
+	for name, tc := range map[string]struct {
+		told bool
+		most time.Duration
+		want time.Duration
+	}{
+		"told":        {true, 2 * time.Second, holdRetry},
+		"told at all": {true, 10 * ms, 10 * ms},
+		"not told":    {false, 2 * time.Second, 0},
+	} {
+		s := testSettings()
+		s.RetryAfter, s.MaxRetryAfter = tc.told, tc.most
+		b := newBench(t, s)
+		b.arrive(1, 0, s.Tick)
+		if got := b.one(Refuse).Wait; got != tc.want {
+			t.Errorf("%s: come back after %v, want %v", name, got, tc.want)
+		}
+	}
+}
