--- a/dispatcher.go
+++ b/dispatcher.go
@@ -42,6 +42,8 @@
 
 	longQueue = 1 // no job joins a queue of more than so many for each slot: it would wait a mean run
 
+	warmingSpend = 2.0 / 3 // of FallMultiple, for a worker past its coldest time: see hasToken
+
 	scarce = 0.5 // room is scarce while this part of the looks at the own zone find none
 
 	worthKept, mixKept = 64, 256 // arrivals that the mean worth and the tenants' mix are averaged over
@@ -608,9 +610,14 @@
 
 // hasToken says whether a cold worker may be sent one job more. The budget of a cold worker is shared by
 // all dispatchers unseen, so each keeps to its own share: the jobs that it would send to one worker
-// if the whole fleet were up, times the part of its capacity that the worker has by now.
+// if the whole fleet were up, times the part of its capacity that the worker has by now. That alone starves
+// a fleet that is replaced whole: all its workers are cold together and take fewer jobs than come. So after
+// the coldest quarter, when one job is no longer most of a span, a larger part of the budget is spent.
 func (d *Dispatcher) hasToken(w *worker) bool {
 	share := d.arrivals / float64(max(d.peak, 1)) * d.warmth(w)
+	if d.now-w.StartedAt > d.set.ColdFor/4 && w.Weight > 0 {
+		share *= warmingSpend * d.set.FallMultiple * w.Weight / d.meanWeight
+	}
 	w.tokens = min(1, w.tokens+share*(d.now-w.filledAt).Seconds())
 	w.filledAt = d.now
 	return w.tokens >= 1
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -630,3 +630,30 @@
 		}
 	}
 }
+
+// A fleet that is replaced whole must not starve: once the coldest time is past, cold workers
+// together take what comes at a usual load.
+func TestAFleetThatIsAllColdTakesItsLoad(t *testing.T) {
+	s := testSettings()
+	s.Dispatchers, s.Me, s.FallMultiple = 1, 0, 3
+	var fleet []Entry
+	for _, name := range []string{"a", "b", "c", "d"} {
+		e := ready(name, 0, 0)
+		e.StartedAt = time.Hour - s.ColdFor/2
+		fleet = append(fleet, e)
+	}
+	b := newBench(t, s, fleet...)
+	b.d.arrivals, b.d.arrivedAt = 20, b.now // the rate of the jobs below, as if they had come for long
+	sent := 0
+	for id := JobID(1); id <= 100; id++ {
+		b.now += 50 * ms
+		b.arrive(id, 2, 25*time.Second)
+		for range b.of(Send) {
+			sent++
+			b.end(id, 0, OK)
+		}
+	}
+	if sent < 90 {
+		t.Errorf("%d of 100 jobs were sent when they came, want nearly all", sent)
+	}
+}
