--- a/http1/http1.go
+++ b/http1/http1.go
@@ -166,25 +166,25 @@
 // begin chooses the framing by a head. Two framings at once are how requests are smuggled: refused.
 func (b *body) begin(h Header, limit int) error {
 	*b = body{limit: limit}
-	coding, length := h.Get("Transfer-Encoding"), ""
+	coding, length, given := h.Get("Transfer-Encoding"), "", false
 	for i := range h {
 		if strings.EqualFold(h[i].Name, "Content-Length") {
-			if length != "" && length != h[i].Value {
+			if given && length != h[i].Value {
 				return bad("two lengths differ")
 			}
-			length = h[i].Value
+			length, given = h[i].Value, true
 		}
 	}
 	switch {
-	case coding != "" && length != "":
+	case coding != "" && given:
 		return bad("a length and a transfer coding")
 	case coding != "" && !strings.EqualFold(coding, "chunked"):
 		return bad("the transfer coding is not known")
 	case coding != "":
 		b.state = chunkSize
-	case length != "":
+	case given:
 		n, err := strconv.ParseUint(length, 10, 31)
-		if err != nil || length[0] == '+' {
+		if err != nil {
 			return bad("the length is no number")
 		}
 		if limit > 0 && int(n) > limit {
--- a/internal/wire/nested.go
+++ b/internal/wire/nested.go
@@ -66,6 +66,3 @@
 func word(v any) string {
 	return strings.NewReplacer(" ", "_", ",", "_").Replace(fmt.Sprint(v))
 }
-
-// Index returns the place of a name, -1 if it is none of them.
-func Index(names []string, name string) int { return index(names, []byte(name)) }
--- a/scheduler/loop.go
+++ b/scheduler/loop.go
@@ -35,8 +35,8 @@
 // Now is the time of the present turn.
 func (l *Loop) Now() time.Duration { return l.now }
 
-// After sets a deadline from now. Deadlines are kept on the turn's own time but counted from the
-// clock: a long turn must not make those that it sets early.
+// After sets a deadline counted from the time of the present turn, which is the time that the module
+// counts from as well.
 func (l *Loop) After(wait time.Duration, due func()) *deadline.Deadline {
 	return l.Deadlines.Add(l.now+wait, due)
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -39,6 +39,8 @@
 	sessions map[ravendale.JobID]*Session
 	byID     map[string]*Session // those that are owed an answer
 
+	quiet func() // called once nothing is owed
+
 	events  []ravendale.Event // not handled yet
 	actions []ravendale.Action
 	busy    bool
@@ -60,6 +62,19 @@
 // Owed is how many requests wait for their answer.
 func (s *Scheduler) Owed() int { return len(s.byID) }
 
+// WhenQuiet has f called, once, as soon as nothing is owed.
+func (s *Scheduler) WhenQuiet(f func()) {
+	s.quiet = f
+	s.checkQuiet()
+}
+
+func (s *Scheduler) checkQuiet() {
+	if f := s.quiet; f != nil && len(s.byID) == 0 {
+		s.quiet = nil
+		f()
+	}
+}
+
 // Session is a request in hand.
 type Session struct {
 	s          *Scheduler
@@ -245,6 +260,7 @@
 	n.s.loop.Deadlines.Drop(n.guard)
 	delete(n.s.byID, n.ex.ID)
 	n.forget()
+	n.s.checkQuiet()
 }
 
 // forget drops a session of which nothing more can come.
--- a/transport/nbionet/nbionet.go
+++ b/transport/nbionet/nbionet.go
@@ -18,7 +18,10 @@
 	"ravendale/transport"
 )
 
-const readBuffer = 32 << 10
+const (
+	readBuffer  = 32 << 10
+	closeWithin = 200 * time.Millisecond
+)
 
 // Poster takes work for the owner's goroutine.
 type Poster interface{ Post(func()) }
@@ -86,6 +89,13 @@
 	return nil
 }
 
+// Close ends the listener and all connections.
+func (e *Engine) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeWithin)
+	defer cancel()
+	_ = e.nb.Shutdown(ctx) // what is still open then ends with the process
+}
+
 // Addr is where the engine listens.
 func (e *Engine) Addr() net.Addr { return e.listener.Addr() }
 
