Read the configuration again on SIGHUP and follow its discovery at once

Ruled out: PROXY_DISCOVERY hides the new address, since a process keeps its environment; the file's own change comes before it.

--- a/cmd/ravendale/main.go
+++ b/cmd/ravendale/main.go
@@ -15,14 +15,22 @@
 )
 
 func main() {
+	hangup := catch() // before anything slow
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	if err := run(log); err != nil {
+	if err := run(log, hangup); err != nil {
 		log.Error("cannot run", "err", err)
 		os.Exit(1)
 	}
 }
 
-func run(log *slog.Logger) error {
+// catch takes SIGHUP, which ends the program until then. One that comes while another is waited for adds nothing.
+func catch() <-chan os.Signal {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	return hangup
+}
+
+func run(log *slog.Logger, hangup <-chan os.Signal) error {
 	cfg, err := config.Load(os.Getenv, os.ReadFile)
 	if err != nil {
 		return err
@@ -37,5 +45,10 @@
 	if err != nil {
 		return err
 	}
+	go func() {
+		for range hangup {
+			n.Reload(os.Getenv, os.ReadFile)
+		}
+	}()
 	return n.Run(ctx)
 }
--- a/config/config.go
+++ b/config/config.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -23,6 +24,8 @@
 	Names                   Names
 	ConnectTimeout          time.Duration
 	IdleClose               time.Duration // a backend server closes what has been idle so long
+
+	inFile string // discovery as the file had it, whatever came before it
 }
 
 // Names are the words that stand for the indices in Settings.
@@ -42,8 +45,14 @@
 	Settings json.RawMessage `json:"settings"`
 }
 
+// Getenv and ReadFile are os.Getenv and os.ReadFile, or what a test puts in their place.
+type (
+	Getenv   = func(string) string
+	ReadFile = func(string) ([]byte, error)
+)
+
 // Load reads the file that PROXY_CONFIG names, by way of the two functions given.
-func Load(getenv func(string) string, read func(string) ([]byte, error)) (*Config, error) {
+func Load(getenv Getenv, read ReadFile) (*Config, error) {
 	path := getenv("PROXY_CONFIG")
 	if path == "" {
 		return nil, fmt.Errorf("PROXY_CONFIG is not set")
@@ -56,12 +65,51 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, fmt.Errorf("PROXY_CONFIG: %s: %w", path, err)
 	}
+	inFile := f.Discovery
 	for name, field := range map[string]*string{"PROXY_NAME": &f.Name, "PROXY_LISTEN": &f.Listen, "PROXY_DISCOVERY": &f.Discovery} {
 		if v := getenv(name); v != "" {
 			*field = v
 		}
 	}
-	return f.config()
+	c, err := f.config()
+	if err != nil {
+		return nil, err
+	}
+	c.inFile = inFile
+	return c, nil
+}
+
+// Again reads the file once more for a program that runs. The discovery of a changed file is followed, also
+// where PROXY_DISCOVERY came before the old one: a process keeps the environment of its start, so that
+// variable would hide every change. Of the rest, ignored names what differs and waits for a restart; seed and known
+// are only for a start anyway.
+func (c *Config) Again(getenv Getenv, read ReadFile) (next *Config, ignored []string, err error) {
+	if next, err = Load(getenv, read); err != nil {
+		return nil, nil, err
+	}
+	if next.inFile == c.inFile || next.inFile == "" {
+		next.Discovery = c.Discovery
+	} else if _, _, err := net.SplitHostPort(next.inFile); err != nil {
+		return nil, nil, fmt.Errorf("discovery: %w", err)
+	} else {
+		next.Discovery = next.inFile
+	}
+	for _, field := range []struct {
+		name     string
+		old, new any
+	}{
+		{"name", c.Name, next.Name},
+		{"listen", c.Listen, next.Listen},
+		{"limits.memory_mb", c.MemoryMB, next.MemoryMB},
+		{"limits.sockets", c.Sockets, next.Sockets},
+		{"settings", []any{c.Settings, c.Names, c.ConnectTimeout, c.IdleClose},
+			[]any{next.Settings, next.Names, next.ConnectTimeout, next.IdleClose}},
+	} {
+		if !reflect.DeepEqual(field.old, field.new) {
+			ignored = append(ignored, field.name)
+		}
+	}
+	return next, ignored, nil
 }
 
 func (f *file) config() (*Config, error) {
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"ravendale"
 )
 
@@ -71,3 +73,39 @@
 		t.Errorf("an unreadable file gives %v", err)
 	}
 }
+
+func TestAgain(t *testing.T) {
+	for name, tc := range map[string]struct {
+		from, to  string
+		env       map[string]string
+		discovery string
+		ignored   []string
+	}{
+		"nothing new":           {"", "", nil, "127.0.0.9:8500", nil},
+		"discovery":             {"127.0.0.9:8500", "127.0.0.9:8501", nil, "127.0.0.9:8501", nil},
+		"discovery, once given": {"127.0.0.9:8500", "127.0.0.9:8501", map[string]string{"PROXY_DISCOVERY": "127.0.0.9:1"}, "127.0.0.9:8501", nil},
+		"discovery as given":    {"", "", map[string]string{"PROXY_DISCOVERY": "127.0.0.9:1"}, "127.0.0.9:1", nil},
+		"seed and known":        {`"seed":"8c1f30d27a5be964"`, `"seed":"1"`, nil, "127.0.0.9:8500", nil},
+		"limits":                {"1024", "512", nil, "127.0.0.9:8500", []string{"limits.sockets"}},
+		"settings":              {`"idempotent"`, `"at_most_once"`, nil, "127.0.0.9:8500", []string{"settings"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, err := load(whole, tc.env)
+			if err != nil {
+				t.Fatal(err)
+			}
+			next, ignored, err := c.Again(func(name string) string {
+				if name == "PROXY_CONFIG" {
+					return "file"
+				}
+				return tc.env[name]
+			}, func(string) ([]byte, error) { return []byte(strings.Replace(whole, tc.from, tc.to, 1)), nil })
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(tc.ignored, ignored); diff != "" || next.Discovery != tc.discovery {
+				t.Errorf("discovery %s, ignored (-want +got):\n%s", next.Discovery, diff)
+			}
+		})
+	}
+}
