--- a/http1/http1.go
+++ b/http1/http1.go
@@ -42,6 +42,17 @@
 	return ""
 }
 
+// Count is how many fields of a name there are.
+func (h Header) Count(name string) int {
+	n := 0
+	for i := range h {
+		if strings.EqualFold(h[i].Name, name) {
+			n++
+		}
+	}
+	return n
+}
+
 // has says whether a comma-separated field names a token.
 func (h Header) has(name, token string) bool {
 	for i := range h {
@@ -75,19 +86,31 @@
 
 // parser is what requests and responses share: bytes that came, and the body that is being read.
 type parser struct {
-	buf  []byte
-	seen int // of buf, searched in vain for the end of a head
-	body body
+	store []byte // what buf is a part of
+	buf   []byte
+	seen  int // of buf, searched in vain for the end of a head
+	body  body
 }
 
-// Feed adds bytes. They are copied.
-func (p *parser) Feed(b []byte) { p.buf = append(p.buf, b...) }
+// keptStore is how much room a parser keeps that has nothing to parse.
+const keptStore = 4 << 10
+
+// Feed adds bytes. They are copied. What waits moves up here, once, and not with each take: a client that cuts its
+// bytes very small would make that a square.
+func (p *parser) Feed(b []byte) {
+	p.store = append(append(p.store[:0], p.buf...), b...)
+	p.buf = p.store
+}
 
 // Buffered is how many bytes wait.
 func (p *parser) Buffered() int { return len(p.buf) }
 
-// take drops bytes from the front; what stays moves up, so the buffer is used again.
-func (p *parser) take(n int) { p.buf = p.buf[:copy(p.buf, p.buf[n:])] }
+// take drops bytes from the front.
+func (p *parser) take(n int) {
+	if p.buf = p.buf[n:]; len(p.buf) == 0 && cap(p.store) > keptStore {
+		p.store, p.buf = nil, nil
+	}
+}
 
 // head cuts off the next head, or returns nil while it is not whole.
 func (p *parser) head() ([]byte, error) {
@@ -122,7 +145,7 @@
 			return nil, bad("a header field has no proper name")
 		}
 		value = strings.Trim(value, " \t")
-		if strings.ContainsAny(value, "\x00\r\n") {
+		if hasControl(value) {
 			return nil, bad("a header field holds control characters")
 		}
 		h = append(h, Field{name, value})
@@ -130,6 +153,26 @@
 	return h, nil
 }
 
+// hasControl guards against bytes that another parser may take for an end or a break.
+func hasControl(s string) bool {
+	for _, c := range []byte(s) {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return true
+		}
+	}
+	return false
+}
+
+// isTarget says whether s may stand in a request line: visible ASCII only.
+func isTarget(s string) bool {
+	for _, c := range []byte(s) {
+		if c <= ' ' || c >= 0x7f {
+			return false
+		}
+	}
+	return s != ""
+}
+
 func isToken(s string) bool {
 	for _, c := range []byte(s) {
 		if c <= ' ' || c >= 0x7f || strings.IndexByte(`"(),/:;<=>?@[\]{}`, c) >= 0 {
@@ -163,10 +206,11 @@
 	untilClose
 )
 
-// begin chooses the framing by a head. Two framings at once are how requests are smuggled: refused.
+// begin chooses the framing by a head. Two framings at once are how requests are smuggled: refused, however empty or
+// repeated either is, for another parser may go by any of the fields.
 func (b *body) begin(h Header, limit int) error {
 	*b = body{limit: limit}
-	coding, length, given := h.Get("Transfer-Encoding"), "", false
+	coding, codings, length, given := h.Get("Transfer-Encoding"), h.Count("Transfer-Encoding"), "", false
 	for i := range h {
 		if strings.EqualFold(h[i].Name, "Content-Length") {
 			if given && length != h[i].Value {
@@ -176,11 +220,11 @@
 		}
 	}
 	switch {
-	case coding != "" && given:
+	case codings > 0 && given:
 		return bad("a length and a transfer coding")
-	case coding != "" && !strings.EqualFold(coding, "chunked"):
+	case codings > 1 || codings == 1 && !strings.EqualFold(coding, "chunked"):
 		return bad("the transfer coding is not known")
-	case coding != "":
+	case codings == 1:
 		b.state = chunkSize
 	case given:
 		n, err := strconv.ParseUint(length, 10, 31)
@@ -287,7 +331,7 @@
 		}
 		first, rest, _ := strings.Cut(string(head), "\r\n")
 		parts := strings.Split(first, " ")
-		if len(parts) != 3 || !isToken(parts[0]) || parts[1] == "" || strings.ContainsAny(parts[1], "\x00\r\n\t") {
+		if len(parts) != 3 || !isToken(parts[0]) || !isTarget(parts[1]) {
 			return nil, bad("the request line is malformed")
 		}
 		if parts[2] != "HTTP/1.1" && parts[2] != "HTTP/1.0" {
@@ -300,6 +344,9 @@
 		if err := p.body.begin(h, MaxBody); err != nil {
 			return nil, err
 		}
+		if parts[2] == "HTTP/1.0" && h.Count("Transfer-Encoding") > 0 {
+			return nil, bad("that version has no transfer coding")
+		}
 		p.req = &Request{Method: parts[0], Target: parts[1], Header: h, Close: wantsClose(parts[2], h)}
 	}
 	var whole bool
@@ -312,6 +359,9 @@
 	return req, nil
 }
 
+// Partial says whether part of a request has come.
+func (p *Requests) Partial() bool { return p.req != nil || len(p.buf) > 0 }
+
 // AwaitsContinue says, once, that the sender holds the body back until it is told to go on.
 func (p *Requests) AwaitsContinue() bool {
 	if p.req == nil || !p.req.Header.has("Expect", "100-continue") || len(p.req.Body) > 0 {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -26,6 +26,10 @@
 // itself; this only guards the rule that nothing taken stays unanswered.
 const answerSlack = 5 * time.Millisecond
 
+// idKept is how long an id is not taken again after its request was answered: as long as some late word of a backend
+// server may come that would count for the newcomer.
+const idKept = 10 * time.Second
+
 // Scheduler carries out what the decision module decides. All of it belongs to the loop's goroutine.
 type Scheduler struct {
 	loop     *Loop
@@ -38,6 +42,7 @@
 	lastJob  ravendale.JobID
 	sessions map[ravendale.JobID]*Session
 	byID     map[string]*Session // those that are owed an answer
+	past     map[string]struct{} // ids that were answered of late
 
 	quiet func() // called once nothing is owed
 
@@ -53,7 +58,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	return &Scheduler{loop: loop, module: module, settings: settings, log: log,
-		sessions: make(map[ravendale.JobID]*Session), byID: make(map[string]*Session)}, nil
+		sessions: make(map[ravendale.JobID]*Session), byID: make(map[string]*Session), past: make(map[string]struct{})}, nil
 }
 
 // Connect gives the scheduler its server side; it comes before the first event.
@@ -102,9 +107,10 @@
 // Exchange is the request that the dispatch is for.
 func (d *Dispatch) Exchange() *Exchange { return d.Session.ex }
 
-// Accept takes a request. It returns false where one with that id is in hand already.
+// Accept takes a request. It returns false where one with that id is in hand, or was of late: clients never use one
+// twice, and nothing changes for the first.
 func (s *Scheduler) Accept(ex *Exchange) bool {
-	if s.byID[ex.ID] != nil {
+	if _, was := s.past[ex.ID]; was || s.byID[ex.ID] != nil {
 		return false
 	}
 	s.lastJob++
@@ -259,6 +265,8 @@
 	n.closed = true
 	n.s.loop.Deadlines.Drop(n.guard)
 	delete(n.s.byID, n.ex.ID)
+	n.s.past[n.ex.ID] = struct{}{}
+	n.s.loop.After(idKept, func() { delete(n.s.past, n.ex.ID) })
 	n.forget()
 	n.s.checkQuiet()
 }
--- a/transport/nbionet/nbionet.go
+++ b/transport/nbionet/nbionet.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"runtime"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -22,6 +23,15 @@
 const (
 	readBuffer  = 32 << 10
 	closeWithin = 200 * time.Millisecond
+
+	// readsATurn is how many buffers one connection is read before the others have their turn: a whole message at
+	// least, for nbio drops what is unread when the other side has ended the connection after it.
+	readsATurn = 4
+	// maxUnread is how many bytes may wait for the owner: beyond it nothing is read, so that senders wait, and not
+	// in this process's memory.
+	maxUnread = 1 << 20
+	// maxIgnored is how much of what is thrown away is read, for the other side to see an answer before the end.
+	maxIgnored = 1 << 20
 )
 
 // Poster takes work for the owner's goroutine.
@@ -35,6 +45,11 @@
 	accept   func(transport.Conn) transport.Handler
 	slots    chan struct{} // one for each client connection that may be open
 	listener net.Listener
+
+	mu     sync.Mutex
+	room   sync.Cond
+	unread int // bytes posted that the owner has not taken
+	closed bool
 }
 
 // Options say how an Engine is to run.
@@ -50,9 +65,10 @@
 // New returns an engine that is not started yet.
 func New(o Options) *Engine {
 	e := &Engine{loop: o.Loop, timeout: o.ConnectTimeout, accept: o.Accept, slots: make(chan struct{}, max(o.MaxAccepted, 1))}
+	e.room.L = &e.mu
 	logging.SetLogger(nbioLog{o.Log})
 	e.nb = nbio.NewEngine(nbio.Config{Name: "ravendale", Network: "tcp", Addrs: []string{o.Listen}, NPoller: 1,
-		ReadBufferSize: readBuffer, MaxConnReadTimesPerEventLoop: 64, Listen: e.listen})
+		ReadBufferSize: readBuffer, MaxConnReadTimesPerEventLoop: readsATurn, Listen: e.listen})
 	// nbio leaves its buffer cut to the length of the last read: hand it out whole each time.
 	whole := make([]byte, readBuffer)
 	buf := whole
@@ -63,14 +79,14 @@
 	e.nb.OnOpen(e.opened)
 	e.nb.OnData(func(c *nbio.Conn, data []byte) {
 		if n, ok := c.Session().(*conn); ok {
-			b := append([]byte(nil), data...)
-			e.loop.Post(func() { n.data(b) })
-			runtime.Gosched() // lets the owner run before the poller blocks its processor in a wait
+			e.took(c, n, data)
 		}
 	})
 	e.nb.OnWrittenSize(func(c *nbio.Conn, _ []byte, written int) {
 		if n, ok := c.Session().(*conn); ok {
-			n.written.Add(int64(written))
+			if n.written.Add(int64(written)); n.finishing.Load() && n.Unwritten() == 0 {
+				_ = syscall.Shutdown(c.Hash(), syscall.SHUT_WR) // nbio holds its lock here
+			}
 		}
 	})
 	e.nb.OnClose(func(c *nbio.Conn, err error) {
@@ -82,6 +98,32 @@
 	return e
 }
 
+// took posts what was read. It blocks nbio's poller, and so all reading, while the owner is behind: guards the
+// memory against clients that send at full speed.
+func (e *Engine) took(c *nbio.Conn, n *conn, data []byte) {
+	if n.ignoring.Load() {
+		if n.ignored += len(data); n.ignored > maxIgnored {
+			_ = c.Close()
+		}
+		return
+	}
+	b := append([]byte(nil), data...)
+	e.mu.Lock()
+	for e.unread > maxUnread && !e.closed {
+		e.room.Wait()
+	}
+	e.unread += len(b)
+	e.mu.Unlock()
+	e.loop.Post(func() {
+		n.data(b)
+		e.mu.Lock()
+		e.unread -= len(b)
+		e.room.Signal()
+		e.mu.Unlock()
+	})
+	runtime.Gosched() // lets the owner run before the poller blocks its processor in a wait
+}
+
 // Start listens and serves.
 func (e *Engine) Start() error {
 	if err := e.nb.Start(); err != nil {
@@ -92,6 +134,10 @@
 
 // Close ends the listener and all connections.
 func (e *Engine) Close() {
+	e.mu.Lock()
+	e.closed = true
+	e.room.Signal()
+	e.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), closeWithin)
 	defer cancel()
 	_ = e.nb.Shutdown(ctx) // what is still open then ends with the process
@@ -173,17 +219,20 @@
 	return e.nb.AddConn(c)
 }
 
-// conn is a connection as the owner sees it. Only written is shared with nbio's goroutines.
+// conn is a connection as the owner sees it. Only what is atomic is shared with nbio's goroutines.
 type conn struct {
-	nb      *nbio.Conn
-	handler transport.Handler
-	open    bool
-	gone    bool // closed by either side
-	queued  int64
-	written atomic.Int64
-	slots   chan struct{}
-	freed   atomic.Bool
-	cancel  func() // ends a dial
+	nb        *nbio.Conn
+	handler   transport.Handler
+	open      bool
+	gone      bool // closed by either side
+	queued    atomic.Int64
+	written   atomic.Int64
+	finishing atomic.Bool
+	ignoring  atomic.Bool
+	ignored   int // bytes thrown away; the poller's own
+	slots     chan struct{}
+	freed     atomic.Bool
+	cancel    func() // ends a dial
 }
 
 func (n *conn) connected(c *nbio.Conn, err error) {
@@ -227,16 +276,35 @@
 	if n.gone || !n.open {
 		return
 	}
-	n.queued += int64(len(b))
+	n.queued.Add(int64(len(b)))
 	_, _ = n.nb.Write(b) // an error closes the connection, and that is reported
 }
 
-func (n *conn) Unwritten() int { return int(n.queued - n.written.Load()) }
+func (n *conn) Unwritten() int { return int(n.queued.Load() - n.written.Load()) }
+
+func (n *conn) Ignore() { n.ignoring.Store(true) }
+
+func (n *conn) Finish() {
+	n.Ignore()
+	n.finishing.Store(true)
+	if n.open && !n.gone && n.Unwritten() == 0 {
+		n.shutdown(syscall.SHUT_WR)
+	}
+}
+
+// shutdown ends directions of the socket. nbio's lock keeps the descriptor from being closed, and used
+// again, meanwhile.
+func (n *conn) shutdown(how int) {
+	n.nb.Lock()
+	if closed, _ := n.nb.IsClosed(); !closed {
+		_ = syscall.Shutdown(n.nb.Hash(), how)
+	}
+	n.nb.Unlock()
+}
 
 // Close ends the connection, at once for the other side too. The shutdown guards against a close that meets the
 // poller's epoll_wait while that looks at the socket: the system (seen on Linux 6.18) then releases the
-// socket only when that call returns, which without other traffic is never. nbio's lock keeps the
-// descriptor from being closed, and used again, meanwhile.
+// socket only when that call returns, which without other traffic is never.
 func (n *conn) Close() {
 	if !n.gone {
 		n.gone = true
@@ -244,11 +312,7 @@
 			n.cancel()
 		}
 		if n.open {
-			n.nb.Lock()
-			if closed, _ := n.nb.IsClosed(); !closed {
-				_ = syscall.Shutdown(n.nb.Hash(), syscall.SHUT_RDWR)
-			}
-			n.nb.Unlock()
+			n.shutdown(syscall.SHUT_RDWR)
 			_ = n.nb.Close()
 		}
 	}
--- a/transport/nbionet/nbionet_test.go
+++ b/transport/nbionet/nbionet_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"ravendale/transport"
@@ -140,3 +142,62 @@
 		_ = c.Close()
 	}
 }
+
+// What comes after an error is read a little further, so that the other side sees the answer and the end of it, and
+// goes to nobody.
+func TestAFinishedConnectionIsNotReadOn(t *testing.T) {
+	e, o, accepted := start(t)
+	c, err := net.Dial("tcp", e.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	n := <-accepted
+	o.on(func() { n.net.Write([]byte("no")); n.net.Finish() })
+	if got, err := io.ReadAll(c); err != nil || string(got) != "no" {
+		t.Errorf("got %q, %v", got, err)
+	}
+	flood := make([]byte, 64<<10)
+	for err == nil { // until the engine closes: the test hangs here if it never does
+		_, err = c.Write(flood)
+	}
+	<-n.closed
+	if len(n.data) > 0 {
+		t.Error("bytes that are not wanted were handed on")
+	}
+}
+
+// later keeps what is posted until it is run.
+type later struct {
+	posted []func()
+	count  atomic.Int64
+}
+
+func (l *later) Post(f func()) { l.posted = append(l.posted, f); l.count.Add(1) }
+
+// A client that sends at full speed waits for the owner, and its bytes not in memory.
+func TestReadingWaitsForTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &later{}
+		e := &Engine{loop: l}
+		e.room.L = &e.mu
+		n := &conn{handler: newEnd()}
+		const most = maxUnread/readBuffer + 1
+		go func() {
+			for range most + 9 {
+				e.took(nil, n, make([]byte, readBuffer))
+			}
+		}()
+		synctest.Wait()
+		if got := l.count.Load(); got != most {
+			t.Errorf("%d reads wait for the owner, not %d", got, most)
+		}
+		for i := 0; i < len(l.posted); i++ {
+			l.posted[i]()
+			synctest.Wait()
+		}
+		if got := l.count.Load(); got != most+9 {
+			t.Errorf("%d reads in all, not %d", got, most+9)
+		}
+	})
+}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -5,6 +5,8 @@
 // Conn is one side of a stream.
 type Conn interface {
 	Write(b []byte) // what can't be written at once is buffered
+	Ignore()        // throws away what comes from now on; an end in a flood of it is still reported
+	Finish()        // as Ignore, and tells the other side after what was written that nothing follows
 	Close()         // drops what is buffered; the handler hears no more
 	// Unwritten is how many bytes are known not to have been handed to the system. It still counts
 	// after the connection has closed.
