--- a/api.go
+++ b/api.go
@@ -170,6 +170,7 @@
 	WorkersListed                  // List, Entries
 	ProbeAnswered                  // Worker, Outcome, Took, Load
 	PeerMessage                    // From, Data
+	Leaving                        // Left: all that is open, or comes yet, is to be answered within it
 )
 
 // Event is one thing that happened. Class and Tenant are indices into the settings, -1 if unknown.
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -132,10 +132,11 @@
 	open  []*job // oldest first
 	zones []zone // by number; the last is for workers of no known zone
 
-	now  time.Duration
-	acts []Action
-	pace float64 // run time for each unit of hinted work, of late
-	seen []seenOfClass
+	now     time.Duration
+	leaveAt time.Duration // what is unanswered by then is lost with this process
+	acts    []Action
+	pace    float64 // run time for each unit of hinted work, of late
+	seen    []seenOfClass
 
 	wakeAt time.Duration // when our earliest timer fires
 
@@ -159,7 +160,7 @@
 	s.Classes = append(s.Classes[:len(s.Classes):len(s.Classes)], Class{Effect: Unsafe, Kind: -1, LateWorth: 1})
 	d := &Dispatcher{
 		set: s, random: rand.New(rand.NewPCG(seed, 0)),
-		wakeAt: never, askAt: never, probeAt: never, askAfter: askRetry,
+		leaveAt: never, wakeAt: never, askAt: never, probeAt: never, askAfter: askRetry,
 		byName: make(map[string]*worker), jobs: make(map[JobID]*job), zones: make([]zone, s.Zones+1),
 		pace: 1, seen: make([]seenOfClass, len(s.Classes)+1), mix: make([]float64, len(s.Tenants)),
 	}
@@ -194,6 +195,8 @@
 		d.list(ev)
 	case ProbeAnswered:
 		d.probed(ev)
+	case Leaving:
+		d.leave(d.now + ev.Left)
 	}
 	acts, d.acts = d.acts, nil
 	return acts
@@ -389,7 +392,7 @@
 		j.classNo = len(d.set.Classes) - 1 // no class of the settings: see New
 	}
 	j.class = &d.set.Classes[j.classNo]
-	j.answerBy = d.now + ev.Left - answerTicks*d.set.Tick
+	j.answerBy = min(d.now+ev.Left-answerTicks*d.set.Tick, d.leaveAt)
 	d.arrivals *= math.Exp(-float64(d.now-d.arrivedAt) / float64(rateOver))
 	d.arrivals += 1 / rateOver.Seconds()
 	d.arrivedAt = d.now
@@ -407,6 +410,17 @@
 	d.copyOldest()
 }
 
+// leave has every open job answered by a time, before its client's if need be: an early answer leaves
+// the client time to try elsewhere, where none would come at all.
+func (d *Dispatcher) leave(at time.Duration) {
+	d.leaveAt = at
+	for _, j := range d.open {
+		j.answerBy = min(j.answerBy, at)
+		j.due = min(j.due, j.answerBy)
+	}
+	d.wake(at)
+}
+
 // setAim works out by when the job must start and what it is worth. The client's clock began with its first
 // try: one that has less time left than the longest seen of its class is so much older.
 func (d *Dispatcher) setAim(j *job, ev *Event) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -67,6 +67,11 @@
 // Owed is how many requests wait for their answer.
 func (s *Scheduler) Owed() int { return len(s.byID) }
 
+// Leave tells that all that is owed, or comes yet, is to be answered within a time.
+func (s *Scheduler) Leave(within time.Duration) {
+	s.feed(ravendale.Event{Kind: ravendale.Leaving, Left: within})
+}
+
 // WhenQuiet has f called, once, as soon as nothing is owed.
 func (s *Scheduler) WhenQuiet(f func()) {
 	s.quiet = f
