--- a/dispatcher.go
+++ b/dispatcher.go
@@ -65,6 +65,7 @@
 	tokens     float64 // sends allowed while cold
 	filledAt   time.Duration
 	sickTill   time.Duration
+	broke      int // attempts in a row that ended in a reset
 	probing    bool
 	limit      float64       // our slots there when it last answered full
 	turnedAway time.Duration // when it last answered full
@@ -774,12 +775,18 @@
 	case OK:
 		d.learnPace(a, j)
 		w.free += j.slots // a report is older than the finish that brings it
-		w.sickTill = 0
+		w.sickTill, w.broke = 0, 0
 	case FullUp:
 		w.limit, w.turnedAway = w.slots, d.now
 		settle(&d.zone(w.Zone).busy, 1)
-	case ConnectFailed, Reset:
+	case ConnectFailed:
 		d.ail(w)
+	case Reset:
+		// A connection may break for no fault of the worker; two in a row say more. With each taken for
+		// an illness, most workers of a fleet that has some breaks would be passed over.
+		if w.broke++; w.broke > 1 {
+			d.ail(w)
+		}
 	}
 }
 
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -449,6 +449,28 @@
 	}
 }
 
+// Connections break now and then: each break alone counted as an illness, and the well workers were passed over.
+func TestOneBreakIsNoIllness(t *testing.T) {
+	for name, tc := range map[string]struct {
+		outcomes []Outcome
+		sick     bool
+	}{
+		"one":                 {[]Outcome{Reset}, false},
+		"two in a row":        {[]Outcome{Reset, Reset}, true},
+		"an answer between":   {[]Outcome{Reset, OK, Reset}, false},
+		"it does not come up": {[]Outcome{ConnectFailed}, true},
+	} {
+		b := newBench(t, testSettings(), ready("a", 0, 0))
+		for i, o := range tc.outcomes {
+			b.arrive(JobID(i), 2, 25*time.Second)
+			b.end(JobID(i), 0, o)
+		}
+		if sick := b.d.byName["a"].sickTill > b.now; sick != tc.sick {
+			t.Errorf("%s: sick is %v", name, sick)
+		}
+	}
+}
+
 // A worker that showed no life drew a new burst whenever its pause was over.
 func TestASickWorkerIsTriedWithOneJob(t *testing.T) {
 	b := newBench(t, testSettings(), ready("a", 0, 0), ready("b", 0, 0), ready("c", 0, 0))
