Pass over a worker that fails jobs, and try it with one at a time

Ruled out: 500s (13 of them, the same worker) and the sockets (9.7 ms to the first attempt at the 99th percentile). At fault: dispatcher.go learn ignored Error. Two faults in a row, or most of the last six, now make a worker sick; it is tried with one job at a time until most go well, rather with jobs that may be sent again. One reset is still no illness.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -22,7 +22,11 @@
 	holdRetry = 50 * time.Millisecond // a job that found no worker looks again; well under any aim
 
 	sickFor = 2 * time.Second // a worker that showed no life is passed over, then gets some work back
-	sick    = 1e6             // added to its rank: such come last, however few of our slots are there
+	// A worker is sick, too, when this part of its last outcomes, averaged over so many, were faults: two
+	// in a row, say.
+	faulty, faultsKept = 0.3, 6
+
+	sick = 1e6 // added to its rank: such come last, however few of our slots are there
 
 	reportLife = time.Second // a report is believed for so long, about a mean run
 
@@ -65,7 +69,7 @@
 	tokens     float64 // sends allowed while cold
 	filledAt   time.Duration
 	sickTill   time.Duration
-	broke      int // attempts in a row that ended in a reset
+	faults     float64 // part of its outcomes, of late, that were errors or breaks
 	probing    bool
 	limit      float64       // our slots there when it last answered full
 	turnedAway time.Duration // when it last answered full
@@ -545,6 +549,9 @@
 			continue
 		}
 		rank := d.rank(w)
+		if w.sickTill > 0 && j.class.Effect == Unsafe {
+			rank += 1 + d.slots/float64(len(d.workers)) // others try a sick one first: they can be sent again
+		}
 		if rank < least {
 			best, least = w, rank
 		}
@@ -775,16 +782,19 @@
 	case OK:
 		d.learnPace(a, j)
 		w.free += j.slots // a report is older than the finish that brings it
-		w.sickTill, w.broke = 0, 0
+		w.faults -= w.faults / faultsKept
+		if w.faults < faulty {
+			w.sickTill = 0 // until then it is tried with one job at a time
+		}
 	case FullUp:
 		w.limit, w.turnedAway = w.slots, d.now
 		settle(&d.zone(w.Zone).busy, 1)
 	case ConnectFailed:
 		d.ail(w)
-	case Reset:
-		// A connection may break for no fault of the worker; two in a row say more. With each taken for
-		// an illness, most workers of a fleet that has some breaks would be passed over.
-		if w.broke++; w.broke > 1 {
+	case Error, Reset:
+		// One that fails jobs at once always has the fewest of our slots and would draw everything. A single
+		// fault says little: with each taken for an illness, most of a fleet with some would be passed over.
+		if w.faults += (1 - w.faults) / faultsKept; w.faults >= faulty {
 			d.ail(w)
 		}
 	}
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -450,7 +450,8 @@
 }
 
 // Connections break now and then: each break alone counted as an illness, and the well workers were passed over.
-func TestOneBreakIsNoIllness(t *testing.T) {
+// One that fails most jobs at once always had the fewest of our slots, and drew everything.
+func TestOneFaultIsNoIllness(t *testing.T) {
 	for name, tc := range map[string]struct {
 		outcomes []Outcome
 		sick     bool
@@ -459,6 +460,10 @@
 		"two in a row":        {[]Outcome{Reset, Reset}, true},
 		"an answer between":   {[]Outcome{Reset, OK, Reset}, false},
 		"it does not come up": {[]Outcome{ConnectFailed}, true},
+		"one error":           {[]Outcome{OK, Error, OK, OK, Error}, false},
+		"two errors":          {[]Outcome{OK, Error, Error}, true},
+		"most are errors":     {[]Outcome{Error, Error, Error, OK}, true},
+		"most go well again":  {[]Outcome{Error, Error, Error, OK, OK}, false},
 	} {
 		b := newBench(t, testSettings(), ready("a", 0, 0))
 		for i, o := range tc.outcomes {
@@ -471,6 +476,34 @@
 	}
 }
 
+// A worker that fails jobs is tried with one at a time until most go well, rather with those that can be sent again.
+func TestAFaultyWorkerIsTriedWithOneJob(t *testing.T) {
+	b := newBench(t, testSettings(), ready("a", 0, 0), ready("b", 0, 0))
+	next := JobID(0)
+	arrive := func(class int) string {
+		next++
+		b.arrive(next, class, 25*time.Second)
+		return b.one(Send).Worker
+	}
+	for b.d.byName["a"].sickTill <= b.now {
+		outcome := map[string]Outcome{"a": Error, "b": OK}[arrive(2)]
+		b.end(next, 0, outcome)
+	}
+	b.now += sickFor
+	if arrive(2) == "a" {
+		t.Error("a job that must not run twice tries the worker")
+	}
+	trials := 0
+	for range 4 {
+		if arrive(1) == "a" {
+			trials++
+		}
+	}
+	if trials != 1 {
+		t.Errorf("%d jobs try the worker at once, want 1", trials)
+	}
+}
+
 // A worker that showed no life drew a new burst whenever its pause was over.
 func TestASickWorkerIsTriedWithOneJob(t *testing.T) {
 	b := newBench(t, testSettings(), ready("a", 0, 0), ready("b", 0, 0), ready("c", 0, 0))
