Move a job that no worker takes within 250 ms, where it may be sent again

Ruled out: clients that leave (184, none of them late). At fault: backend.go set no timer for the response. A dispatch of which nothing is heard for 250 ms is told to the module, which counts a fault against the worker and moves the job; canjear stays, for it may be there.

--- a/api.go
+++ b/api.go
@@ -170,6 +170,7 @@
 	WorkersListed                  // List, Entries
 	ProbeAnswered                  // Worker, Outcome, Took, Load
 	PeerMessage                    // From, Data
+	AttemptSilent                  // Job, Attempt: the worker has not even taken it, long after it should have
 	Leaving                        // Left: all that is open, or comes yet, is to be answered within it
 )
 
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -200,6 +200,8 @@
 		d.list(ev)
 	case ProbeAnswered:
 		d.probed(ev)
+	case AttemptSilent:
+		d.silent(ev)
 	case Leaving:
 		d.leave(d.now + ev.Left)
 	}
@@ -415,6 +417,17 @@
 	d.copyOldest()
 }
 
+// silent moves a job that a worker does not even take: its connection, or it, is as good as dead. What must
+// not run twice stays, for it may be there.
+func (d *Dispatcher) silent(ev *Event) {
+	j := d.jobs[ev.Job]
+	if j == nil || !j.open || ev.Attempt >= len(j.attempts) || j.class.Effect == Unsafe {
+		return
+	}
+	d.fault(j.attempts[ev.Attempt].w)
+	d.cancel(j, ev.Attempt)
+}
+
 // leave has every open job answered by a time, before its client's if need be: an early answer leaves
 // the client time to try elsewhere, where none would come at all.
 func (d *Dispatcher) leave(at time.Duration) {
@@ -792,11 +805,16 @@
 	case ConnectFailed:
 		d.ail(w)
 	case Error, Reset:
-		// One that fails jobs at once always has the fewest of our slots and would draw everything. A single
-		// fault says little: with each taken for an illness, most of a fleet with some would be passed over.
-		if w.faults += (1 - w.faults) / faultsKept; w.faults >= faulty {
-			d.ail(w)
-		}
+		d.fault(w)
+	}
+}
+
+// fault counts against a worker. One that fails jobs at once always has the fewest of our slots and
+// would draw everything. A single fault says little: with each taken for an illness, most of a fleet
+// that has some would be passed over.
+func (d *Dispatcher) fault(w *worker) {
+	if w.faults += (1 - w.faults) / faultsKept; w.faults >= faulty {
+		d.ail(w)
 	}
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -215,6 +215,9 @@
 // Started tells that the job runs.
 func (d *Dispatch) Started() { d.note(ravendale.JobStarted, 0) }
 
+// Silent tells that the backend server has not said a word on it, long after it should have.
+func (d *Dispatch) Silent() { d.note(ravendale.AttemptSilent, 0) }
+
 // Progressed tells which part of the job is done.
 func (d *Dispatch) Progressed(done float64) { d.note(ravendale.JobProgressed, done) }
 
