Do not count against a server that it can't use a request

Ruled out: other rubbish, none of which passes on any more. At fault: since faults count, a 400 counted as one (backend.go Data, dispatcher.go learn): whoever sends made-up ids could have made every worker sick, and each would have got one job at a time. A 4xx is an outcome of its own now.

--- a/api.go
+++ b/api.go
@@ -146,6 +146,7 @@
 	Reset                 // may have run
 	Cancelled             // may have run
 	NotSent               // never ran
+	Rejected              // the worker could not use the request; nothing promises that it did not run
 )
 
 // Load is a worker's report of itself; a field it did not give is negative.
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -804,7 +804,7 @@
 		settle(&d.zone(w.Zone).busy, 1)
 	case ConnectFailed:
 		d.ail(w)
-	case Error, Reset:
+	case Error, Reset: // not Rejected: clients that send rubbish must not make workers sick
 		d.fault(w)
 	}
 }
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -462,6 +462,7 @@
 		"it does not come up": {[]Outcome{ConnectFailed}, true},
 		"one error":           {[]Outcome{OK, Error, OK, OK, Error}, false},
 		"two errors":          {[]Outcome{OK, Error, Error}, true},
+		"rubbish of clients":  {[]Outcome{Rejected, Rejected, Rejected}, false},
 		"most are errors":     {[]Outcome{Error, Error, Error, OK}, true},
 		"most go well again":  {[]Outcome{Error, Error, Error, OK, OK}, false},
 	} {
