Give operators a door with figures, drain and hand, and take an inherited listener

Ruled out: the crash is not the module's; both logs show nbio's poller.stop(nil) below Engine.Close after a failed listen. Faulty: nbionet.go Engine.Start (always opened its listener) and Close (ended what never ran, and a second time). Now: the engine accepts by gates that pause; platform/management is the door; scheduler/figures.go counts; the module keeps who is out by hand beside the list. Each has scenarios; taken out (w.out on a new list) the module's test fails.

--- a/api.go
+++ b/api.go
@@ -172,6 +172,8 @@
 	ProbeAnswered                  // Worker, Outcome, Took, Load
 	PeerMessage                    // From, Data
 	AttemptSilent                  // Job, Attempt: the worker has not even taken it, long after it should have
+	WorkerOut                      // Worker: nothing more may go there, whatever is listed, until it is back
+	WorkerBack                     // Worker: the list counts again, and it is to be taken for cold
 	Leaving                        // Left: all that is open, or comes yet, is to be answered within it
 )
 
--- a/config/config.go
+++ b/config/config.go
@@ -17,6 +17,8 @@
 // Config is all that a scheduler is told.
 type Config struct {
 	Name, Listen, Discovery string
+	Management              string // where operators call, "" for no such place
+	Descriptor              int    // of the listener for clients where that is inherited, else 0
 	Seed                    uint64
 	MemoryMB, Sockets       int
 	Known                   json.RawMessage // the list as last held, in discovery's form
@@ -33,11 +35,12 @@
 
 // file is the form of the JSON file.
 type file struct {
-	Name      string `json:"name"`
-	Listen    string `json:"listen"`
-	Discovery string `json:"discovery"`
-	Seed      string `json:"seed"`
-	Limits    struct {
+	Name       string `json:"name"`
+	Listen     string `json:"listen"`
+	Discovery  string `json:"discovery"`
+	Management string `json:"management"`
+	Seed       string `json:"seed"`
+	Limits     struct {
 		MemoryMB float64 `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
@@ -66,7 +69,8 @@
 		return nil, fmt.Errorf("PROXY_CONFIG: %s: %w", path, err)
 	}
 	inFile := f.Discovery
-	for name, field := range map[string]*string{"PROXY_NAME": &f.Name, "PROXY_LISTEN": &f.Listen, "PROXY_DISCOVERY": &f.Discovery} {
+	for name, field := range map[string]*string{"PROXY_NAME": &f.Name, "PROXY_LISTEN": &f.Listen, "PROXY_DISCOVERY": &f.Discovery,
+		"PROXY_MANAGEMENT": &f.Management} {
 		if v := getenv(name); v != "" {
 			*field = v
 		}
@@ -76,6 +80,11 @@
 		return nil, err
 	}
 	c.inFile = inFile
+	if fd := getenv("PROXY_FD"); fd != "" {
+		if c.Descriptor, err = strconv.Atoi(fd); err != nil || c.Descriptor < 3 {
+			return nil, fmt.Errorf("PROXY_FD: %q is no descriptor", fd)
+		}
+	}
 	return c, nil
 }
 
@@ -113,7 +122,7 @@
 }
 
 func (f *file) config() (*Config, error) {
-	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Known: f.Known,
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Management: f.Management, Known: f.Known,
 		MemoryMB: int(f.Limits.MemoryMB), Sockets: f.Limits.Sockets}
 	if c.Name == "" {
 		return nil, fmt.Errorf("name is missing")
@@ -124,6 +133,11 @@
 	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
+	if c.Management != "" {
+		if _, _, err := net.SplitHostPort(c.Management); err != nil {
+			return nil, fmt.Errorf("management: %w", err)
+		}
+	}
 	var err error
 	if f.Seed != "" {
 		if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
--- a/deadline/deadline.go
+++ b/deadline/deadline.go
@@ -15,6 +15,9 @@
 	queued bool
 }
 
+// At is when it is due.
+func (d *Deadline) At() time.Duration { return d.at }
+
 // Queue holds deadlines in the order in which they fall due; those of one time keep the order in which
 // they were added. It is not safe for concurrent use.
 type Queue struct {
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -63,10 +63,12 @@
 )
 
 type worker struct {
-	Entry
-	slots      float64 // our slots in flight
-	size       float64 // the slots that it was seen to have
-	tokens     float64 // sends allowed while cold
+	Entry                    // StartedAt as it is taken to be
+	told       time.Duration // StartedAt as listed
+	out        bool          // by hand
+	slots      float64       // our slots in flight
+	size       float64       // the slots that it was seen to have
+	tokens     float64       // sends allowed while cold
 	filledAt   time.Duration
 	sickTill   time.Duration
 	faults     float64 // part of its outcomes, of late, that were errors or breaks
@@ -127,7 +129,8 @@
 	random  *rand.Rand
 	workers []*worker // in the order in which they were first listed
 	byName  map[string]*worker
-	peak    int // the most ready workers seen at once
+	out     map[string]time.Duration // out by hand, listed or not: since when
+	peak    int                      // the most ready workers seen at once
 
 	meanWeight float64 // of the ready workers
 	meanSize   float64 // slots of a worker, as seen of late
@@ -166,7 +169,8 @@
 	d := &Dispatcher{
 		set: s, random: rand.New(rand.NewPCG(seed, 0)),
 		leaveAt: never, wakeAt: never, askAt: never, probeAt: never, askAfter: askRetry,
-		byName: make(map[string]*worker), jobs: make(map[JobID]*job), zones: make([]zone, s.Zones+1),
+		byName: make(map[string]*worker), out: make(map[string]time.Duration),
+		jobs: make(map[JobID]*job), zones: make([]zone, s.Zones+1),
 		pace: 1, seen: make([]seenOfClass, len(s.Classes)+1), mix: make([]float64, len(s.Tenants)),
 	}
 	for i := range d.mix {
@@ -202,6 +206,8 @@
 		d.probed(ev)
 	case AttemptSilent:
 		d.silent(ev)
+	case WorkerOut, WorkerBack:
+		d.byHand(ev.Worker, ev.Kind == WorkerOut)
 	case Leaving:
 		d.leave(d.now + ev.Left)
 	}
@@ -544,7 +550,7 @@
 			break
 		}
 		w := d.workers[(start+i)%len(d.workers)]
-		if w.State != Ready || j.class.Kind >= 0 && w.Kind != j.class.Kind {
+		if !w.usable() || j.class.Kind >= 0 && w.Kind != j.class.Kind {
 			continue
 		}
 		if w.sickTill <= d.now {
@@ -862,7 +868,7 @@
 	var best *worker
 	for range probeDraws {
 		w := d.workers[int(d.random.Float64()*float64(len(d.workers)))]
-		if w.State != Ready || w.probing || d.now-w.seenAt < reportLife {
+		if !w.usable() || w.probing || d.now-w.seenAt < reportLife {
 			continue
 		}
 		if best == nil || d.rank(w) < d.rank(best) {
@@ -956,12 +962,48 @@
 		d.byName[e.Worker] = w
 		d.workers = append(d.workers, w)
 	}
-	if e.StartedAt != w.StartedAt {
+	at := e.StartedAt
+	switch {
+	case at == w.told:
+		at = w.StartedAt // no news: what it was taken to be stands
+	case at > w.StartedAt:
 		*w = d.fresh(w.slots)
 	}
-	w.Entry = *e
+	w.Entry, w.told = *e, e.StartedAt
+	w.StartedAt = at
+	_, w.out = d.out[e.Worker]
 }
 
+// byHand takes a worker out, or puts it back. It was restarted meanwhile, and nothing seen before counts.
+// Until a list tells when that was, it was now: one taken for warm is pushed over. It has one send at once.
+func (d *Dispatcher) byHand(name string, out bool) {
+	since, was := d.out[name]
+	w := d.byName[name]
+	switch {
+	case out && !was:
+		d.out[name] = d.now
+	case !out:
+		delete(d.out, name)
+	}
+	if w == nil || out == was {
+		return
+	}
+	if !out {
+		e, told := w.Entry, w.told
+		*w = d.fresh(w.slots)
+		w.Entry, w.told, w.tokens = e, told, 1
+		if w.StartedAt = told; told < since {
+			w.StartedAt = d.now
+		}
+	}
+	w.out = out
+	d.forgetGone()
+	d.placeHeld()
+}
+
+// usable says whether jobs may go to a worker, by the list and by hand.
+func (w *worker) usable() bool { return w.State == Ready && !w.out }
+
 // fresh is a worker of which nothing is known but our slots. The random part of a token makes the
 // budgets of many dispatchers add up evenly.
 func (d *Dispatcher) fresh(slots float64) worker {
@@ -978,7 +1020,7 @@
 			delete(d.byName, w.Worker)
 			continue
 		}
-		if w.State == Ready {
+		if w.usable() {
 			ready++
 			weight += w.Weight
 		}
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -713,3 +713,64 @@
 		t.Errorf("%d of 100 jobs were sent when they came, want most", sent)
 	}
 }
+
+// Out by hand holds whatever is listed, and is undone by a single call. Back, a worker counts as cold until the list
+// tells when it started, is used at once, and nothing seen of the process before it counts.
+func TestOutByHandIsBesideTheList(t *testing.T) {
+	b := newBench(t, testSettings(), ready("a", 0, 0), ready("b", 0, 0))
+	out, back := Event{Kind: WorkerOut, Worker: "a"}, Event{Kind: WorkerBack, Worker: "a"}
+	only := func(want string, id JobID) {
+		t.Helper()
+		for range 4 {
+			b.arrive(id, 2, 25*time.Second)
+			if w := b.one(Send).Worker; w != want {
+				t.Fatalf("job %d went to %s, want %s", id, w, want)
+			}
+			b.end(id, 0, OK)
+			id++
+		}
+	}
+	for id := JobID(100); b.d.byName["a"].sickTill == 0; id++ {
+		b.arrive(id, 2, 25*time.Second)
+		b.end(id, 0, map[string]Outcome{"a": Reset, "b": OK}[b.one(Send).Worker])
+	}
+	b.do(out)
+	b.do(out)
+	only("b", 1)
+	b.do(Event{Kind: WorkersListed, List: Full, Entries: []Entry{ready("a", 0, 0), ready("b", 0, 0)}})
+	only("b", 10)
+	b.do(Event{Kind: WorkersListed, List: Full, Entries: []Entry{ready("b", 0, 0)}})
+	if !b.d.Knows("a") || b.d.Knows("c") {
+		t.Fatal("one out by hand is to be known though not listed, and no other")
+	}
+	b.do(Event{Kind: WorkersListed, List: Delta, Entries: []Entry{ready("a", 0, 0)}})
+	only("b", 20)
+	if listed, avoided := b.d.Workers(); listed != 2 || avoided != 1 {
+		t.Fatalf("%d listed, %d avoided", listed, avoided)
+	}
+	b.now += time.Second
+	b.do(back)
+	a := b.d.byName["a"]
+	if got := b.d.warmth(a); got != b.d.set.ColdFrom || a.sickTill != 0 || a.faults != 0 {
+		t.Fatalf("warmth %v, sick till %v, faults %v", got, a.sickTill, a.faults)
+	}
+	b.arrive(30, 2, 25*time.Second)
+	b.arrive(31, 2, 25*time.Second)
+	if a.slots != 1 {
+		t.Fatalf("%v jobs of two went to the worker that is back", a.slots)
+	}
+	tokens := a.tokens
+	b.now += time.Second
+	e := ready("a", 0, 0)
+	e.StartedAt = b.now - 3*time.Second // told late, before the call back
+	b.do(Event{Kind: WorkersListed, List: Delta, Entries: []Entry{e}})
+	if a.StartedAt != e.StartedAt || a.tokens != tokens {
+		t.Fatalf("started %v, %v tokens, want %v and %v", a.StartedAt, a.tokens, e.StartedAt, tokens)
+	}
+	b.now += time.Second
+	e.State = Draining
+	b.do(out)
+	b.do(Event{Kind: WorkersListed, List: Delta, Entries: []Entry{e}})
+	b.do(back)
+	only("b", 40)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -44,7 +44,8 @@
 	byID     map[string]*Session // those that are owed an answer
 	past     map[string]struct{} // ids that were answered of late
 
-	quiet func() // called once nothing is owed
+	quiet   func() // called once nothing is owed
+	figures Figures
 
 	events  []ravendale.Event // not handled yet
 	actions []ravendale.Action
@@ -57,8 +58,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	return &Scheduler{loop: loop, module: module, settings: settings, log: log,
-		sessions: make(map[ravendale.JobID]*Session), byID: make(map[string]*Session), past: make(map[string]struct{})}, nil
+	s := &Scheduler{loop: loop, module: module, settings: settings, log: log, figures: Figures{Classes: make(map[string]ClassFigures)},
+		sessions: make(map[ravendale.JobID]*Session), byID: make(map[string]*Session), past: make(map[string]struct{})}
+	s.name()
+	return s, nil
 }
 
 // Connect gives the scheduler its server side; it comes before the first event.
@@ -90,6 +93,7 @@
 	s          *Scheduler
 	job        ravendale.JobID
 	ex         *Exchange
+	class      string
 	answerBy   time.Duration
 	guard      *deadline.Deadline
 	dispatches []*Dispatch
@@ -122,6 +126,9 @@
 	now := s.loop.Now()
 	n := &Session{s: s, job: s.lastJob, ex: ex, answerBy: now + ex.Facts.Left}
 	ex.session = n
+	if c := ex.Facts.Class; c >= 0 && c < len(s.settings.Classes) {
+		n.class = s.settings.Classes[c].Name
+	}
 	s.sessions[n.job], s.byID[ex.ID] = n, n
 	// Guards against a module that stays silent: the answer is owed before the client gives up.
 	n.guard = s.loop.Deadlines.Add(n.answerBy+answerSlack, func() {
@@ -146,6 +153,21 @@
 	}
 }
 
+// Hand takes a backend server out by hand, or puts it back; whatever is listed meanwhile, nothing new goes to one that is
+// out. It returns false where no such server is known.
+func (s *Scheduler) Hand(worker string, out bool) bool {
+	if !s.module.Knows(worker) {
+		return false
+	}
+	if !out {
+		s.feed(ravendale.Event{Kind: ravendale.WorkerBack, Worker: worker})
+		return true
+	}
+	s.feed(ravendale.Event{Kind: ravendale.WorkerOut, Worker: worker})
+	s.backend.Avoid(worker)
+	return true
+}
+
 // feed hands the module an event and carries out its actions in order. Events that come up meanwhile wait.
 func (s *Scheduler) feed(ev ravendale.Event) {
 	s.events = append(s.events, ev)
@@ -212,6 +234,9 @@
 	s.backend.Send(d)
 }
 
+// Sent tells that the request is written whole.
+func (d *Dispatch) Sent() { d.Session.s.figures.Sends++ }
+
 // Started tells that the job runs.
 func (d *Dispatch) Started() { d.note(ravendale.JobStarted, 0) }
 
@@ -258,6 +283,7 @@
 		return
 	}
 	n.close()
+	n.s.count(n.class, a.Kind)
 	n.ex.Answer(a)
 }
 
--- a/transport/nbionet/nbionet.go
+++ b/transport/nbionet/nbionet.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"runtime"
 	"sync"
 	"sync/atomic"
@@ -37,38 +38,34 @@
 // Poster takes work for the owner's goroutine.
 type Poster interface{ Post(func()) }
 
-// Engine owns the listener and all connections.
+// Engine owns the listeners and all connections.
 type Engine struct {
-	nb       *nbio.Engine
-	loop     Poster
-	timeout  time.Duration
-	accept   func(transport.Conn) transport.Handler
-	slots    chan struct{} // one for each client connection that may be open
-	listener net.Listener
+	nb      *nbio.Engine
+	loop    Poster
+	timeout time.Duration
+	started bool
 
 	mu     sync.Mutex
 	room   sync.Cond
 	unread int // bytes posted that the owner has not taken
 	closed bool
+	gates  []*Gate
 }
 
 // Options say how an Engine is to run.
 type Options struct {
 	Loop           Poster
-	Listen         string
 	ConnectTimeout time.Duration
-	MaxAccepted    int // connections of clients at once; more wait in the system's queue
-	Accept         func(transport.Conn) transport.Handler
 	Log            *slog.Logger
 }
 
 // New returns an engine that is not started yet.
 func New(o Options) *Engine {
-	e := &Engine{loop: o.Loop, timeout: o.ConnectTimeout, accept: o.Accept, slots: make(chan struct{}, max(o.MaxAccepted, 1))}
+	e := &Engine{loop: o.Loop, timeout: o.ConnectTimeout}
 	e.room.L = &e.mu
 	logging.SetLogger(nbioLog{o.Log})
-	e.nb = nbio.NewEngine(nbio.Config{Name: "ravendale", Network: "tcp", Addrs: []string{o.Listen}, NPoller: 1,
-		ReadBufferSize: readBuffer, MaxConnReadTimesPerEventLoop: readsATurn, Listen: e.listen})
+	e.nb = nbio.NewEngine(nbio.Config{Name: "ravendale", Network: "tcp", NPoller: 1,
+		ReadBufferSize: readBuffer, MaxConnReadTimesPerEventLoop: readsATurn})
 	// nbio leaves its buffer cut to the length of the last read: hand it out whole each time.
 	whole := make([]byte, readBuffer)
 	buf := whole
@@ -76,7 +73,6 @@
 		buf = whole
 		return &buf
 	})
-	e.nb.OnOpen(e.opened)
 	e.nb.OnData(func(c *nbio.Conn, data []byte) {
 		if n, ok := c.Session().(*conn); ok {
 			e.took(c, n, data)
@@ -124,71 +120,158 @@
 	runtime.Gosched() // lets the owner run before the poller blocks its processor in a wait
 }
 
-// Start listens and serves.
+// Start begins to serve what is accepted and dialled.
 func (e *Engine) Start() error {
 	if err := e.nb.Start(); err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return fmt.Errorf("poller: %w", err)
 	}
+	e.started = true
 	return nil
 }
 
-// Close ends the listener and all connections.
+// Close ends the listeners and all connections. nbio panics if told to end what never started, or has ended.
 func (e *Engine) Close() {
 	e.mu.Lock()
+	before := e.closed
 	e.closed = true
 	e.room.Signal()
 	e.mu.Unlock()
+	for _, g := range e.gates {
+		g.close()
+	}
+	if !e.started || before {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), closeWithin)
 	defer cancel()
 	_ = e.nb.Shutdown(ctx) // what is still open then ends with the process
 }
 
-// Addr is where the engine listens.
-func (e *Engine) Addr() net.Addr { return e.listener.Addr() }
+// Serve accepts from a listener, which it owns from now on, up to room connections at once; more wait in the system's
+// queue. The listener may be shared with other processes: it is closed, but never shut down.
+func (e *Engine) Serve(ln net.Listener, room int, accept func(transport.Conn) transport.Handler) *Gate {
+	g := &Gate{e: e, ln: ln, accept: accept, room: max(room, 1)}
+	g.cond.L = &g.mu
+	e.gates = append(e.gates, g)
+	go g.run()
+	return g
+}
+
+// Gate is a listener and the connections that came by it. It guards against running out of descriptors.
+type Gate struct {
+	e      *Engine
+	ln     net.Listener
+	accept func(transport.Conn) transport.Handler
 
-func (e *Engine) listen(network, addr string) (net.Listener, error) {
-	ln, err := net.Listen(network, addr)
-	if err != nil {
-		return nil, err
+	mu             sync.Mutex
+	cond           sync.Cond
+	open, room     int
+	paused, closed bool
+}
+
+// Addr is where it listens.
+func (g *Gate) Addr() net.Addr { return g.ln.Addr() }
+
+// Pause has nothing more accepted until Resume. What waits in the system's queue is left to others who listen on the
+// same socket.
+func (g *Gate) Pause() { g.set(func() { g.paused = true }, time.Unix(1, 0)) }
+
+// Resume undoes Pause.
+func (g *Gate) Resume() { g.set(func() { g.paused = false }, time.Time{}) }
+
+// SetRoom sets how many connections there may be.
+func (g *Gate) SetRoom(room int) {
+	g.mu.Lock()
+	g.room = max(room, 1)
+	g.mu.Unlock()
+	g.cond.Signal()
+}
+
+func (g *Gate) set(change func(), until time.Time) {
+	g.mu.Lock()
+	change()
+	if ln, ok := g.ln.(interface{ SetDeadline(time.Time) error }); ok {
+		_ = ln.SetDeadline(until) // wakes an Accept that waits
 	}
-	e.listener = &limited{Listener: ln, slots: e.slots}
-	return e.listener, nil
+	g.mu.Unlock()
+	g.cond.Signal()
 }
 
-// limited accepts while there are slots. It guards against running out of descriptors, upon
-// which nbio would try again without a pause.
-type limited struct {
-	net.Listener
-	slots chan struct{}
+func (g *Gate) close() {
+	g.mu.Lock()
+	g.closed = true
+	g.mu.Unlock()
+	_ = g.ln.Close()
+	g.cond.Signal()
 }
 
-func (l *limited) Accept() (net.Conn, error) {
-	l.slots <- struct{}{}
-	for {
-		c, err := l.Listener.Accept()
+func (g *Gate) run() {
+	for g.enter() {
+		c, err := g.ln.Accept()
 		if err == nil {
-			return c, nil
+			g.e.accepted(c, g)
+			continue
 		}
+		g.left()
 		if errors.Is(err, net.ErrClosed) {
-			<-l.slots
-			return nil, err
+			return
 		}
 		time.Sleep(time.Millisecond) // a moment's want of descriptors must not become a busy loop
 	}
 }
 
-func (e *Engine) opened(c *nbio.Conn) {
-	if c.Session() != nil {
-		return // dialled
+// enter waits for room, and returns false once the gate is closed.
+func (g *Gate) enter() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for !g.closed && (g.paused || g.open >= g.room) {
+		g.cond.Wait()
 	}
-	n := &conn{nb: c, slots: e.slots}
+	g.open++
+	return !g.closed
+}
+
+func (g *Gate) left() {
+	g.mu.Lock()
+	g.open--
+	g.mu.Unlock()
+	g.cond.Signal()
+}
+
+func (e *Engine) accepted(std net.Conn, g *Gate) {
+	c, err := nbio.NBConn(std)
+	if err != nil {
+		_ = std.Close()
+		g.left()
+		return
+	}
+	n := &conn{nb: c, gate: g}
 	c.SetSession(n)
 	e.loop.Post(func() {
 		n.open = true
-		if n.handler = e.accept(n); n.gone {
+		if n.handler = g.accept(n); n.gone {
 			n.handler.Closed(net.ErrClosed)
 		}
 	})
+	_, _ = e.nb.AddConn(c) // upon an error the connection is closed, and that is reported
+}
+
+// Listen opens a listener; with a descriptor above 0 it takes that one, which the process inherited, instead.
+func Listen(addr string, descriptor int) (net.Listener, error) {
+	if descriptor <= 0 {
+		return net.Listen("tcp", addr)
+	}
+	syscall.CloseOnExec(descriptor)
+	f := os.NewFile(uintptr(descriptor), "listener")
+	if f == nil {
+		return nil, fmt.Errorf("descriptor %d is none", descriptor)
+	}
+	defer f.Close() // of the original; the listener has a copy
+	ln, err := net.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("descriptor %d: %w", descriptor, err)
+	}
+	return ln, nil
 }
 
 // Dial connects with the standard library and hands the connection to nbio. nbio's own DialAsync takes the
@@ -229,8 +312,8 @@
 	written   atomic.Int64
 	finishing atomic.Bool
 	ignoring  atomic.Bool
-	ignored   int // bytes thrown away; the poller's own
-	slots     chan struct{}
+	ignored   int   // bytes thrown away; the poller's own
+	gate      *Gate // nil if it was dialled
 	freed     atomic.Bool
 	cancel    func() // ends a dial
 }
@@ -267,8 +350,8 @@
 }
 
 func (n *conn) release() {
-	if n.slots != nil && n.freed.CompareAndSwap(false, true) {
-		<-n.slots
+	if n.gate != nil && n.freed.CompareAndSwap(false, true) {
+		n.gate.left()
 	}
 }
 
--- a/transport/nbionet/nbionet_test.go
+++ b/transport/nbionet/nbionet_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,17 +39,20 @@
 func start(t *testing.T) (*Engine, owner, chan *end) {
 	t.Helper()
 	o, accepted := make(owner, 1024), make(chan *end, 8)
-	e := New(Options{Loop: o, Listen: "127.0.0.1:0", ConnectTimeout: 5 * time.Second, MaxAccepted: 4,
-		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		Accept: func(c transport.Conn) transport.Handler {
-			n := newEnd()
-			n.net = c
-			accepted <- n
-			return n
-		}})
+	e := New(Options{Loop: o, ConnectTimeout: 5 * time.Second, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	ln, err := Listen("127.0.0.1:0", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
 	if err := e.Start(); err != nil {
 		t.Fatal(err)
 	}
+	e.Serve(ln, 4, func(c transport.Conn) transport.Handler {
+		n := newEnd()
+		n.net = c
+		accepted <- n
+		return n
+	})
 	stop := make(chan struct{})
 	go func() {
 		for {
@@ -119,7 +123,7 @@
 func TestAcceptedConnections(t *testing.T) {
 	e, o, accepted := start(t)
 	for range 10 { // more than may be open at once: a closed one makes room
-		c, err := net.Dial("tcp", e.Addr().String())
+		c, err := net.Dial("tcp", e.gates[0].Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -147,7 +151,7 @@
 // goes to nobody.
 func TestAFinishedConnectionIsNotReadOn(t *testing.T) {
 	e, o, accepted := start(t)
-	c, err := net.Dial("tcp", e.Addr().String())
+	c, err := net.Dial("tcp", e.gates[0].Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -201,3 +205,59 @@
 		}
 	})
 }
+
+// A listener may be inherited, and shared: while its gate pauses, connections wait for whoever else listens, and the
+// end of an engine, even of one that never started, does not end it for others.
+func TestAnInheritedListenerIsSharedAndPauses(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	e, o, accepted := start(t)
+	file, err := held.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	fd, err := syscall.Dup(int(file.Fd()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	file.Close()
+	ln, err := Listen("ignored", fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := e.Serve(ln, 1, e.gates[0].accept)
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", held.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	dial()
+	first := <-accepted
+	o.on(func() { first.net.Close() })
+	g.Pause()
+	theirs := dial()
+	c, err := held.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if c.RemoteAddr().String() != theirs.LocalAddr().String() {
+		t.Fatal("accepted another connection")
+	}
+	g.Resume()
+	dial()
+	<-accepted
+	e.Close()
+	dial()
+	if c, err = held.Accept(); err != nil {
+		t.Fatal("ending the engine ended the shared listener: ", err)
+	}
+	c.Close()
+	New(Options{Loop: make(owner, 1), Log: slog.New(slog.NewTextHandler(io.Discard, nil))}).Close()
+}
