Let a new version take over from a running one, as two processes that are one scheduler

Seen: after the listener is inherited, both processes of an upgrade need each other's call-backs, ids, hand and budgets.

--- a/api.go
+++ b/api.go
@@ -174,6 +174,8 @@
 	AttemptSilent                  // Job, Attempt: the worker has not even taken it, long after it should have
 	WorkerOut                      // Worker: nothing more may go there, whatever is listed, until it is back
 	WorkerBack                     // Worker: the list counts again, and it is to be taken for cold
+	SentElsewhere                  // Worker: another process of this dispatcher sent a job there
+	Inherited                      // Past: of the process before this one, after its list
 	Leaving                        // Left: all that is open, or comes yet, is to be answered within it
 )
 
@@ -200,6 +202,29 @@
 	Entries []Entry
 	From    int
 	Data    []byte
+	Past    *Memory
+}
+
+// Memory is what a dispatcher hands to the process that takes its place. Times are on the clock of its events, which
+// the two must share.
+type Memory struct {
+	Out      map[string]time.Duration // workers out by hand, since when
+	Arrivals float64                  // jobs a second
+	Peak     int                      // the most ready workers seen at once
+	Classes  map[string]RunMemory
+	Workers  map[string]WorkerMemory
+}
+
+// RunMemory is what was seen of the jobs of one class.
+type RunMemory struct{ Run, Dev, Longest time.Duration }
+
+// WorkerMemory is what was seen of one worker.
+type WorkerMemory struct {
+	StartedAt, Told      time.Duration // what its start is taken for, and what the list said
+	Tokens               float64       // sends allowed while cold
+	FilledAt             time.Duration
+	SickTill, TurnedAway time.Duration
+	Faults, Limit        float64
 }
 
 // ActionKind tells what an Action asks for, and so which of its fields count.
--- a/cmd/ravendale/main.go
+++ b/cmd/ravendale/main.go
@@ -36,15 +36,18 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1) // the machine has a single core
-	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 5) // files and buffers of the system count too
-	}
+	limitMemory(cfg, 1)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	n, err := node.New(cfg, log)
 	if err != nil {
 		return err
 	}
+	n.Paired = func(paired bool) {
+		if limitMemory(cfg, 1); paired {
+			limitMemory(cfg, 2)
+		}
+	}
 	go func() {
 		for range hangup {
 			n.Reload(os.Getenv, os.ReadFile)
@@ -52,3 +55,10 @@
 	}()
 	return n.Run(ctx)
 }
+
+// limitMemory has the garbage collector keep to this process's part of the limit.
+func limitMemory(cfg *config.Config, processes int64) {
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 5 / processes) // files and buffers of the system count too
+	}
+}
--- a/config/config.go
+++ b/config/config.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"path/filepath"
 	"reflect"
 	"strconv"
 	"time"
@@ -27,6 +28,8 @@
 	ConnectTimeout          time.Duration
 	IdleClose               time.Duration // a backend server closes what has been idle so long
 
+	Handover string // the Unix socket at which a new process takes over from an old one, "" for none
+
 	inFile string // discovery as the file had it, whatever came before it
 }
 
@@ -80,6 +83,9 @@
 		return nil, err
 	}
 	c.inFile = inFile
+	if dir := getenv("TMPDIR"); dir != "" {
+		c.Handover = filepath.Join(dir, "ravendale-"+c.Name+".sock")
+	}
 	if fd := getenv("PROXY_FD"); fd != "" {
 		if c.Descriptor, err = strconv.Atoi(fd); err != nil || c.Descriptor < 3 {
 			return nil, fmt.Errorf("PROXY_FD: %q is no descriptor", fd)
@@ -88,6 +94,9 @@
 	return c, nil
 }
 
+// InFile is discovery as the file had it, whatever came before it.
+func (c *Config) InFile() string { return c.inFile }
+
 // Again reads the file once more for a program that runs. The discovery of a changed file is followed, also
 // where PROXY_DISCOVERY came before the old one: a process keeps the environment of its start, so that
 // variable would hide every change. Of the rest, ignored names what differs and waits for a restart; seed and known
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -159,26 +159,6 @@
 	askAfter time.Duration // the delay after the next failure
 }
 
-// New returns a Dispatcher, or an error that names the setting that makes no sense.
-func New(s Settings, seed uint64) (*Dispatcher, error) {
-	if err := s.validate(); err != nil {
-		return nil, err
-	}
-	// A job of a class that the settings don't name counts as of one that must never run twice.
-	s.Classes = append(s.Classes[:len(s.Classes):len(s.Classes)], Class{Effect: Unsafe, Kind: -1, LateWorth: 1})
-	d := &Dispatcher{
-		set: s, random: rand.New(rand.NewPCG(seed, 0)),
-		leaveAt: never, wakeAt: never, askAt: never, probeAt: never, askAfter: askRetry,
-		byName: make(map[string]*worker), out: make(map[string]time.Duration),
-		jobs: make(map[JobID]*job), zones: make([]zone, s.Zones+1),
-		pace: 1, seen: make([]seenOfClass, len(s.Classes)+1), mix: make([]float64, len(s.Tenants)),
-	}
-	for i := range d.mix {
-		d.mix[i] = s.Tenants[i].Share
-	}
-	return d, nil
-}
-
 // Handle takes one event at the time now, which never goes back, and appends what is to be done.
 func (d *Dispatcher) Handle(now time.Duration, ev *Event, acts []Action) []Action {
 	d.now, d.acts = now, acts
@@ -208,6 +188,12 @@
 		d.silent(ev)
 	case WorkerOut, WorkerBack:
 		d.byHand(ev.Worker, ev.Kind == WorkerOut)
+	case SentElsewhere:
+		if w := d.byName[ev.Worker]; w != nil && d.warmth(w) < 1 {
+			w.tokens--
+		}
+	case Inherited:
+		d.inherit(ev.Past)
 	case Leaving:
 		d.leave(d.now + ev.Left)
 	}
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"encoding/json"
+	"errors"
 	"os"
+	"reflect"
 	"strconv"
 	"strings"
 	"testing"
@@ -774,3 +777,40 @@
 	b.do(back)
 	only("b", 40)
 }
+
+// What a dispatcher hands over comes through JSON and back whole; a worker that has started anew since does not get it.
+func TestMemoryPassesToTheNextProcess(t *testing.T) {
+	cold := ready("b", 0, 0)
+	cold.StartedAt = time.Hour - time.Second
+	b := newBench(t, testSettings(), ready("a", 0, 0), cold, ready("c", 0, 0))
+	for id := range JobID(4) {
+		b.arrive(id, 2, 25*time.Second)
+		b.end(id, 0, []Outcome{OK, Reset, FullUp, OK}[id])
+		b.now += 100 * ms
+	}
+	b.do(Event{Kind: WorkerOut, Worker: "a"})
+	text, err := json.Marshal(b.d.Memory())
+	var past Memory
+	if err := errors.Join(err, json.Unmarshal(text, &past)); err != nil {
+		t.Fatal(err)
+	}
+	if past.Arrivals == 0 || past.Out["a"] == 0 || past.Classes["u"].Longest == 0 {
+		t.Fatalf("little is handed over: %s", text)
+	}
+	anew := ready("c", 0, 0)
+	anew.StartedAt = b.now
+	next := newBench(t, testSettings(), ready("a", 0, 0), cold, anew)
+	own := next.d.Memory().Workers["c"]
+	next.now = b.now
+	next.do(Event{Kind: Inherited, Past: &past})
+	past.Workers["c"] = own
+	if got := next.d.Memory(); !reflect.DeepEqual(got, &past) {
+		t.Fatalf("got %+v, want %+v", got, past)
+	}
+	w := next.d.byName["b"]
+	w.tokens = 1
+	next.do(Event{Kind: SentElsewhere, Worker: "b"})
+	if w.tokens != 0 {
+		t.Fatalf("%v sends are left", w.tokens)
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"ravendale"
@@ -22,6 +24,12 @@
 // ServerTable watches the list of backend servers, and tells Scheduler.Listed.
 type ServerTable interface{ Watch() }
 
+// Twin is the other process of one scheduler while a new version takes over from an old one.
+type Twin interface {
+	Took(id string)     // a request is in hand here
+	Sent(worker string) // a dispatch went there
+}
+
 // answerSlack is how long after the client's time the module may still end a session. It acts at that time
 // itself; this only guards the rule that nothing taken stays unanswered.
 const answerSlack = 5 * time.Millisecond
@@ -30,12 +38,16 @@
 // server may come that would count for the newcomer.
 const idKept = 10 * time.Second
 
+// idKeptElsewhere is that for an id of the other process, which may still be in hand there.
+const idKeptElsewhere = 20 * time.Second
+
 // Scheduler carries out what the decision module decides. All of it belongs to the loop's goroutine.
 type Scheduler struct {
 	loop     *Loop
 	module   *ravendale.Dispatcher
 	settings ravendale.Settings
 	backend  Backend
+	twin     Twin // nil while there is one process
 	table    ServerTable
 	log      *slog.Logger
 
@@ -67,6 +79,41 @@
 // Connect gives the scheduler its server side; it comes before the first event.
 func (s *Scheduler) Connect(b Backend, t ServerTable) { s.backend, s.table = b, t }
 
+// Join tells what both processes must know to the other one from now on; nil for none.
+func (s *Scheduler) Join(t Twin) { s.twin = t }
+
+// Past returns what a process that takes over is to know: the module's memory and the ids that may not come again.
+func (s *Scheduler) Past() (*ravendale.Memory, []string) {
+	return s.module.Memory(), append(slices.Collect(maps.Keys(s.byID)), slices.Collect(maps.Keys(s.past))...)
+}
+
+// Inherit takes what Past returned, after the list.
+func (s *Scheduler) Inherit(past *ravendale.Memory, ids []string) {
+	for _, id := range ids {
+		s.TookElsewhere(id)
+	}
+	if past != nil {
+		s.feed(ravendale.Event{Kind: ravendale.Inherited, Past: past})
+		for worker := range past.Out {
+			s.backend.Avoid(worker)
+		}
+	}
+}
+
+// TookElsewhere notes an id that the other process has in hand, or had.
+func (s *Scheduler) TookElsewhere(id string) { s.keep(id, idKeptElsewhere) }
+
+// SentElsewhere notes a dispatch of the other process.
+func (s *Scheduler) SentElsewhere(worker string) {
+	s.feed(ravendale.Event{Kind: ravendale.SentElsewhere, Worker: worker})
+}
+
+// keep notes an id that is not taken again for a while.
+func (s *Scheduler) keep(id string, long time.Duration) {
+	s.past[id] = struct{}{}
+	s.loop.After(long, func() { delete(s.past, id) })
+}
+
 // Owed is how many requests wait for their answer.
 func (s *Scheduler) Owed() int { return len(s.byID) }
 
@@ -130,6 +177,9 @@
 		n.class = s.settings.Classes[c].Name
 	}
 	s.sessions[n.job], s.byID[ex.ID] = n, n
+	if s.twin != nil {
+		s.twin.Took(ex.ID)
+	}
 	// Guards against a module that stays silent: the answer is owed before the client gives up.
 	n.guard = s.loop.Deadlines.Add(n.answerBy+answerSlack, func() {
 		s.log.Error("session ended by its guard", "id", ex.ID)
@@ -231,6 +281,9 @@
 		s.backend.Withdraw(d)
 		d.finish(ravendale.TimedOut)
 	})
+	if s.twin != nil {
+		s.twin.Sent(d.Worker)
+	}
 	s.backend.Send(d)
 }
 
@@ -299,8 +352,7 @@
 	n.closed = true
 	n.s.loop.Deadlines.Drop(n.guard)
 	delete(n.s.byID, n.ex.ID)
-	n.s.past[n.ex.ID] = struct{}{}
-	n.s.loop.After(idKept, func() { delete(n.s.past, n.ex.ID) })
+	n.s.keep(n.ex.ID, idKept)
 	n.forget()
 	n.s.checkQuiet()
 }
--- a/settings.go
+++ b/settings.go
@@ -3,8 +3,30 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"time"
 )
 
+// New returns a Dispatcher, or an error that names the setting that makes no sense.
+func New(s Settings, seed uint64) (*Dispatcher, error) {
+	if err := s.validate(); err != nil {
+		return nil, err
+	}
+	// A job of a class that the settings don't name counts as of one that must never run twice.
+	s.Classes = append(s.Classes[:len(s.Classes):len(s.Classes)], Class{Effect: Unsafe, Kind: -1, LateWorth: 1})
+	d := &Dispatcher{
+		set: s, random: rand.New(rand.NewPCG(seed, 0)),
+		leaveAt: never, wakeAt: never, askAt: never, probeAt: never, askAfter: askRetry,
+		byName: make(map[string]*worker), out: make(map[string]time.Duration),
+		jobs: make(map[JobID]*job), zones: make([]zone, s.Zones+1),
+		pace: 1, seen: make([]seenOfClass, len(s.Classes)+1), mix: make([]float64, len(s.Tenants)),
+	}
+	for i := range d.mix {
+		d.mix[i] = s.Tenants[i].Share
+	}
+	return d, nil
+}
+
 // validate names the first setting that makes no sense.
 func (s *Settings) validate() error {
 	if len(s.Classes) == 0 {
--- a/state.go
+++ b/state.go
@@ -1,6 +1,8 @@
 package ravendale
 
-// What a Dispatcher tells of itself. Nothing in this file decides or changes anything.
+import "maps"
+
+// What a Dispatcher tells of itself, and hands to the process after it. Nothing in this file decides anything.
 
 // Knows says whether a worker is listed, or out by hand.
 func (d *Dispatcher) Knows(name string) bool {
@@ -17,3 +19,37 @@
 	}
 	return len(d.workers), avoided
 }
+
+// Memory returns what the process after this one is to know.
+func (d *Dispatcher) Memory() *Memory {
+	m := &Memory{Out: maps.Clone(d.out), Arrivals: d.arrivals, Peak: d.peak,
+		Classes: make(map[string]RunMemory), Workers: make(map[string]WorkerMemory)}
+	for i, c := range d.set.Classes {
+		m.Classes[c.Name] = RunMemory{d.seen[i].run, d.seen[i].dev, d.seen[i].longest}
+	}
+	for _, w := range d.workers {
+		m.Workers[w.Worker] = WorkerMemory{StartedAt: w.StartedAt, Told: w.told, Tokens: w.tokens, FilledAt: w.filledAt,
+			SickTill: w.sickTill, TurnedAway: w.turnedAway, Faults: w.faults, Limit: w.limit}
+	}
+	return m
+}
+
+// inherit takes what the process before this one knew of the workers that are listed here too.
+func (d *Dispatcher) inherit(m *Memory) {
+	for name, since := range m.Out {
+		d.out[name] = since
+	}
+	d.arrivals, d.arrivedAt, d.peak = m.Arrivals, d.now, max(d.peak, m.Peak)
+	for i, c := range d.set.Classes {
+		r := m.Classes[c.Name]
+		d.seen[i] = seenOfClass{run: r.Run, dev: r.Dev, longest: r.Longest}
+	}
+	for _, w := range d.workers {
+		_, w.out = d.out[w.Worker]
+		if was, known := m.Workers[w.Worker]; known && was.Told == w.told {
+			w.StartedAt, w.tokens, w.filledAt = was.StartedAt, was.Tokens, was.FilledAt
+			w.sickTill, w.turnedAway, w.faults, w.limit = was.SickTill, was.TurnedAway, was.Faults, was.Limit
+		}
+	}
+	d.forgetGone()
+}
--- a/transport/nbionet/nbionet.go
+++ b/transport/nbionet/nbionet.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"runtime"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -274,7 +275,7 @@
 	return ln, nil
 }
 
-// Dial connects with the standard library and hands the connection to nbio. nbio's own DialAsync takes the
+// Dial connects to a TCP address, or the path of a Unix socket, with the standard library and hands the connection to nbio. nbio's own DialAsync takes the
 // first four bytes of an IPv4 address that the standard library gives in sixteen (net_unix.go:136 in
 // v1.6.8), and so connects to 0.0.0.0: seen as 'connection refused' by discovery at 127.8.200.1.
 func (e *Engine) Dial(addr string, h transport.Handler) transport.Conn {
@@ -289,7 +290,11 @@
 }
 
 func (e *Engine) dial(ctx context.Context, addr string, n *conn) (*nbio.Conn, error) {
-	std, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", addr)
+	network := "tcp"
+	if strings.HasPrefix(addr, "/") {
+		network = "unix"
+	}
+	std, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, network, addr)
 	if err != nil {
 		return nil, err
 	}
