Take new settings at SIGHUP for new jobs, and nothing of a file that lacks a key

Taken out in turn (j.most, session attempts, class names, deadline of 0, the shape): a test failed each time.

--- a/config/config.go
+++ b/config/config.go
@@ -8,6 +8,7 @@
 	"net"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"strconv"
 	"time"
 
@@ -31,6 +32,7 @@
 	Handover string // the Unix socket at which a new process takes over from an old one, "" for none
 
 	inFile string // discovery as the file had it, whatever came before it
+	shape  *shape // of the start's file
 }
 
 // Names are the words that stand for the indices in Settings.
@@ -58,7 +60,10 @@
 )
 
 // Load reads the file that PROXY_CONFIG names, by way of the two functions given.
-func Load(getenv Getenv, read ReadFile) (*Config, error) {
+func Load(getenv Getenv, read ReadFile) (*Config, error) { return loadAs(getenv, read, nil) }
+
+// loadAs reads the file, which is to have the shape given.
+func loadAs(getenv Getenv, read ReadFile, s *shape) (*Config, error) {
 	path := getenv("PROXY_CONFIG")
 	if path == "" {
 		return nil, fmt.Errorf("PROXY_CONFIG is not set")
@@ -71,6 +76,13 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, fmt.Errorf("PROXY_CONFIG: %s: %w", path, err)
 	}
+	if s != nil {
+		if err := s.lacks(text); err != nil {
+			return nil, fmt.Errorf("PROXY_CONFIG: %s: %w", path, err)
+		}
+	} else if s, err = shapeOf(text); err != nil {
+		return nil, fmt.Errorf("PROXY_CONFIG: %s: %w", path, err)
+	}
 	inFile := f.Discovery
 	for name, field := range map[string]*string{"PROXY_NAME": &f.Name, "PROXY_LISTEN": &f.Listen, "PROXY_DISCOVERY": &f.Discovery,
 		"PROXY_MANAGEMENT": &f.Management} {
@@ -82,7 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.inFile = inFile
+	c.inFile, c.shape = inFile, s
 	if dir := getenv("TMPDIR"); dir != "" {
 		c.Handover = filepath.Join(dir, "ravendale-"+c.Name+".sock")
 	}
@@ -97,12 +109,13 @@
 // InFile is discovery as the file had it, whatever came before it.
 func (c *Config) InFile() string { return c.inFile }
 
-// Again reads the file once more for a program that runs. The discovery of a changed file is followed, also
-// where PROXY_DISCOVERY came before the old one: a process keeps the environment of its start, so that
-// variable would hide every change. Of the rest, ignored names what differs and waits for a restart; seed and known
-// are only for a start anyway.
+// Again reads the file once more for a program that runs. The file is judged alone: it must have every key that the
+// start's file had, which a PROXY_ variable or a default would hide otherwise. The discovery of a changed file is followed, also
+// where PROXY_DISCOVERY came before the old one, since a process keeps the environment of its start. Its settings are
+// taken, but for what the process is built on. Of all that, ignored names what differs and waits for a restart; seed
+// and known are only for a start anyway.
 func (c *Config) Again(getenv Getenv, read ReadFile) (next *Config, ignored []string, err error) {
-	if next, err = Load(getenv, read); err != nil {
+	if next, err = loadAs(getenv, read, c.shape); err != nil {
 		return nil, nil, err
 	}
 	if next.inFile == c.inFile || next.inFile == "" {
@@ -112,21 +125,31 @@
 	} else {
 		next.Discovery = next.inFile
 	}
+	now, later := &c.Settings, &next.Settings
 	for _, field := range []struct {
 		name     string
-		old, new any
+		old, new any // pointers
 	}{
-		{"name", c.Name, next.Name},
-		{"listen", c.Listen, next.Listen},
-		{"limits.memory_mb", c.MemoryMB, next.MemoryMB},
-		{"limits.sockets", c.Sockets, next.Sockets},
-		{"settings", []any{c.Settings, c.Names, c.ConnectTimeout, c.IdleClose},
-			[]any{next.Settings, next.Names, next.ConnectTimeout, next.IdleClose}},
+		{"name", &c.Name, &next.Name},
+		{"listen", &c.Listen, &next.Listen},
+		{"management", &c.Management, &next.Management},
+		{"limits.memory_mb", &c.MemoryMB, &next.MemoryMB},
+		{"limits.sockets", &c.Sockets, &next.Sockets},
+		{"settings.balancers", &now.Dispatchers, &later.Dispatchers},
+		{"settings.me", &now.Me, &later.Me},
+		{"settings.dcs", &c.Names.Zones, &next.Names.Zones},
+		{"settings.locality", &now.Zone, &later.Zone},
+		{"settings.host-types", &c.Names.Kinds, &next.Names.Kinds},
+		{"settings.projects", &now.Tenants, &later.Tenants},
+		{"settings.ceilings.connect-timeout-us", &c.ConnectTimeout, &next.ConnectTimeout},
+		{"settings.ceilings.idle-close-us", &c.IdleClose, &next.IdleClose},
 	} {
 		if !reflect.DeepEqual(field.old, field.new) {
 			ignored = append(ignored, field.name)
+			reflect.ValueOf(field.new).Elem().Set(reflect.ValueOf(field.old).Elem())
 		}
 	}
+	later.Zones, next.Names.Tenants = now.Zones, c.Names.Tenants
 	return next, ignored, nil
 }
 
@@ -169,6 +192,17 @@
 	if c.Settings, c.Names, pairs, err = wire.Nested(f.Settings); err != nil {
 		return nil, err
 	}
+	if err := c.Settings.Validate(); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	for i, class := range c.Settings.Classes {
+		if class.Deadline <= 0 {
+			return nil, fmt.Errorf("settings.request-classes.%d.give-up-us: %q has no time to be answered in", i, class.Name)
+		}
+		if class.Name == "" || slices.Index(c.Names.Classes, class.Name) != i {
+			return nil, fmt.Errorf("settings.request-classes.%d.name: %q is empty or there twice", i, class.Name)
+		}
+	}
 	if c.ConnectTimeout, err = micros(pairs, "ceilings.connect-timeout-us", 250*time.Millisecond); err != nil {
 		return nil, err
 	}
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -106,8 +106,9 @@
 
 type job struct {
 	id       JobID
-	class    *Class
-	classNo  int
+	class    *Class       // the class and the most attempts as they were when it came:
+	most     int          // settings that change later are not for it
+	seen     *seenOfClass // of its class
 	slots    float64
 	answerBy time.Duration
 	hint     time.Duration // of its work, 0 for none
@@ -143,8 +144,8 @@
 	now     time.Duration
 	leaveAt time.Duration // what is unanswered by then is lost with this process
 	acts    []Action
-	pace    float64 // run time for each unit of hinted work, of late
-	seen    []seenOfClass
+	pace    float64        // run time for each unit of hinted work, of late
+	seen    []*seenOfClass // by class
 
 	wakeAt time.Duration // when our earliest timer fires
 
@@ -293,7 +294,7 @@
 	if newest < 0 || j.class.Effect != Safe || !d.set.MayCopy {
 		return
 	}
-	if d.lesser(j) && len(j.attempts) < d.set.MaxAttempts {
+	if d.lesser(j) && len(j.attempts) < j.most {
 		d.yield(j)
 		return
 	}
@@ -320,7 +321,7 @@
 	for i := range j.attempts {
 		d.cancel(j, i)
 	}
-	j.due = d.now + (j.due-d.now)/time.Duration(d.set.MaxAttempts-len(j.attempts)+1)
+	j.due = d.now + (j.due-d.now)/time.Duration(j.most-len(j.attempts)+1)
 	j.holdTill = j.due
 	d.wake(j.due)
 }
@@ -386,11 +387,12 @@
 
 // arrive takes a job and sends it at once.
 func (d *Dispatcher) arrive(ev *Event) {
-	j := &job{id: ev.Job, classNo: ev.Class, slots: max(ev.Slots, 1), open: true}
-	if ev.Class < 0 || ev.Class >= len(d.set.Classes) {
-		j.classNo = len(d.set.Classes) - 1 // no class of the settings: see New
+	class := ev.Class
+	if class < 0 || class >= len(d.set.Classes) {
+		class = len(d.set.Classes) - 1 // no class of the settings: see take
 	}
-	j.class = &d.set.Classes[j.classNo]
+	j := &job{id: ev.Job, slots: max(ev.Slots, 1), open: true, most: d.set.MaxAttempts,
+		class: &d.set.Classes[class], seen: d.seen[class]}
 	j.answerBy = min(d.now+ev.Left-answerTicks*d.set.Tick, d.leaveAt)
 	d.arrivals *= math.Exp(-float64(d.now-d.arrivedAt) / float64(rateOver))
 	d.arrivals += 1 / rateOver.Seconds()
@@ -434,7 +436,7 @@
 // setAim works out by when the job must start and what it is worth. The client's clock began with its first
 // try: one that has less time left than the longest seen of its class is so much older.
 func (d *Dispatcher) setAim(j *job, ev *Event) {
-	c := &d.seen[j.classNo]
+	c := j.seen
 	c.longest = max(c.longest, ev.Left)
 	work, run := ev.Work, time.Duration(d.pace*float64(ev.Work))
 	if ev.Work <= 0 {
@@ -480,7 +482,7 @@
 		return
 	}
 	first := j.bound()
-	if len(j.attempts) >= d.set.MaxAttempts || first != nil && (j.class.Effect == Unsafe ||
+	if len(j.attempts) >= j.most || first != nil && (j.class.Effect == Unsafe ||
 		j.class.Effect == Keyed && d.now-first.sentAt >= j.class.Window) {
 		d.giveUp(j)
 		return
@@ -524,7 +526,7 @@
 // pick returns the ready worker of the job's kind with fewest of our slots in flight, or nil. For a
 // copy only a worker that holds none of ours will do.
 func (d *Dispatcher) pick(j *job, idle bool) *worker {
-	if len(j.attempts) >= d.set.MaxAttempts {
+	if len(j.attempts) >= j.most {
 		return nil
 	}
 	bound, lesser := j.bound(), d.lesser(j)
@@ -596,7 +598,7 @@
 		return true
 	}
 	trials := float64(since) / float64(trialEvery) / float64(d.set.Dispatchers)
-	if reports && (lesser || len(j.attempts) >= d.set.MaxAttempts/2) {
+	if reports && (lesser || len(j.attempts) >= j.most/2) {
 		trials = 0
 	}
 	return w.slots+j.slots <= w.limit+trials
@@ -705,7 +707,7 @@
 	if !d.set.RetryAfter {
 		return 0
 	}
-	return min(max(d.seen[j.classNo].run, holdRetry), max(d.set.MaxRetryAfter, 0))
+	return min(max(j.seen.run, holdRetry), max(d.set.MaxRetryAfter, 0))
 }
 
 // close takes a job out of the open ones and cancels what is still out.
@@ -898,7 +900,7 @@
 // where there are no hints, from send to answer by class.
 func (d *Dispatcher) learnPace(a *attempt, j *job) {
 	if j.hint <= 0 {
-		c := &d.seen[j.classNo]
+		c := j.seen
 		off := d.now - a.sentAt - c.run
 		c.run += off / looksKept
 		c.dev += (off.Abs() - c.dev) / looksKept
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -814,3 +814,35 @@
 		t.Fatalf("%v sends are left", w.tokens)
 	}
 }
+
+// Other settings are for the jobs that come from then on, whatever place their class has now. What was seen of a class
+// stays with its name, but for the longest time seen where its deadline is another.
+func TestRetuneIsForNewJobs(t *testing.T) {
+	s := testSettings()
+	b := newBench(t, s, ready("a", 0, 0), ready("b", 0, 0))
+	b.arrive(1, 2, 25*time.Second)
+	b.now += 100 * ms
+	b.end(1, 0, OK)
+	b.arrive(2, 0, 6*time.Second)
+	run, longest := b.d.seen[2].run, b.d.seen[2].longest
+	s.MaxAttempts = 1
+	s.Classes = []Class{s.Classes[2], s.Classes[1]}
+	if err := b.d.Retune(s); err != nil {
+		t.Fatal(err)
+	}
+	if seen := b.d.seen[0]; run == 0 || seen.run != run || seen.longest != longest {
+		t.Fatalf("of the class that moved %+v is known", seen)
+	}
+	b.end(2, 0, Error)
+	b.one(Send) // safe, with attempts left, as it came
+	b.arrive(3, 0, 25*time.Second)
+	b.end(3, 0, Error)
+	b.one(Fail)
+	s.Classes[0].Deadline /= 5
+	if err := b.d.Retune(s); err != nil || b.d.seen[0].longest != 0 || b.d.seen[0].run != run {
+		t.Fatalf("error %v, known %+v", err, b.d.seen[0])
+	}
+	if s.MaxAttempts = 0; b.d.Retune(s) == nil {
+		t.Fatal("no attempts are taken")
+	}
+}
--- a/scheduler/figures.go
+++ b/scheduler/figures.go
@@ -33,7 +33,10 @@
 }
 
 func (s *Scheduler) count(class string, kind AnswerKind) {
-	c := s.figures.Classes[class]
+	c, given := s.figures.Classes[class]
+	if !given {
+		return // of no class of the settings
+	}
 	switch kind {
 	case Served:
 		c.Answered++
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -76,6 +76,16 @@
 	return s, nil
 }
 
+// Retune takes other settings for the requests that come from now on.
+func (s *Scheduler) Retune(settings ravendale.Settings) error {
+	if err := s.module.Retune(settings); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	s.settings = settings
+	s.name()
+	return nil
+}
+
 // Connect gives the scheduler its server side; it comes before the first event.
 func (s *Scheduler) Connect(b Backend, t ServerTable) { s.backend, s.table = b, t }
 
@@ -140,7 +150,8 @@
 	s          *Scheduler
 	job        ravendale.JobID
 	ex         *Exchange
-	class      string
+	class      ravendale.Class // as it was when the request came, like attempts: a change of settings is not for it
+	attempts   int
 	answerBy   time.Duration
 	guard      *deadline.Deadline
 	dispatches []*Dispatch
@@ -160,6 +171,9 @@
 	ended  bool
 }
 
+// Repeatable says whether the request may run any number of times.
+func (d *Dispatch) Repeatable() bool { return d.Session.class.Effect == ravendale.Safe }
+
 // Exchange is the request that the dispatch is for.
 func (d *Dispatch) Exchange() *Exchange { return d.Session.ex }
 
@@ -171,10 +185,10 @@
 	}
 	s.lastJob++
 	now := s.loop.Now()
-	n := &Session{s: s, job: s.lastJob, ex: ex, answerBy: now + ex.Facts.Left}
+	n := &Session{s: s, job: s.lastJob, ex: ex, attempts: s.settings.MaxAttempts, class: ravendale.Class{Effect: ravendale.Unsafe}, answerBy: now + ex.Facts.Left}
 	ex.session = n
 	if c := ex.Facts.Class; c >= 0 && c < len(s.settings.Classes) {
-		n.class = s.settings.Classes[c].Name
+		n.class = s.settings.Classes[c]
 	}
 	s.sessions[n.job], s.byID[ex.ID] = n, n
 	if s.twin != nil {
@@ -273,7 +287,7 @@
 	}
 	n.dispatches = append(n.dispatches, d)
 	n.out++
-	if n.closed || a.Wait < 0 || now >= d.Deadline || len(n.dispatches) > s.settings.MaxAttempts {
+	if n.closed || a.Wait < 0 || now >= d.Deadline || len(n.dispatches) > n.attempts {
 		d.finish(ravendale.NotSent)
 		return
 	}
@@ -336,7 +350,7 @@
 		return
 	}
 	n.close()
-	n.s.count(n.class, a.Kind)
+	n.s.count(n.class.Name, a.Kind)
 	n.ex.Answer(a)
 }
 
--- a/settings.go
+++ b/settings.go
@@ -9,26 +9,58 @@
 
 // New returns a Dispatcher, or an error that names the setting that makes no sense.
 func New(s Settings, seed uint64) (*Dispatcher, error) {
-	if err := s.validate(); err != nil {
+	if err := s.Validate(); err != nil {
 		return nil, err
 	}
-	// A job of a class that the settings don't name counts as of one that must never run twice.
-	s.Classes = append(s.Classes[:len(s.Classes):len(s.Classes)], Class{Effect: Unsafe, Kind: -1, LateWorth: 1})
 	d := &Dispatcher{
-		set: s, random: rand.New(rand.NewPCG(seed, 0)),
+		random:  rand.New(rand.NewPCG(seed, 0)),
 		leaveAt: never, wakeAt: never, askAt: never, probeAt: never, askAfter: askRetry,
 		byName: make(map[string]*worker), out: make(map[string]time.Duration),
 		jobs: make(map[JobID]*job), zones: make([]zone, s.Zones+1),
-		pace: 1, seen: make([]seenOfClass, len(s.Classes)+1), mix: make([]float64, len(s.Tenants)),
+		pace: 1, mix: make([]float64, len(s.Tenants)),
 	}
 	for i := range d.mix {
 		d.mix[i] = s.Tenants[i].Share
 	}
+	d.take(s)
 	return d, nil
 }
 
-// validate names the first setting that makes no sense.
-func (s *Settings) validate() error {
+// Retune takes other settings for the jobs that come from now on. Those that are open keep the class and the attempts
+// that they came with. Zones and tenants stay as they are; the owner sees to it that the new settings agree.
+func (d *Dispatcher) Retune(s Settings) error {
+	if err := s.Validate(); err != nil {
+		return err
+	}
+	if s.Zones != d.set.Zones || len(s.Tenants) != len(d.set.Tenants) {
+		return errors.New("Settings has other zones or tenants")
+	}
+	d.take(s)
+	return nil
+}
+
+// take puts settings in force. What was seen of a class stays with its name, but for the longest time that a try came
+// with, which another deadline makes untrue. A job of a class that the settings don't name counts as of one that must
+// never run twice.
+func (d *Dispatcher) take(s Settings) {
+	s.Classes = append(s.Classes[:len(s.Classes):len(s.Classes)], Class{Effect: Unsafe, Kind: -1, LateWorth: 1})
+	seen := make([]*seenOfClass, len(s.Classes))
+	for i, c := range s.Classes {
+		seen[i] = &seenOfClass{}
+		for j, was := range d.set.Classes {
+			if was.Name == c.Name {
+				*seen[i] = *d.seen[j]
+				if was.Deadline != c.Deadline {
+					seen[i].longest = 0
+				}
+			}
+		}
+	}
+	d.set, d.seen = s, seen
+}
+
+// Validate names the first setting that makes no sense.
+func (s *Settings) Validate() error {
 	if len(s.Classes) == 0 {
 		return errors.New("Settings.Classes is empty")
 	}
--- a/state.go
+++ b/state.go
@@ -42,7 +42,7 @@
 	d.arrivals, d.arrivedAt, d.peak = m.Arrivals, d.now, max(d.peak, m.Peak)
 	for i, c := range d.set.Classes {
 		r := m.Classes[c.Name]
-		d.seen[i] = seenOfClass{run: r.Run, dev: r.Dev, longest: r.Longest}
+		*d.seen[i] = seenOfClass{run: r.Run, dev: r.Dev, longest: r.Longest}
 	}
 	for _, w := range d.workers {
 		_, w.out = d.out[w.Worker]
