Have both processes of an upgrade count each other's slots and share what zones showed

The prompt of a new process is now the old one's; by the test its slots are counted, and gone with the other process.

--- a/api.go
+++ b/api.go
@@ -174,7 +174,7 @@
 	AttemptSilent                  // Job, Attempt: the worker has not even taken it, long after it should have
 	WorkerOut                      // Worker: nothing more may go there, whatever is listed, until it is back
 	WorkerBack                     // Worker: the list counts again, and it is to be taken for cold
-	SentElsewhere                  // Worker: another process of this dispatcher sent a job there
+	SentElsewhere                  // Worker, Slots: another process of this dispatcher sent a job there; below 0: it ended
 	Inherited                      // Past: of the process before this one, after its list
 	Leaving                        // Left: all that is open, or comes yet, is to be answered within it
 )
@@ -213,6 +213,15 @@
 	Peak     int                      // the most ready workers seen at once
 	Classes  map[string]RunMemory
 	Workers  map[string]WorkerMemory
+	Zones    []ZoneMemory // by number; the last is for workers of no known zone
+
+	MeanWorth, JobsSeen float64
+}
+
+// ZoneMemory is what was seen of the workers of one zone.
+type ZoneMemory struct {
+	Busy, Queue float64
+	Prompt      time.Duration
 }
 
 // RunMemory is what was seen of the jobs of one class.
@@ -225,6 +234,7 @@
 	FilledAt             time.Duration
 	SickTill, TurnedAway time.Duration
 	Faults, Limit        float64
+	Slots                float64 // in flight from the process before
 }
 
 // ActionKind tells what an Action asks for, and so which of its fields count.
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -190,8 +190,12 @@
 	case WorkerOut, WorkerBack:
 		d.byHand(ev.Worker, ev.Kind == WorkerOut)
 	case SentElsewhere:
-		if w := d.byName[ev.Worker]; w != nil && d.warmth(w) < 1 {
-			w.tokens--
+		d.slots = max(0, d.slots+ev.Slots)
+		if w := d.byName[ev.Worker]; w != nil {
+			w.slots = max(0, w.slots+ev.Slots)
+			if d.warmth(w) < 1 && ev.Slots > 0 {
+				w.tokens--
+			}
 		}
 	case Inherited:
 		d.inherit(ev.Past)
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -809,9 +809,13 @@
 	}
 	w := next.d.byName["b"]
 	w.tokens = 1
-	next.do(Event{Kind: SentElsewhere, Worker: "b"})
-	if w.tokens != 0 {
-		t.Fatalf("%v sends are left", w.tokens)
+	next.do(Event{Kind: SentElsewhere, Worker: "b", Slots: 1})
+	if w.tokens != 0 || w.slots != 1 {
+		t.Fatalf("%v sends are left, and %v slots in flight", w.tokens, w.slots)
+	}
+	next.do(Event{Kind: SentElsewhere, Worker: "b", Slots: -1})
+	if w.tokens != 0 || w.slots != 0 {
+		t.Fatalf("%v sends are left, and %v slots in flight", w.tokens, w.slots)
 	}
 }
 
--- a/handover/handover.go
+++ b/handover/handover.go
@@ -22,6 +22,7 @@
 	Callback  []byte `json:"callback,omitempty"`  // a backend server's call that is not for the sender
 	Took      string `json:"took,omitempty"`      // an id that is in hand now
 	Sent      string `json:"sent,omitempty"`      // the server that a dispatch went to
+	Ended     string `json:"ended,omitempty"`     // and of one that is over
 	Out       string `json:"out,omitempty"`       // a server was taken out by hand,
 	Back      string `json:"back,omitempty"`      // or put back
 	Away      *bool  `json:"away,omitempty"`      // clients are sent away, or not any more
@@ -79,6 +80,9 @@
 // Sent implements scheduler.Twin.
 func (l *Link) Sent(server string) { l.Tell(Message{Sent: server}) }
 
+// Ended implements scheduler.Twin.
+func (l *Link) Ended(server string) { l.Tell(Message{Ended: server}) }
+
 // Close ends the link; nothing is heard of it any more.
 func (l *Link) Close() {
 	l.ended = true
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -26,8 +26,9 @@
 
 // Twin is the other process of one scheduler while a new version takes over from an old one.
 type Twin interface {
-	Took(id string)     // a request is in hand here
-	Sent(worker string) // a dispatch went there
+	Took(id string)      // a request is in hand here
+	Sent(worker string)  // a dispatch went there
+	Ended(worker string) // one of those is over
 }
 
 // answerSlack is how long after the client's time the module may still end a session. It acts at that time
@@ -47,7 +48,8 @@
 	module   *ravendale.Dispatcher
 	settings ravendale.Settings
 	backend  Backend
-	twin     Twin // nil while there is one process
+	twin     Twin               // nil while there is one process
+	there    map[string]float64 // the other one's dispatches, by server
 	table    ServerTable
 	log      *slog.Logger
 
@@ -71,7 +73,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	s := &Scheduler{loop: loop, module: module, settings: settings, log: log, figures: Figures{Classes: make(map[string]ClassFigures)},
-		sessions: make(map[ravendale.JobID]*Session), byID: make(map[string]*Session), past: make(map[string]struct{})}
+		sessions: make(map[ravendale.JobID]*Session), byID: make(map[string]*Session), past: make(map[string]struct{}), there: make(map[string]float64)}
 	s.name()
 	return s, nil
 }
@@ -90,7 +92,13 @@
 func (s *Scheduler) Connect(b Backend, t ServerTable) { s.backend, s.table = b, t }
 
 // Join tells what both processes must know to the other one from now on; nil for none.
-func (s *Scheduler) Join(t Twin) { s.twin = t }
+func (s *Scheduler) Join(t Twin) {
+	s.twin = t
+	for worker, n := range s.there {
+		s.feed(ravendale.Event{Kind: ravendale.SentElsewhere, Worker: worker, Slots: -n})
+	}
+	s.there = make(map[string]float64)
+}
 
 // Past returns what a process that takes over is to know: the module's memory and the ids that may not come again.
 func (s *Scheduler) Past() (*ravendale.Memory, []string) {
@@ -104,6 +112,9 @@
 	}
 	if past != nil {
 		s.feed(ravendale.Event{Kind: ravendale.Inherited, Past: past})
+		for worker, was := range past.Workers {
+			s.there[worker] = was.Slots
+		}
 		for worker := range past.Out {
 			s.backend.Avoid(worker)
 		}
@@ -113,9 +124,18 @@
 // TookElsewhere notes an id that the other process has in hand, or had.
 func (s *Scheduler) TookElsewhere(id string) { s.keep(id, idKeptElsewhere) }
 
-// SentElsewhere notes a dispatch of the other process.
-func (s *Scheduler) SentElsewhere(worker string) {
-	s.feed(ravendale.Event{Kind: ravendale.SentElsewhere, Worker: worker})
+// SentElsewhere notes a dispatch of the other process, and EndedElsewhere the end of one.
+func (s *Scheduler) SentElsewhere(worker string) { s.elsewhere(worker, 1) }
+
+// EndedElsewhere undoes SentElsewhere.
+func (s *Scheduler) EndedElsewhere(worker string) { s.elsewhere(worker, -1) }
+
+func (s *Scheduler) elsewhere(worker string, slots float64) {
+	if s.there[worker]+slots < 0 {
+		return // sent before the two joined
+	}
+	s.there[worker] += slots
+	s.feed(ravendale.Event{Kind: ravendale.SentElsewhere, Worker: worker, Slots: slots})
 }
 
 // keep notes an id that is not taken again for a while.
@@ -168,6 +188,7 @@
 	number int
 	sentAt time.Duration
 	timer  *deadline.Deadline
+	begun  bool // the backend has it
 	ended  bool
 }
 
@@ -295,7 +316,7 @@
 		s.backend.Withdraw(d)
 		d.finish(ravendale.TimedOut)
 	})
-	if s.twin != nil {
+	if d.begun = true; s.twin != nil {
 		s.twin.Sent(d.Worker)
 	}
 	s.backend.Send(d)
@@ -339,6 +360,9 @@
 	d.ended = true
 	n.s.loop.Deadlines.Drop(d.timer)
 	n.out--
+	if n.s.twin != nil && d.begun {
+		n.s.twin.Ended(d.Worker)
+	}
 	n.s.feed(ravendale.Event{Kind: ravendale.AttemptEnded, Job: n.job, Attempt: d.number, Outcome: outcome,
 		Took: n.s.loop.Now() - d.sentAt, Closed: n.closed})
 	n.forget()
--- a/state.go
+++ b/state.go
@@ -22,14 +22,17 @@
 
 // Memory returns what the process after this one is to know.
 func (d *Dispatcher) Memory() *Memory {
-	m := &Memory{Out: maps.Clone(d.out), Arrivals: d.arrivals, Peak: d.peak,
+	m := &Memory{Out: maps.Clone(d.out), Arrivals: d.arrivals, Peak: d.peak, MeanWorth: d.meanWorth, JobsSeen: d.jobsSeen,
 		Classes: make(map[string]RunMemory), Workers: make(map[string]WorkerMemory)}
 	for i, c := range d.set.Classes {
 		m.Classes[c.Name] = RunMemory{d.seen[i].run, d.seen[i].dev, d.seen[i].longest}
 	}
+	for _, z := range d.zones {
+		m.Zones = append(m.Zones, ZoneMemory{z.busy, z.queue, z.prompt})
+	}
 	for _, w := range d.workers {
 		m.Workers[w.Worker] = WorkerMemory{StartedAt: w.StartedAt, Told: w.told, Tokens: w.tokens, FilledAt: w.filledAt,
-			SickTill: w.sickTill, TurnedAway: w.turnedAway, Faults: w.faults, Limit: w.limit}
+			SickTill: w.sickTill, TurnedAway: w.turnedAway, Faults: w.faults, Limit: w.limit, Slots: w.slots}
 	}
 	return m
 }
@@ -44,9 +47,20 @@
 		r := m.Classes[c.Name]
 		*d.seen[i] = seenOfClass{run: r.Run, dev: r.Dev, longest: r.Longest}
 	}
+	d.meanWorth, d.jobsSeen = m.MeanWorth, m.JobsSeen
+	if len(m.Zones) == len(d.zones) {
+		for i, z := range m.Zones {
+			d.zones[i] = zone{busy: z.Busy, queue: z.Queue, prompt: z.Prompt}
+		}
+	}
+	for _, was := range m.Workers {
+		d.slots += was.Slots
+	}
 	for _, w := range d.workers {
 		_, w.out = d.out[w.Worker]
-		if was, known := m.Workers[w.Worker]; known && was.Told == w.told {
+		was, known := m.Workers[w.Worker]
+		w.slots += was.Slots
+		if known && was.Told == w.told {
 			w.StartedAt, w.tokens, w.filledAt = was.StartedAt, was.Tokens, was.FilledAt
 			w.sickTill, w.turnedAway, w.faults, w.limit = was.SickTill, was.TurnedAway, was.Faults, was.Limit
 		}
