Let a third version take over before the first has ended

A second hello made the middle process forget the first, which then accepted again. Now links are a list; what is for all is passed on.

--- a/cmd/ravendale/main.go
+++ b/cmd/ravendale/main.go
@@ -43,11 +43,7 @@
 	if err != nil {
 		return err
 	}
-	n.Paired = func(paired bool) {
-		if limitMemory(cfg, 1); paired {
-			limitMemory(cfg, 2)
-		}
-	}
+	n.Paired = func(processes int) { limitMemory(cfg, processes) }
 	go func() {
 		for range hangup {
 			n.Reload(os.Getenv, os.ReadFile)
@@ -57,8 +53,8 @@
 }
 
 // limitMemory has the garbage collector keep to this process's part of the limit.
-func limitMemory(cfg *config.Config, processes int64) {
+func limitMemory(cfg *config.Config, processes int) {
 	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 5 / processes) // files and buffers of the system count too
+		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 5 / int64(processes)) // files and buffers of the system count too
 	}
 }
--- a/handover/handover.go
+++ b/handover/handover.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"ravendale"
 	"ravendale/transport"
@@ -74,14 +75,29 @@
 	l.net.Write(append(text, '\n'))
 }
 
+// Links are those to all the other processes.
+type Links []*Link
+
+// Tell tells all of them.
+func (ls Links) Tell(m Message) {
+	for _, l := range ls {
+		l.Tell(m)
+	}
+}
+
+// But returns the others.
+func (ls Links) But(l *Link) Links {
+	return slices.DeleteFunc(slices.Clone(ls), func(other *Link) bool { return other == l })
+}
+
 // Took implements scheduler.Twin.
-func (l *Link) Took(id string) { l.Tell(Message{Took: id}) }
+func (ls Links) Took(id string) { ls.Tell(Message{Took: id}) }
 
 // Sent implements scheduler.Twin.
-func (l *Link) Sent(server string) { l.Tell(Message{Sent: server}) }
+func (ls Links) Sent(server string) { ls.Tell(Message{Sent: server}) }
 
 // Ended implements scheduler.Twin.
-func (l *Link) Ended(server string) { l.Tell(Message{Ended: server}) }
+func (ls Links) Ended(server string) { ls.Tell(Message{Ended: server}) }
 
 // Close ends the link; nothing is heard of it any more.
 func (l *Link) Close() {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -24,7 +24,7 @@
 // ServerTable watches the list of backend servers, and tells Scheduler.Listed.
 type ServerTable interface{ Watch() }
 
-// Twin is the other process of one scheduler while a new version takes over from an old one.
+// Twin stands for the other processes of one scheduler while a new version takes over from an old one.
 type Twin interface {
 	Took(id string)      // a request is in hand here
 	Sent(worker string)  // a dispatch went there
@@ -48,7 +48,7 @@
 	module   *ravendale.Dispatcher
 	settings ravendale.Settings
 	backend  Backend
-	twin     Twin               // nil while there is one process
+	twin     Twin               // nil at first
 	there    map[string]float64 // the other one's dispatches, by server
 	table    ServerTable
 	log      *slog.Logger
@@ -91,7 +91,8 @@
 // Connect gives the scheduler its server side; it comes before the first event.
 func (s *Scheduler) Connect(b Backend, t ServerTable) { s.backend, s.table = b, t }
 
-// Join tells what both processes must know to the other one from now on; nil for none.
+// Join tells what all processes must know to the others from now on. The dispatches of those that are gone are over; of
+// those that stay, what is out now is no longer counted either.
 func (s *Scheduler) Join(t Twin) {
 	s.twin = t
 	for worker, n := range s.there {
