--- a/dispatcher.go
+++ b/dispatcher.go
@@ -46,7 +46,7 @@
 
 	longQueue = 1 // no job joins a queue of more than so many for each slot: it would wait a mean run
 
-	warmingSpend = 2.0 / 3 // of FallMultiple, for a worker past its coldest time: see hasToken
+	warmingSpend = 0.9 // of FallMultiple, for a worker past its coldest time: see hasToken
 
 	scarce = 0.5 // room is scarce while this part of the looks at the own zone find none
 
@@ -399,9 +399,12 @@
 		class: &d.set.Classes[class], seen: d.seen[class]}
 	j.answerBy = min(d.now+ev.Left-answerTicks*d.set.Tick, d.leaveAt)
 	d.arrivals *= math.Exp(-float64(d.now-d.arrivedAt) / float64(rateOver))
-	d.arrivals += 1 / rateOver.Seconds()
 	d.arrivedAt = d.now
 	d.setAim(j, ev)
+	// A client's retry adds nothing to the rate: more than comes must not be sent to what is cold.
+	if !ev.Retry && ev.Left >= j.seen.longest-j.seen.longest/100 {
+		d.arrivals += 1 / rateOver.Seconds()
+	}
 	d.jobs[j.id] = j
 	d.open = append(d.open, j)
 	d.tend(j)
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -850,3 +850,31 @@
 		t.Fatal("no attempts are taken")
 	}
 }
+
+// The budget of a cold worker is a share of the first tries: refused clients come back within milliseconds, and what
+// they send again must not raise what is sent to a worker that can do little yet.
+func TestRetriesDoNotRaiseTheBudgetOfAColdWorker(t *testing.T) {
+	sent := func(retries int) float64 {
+		cold := ready("b", 0, 0)
+		cold.StartedAt = time.Hour - 10*time.Second
+		b := newBench(t, testSettings(), ready("a", 0, 0), cold)
+		n := 0.0
+		for i := range 2000 {
+			for try := range 1 + retries {
+				id := JobID(10*i + try)
+				b.arrive(id, 2, 25*time.Second-time.Duration(try)*300*ms)
+				for len(b.of(Send)) > 0 {
+					if b.one(Send).Worker == "b" {
+						n++
+					}
+					b.end(id, 0, OK)
+				}
+			}
+			b.now += 5 * ms
+		}
+		return n
+	}
+	if once, often := sent(0), sent(4); often > 1.5*once || once < 100 {
+		t.Fatalf("%v jobs to a cold worker, %v with retries", once, often)
+	}
+}
