--- a/dispatcher.go
+++ b/dispatcher.go
@@ -359,10 +359,11 @@
 	}
 }
 
-// startWait is the time by which a job that found room is known to have started.
+// startWait is the time by which a job that found room is known to have started. A worker that is asked on
+// sockets takes up to 50 ms to say so, and one taken back before costs its connection.
 func (d *Dispatcher) startWait(w *worker) time.Duration {
 	if prompt := d.zone(w.Zone).prompt; prompt > 0 {
-		return 3*prompt + 2*d.set.Tick
+		return 10*prompt + 20*d.set.Tick
 	}
 	return firstStartWait
 }
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -273,6 +273,22 @@
 	b.none(Send)
 }
 
+// On sockets a worker takes up to 50 ms to say that it took a job, however prompt others are.
+func TestAJobIsNotMovedBeforeItsWorkerCouldSpeak(t *testing.T) {
+	s := startSettings()
+	s.Tick = 2 * ms
+	b := newBench(t, s, ready("a", 0, 0), ready("b", 0, 0))
+	b.arrive(1, 0, 6*time.Second)
+	b.now += ms
+	b.do(Event{Kind: JobStarted, Job: 1})
+	b.end(1, 0, OK)
+	b.arrive(2, 0, 6*time.Second)
+	b.fire(45 * ms)
+	b.none(Send)
+	b.fire(10 * ms)
+	b.one(Send)
+}
+
 func TestUnsafeJobGetsNoSecondPlace(t *testing.T) {
 	b := newBench(t, startSettings(), ready("a", 0, 0), ready("b", 0, 0))
 	b.arrive(1, 2, 25*time.Second)
