--- a/transport/nbionet/nbionet.go
+++ b/transport/nbionet/nbionet.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"path/filepath"
 	"runtime"
 	"strings"
 	"sync"
@@ -34,6 +35,8 @@
 	maxUnread = 1 << 20
 	// maxIgnored is how much of what is thrown away is read, for the other side to see an answer before the end.
 	maxIgnored = 1 << 20
+
+	longestPath = 107 // of a Unix socket
 )
 
 // Poster takes work for the owner's goroutine.
@@ -275,6 +278,41 @@
 	return ln, nil
 }
 
+// ListenUnix opens a Unix socket that only its owner may reach, in the place of whatever file is there. The file stays
+// when the listener is closed: by then it may be another's.
+func ListenUnix(path string) (net.Listener, error) {
+	path, done, err := shorten(path)
+	if err != nil {
+		return nil, err
+	}
+	defer done()
+	if err := os.Remove(path); err != nil && !os.IsNotExist(err) {
+		return nil, err
+	}
+	ln, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		return nil, err
+	}
+	ln.SetUnlinkOnClose(false)
+	if err := os.Chmod(path, 0o600); err != nil {
+		_ = ln.Close()
+		return nil, err
+	}
+	return ln, nil
+}
+
+// shorten names a Unix socket by way of its open folder where its path is longer than the system takes, until done.
+func shorten(path string) (short string, done func(), err error) {
+	if len(path) <= longestPath {
+		return path, func() {}, nil
+	}
+	dir, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return "", nil, err
+	}
+	return fmt.Sprintf("/proc/self/fd/%d/%s", dir.Fd(), filepath.Base(path)), func() { _ = dir.Close() }, nil
+}
+
 // Dial connects to a TCP address, or the path of a Unix socket, with the standard library and hands the connection to nbio. nbio's own DialAsync takes the
 // first four bytes of an IPv4 address that the standard library gives in sixteen (net_unix.go:136 in
 // v1.6.8), and so connects to 0.0.0.0: seen as 'connection refused' by discovery at 127.8.200.1.
@@ -292,7 +330,12 @@
 func (e *Engine) dial(ctx context.Context, addr string, n *conn) (*nbio.Conn, error) {
 	network := "tcp"
 	if strings.HasPrefix(addr, "/") {
-		network = "unix"
+		short, done, err := shorten(addr)
+		if err != nil {
+			return nil, err
+		}
+		defer done()
+		network, addr = "unix", short
 	}
 	std, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, network, addr)
 	if err != nil {
