--- /dev/null
+++ b/cmd/ravendale-lab/main.go
@@ -0,0 +1,161 @@
+// Ravendale-lab plays experiments on ravendale: nodes, discovery and clients of its own on loopback.
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"runtime"
+
+	"github.com/alecthomas/kong"
+
+	"ravendale/lab"
+)
+
+type commands struct {
+	Run   runCmd   `cmd:"" help:"Play an experiment and keep its results."`
+	Check checkCmd `cmd:"" help:"Tell what is wrong with experiment files."`
+	Fleet fleetCmd `cmd:"" hidden:"" help:"Play nodes; the spec is JSON on standard input, whose end is the end."`
+	Load  loadCmd  `cmd:"" hidden:"" help:"Play clients; the spec is JSON on standard input."`
+}
+
+// errMissed is an experiment of which something did not hold.
+var errMissed = errors.New("what the experiment expects did not hold")
+
+func main() {
+	var c commands
+	k := kong.Parse(&c, kong.Name("ravendale-lab"), kong.Description("Experiments on ravendale, all on loopback addresses."))
+	switch err := k.Run(); {
+	case errors.Is(err, errMissed):
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "ravendale-lab:", err)
+		os.Exit(2)
+	}
+}
+
+func logger() *slog.Logger {
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn}))
+}
+
+type runCmd struct {
+	File   string `arg:"" help:"The experiment file."`
+	Short  bool   `help:"Play the short form."`
+	Out    string `help:"Folder for results.json, results.csv and report.html." type:"path"`
+	Binary string `help:"The scheduler to run." default:"bin/ravendale" type:"path"`
+	Logs   string `help:"Folder for the scheduler's logs." type:"path"`
+	Only   string `help:"Play this variant alone."`
+}
+
+func read(file string) (*lab.Experiment, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return lab.ParseExperiment(file, text)
+}
+
+func (c *runCmd) Run() error {
+	x, err := read(c.File)
+	if err != nil {
+		return err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	for _, dir := range []string{c.Out, c.Logs} {
+		if dir != "" {
+			if err := os.MkdirAll(dir, 0o755); err != nil {
+				return err
+			}
+		}
+	}
+	r := lab.Runner{Self: self, Binary: c.Binary, Short: c.Short, Logs: c.Logs, Only: c.Only, Log: logger(),
+		Say: func(text string, args ...any) { fmt.Printf(text+"\n", args...) }}
+	results, err := r.Run(x)
+	if err != nil {
+		return err
+	}
+	verdicts := x.Judge(results)
+	held := true
+	for _, v := range verdicts {
+		fmt.Println(v)
+		held = held && (v.Held || v.Aim)
+	}
+	if c.Out != "" {
+		if err := lab.Keep(c.Out, x, results, verdicts); err != nil {
+			return err
+		}
+		fmt.Println("results in", filepath.Clean(c.Out))
+	}
+	if !held {
+		return errMissed
+	}
+	return nil
+}
+
+type checkCmd struct {
+	Files []string `arg:"" help:"The experiment files."`
+}
+
+func (c *checkCmd) Run() error {
+	var all error
+	for _, file := range c.Files {
+		if _, err := read(file); err != nil {
+			all = errors.Join(all, err)
+		}
+	}
+	return all
+}
+
+// spec reads a child's spec, a line of JSON.
+func spec(v any) (*bufio.Reader, error) {
+	in := bufio.NewReader(os.Stdin)
+	line, err := in.ReadBytes('\n')
+	if err != nil {
+		return nil, err
+	}
+	return in, json.Unmarshal(line, v)
+}
+
+type fleetCmd struct{}
+
+func (fleetCmd) Run() error {
+	var s lab.FleetSpec
+	in, err := spec(&s)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(1)
+	stop := make(chan struct{})
+	go func() {
+		_, _ = in.ReadByte() // its end
+		close(stop)
+	}()
+	report, err := lab.ServeFleet(s, logger(), func() { fmt.Println("ready") }, stop)
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(os.Stdout).Encode(report)
+}
+
+type loadCmd struct{}
+
+func (loadCmd) Run() error {
+	var s lab.LoadSpec
+	if _, err := spec(&s); err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(1)
+	report, err := lab.Drive(s, logger())
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(os.Stdout).Encode(report)
+}
--- /dev/null
+++ b/lab/experiment.go
@@ -0,0 +1,210 @@
+package lab
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"ravendale/emulator"
+	"ravendale/xmlfile"
+)
+
+// Experiment is what an experiment file says.
+type Experiment struct {
+	Name     string    `xml:"name,attr,required"`
+	About    string    `xml:"about,attr"`
+	Seed     uint64    `xml:"seed,attr"`
+	Drivers  int       `xml:"drivers,attr"` // processes of clients
+	Fleets   int       `xml:"fleets,attr"`  // processes of nodes
+	Rules    RulesXML  `xml:"rules,required"`
+	Nodes    []Nodes   `xml:"nodes,required"`
+	Classes  []Class   `xml:"class,required"`
+	Phases   []Phase   `xml:"phase,required"`
+	Variants []Variant `xml:"variant,required"`
+	Expect   []Expect  `xml:"expect"`
+}
+
+// RulesXML are emulator.Rules in a file, and the scheduler's grace on drains.
+type RulesXML struct {
+	ColdFrom     float64       `xml:"cold-from,attr"`
+	ColdFor      time.Duration `xml:"cold-for,attr"`
+	FallMultiple float64       `xml:"fall-multiple,attr"`
+	FallSpan     time.Duration `xml:"fall-span,attr"`
+	DownFor      time.Duration `xml:"down-for,attr"`
+	Drain        time.Duration `xml:"drain-within,attr"`
+	StopsRunning bool          `xml:"cancel-stops,attr"`
+	Falls        bool          `xml:"falls,attr"` // an overfed cold node goes down; else it is only counted
+}
+
+func (r *RulesXML) model() emulator.Rules {
+	return emulator.Rules{ColdFrom: r.ColdFrom, ColdFor: r.ColdFor, FallMultiple: r.FallMultiple, FallSpan: r.FallSpan,
+		DownFor: r.DownFor, StopsRunning: r.StopsRunning}
+}
+
+// Nodes are some nodes of one kind.
+type Nodes struct {
+	Kind  string  `xml:"kind,attr,required"`
+	Count int     `xml:"count,attr,required"`
+	Speed float64 `xml:"speed,attr,required"`
+	Cores float64 `xml:"cores,attr,required"`
+	Slots float64 `xml:"slots,attr,required"`
+	Queue int     `xml:"queue,attr"`
+	Site  string  `xml:"site,attr,required"`
+}
+
+// Check implements xmlfile.Checker.
+func (n *Nodes) Check(bad func(string)) {
+	if n.Count < 1 || n.Count > 10000 || n.Speed <= 0 || n.Cores <= 0 || n.Slots < 1 {
+		bad("count is 1 to 10000, speed and cores are above 0, and slots from 1 on")
+	}
+}
+
+// Class is a class of jobs, as clients ask for it and as the scheduler is told.
+type Class struct {
+	Name    string        `xml:"name,attr,required"`
+	Effect  string        `xml:"effect,attr,required"` // idempotent, keyed or once
+	Share   float64       `xml:"share,attr,required"`
+	Work    time.Duration `xml:"work,attr,required"`
+	Slots   float64       `xml:"slots,attr"`
+	GiveUp  time.Duration `xml:"give-up,attr,required"`
+	Aim     time.Duration `xml:"aim,attr,required"`
+	Stretch float64       `xml:"stretch,attr"`
+	Worth   float64       `xml:"worth,attr"`
+}
+
+// Check implements xmlfile.Checker.
+func (c *Class) Check(bad func(string)) {
+	if !slices.Contains([]string{"idempotent", "keyed", "once"}, c.Effect) {
+		bad("effect is idempotent, keyed or once")
+	}
+	if c.Share <= 0 || c.Work <= 0 || c.GiveUp < time.Millisecond {
+		bad("share and work are above 0, and give-up is 1ms or more")
+	}
+}
+
+// Phase is one kind of load on each variant.
+type Phase struct {
+	Name     string        `xml:"name,attr,required"`
+	Callers  int           `xml:"callers,attr"`
+	Skew     int           `xml:"skew,attr"`
+	Rate     float64       `xml:"rate,attr"`
+	WarmUp   time.Duration `xml:"warm-up,attr"`
+	For      time.Duration `xml:"for,attr,required"`
+	Short    time.Duration `xml:"short,attr"` // in place of For, with --short
+	Restarts []RestartXML  `xml:"restart"`
+	Stalls   []StallXML    `xml:"stall"`
+}
+
+// Check implements xmlfile.Checker.
+func (p *Phase) Check(bad func(string)) {
+	if (p.Callers > 0) == (p.Rate > 0) {
+		bad("either callers or a rate above 0 is wanted")
+	}
+}
+
+// RestartXML has every so manieth node drained and begun anew, one after the other.
+type RestartXML struct {
+	Every int           `xml:"every,attr,required"` // 4: every fourth node
+	At    time.Duration `xml:"at,attr,required"`    // of the first drain, from the begin of what is measured
+	Step  time.Duration `xml:"step,attr,required"`
+	Drain time.Duration `xml:"drain,attr,required"` // from the drain told to the restart
+}
+
+// StallXML has the scheduler's process stand still (SIGSTOP, SIGCONT) for a while.
+type StallXML struct {
+	At  time.Duration `xml:"at,attr,required"`
+	For time.Duration `xml:"for,attr,required"`
+}
+
+// Variant is one way to run the scheduler.
+type Variant struct {
+	Name   string `xml:"name,attr,required"`
+	Cores  int    `xml:"cores,attr"`
+	Binary string `xml:"binary,attr"` // in place of the one given to run
+	GoGC   string `xml:"gogc,attr"`
+}
+
+// Expect is what must hold of a figure.
+type Expect struct {
+	Figure  string  `xml:"figure,attr,required"`
+	Phase   string  `xml:"phase,attr"`   // all, if empty
+	Variant string  `xml:"variant,attr"` // all, if empty
+	Of      string  `xml:"of,attr"`      // as a ratio to that variant's
+	Most    float64 `xml:"most,attr"`
+	Least   float64 `xml:"least,attr"`
+	Aim     bool    `xml:"aim,attr"` // is told, and fails nothing
+	atMost  bool
+}
+
+// Check implements xmlfile.Checker.
+func (e *Expect) Check(bad func(string)) {
+	if !slices.Contains(figureNames, e.Figure) {
+		bad("figure is one of " + strings.Join(figureNames, ", "))
+	}
+	if e.atMost = e.Least == 0; e.Most != 0 && e.Least != 0 {
+		bad("either most or least is wanted")
+	}
+}
+
+// Check implements xmlfile.Checker.
+func (x *Experiment) Check(bad func(string)) {
+	names := make(map[string]bool)
+	for _, v := range x.Variants {
+		if names[v.Name] {
+			bad("two variants are called " + v.Name)
+		}
+		names[v.Name] = true
+	}
+	phases := make(map[string]bool)
+	for _, p := range x.Phases {
+		phases[p.Name] = true
+	}
+	for _, e := range x.Expect {
+		if e.Variant != "" && !names[e.Variant] || e.Of != "" && !names[e.Of] || e.Phase != "" && !phases[e.Phase] {
+			bad(fmt.Sprintf("what is expected of %s names a variant or phase that is not there", e.Figure))
+		}
+	}
+}
+
+// ParseExperiment reads an experiment file.
+func ParseExperiment(file string, text []byte) (*Experiment, error) {
+	x := &Experiment{Seed: 1, Drivers: 1, Fleets: 1, Rules: RulesXML{ColdFrom: 0.13, ColdFor: 24 * time.Second, FallMultiple: 3,
+		FallSpan: 2 * time.Second, DownFor: 5 * time.Second, Drain: 750 * time.Millisecond}}
+	if err := xmlfile.Read(file, text, "experiment", x); err != nil {
+		return nil, err
+	}
+	x.Drivers, x.Fleets = max(x.Drivers, 1), max(x.Fleets, 1)
+	return x, nil
+}
+
+// settings are what the scheduler is told of the experiment, in the platform's form.
+func (x *Experiment) settings(sites, kinds []string) map[string]any {
+	var classes []map[string]any
+	var kindOf []int
+	var stretch []float64
+	for _, c := range x.Classes {
+		effect := map[string]string{"idempotent": "idempotent", "keyed": "deduplicated", "once": "at_most_once"}[c.Effect]
+		class := map[string]any{"name": c.Name, "effect": effect, "aim-us": c.Aim.Microseconds(), "give-up-us": c.GiveUp.Microseconds(),
+			"importance": max(c.Worth, 1), "late-worth": 0.25}
+		if c.Effect == "keyed" {
+			class["window-us"], class["group"] = 7500000, "zone"
+		}
+		classes, kindOf, stretch = append(classes, class), append(kindOf, -1), append(stretch, c.Stretch)
+	}
+	r := &x.Rules
+	return map[string]any{
+		"balancers": 1, "me": 0, "dcs": sites, "locality": sites[0], "host-types": kinds, "discovery": "ask",
+		"ceilings": map[string]any{"attempts-cap": 6, "connect-timeout-us": 250000, "idle-close-us": 5000000, "may-cancel": true,
+			"may-duplicate": true, "retry-after": true, "max-retry-after-us": 2000000},
+		"rules": map[string]any{"ask-every-us": 10000000, "cold-from": r.ColdFrom, "cold-us": r.ColdFor.Microseconds(),
+			"fall-multiple": r.FallMultiple, "fall-us": r.FallSpan.Microseconds(), "grace-to-answer-us": 8000,
+			"stop-sending-within-us": r.Drain.Microseconds()},
+		"specifics": map[string]any{"class-kind": kindOf, "class-stretch": stretch, "tells-start": true, "progress-us": 1000000},
+		"tick-us":   2000, "request-classes": classes,
+	}
+}
+
+func nodeKind(n *Nodes) emulator.Kind {
+	return emulator.Kind{Name: n.Kind, Speed: n.Speed, Cores: n.Cores, Slots: n.Slots, Queue: n.Queue}
+}
--- /dev/null
+++ b/lab/judge.go
@@ -0,0 +1,64 @@
+package lab
+
+import "fmt"
+
+// Verdict says whether one thing held that an experiment expects.
+type Verdict struct {
+	Text  string
+	Found float64
+	Held  bool
+	Aim   bool
+}
+
+func (v Verdict) String() string {
+	word := "held"
+	switch {
+	case v.Held:
+	case v.Aim:
+		word = "MISSED (an aim)"
+	default:
+		word = "MISSED"
+	}
+	return fmt.Sprintf("%-16s %s: %.4g", word, v.Text, v.Found)
+}
+
+// Judge compares what is expected with what was seen. What an experiment expects of a run that was not played is missed.
+func (x *Experiment) Judge(results []Result) (verdicts []Verdict) {
+	for _, e := range x.Expect {
+		any := false
+		for i := range results {
+			r := &results[i]
+			if e.Variant != "" && e.Variant != r.Variant || e.Phase != "" && e.Phase != r.Phase {
+				continue
+			}
+			found, what := r.Figures[e.Figure], fmt.Sprintf("%s, %s: %s", r.Variant, r.Phase, e.Figure)
+			if e.Of != "" {
+				base := find(results, e.Of, r.Phase)
+				if base == nil || base.Figures[e.Figure] == 0 {
+					continue
+				}
+				found /= base.Figures[e.Figure]
+				what += " of that of " + e.Of
+			}
+			any = true
+			v := Verdict{Text: fmt.Sprintf("%s at least %g", what, e.Least), Found: found, Held: found >= e.Least, Aim: e.Aim}
+			if e.atMost {
+				v.Text, v.Held = fmt.Sprintf("%s at most %g", what, e.Most), found <= e.Most
+			}
+			verdicts = append(verdicts, v)
+		}
+		if !any {
+			verdicts = append(verdicts, Verdict{Text: "nothing was played that shows " + e.Figure, Aim: e.Aim})
+		}
+	}
+	return verdicts
+}
+
+func find(results []Result, variant, phase string) *Result {
+	for i := range results {
+		if results[i].Variant == variant && results[i].Phase == phase {
+			return &results[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/run.go
@@ -0,0 +1,417 @@
+package lab
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"ravendale/http1"
+	"ravendale/scheduler"
+	"ravendale/transport"
+	"ravendale/transport/nbionet"
+)
+
+// Runner plays experiments with processes of its own program and of the scheduler.
+type Runner struct {
+	Self   string // this program: it plays nodes as `fleet` and clients as `load`
+	Binary string // the scheduler
+	Short  bool
+	Logs   string // a folder for the scheduler's logs, "" to throw them away
+	Say    func(text string, args ...any)
+	Log    *slog.Logger
+	Only   string // a variant, "" for all
+}
+
+// Result is what one phase of one variant showed.
+type Result struct {
+	Variant, Phase string
+	Figures        map[string]float64
+	Load           []LoadReport
+	Fleet          []FleetReport
+}
+
+// figureNames are what an experiment may expect something of.
+var figureNames = []string{"throughput", "p50_ms", "p99_ms", "p999_ms", "cpu_us_a_job", "cpu_user_us_a_job", "cpu_sys_us_a_job",
+	"rss_mb", "drains", "drain_last_ms", "cold_worst", "falls", "asked", "served", "refused", "failed", "broken", "wrong", "extra",
+	"unanswered", "repeats", "unknown", "in_time", "behind_ms", "runs_a_job"}
+
+// Run plays all phases of all variants.
+func (r *Runner) Run(x *Experiment) (results []Result, err error) {
+	for i := range x.Variants {
+		if r.Only != "" && x.Variants[i].Name != r.Only {
+			continue
+		}
+		for j := range x.Phases {
+			result, err := r.play(x, &x.Variants[i], &x.Phases[j])
+			if err != nil {
+				return results, fmt.Errorf("%s, %s: %w", x.Variants[i].Name, x.Phases[j].Name, err)
+			}
+			f := result.Figures
+			r.Say("%-12s %-10s %8.0f/s  p50 %6.2f  p99 %7.2f  p99.9 %7.2f ms  CPU %5.1f us a job (%.1f user)  last send %4.0f ms after a drain  cold at most %.2f",
+				result.Variant, result.Phase, f["throughput"], f["p50_ms"], f["p99_ms"], f["p999_ms"], f["cpu_us_a_job"],
+				f["cpu_user_us_a_job"], f["drain_last_ms"], f["cold_worst"])
+			results = append(results, *result)
+		}
+	}
+	return results, nil
+}
+
+// child is a process of this run.
+type child struct {
+	cmd  *exec.Cmd
+	out  *bufio.Reader
+	stop io.Closer
+	log  *bytes.Buffer
+}
+
+func (r *Runner) start(verb string, spec any) (*child, error) {
+	text, err := json.Marshal(spec)
+	if err != nil {
+		return nil, err
+	}
+	c := &child{cmd: exec.Command(r.Self, verb), log: &bytes.Buffer{}}
+	c.cmd.Stderr = c.log
+	in, err := c.cmd.StdinPipe()
+	if err != nil {
+		return nil, err
+	}
+	out, err := c.cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	c.out, c.stop = bufio.NewReader(out), in
+	if err := c.cmd.Start(); err != nil {
+		return nil, err
+	}
+	_, err = in.Write(append(text, '\n'))
+	return c, err
+}
+
+func (c *child) line() (string, error) {
+	line, err := c.out.ReadString('\n')
+	if err != nil {
+		return "", fmt.Errorf("%s: %w: %s", c.cmd.Args[1], err, c.log)
+	}
+	return line, nil
+}
+
+func (c *child) kill() {
+	if c.cmd.Process != nil {
+		_ = c.cmd.Process.Kill()
+		_ = c.cmd.Wait()
+	}
+}
+
+// report ends a child and reads what it saw.
+func (c *child) report(v any) error {
+	_ = c.stop.Close()
+	line, err := c.line()
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal([]byte(line), v)
+}
+
+// readyWithin is how long a process may take to start.
+const readyWithin = 20 * time.Second
+
+// play plays one phase of one variant, with processes of its own.
+func (r *Runner) play(x *Experiment, v *Variant, p *Phase) (result *Result, err error) {
+	net := fmt.Sprintf("127.%d", 64+os.Getpid()%128)
+	sched, disc := net+".0.1:9000", net+".0.2:8500"
+	var sites, kinds []string
+	var hosts []listed
+	var specs []NodeSpec
+	for _, n := range x.Nodes {
+		sites, kinds = with(sites, n.Site), with(kinds, n.Kind)
+		for range n.Count {
+			i := len(specs)
+			name := fmt.Sprintf("s-%04d", i)
+			dial := fmt.Sprintf("%s.%d.%d:9101", net, 1+i/250, 1+i%250)
+			kind := nodeKind(&n)
+			specs = append(specs, NodeSpec{Name: name, Kind: kind, Listen: []string{dial}})
+			hosts = append(hosts, listed{Host: name, Dial: dial, Site: n.Site, Class: n.Kind, Health: "in_service", Share: kind.Capacity()})
+		}
+	}
+	dir, err := os.MkdirTemp("", "lab")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+
+	clock := scheduler.SystemClock()
+	loop := scheduler.NewLoop(clock)
+	engine := nbionet.New(nbionet.Options{Loop: loop, ConnectTimeout: dialWithin, Log: r.Log})
+	defer engine.Close()
+	if err := engine.Start(); err != nil {
+		return nil, err
+	}
+	listing := newDiscovery(loop, hosts)
+	ln, err := nbionet.Listen(disc, 0)
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	engine.Serve(ln, 64, newServer(loop, listing.serve).opened)
+	stop, ended := make(chan struct{}), make(chan struct{})
+	go func() { loop.Run(stop); close(ended) }()
+	defer func() { close(stop); <-ended }()
+
+	long := p.For
+	if r.Short && p.Short > 0 {
+		long = p.Short
+	}
+	// Everything is timed from one moment that leaves all processes time to start.
+	from := clock() + 1500*time.Millisecond
+	measure := from + p.WarmUp
+	till := measure + long
+	var restarts []Restart
+	for _, rs := range p.Restarts {
+		for i, at := 0, measure+rs.At; i < len(specs) && at < till; i, at = i+max(rs.Every, 1), at+rs.Step {
+			restarts = append(restarts, Restart{specs[i].Name, at + rs.Drain})
+			loop.Post(func() {
+				loop.Deadlines.Add(at, func() { listing.set(specs[i].Name, "terminating", 0) })
+				loop.Deadlines.Add(at+rs.Drain+20*time.Millisecond, func() { listing.set(specs[i].Name, "in_service", at+rs.Drain) })
+			})
+		}
+	}
+	var once []string
+	for _, c := range x.Classes {
+		if c.Effect == "once" {
+			once = append(once, c.Name)
+		}
+	}
+	var fleets, loads []*child
+	defer func() {
+		for _, c := range append(fleets, loads...) {
+			c.kill()
+		}
+	}()
+	for k := range x.Fleets {
+		spec := FleetSpec{Rules: x.Rules.model(), Schedulers: []string{sched}, Restarts: restarts, Unsafe: once, Falls: x.Rules.Falls}
+		for i := k; i < len(specs); i += x.Fleets {
+			spec.Nodes = append(spec.Nodes, specs[i])
+		}
+		c, err := r.start("fleet", spec)
+		if err != nil {
+			return nil, err
+		}
+		fleets = append(fleets, c)
+		if _, err := c.line(); err != nil {
+			return nil, err
+		}
+	}
+
+	server, err := r.scheduler(x, v, dir, sched, disc, x.settings(sites, kinds))
+	if err != nil {
+		return nil, err
+	}
+	defer server.kill()
+	if err := r.awaitReady(loop, engine, sched); err != nil {
+		return nil, fmt.Errorf("%w\n%s", err, server.log)
+	}
+
+	for k := range x.Drivers {
+		spec := LoadSpec{Seed: x.Seed*1000 + uint64(k), Schedulers: []string{sched}, Callers: p.Callers / x.Drivers, Rate: p.Rate / float64(x.Drivers),
+			Skew: p.Skew, From: from, Measure: measure, Till: till}
+		for _, c := range x.Classes {
+			spec.Classes = append(spec.Classes, ClassSpec{Name: c.Name, Share: c.Share, Work: c.Work, Slots: c.Slots, GiveUp: c.GiveUp,
+				Aim: c.Aim + time.Duration(c.Stretch*float64(c.Work)), Keyed: c.Effect == "keyed"})
+		}
+		c, err := r.start("load", spec)
+		if err != nil {
+			return nil, err
+		}
+		loads = append(loads, c)
+	}
+	for _, s := range p.Stalls {
+		at := measure + s.At
+		timer := time.AfterFunc(at-clock(), func() {
+			_ = server.cmd.Process.Signal(syscall.SIGSTOP)
+			time.Sleep(s.For)
+			_ = server.cmd.Process.Signal(syscall.SIGCONT)
+		})
+		defer timer.Stop()
+	}
+	time.Sleep(measure - clock())
+	before, err := usage(server.cmd.Process.Pid)
+	if err != nil {
+		return nil, fmt.Errorf("%w\n%s", err, server.log)
+	}
+	time.Sleep(till - clock())
+	after, err := usage(server.cmd.Process.Pid)
+	if err != nil {
+		return nil, fmt.Errorf("%w\n%s", err, server.log)
+	}
+	result = &Result{Variant: v.Name, Phase: p.Name, Figures: make(map[string]float64)}
+	for _, c := range loads {
+		var report LoadReport
+		if err := c.report(&report); err != nil {
+			return nil, err
+		}
+		result.Load = append(result.Load, report)
+	}
+	for _, c := range fleets {
+		var report FleetReport
+		if err := c.report(&report); err != nil {
+			return nil, err
+		}
+		result.Fleet = append(result.Fleet, report)
+	}
+	told := make(chan map[string]time.Duration, 1)
+	loop.Post(func() { told <- listing.told })
+	result.sum(<-told, before, after)
+	if r.Logs != "" {
+		name := strings.Map(func(c rune) rune {
+			if c == ' ' || c == '/' {
+				return '_'
+			}
+			return c
+		}, v.Name+"-"+p.Name+".log")
+		_ = os.WriteFile(filepath.Join(r.Logs, name), server.log.Bytes(), 0o644)
+	}
+	return result, nil
+}
+
+func with(list []string, word string) []string {
+	for _, w := range list {
+		if w == word {
+			return list
+		}
+	}
+	return append(list, word)
+}
+
+// scheduler starts the program that is measured.
+func (r *Runner) scheduler(x *Experiment, v *Variant, dir, listen, discovery string, settings map[string]any) (*child, error) {
+	file, err := json.Marshal(map[string]any{"name": "n0", "listen": listen, "discovery": discovery, "seed": strconv.FormatUint(x.Seed, 16),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 1024, "sockets": 8192}, "settings": settings})
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(path, file, 0o644); err != nil {
+		return nil, err
+	}
+	binary := r.Binary
+	if v.Binary != "" {
+		binary = v.Binary
+	}
+	var args []string
+	if v.Cores > 0 {
+		args = []string{"serve", "--cores", strconv.Itoa(v.Cores)}
+	}
+	c := &child{cmd: exec.Command(binary, args...), log: &bytes.Buffer{}}
+	c.cmd.Env = []string{"PROXY_CONFIG=" + path}
+	if v.GoGC != "" {
+		c.cmd.Env = append(c.cmd.Env, "GOGC="+v.GoGC)
+	}
+	c.cmd.Stderr, c.cmd.Stdout = c.log, c.log
+	return c, c.cmd.Start()
+}
+
+// awaitReady asks the scheduler until it says that it is ready.
+func (r *Runner) awaitReady(loop *scheduler.Loop, network transport.Network, addr string) error {
+	until := time.Now().Add(readyWithin)
+	for time.Now().Before(until) {
+		answer := make(chan bool, 1)
+		loop.Post(func() {
+			p := newPool(loop, network, addr)
+			p.ask(http1.AppendRequest(nil, "GET", "/ready", addr, nil, nil), func(resp *http1.Response, err error) {
+				answer <- err == nil && resp.Status == 200
+			})
+		})
+		if <-answer {
+			return nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return errors.New("the scheduler is not ready")
+}
+
+// used is what a process has used of the machine so far.
+type used struct {
+	user, system time.Duration
+	peakKB       int
+}
+
+// usage reads it from /proc, whose clock ticks are 10 ms.
+func usage(pid int) (u used, err error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return u, err
+	}
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+	if len(fields) < 13 || fields[0] == "Z" {
+		return u, fmt.Errorf("process %d has ended", pid)
+	}
+	for i, d := range []*time.Duration{&u.user, &u.system} {
+		ticks, err := strconv.Atoi(fields[11+i])
+		if err != nil {
+			return u, err
+		}
+		*d = time.Duration(ticks) * 10 * time.Millisecond
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return u, err
+	}
+	if _, rest, found := strings.Cut(string(status), "VmHWM:"); found {
+		_, _ = fmt.Sscan(rest, &u.peakKB)
+	}
+	return u, nil
+}
+
+// sum works out the figures.
+func (r *Result) sum(told map[string]time.Duration, before, after used) {
+	f := r.Figures
+	latency := hist()
+	answered := 0.0
+	for i := range r.Load {
+		l := &r.Load[i]
+		latency.Merge(imported(l.Latency))
+		for name, n := range map[string]int{"asked": l.Asked, "served": l.Served, "refused": l.Refused, "failed": l.Failed, "broken": l.Broken,
+			"wrong": l.Wrong, "extra": l.Extra, "unanswered": l.Unanswered, "in_time": l.InTime} {
+			f[name] += float64(n)
+		}
+		f["throughput"] += float64(l.Served) / l.Span.Seconds()
+		f["behind_ms"] = max(f["behind_ms"], ms(l.Behind))
+		answered += float64(l.Asked - l.Unanswered)
+	}
+	f["p50_ms"], f["p99_ms"], f["p999_ms"] = ms(quantile(latency, 50)), ms(quantile(latency, 99)), ms(quantile(latency, 99.9))
+	f["cpu_user_us_a_job"] = float64((after.user - before.user).Microseconds()) / max(answered, 1)
+	f["cpu_sys_us_a_job"] = float64((after.system - before.system).Microseconds()) / max(answered, 1)
+	f["cpu_us_a_job"] = f["cpu_user_us_a_job"] + f["cpu_sys_us_a_job"]
+	f["rss_mb"] = float64(after.peakKB) / 1024
+	f["cold_worst"], f["falls"], f["repeats"], f["unknown"], f["drain_last_ms"], f["drains"] = 0, 0, 0, 0, 0, 0
+	runs := 0
+	for i := range r.Fleet {
+		fl := &r.Fleet[i]
+		runs += fl.Runs
+		f["repeats"] += float64(fl.Repeats)
+		f["unknown"] += float64(fl.Unknown)
+		for _, n := range fl.Nodes {
+			f["cold_worst"] = max(f["cold_worst"], n.Worst)
+			f["falls"] += float64(n.Falls)
+		}
+		for _, rs := range fl.Restarted {
+			if at, given := told[rs.Node+" terminating"]; given && rs.LastSend > 0 {
+				f["drains"]++
+				f["drain_last_ms"] = max(f["drain_last_ms"], ms(rs.LastSend-at))
+			}
+		}
+	}
+	f["runs_a_job"] = float64(runs) / max(answered, 1)
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
