Count instructions and the time that the host takes away in the lab

Need: on this machine the host takes up to half of the processors away, and CPU times of one program vary by a factor of two; instructions do not.

--- a/cmd/ravendale/main.go
+++ b/cmd/ravendale/main.go
@@ -36,6 +36,9 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1) // the machine has a single core
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(400)
+	}
 	limitMemory(cfg, 1)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
--- a/lab/run.go
+++ b/lab/run.go
@@ -43,7 +43,7 @@
 
 // figureNames are what an experiment may expect something of.
 var figureNames = []string{"throughput", "p50_ms", "p99_ms", "p999_ms", "cpu_us_a_job", "cpu_user_us_a_job", "cpu_sys_us_a_job",
-	"rss_mb", "drains", "drain_last_ms", "cold_worst", "falls", "asked", "served", "refused", "failed", "broken", "wrong", "extra",
+	"rss_mb", "k_instructions_a_job", "k_cycles_a_job", "steal_percent", "drains", "drain_last_ms", "cold_worst", "falls", "asked", "served", "refused", "failed", "broken", "wrong", "extra",
 	"unanswered", "repeats", "unknown", "in_time", "behind_ms", "runs_a_job"}
 
 // Run plays all phases of all variants.
@@ -58,9 +58,9 @@
 				return results, fmt.Errorf("%s, %s: %w", x.Variants[i].Name, x.Phases[j].Name, err)
 			}
 			f := result.Figures
-			r.Say("%-12s %-10s %8.0f/s  p50 %6.2f  p99 %7.2f  p99.9 %7.2f ms  CPU %5.1f us a job (%.1f user)  last send %4.0f ms after a drain  cold at most %.2f",
+			r.Say("%-12s %-10s %8.0f/s  p50 %6.2f  p99 %7.2f  p99.9 %7.2f ms  CPU %5.1f us a job (%.1f user, %.0f k instructions, %.0f k cycles)  last send %4.0f ms after a drain  cold at most %.2f  steal %.0f%%",
 				result.Variant, result.Phase, f["throughput"], f["p50_ms"], f["p99_ms"], f["p999_ms"], f["cpu_us_a_job"],
-				f["cpu_user_us_a_job"], f["drain_last_ms"], f["cold_worst"])
+				f["cpu_user_us_a_job"], f["k_instructions_a_job"], f["k_cycles_a_job"], f["drain_last_ms"], f["cold_worst"], f["steal_percent"])
 			results = append(results, *result)
 		}
 	}
@@ -248,7 +248,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w\n%s", err, server.log)
 	}
+	counted, err := count(server.cmd.Process.Pid)
+	if err != nil {
+		counted = &counters{} // a machine without them
+	}
+	defer counted.close()
+	ticks, steal := stolen()
 	time.Sleep(till - clock())
+	instructions, cycles := counted.read()
+	ticksNow, stealNow := stolen()
 	after, err := usage(server.cmd.Process.Pid)
 	if err != nil {
 		return nil, fmt.Errorf("%w\n%s", err, server.log)
@@ -271,6 +279,10 @@
 	told := make(chan map[string]time.Duration, 1)
 	loop.Post(func() { told <- listing.told })
 	result.sum(<-told, before, after)
+	if f := result.Figures; f["asked"] > 0 {
+		f["k_instructions_a_job"], f["k_cycles_a_job"] = instructions/1000/f["asked"], cycles/1000/f["asked"]
+		f["steal_percent"] = 100 * (stealNow - steal) / max(ticksNow-ticks, 1)
+	}
 	if r.Logs != "" {
 		name := strings.Map(func(c rune) rune {
 			if c == ' ' || c == '/' {
