Serve on several cores: a decider, and a loop with frontend and backend for each core

Need: the users want the scheduler to use the cores it is given; the module takes 1 to 5 us of a job's 80, the rest is reading and writing.

Loops carry on for one another (flat combining) instead of waking goroutines. On one core the path is today's.

--- a/config/config.go
+++ b/config/config.go
@@ -23,6 +23,7 @@
 	Descriptor              int    // of the listener for clients where that is inherited, else 0
 	Seed                    uint64
 	MemoryMB, Sockets       int
+	Cores                   int             // that it serves on; the operator's, not the platform's
 	Known                   json.RawMessage // the list as last held, in discovery's form
 	Settings                ravendale.Settings
 	Names                   Names
@@ -155,7 +156,7 @@
 
 func (f *file) config() (*Config, error) {
 	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Management: f.Management, Known: f.Known,
-		MemoryMB: int(f.Limits.MemoryMB), Sockets: f.Limits.Sockets}
+		MemoryMB: int(f.Limits.MemoryMB), Sockets: f.Limits.Sockets, Cores: 1}
 	if c.Name == "" {
 		return nil, fmt.Errorf("name is missing")
 	}
--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -33,16 +33,28 @@
 // Exchange is the one place where the client side and the server side meet. A frontend fills it in and is
 // called back with the answer; a backend server reads Message, whose form only the two of them know.
 type Exchange struct {
-	ID      string // unique among the requests in hand
-	Facts   Facts
-	Message any
-	Answer  func(Answer) // called exactly once, unless the client leaves before
+	ID       string // unique among the requests in hand
+	Facts    Facts
+	Message  any
+	Answer   func(Answer) // called exactly once, unless the client leaves before, or Repeated is
+	Repeated func()       // called instead where a request with that id is in hand, or was of late
+
+	// Relay, if set, brings a call to the scheduler's loop: the frontend has another.
+	Relay func(func())
 
 	session *Session
 }
 
 // Left tells that the client has gone: no answer is owed any more.
 func (ex *Exchange) Left() {
+	if ex.Relay != nil {
+		ex.Relay(ex.left)
+	} else {
+		ex.left()
+	}
+}
+
+func (ex *Exchange) left() {
 	if ex.session != nil {
 		ex.session.clientLeft()
 	}
--- a/scheduler/loop.go
+++ b/scheduler/loop.go
@@ -9,9 +9,14 @@
 	"ravendale/deadline"
 )
 
-// Loop is what owns all state: whoever has the turn. Turns never overlap. Most are taken by the network's poller, which
+// Loop is what owns a state: whoever has its turn. Turns never overlap. Most are taken by the network's poller, which
 // brings a connection's bytes (Begin, End); the goroutine of Run takes those for what was posted and what falls due. With
 // the poller's events posted to that goroutine instead, a job paid four times for a copy, a closure and two switches.
+//
+// Several loops work for one another by Send. Who gives a turn back takes the turns of the loops that it sent something
+// to, where nobody has them; where somebody has, that one takes what was sent before it goes. So what one goroutine
+// has begun it carries on from loop to loop, without waking another: see Hendler, Incze, Shavit and Tzafrir, "Flat
+// Combining and the Synchronization-Parallelism Tradeoff" (SPAA 2010).
 type Loop struct {
 	Deadlines *deadline.Queue
 
@@ -21,6 +26,7 @@
 	armed time.Duration // when timer fires; the turn's
 	timer *time.Timer
 	ended bool
+	sent  []*Loop // to, in this turn; the turn's
 
 	mu     sync.Mutex
 	posted []func()
@@ -58,14 +64,35 @@
 
 // Post has f called in a turn; other goroutines may call it, and those that have the turn.
 func (l *Loop) Post(f func()) {
+	l.enqueue(f)
+	l.rouse()
+}
+
+// rouse has Run take a turn.
+func (l *Loop) rouse() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (l *Loop) enqueue(f func()) {
 	l.mu.Lock()
 	l.posted = append(l.posted, f)
 	l.any.Store(true)
 	l.mu.Unlock()
-	select {
-	case l.wake <- struct{}{}:
-	default:
+}
+
+// Send has f called in a turn of another loop, soon after this loop's present turn, which the caller has. What is sent
+// to one loop is called in the order in which it was sent. A loop that sends to itself posts.
+func (l *Loop) Send(to *Loop, f func()) {
+	to.enqueue(f)
+	for _, other := range l.sent {
+		if other == to {
+			return
+		}
 	}
+	l.sent = append(l.sent, to)
 }
 
 // Begin gives the calling goroutine the turn, after what was posted; it is to call End. It returns false, and gives no
@@ -81,15 +108,67 @@
 	return true
 }
 
-// End takes what was posted meanwhile, sweeps what is due and gives the turn back.
+// End takes what was posted meanwhile, sweeps what is due and gives the turn back. Then it sees to the loops that
+// something was sent to.
 func (l *Loop) End() {
-	l.takePosted()
-	l.Deadlines.Sweep(l.now)
-	if at, any := l.Deadlines.Next(); any && at < l.armed {
-		l.armed = at
-		l.timer.Reset(max(at-l.now, 0))
+	for sent := l.finish(); len(sent) > 0; {
+		next := sent[0]
+		sent = append(sent[1:], next.help()...)
 	}
-	l.turn.Unlock()
+}
+
+// mostRounds is how often one goroutine goes on with a loop for others before Run has to: its own connections wait
+// meanwhile.
+const mostRounds = 8
+
+// finish ends a turn, and returns the loops that something was sent to. What others enqueued up to the end of the
+// turn, and could not take a turn for, is taken here: whoever enqueues tries for the turn after that, and this looks
+// after giving it back.
+func (l *Loop) finish() (sent []*Loop) {
+	for round := 1; ; round++ {
+		l.takePosted()
+		l.Deadlines.Sweep(l.now)
+		if at, any := l.Deadlines.Next(); any && at < l.armed {
+			l.armed = at
+			l.timer.Reset(max(at-l.now, 0))
+		}
+		for _, to := range l.sent {
+			if to != l {
+				sent = append(sent, to)
+			}
+		}
+		clear(l.sent)
+		l.sent = l.sent[:0]
+		l.turn.Unlock()
+		if !l.any.Load() {
+			return sent
+		}
+		if round == mostRounds {
+			l.rouse()
+			return sent
+		}
+		if !l.turn.TryLock() {
+			return sent
+		}
+		if l.ended {
+			l.turn.Unlock()
+			return sent
+		}
+		l.now = max(l.now, l.clock())
+	}
+}
+
+// help takes a turn for what was enqueued, if nobody has it.
+func (l *Loop) help() []*Loop {
+	if !l.any.Load() || !l.turn.TryLock() {
+		return nil
+	}
+	if l.ended {
+		l.turn.Unlock()
+		return nil
+	}
+	l.now = max(l.now, l.clock())
+	return l.finish()
 }
 
 func (l *Loop) takePosted() {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -180,6 +180,9 @@
 	}
 }
 
+// Cold says whether a backend server is taken to be warming still.
+func (s *Scheduler) Cold(worker string) bool { return s.module.Cold(worker, s.loop.Now()) }
+
 // Owed is how many requests wait for their answer.
 func (s *Scheduler) Owed() int { return len(s.byID) }
 
@@ -221,6 +224,13 @@
 	Worker   string
 	Deadline time.Duration // when the scheduler stops waiting
 
+	// MayBegin, if set, is asked just before the first byte: where the backend has other loops than the scheduler, what
+	// was decided may come too late, or be undone. One that may not begin ends as not sent.
+	MayBegin func() bool
+	// Relay, if set, brings what the backend tells to the scheduler's loop.
+	Relay func(func())
+	Core  int // that carries it out, where there are several
+
 	number int
 	sentAt time.Duration
 	timer  *deadline.Deadline
@@ -234,11 +244,12 @@
 // Exchange is the request that the dispatch is for.
 func (d *Dispatch) Exchange() *Exchange { return d.Session.ex }
 
-// Accept takes a request. It returns false where one with that id is in hand, or was of late: clients never use one
+// Accept takes a request. It calls Repeated where one with that id is in hand, or was of late: clients never use one
 // twice, and nothing changes for the first.
-func (s *Scheduler) Accept(ex *Exchange) bool {
+func (s *Scheduler) Accept(ex *Exchange) {
 	if _, was := s.past[ex.ID]; was || s.byID[ex.ID] != nil {
-		return false
+		ex.Repeated()
+		return
 	}
 	s.lastJob++
 	now := s.loop.Now()
@@ -260,7 +271,6 @@
 	f := &ex.Facts
 	s.feed(ravendale.Event{Kind: ravendale.JobArrived, Job: n.job, Class: f.Class, Tenant: f.Tenant, Key: f.Key,
 		Left: f.Left, Work: f.Work, Slots: f.Slots, Memory: f.Memory, Retry: f.Retry})
-	return true
 }
 
 // Listed takes what the server table learnt. Servers that drain or have gone are avoided at once; the
@@ -359,7 +369,7 @@
 }
 
 // Sent tells that the request is written whole.
-func (d *Dispatch) Sent() { d.Session.s.figures.Sends++ }
+func (d *Dispatch) Sent() { d.tell(func() { d.Session.s.figures.Sends++ }) }
 
 // Started tells that the job runs.
 func (d *Dispatch) Started() { d.note(ravendale.JobStarted, 0) }
@@ -371,20 +381,33 @@
 func (d *Dispatch) Progressed(done float64) { d.note(ravendale.JobProgressed, done) }
 
 func (d *Dispatch) note(kind ravendale.EventKind, done float64) {
-	if !d.ended {
-		d.Session.s.feed(ravendale.Event{Kind: kind, Job: d.Session.job, Attempt: d.number, Done: done})
+	d.tell(func() {
+		if !d.ended {
+			d.Session.s.feed(ravendale.Event{Kind: kind, Job: d.Session.job, Attempt: d.number, Done: done})
+		}
+	})
+}
+
+// tell calls f in the scheduler's turn.
+func (d *Dispatch) tell(f func()) {
+	if d.Relay != nil {
+		d.Relay(f)
+	} else {
+		f()
 	}
 }
 
 // End gives the outcome of a dispatch; only the first counts. The first OK of a session is its answer.
 func (d *Dispatch) End(outcome ravendale.Outcome, result []byte) {
-	if d.ended {
-		return
-	}
-	if outcome == ravendale.OK {
-		d.Session.end(Answer{Kind: Served, Result: result})
-	}
-	d.finish(outcome)
+	d.tell(func() {
+		if d.ended {
+			return
+		}
+		if outcome == ravendale.OK {
+			d.Session.end(Answer{Kind: Served, Result: result})
+		}
+		d.finish(outcome)
+	})
 }
 
 // finish tells the module an outcome, once.
--- a/state.go
+++ b/state.go
@@ -1,6 +1,9 @@
 package ravendale
 
-import "maps"
+import (
+	"maps"
+	"time"
+)
 
 // What a Dispatcher tells of itself, and hands to the process after it. Nothing in this file decides anything.
 
@@ -10,6 +13,12 @@
 	return out || d.byName[name] != nil
 }
 
+// Cold says whether a worker is taken to be warming at a time.
+func (d *Dispatcher) Cold(name string, now time.Duration) bool {
+	w := d.byName[name]
+	return w != nil && w.StartedAt > 0 && now-w.StartedAt < d.set.ColdFor
+}
+
 // Workers counts those listed, and those of them that are avoided, by hand or by choice.
 func (d *Dispatcher) Workers() (listed, avoided int) {
 	for _, w := range d.workers {
--- a/transport/nbionet/nbionet.go
+++ b/transport/nbionet/nbionet.go
@@ -48,6 +48,7 @@
 	loop    Turns
 	timeout time.Duration
 	started bool
+	echo    *echo // nil until it is wanted
 
 	mu     sync.Mutex
 	closed bool
@@ -64,7 +65,9 @@
 // New returns an engine that is not started yet.
 func New(o Options) *Engine {
 	e := &Engine{loop: o.Loop, timeout: o.ConnectTimeout}
-	logging.SetLogger(nbioLog{o.Log})
+	if o.Log != nil {
+		logging.SetLogger(nbioLog{o.Log}) // one for the whole process: the first engine's
+	}
 	e.nb = nbio.NewEngine(nbio.Config{Name: "ravendale", Network: "tcp", NPoller: 1,
 		ReadBufferSize: readBuffer, MaxConnReadTimesPerEventLoop: readsATurn})
 	// nbio leaves its buffer cut to the length of the last read: hand it out whole each time.
@@ -110,6 +113,61 @@
 	}
 }
 
+// echo is a connection of an engine to itself.
+type echo struct {
+	fd      int // the far end
+	pending []func()
+}
+
+// Echo has f called in a turn once all that had arrived by now, on any connection of this engine, has been handed over (up
+// to readsATurn buffers of each). Its caller has the turn. It is a byte that goes through the poller twice: what was
+// there before the first pass is brought in the same round as that at the latest, and the second is of a later round.
+func (e *Engine) Echo(f func()) error {
+	if e.echo == nil {
+		fds, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC, 0)
+		if err != nil {
+			return fmt.Errorf("echo: %w", err)
+		}
+		near := os.NewFile(uintptr(fds[0]), "echo")
+		defer near.Close()
+		std, err := net.FileConn(near)
+		if err != nil {
+			_ = syscall.Close(fds[1])
+			return fmt.Errorf("echo: %w", err)
+		}
+		e.echo = &echo{fd: fds[1]}
+		c, err := nbio.NBConn(std)
+		if err == nil {
+			c.SetSession(&conn{nb: c, open: true, handler: e.echo})
+			_, err = e.nb.AddConn(c)
+		}
+		if err != nil {
+			return fmt.Errorf("echo: %w", err)
+		}
+	}
+	e.echo.send(func() { e.echo.send(f) })
+	return nil
+}
+
+// send writes a byte. One that finds no room is not sent: so many are on their way already, and its f is lost with it.
+func (c *echo) send(f func()) {
+	if _, err := syscall.Write(c.fd, []byte{0}); err == nil {
+		c.pending = append(c.pending, f)
+	}
+}
+
+func (c *echo) Connected() {}
+
+func (c *echo) Data(b []byte) {
+	due := c.pending[:len(b)]
+	c.pending = c.pending[len(b):]
+	for _, f := range due {
+		f()
+	}
+}
+
+func (c *echo) Closed(error) {}
+
 // Start begins to serve what is accepted and dialled.
 func (e *Engine) Start() error {
 	if err := e.nb.Start(); err != nil {
@@ -139,7 +197,18 @@
 // Serve accepts from a listener, which it owns from now on, up to room connections at once; more wait in the system's
 // queue. The listener may be shared with other processes: it is closed, but never shut down.
 func (e *Engine) Serve(ln net.Listener, room int, accept func(transport.Conn) transport.Handler) *Gate {
-	g := &Gate{e: e, ln: ln, accept: accept, room: max(room, 1)}
+	return e.Deal(ln, room, []Target{{e, accept}}, func() int { return 0 })
+}
+
+// Target is where a connection may go that was accepted.
+type Target struct {
+	Engine *Engine
+	Accept func(transport.Conn) transport.Handler
+}
+
+// Deal is Serve for connections that go to several engines: choose says to which, in a goroutine of its own.
+func (e *Engine) Deal(ln net.Listener, room int, targets []Target, choose func() int) *Gate {
+	g := &Gate{ln: ln, targets: targets, choose: choose, room: max(room, 1)}
 	g.cond.L = &g.mu
 	e.gates = append(e.gates, g)
 	go g.run()
@@ -148,9 +217,9 @@
 
 // Gate is a listener and the connections that came by it. It guards against running out of descriptors.
 type Gate struct {
-	e      *Engine
-	ln     net.Listener
-	accept func(transport.Conn) transport.Handler
+	ln      net.Listener
+	targets []Target
+	choose  func() int
 
 	mu             sync.Mutex
 	cond           sync.Cond
@@ -198,7 +267,8 @@
 	for g.enter() {
 		c, err := g.ln.Accept()
 		if err == nil {
-			g.e.accepted(c, g)
+			t := g.targets[g.choose()]
+			t.Engine.accepted(c, g, t.Accept)
 			continue
 		}
 		g.left()
@@ -227,7 +297,7 @@
 	g.cond.Signal()
 }
 
-func (e *Engine) accepted(std net.Conn, g *Gate) {
+func (e *Engine) accepted(std net.Conn, g *Gate, accept func(transport.Conn) transport.Handler) {
 	c, err := nbio.NBConn(std)
 	if err != nil {
 		_ = std.Close()
@@ -238,7 +308,7 @@
 	c.SetSession(n)
 	e.loop.Post(func() {
 		n.open = true
-		if n.handler = g.accept(n); n.gone {
+		if n.handler = accept(n); n.gone {
 			n.handler.Closed(net.ErrClosed)
 		}
 	})
--- a/transport/nbionet/nbionet_test.go
+++ b/transport/nbionet/nbionet_test.go
@@ -212,7 +212,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := e.Serve(ln, 1, e.gates[0].accept)
+	g := e.Serve(ln, 1, e.gates[0].targets[0].Accept)
 	dial := func() net.Conn {
 		c, err := net.Dial("tcp", held.Addr().String())
 		if err != nil {
@@ -245,3 +245,29 @@
 	c.Close()
 	New(Options{Loop: o, Log: slog.New(slog.NewTextHandler(io.Discard, nil))}).Close()
 }
+
+// What had arrived when an echo was asked for has been handed over when it comes.
+func TestAnEchoComesAfterWhatWasThere(t *testing.T) {
+	e, o, accepted := start(t)
+	c, err := net.Dial("tcp", e.gates[0].Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	n := <-accepted
+	for range 200 {
+		echoed := make(chan int, 1)
+		o.on(func() { // nothing is read meanwhile
+			if _, err := c.Write([]byte("told")); err != nil {
+				t.Error(err)
+			}
+			if err := e.Echo(func() { echoed <- len(n.data) }); err != nil {
+				t.Error(err)
+			}
+		})
+		if <-echoed != 1 {
+			t.Fatal("the echo came before what had arrived")
+		}
+		<-n.data
+	}
+}
