--- a/cores/board.go
+++ b/cores/board.go
@@ -47,9 +47,7 @@
 
 // Heard notes a pulse: everything that had arrived for the decider by then has had its effect on the board.
 func (b *Board) Heard(at time.Duration) {
-	if int64(at) > b.heard.Load() {
-		b.heard.Store(int64(at))
-	}
+	b.heard.Store(int64(at))
 }
 
 // Deaf says whether the last pulse is too old for anything to begin.
--- /dev/null
+++ b/cores/cores_test.go
@@ -0,0 +1,185 @@
+package cores
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// Whatever stands still when: nothing begins at a server later than the rules allow after its drain reached the machine,
+// and a cold one is not sent more within a window than was decided within one longer by the lease.
+func TestPermitsKeepDrainsAndBudgets(t *testing.T) {
+	const grace, window = 750 * time.Millisecond, 2 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBoard(1)
+		b.List("s", "addr")
+		cold := rapid.Bool().Draw(t, "cold")
+		now := time.Hour
+		b.Heard(now)
+		var (
+			waiting        []*Permit // decided, and not begun: the core may stand still
+			decided, begun []time.Duration
+			drains         time.Duration   // the drain has reached the machine, 0 for not yet
+			pulses         []time.Duration // on their way through the decider's poller
+			drained        bool            // the decider knows
+		)
+		steps := rapid.IntRange(20, 150).Draw(t, "steps")
+		drainAt := rapid.IntRange(0, 2*steps).Draw(t, "drain at") // half of them without
+		deafFrom := rapid.IntRange(0, steps).Draw(t, "deaf from")
+		deafTill := deafFrom + rapid.IntRange(0, 40).Draw(t, "deaf for")
+		for step := range steps {
+			now += time.Duration(rapid.IntRange(0, 120).Draw(t, "ms")) * time.Millisecond
+			if step == drainAt {
+				drains = now
+			}
+			does := rapid.SampledFrom([]string{"decide", "decide", "decide", "run", "pulse", "pulse and hear", "hear"}).Draw(t, "step")
+			if step >= deafFrom && step < deafTill && does != "run" {
+				does = "decide"
+			}
+			switch does {
+			case "decide": // by the decider, whose loop may go on while its poller stands still
+				if !drained {
+					waiting = append(waiting, b.Permit("s", now, cold))
+					decided = append(decided, now)
+				}
+			case "run": // the core takes its turn
+				for _, p := range waiting {
+					if !p.MayBegin(now) {
+						continue
+					}
+					if drains > 0 && now-drains > grace {
+						t.Fatalf("a send began %v after the drain", now-drains)
+					}
+					begun = append(begun, now)
+				}
+				waiting = nil
+			case "pulse":
+				pulses = append(pulses, now)
+			case "pulse and hear":
+				pulses = append(pulses, now)
+				fallthrough
+			case "hear": // the poller goes on, and brings all that had arrived, in order
+				if drains > 0 && !drained {
+					drained = true
+					b.Avoid("s")
+				}
+				for _, at := range pulses {
+					b.Heard(at)
+				}
+				pulses = nil
+			}
+		}
+		if !cold {
+			return
+		}
+		in := func(times []time.Duration, from, to time.Duration) (n int) {
+			for _, at := range times {
+				if at > from && at <= to {
+					n++
+				}
+			}
+			return n
+		}
+		ends := slices.Clone(begun)
+		for _, at := range begun { // windows that begin with a send, too
+			ends = append(ends, at+window-1)
+		}
+		for _, end := range ends {
+			if got, may := in(begun, end-window, end), in(decided, end-window-ColdLease-1, end); got > may {
+				t.Fatalf("%d sends began within %v, and %d were decided in the window longer by the lease", got, window, may)
+			}
+		}
+	})
+}
+
+func TestServersAreSpreadOverCores(t *testing.T) {
+	b := NewBoard(3)
+	for i := range 7 {
+		b.List(fmt.Sprint("s", i), "x")
+	}
+	b.Drop("s1")
+	b.Drop("s4")
+	b.List("s7", "y")
+	b.List("s0", "z")
+	var got []int
+	for _, name := range []string{"s0", "s2", "s3", "s5", "s6", "s7"} {
+		got = append(got, b.Server(name).Core)
+	}
+	if diff := cmp.Diff([]int{0, 2, 0, 2, 0, 1}, got); diff != "" {
+		t.Error(diff)
+	}
+	if b.Address("s0") != "z" || b.Address("s1") != "" || b.Permit("s1", 0, false) != nil {
+		t.Error("a server that moved or went is known by its old address")
+	}
+}
+
+// A permit of a server that left and came back under its name is of the one that left.
+func TestAPermitEndsWithItsServer(t *testing.T) {
+	b := NewBoard(1)
+	b.List("s", "x")
+	b.Heard(time.Second)
+	p := b.Permit("s", time.Second, false)
+	b.Drop("s")
+	b.List("s", "x")
+	if p.MayBegin(time.Second) || !b.Permit("s", time.Second, false).MayBegin(time.Second) {
+		t.Error("the permit of a server that is gone holds, or that of the new one does not")
+	}
+}
+
+func TestDealAndEven(t *testing.T) {
+	for name, tc := range map[string]struct {
+		loads []Load
+		deal  int
+		move  Move
+		any   bool
+	}{
+		"nothing known":             {[]Load{{}, {}}, 0, Move{}, false},
+		"fewest connections":        {[]Load{{Conns: 3}, {Conns: 2}, {Conns: 4}}, 1, Move{}, false},
+		"the busy ones are here":    {[]Load{{2, 4000}, {30, 100}}, 1, Move{0, 1, 1}, true},
+		"one busy connection":       {[]Load{{1, 4000}, {30, 100}}, 1, Move{}, false},
+		"many a little too many":    {[]Load{{100, 3000}, {100, 1000}, {100, 2000}}, 1, Move{0, 1, 8}, true},
+		"even enough":               {[]Load{{100, 2100}, {100, 1900}}, 1, Move{}, false},
+		"too little to be worth it": {[]Load{{10, 100}, {10, 0}}, 1, Move{}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := Deal(tc.loads); got != tc.deal {
+				t.Errorf("dealt to %d", got)
+			}
+			move, any := Even(tc.loads)
+			if diff := cmp.Diff(tc.move, move); diff != "" || any != tc.any {
+				t.Error(any, diff)
+			}
+		})
+	}
+}
+
+// Connections of which each brings the same go from the core that has them all until the cores are about even, and then stay.
+func TestEvenSettles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cores := rapid.IntRange(2, 8).Draw(t, "cores")
+		conns, each := rapid.IntRange(4*cores, 400).Draw(t, "conns"), float64(rapid.IntRange(50, 2000).Draw(t, "each"))
+		loads := make([]Load, cores)
+		loads[rapid.IntRange(0, cores-1).Draw(t, "at")] = Load{conns, float64(conns) * each}
+		moves := 0
+		for m, any := Even(loads); any; m, any = Even(loads) {
+			loads[m.From].Conns -= m.Conns
+			loads[m.To].Conns += m.Conns
+			for i := range loads {
+				loads[i].Served = float64(loads[i].Conns) * each
+			}
+			if moves++; moves > conns {
+				t.Fatalf("it goes on and on: %v", loads)
+			}
+		}
+		mean := float64(conns) * each / float64(cores)
+		for _, l := range loads {
+			if l.Served > uneven*mean+each && l.Served-mean >= worthMoving+each {
+				t.Fatalf("it stays uneven: %v", loads)
+			}
+		}
+	})
+}
