Play a whole scheduler on one and on three cores in a test, under the race detector

Need: the multi-core tests are to be clean under the race detector on real sockets too.

Found: nbio fails upon a write to a connection that was accepted and not yet added (nil poller); adding and the handler's begin are now one turn. The session is set under nbio's lock, which orders it before the poller's read.

--- a/lab/experiment.go
+++ b/lab/experiment.go
@@ -205,6 +205,35 @@
 	}
 }
 
-func nodeKind(n *Nodes) emulator.Kind {
-	return emulator.Kind{Name: n.Kind, Speed: n.Speed, Cores: n.Cores, Slots: n.Slots, Queue: n.Queue}
+// fleet names the nodes, and says how each listens and is listed.
+func (x *Experiment) fleet(dial func(i int) string) (specs []NodeSpec, hosts []listed, sites, kinds []string) {
+	for _, n := range x.Nodes {
+		sites, kinds = with(sites, n.Site), with(kinds, n.Kind)
+		kind := emulator.Kind{Name: n.Kind, Speed: n.Speed, Cores: n.Cores, Slots: n.Slots, Queue: n.Queue}
+		for range n.Count {
+			name, addr := fmt.Sprintf("s-%04d", len(specs)), dial(len(specs))
+			specs = append(specs, NodeSpec{Name: name, Kind: kind, Listen: []string{addr}})
+			hosts = append(hosts, listed{Host: name, Dial: addr, Site: n.Site, Class: n.Kind, Health: "in_service", Share: kind.Capacity()})
+		}
+	}
+	return specs, hosts, sites, kinds
+}
+
+// unsafe names the classes of which no job may run twice.
+func (x *Experiment) unsafe() (names []string) {
+	for _, c := range x.Classes {
+		if c.Effect == "once" {
+			names = append(names, c.Name)
+		}
+	}
+	return names
+}
+
+// asked are the classes as clients ask for them.
+func (x *Experiment) asked() (classes []ClassSpec) {
+	for _, c := range x.Classes {
+		classes = append(classes, ClassSpec{Name: c.Name, Share: c.Share, Work: c.Work, Slots: c.Slots, GiveUp: c.GiveUp,
+			Aim: c.Aim + time.Duration(c.Stretch*float64(c.Work)), Keyed: c.Effect == "keyed"})
+	}
+	return classes
 }
--- a/lab/run.go
+++ b/lab/run.go
@@ -130,20 +130,7 @@
 func (r *Runner) play(x *Experiment, v *Variant, p *Phase) (result *Result, err error) {
 	net := fmt.Sprintf("127.%d", 64+os.Getpid()%128)
 	sched, disc := net+".0.1:9000", net+".0.2:8500"
-	var sites, kinds []string
-	var hosts []listed
-	var specs []NodeSpec
-	for _, n := range x.Nodes {
-		sites, kinds = with(sites, n.Site), with(kinds, n.Kind)
-		for range n.Count {
-			i := len(specs)
-			name := fmt.Sprintf("s-%04d", i)
-			dial := fmt.Sprintf("%s.%d.%d:9101", net, 1+i/250, 1+i%250)
-			kind := nodeKind(&n)
-			specs = append(specs, NodeSpec{Name: name, Kind: kind, Listen: []string{dial}})
-			hosts = append(hosts, listed{Host: name, Dial: dial, Site: n.Site, Class: n.Kind, Health: "in_service", Share: kind.Capacity()})
-		}
-	}
+	specs, hosts, sites, kinds := x.fleet(func(i int) string { return fmt.Sprintf("%s.%d.%d:9101", net, 1+i/250, 1+i%250) })
 	dir, err := os.MkdirTemp("", "lab")
 	if err != nil {
 		return nil, err
@@ -185,12 +172,6 @@
 			})
 		}
 	}
-	var once []string
-	for _, c := range x.Classes {
-		if c.Effect == "once" {
-			once = append(once, c.Name)
-		}
-	}
 	var fleets, loads []*child
 	defer func() {
 		for _, c := range append(fleets, loads...) {
@@ -198,7 +179,7 @@
 		}
 	}()
 	for k := range x.Fleets {
-		spec := FleetSpec{Rules: x.Rules.model(), Schedulers: []string{sched}, Restarts: restarts, Unsafe: once, Falls: x.Rules.Falls}
+		spec := FleetSpec{Rules: x.Rules.model(), Schedulers: []string{sched}, Restarts: restarts, Unsafe: x.unsafe(), Falls: x.Rules.Falls}
 		for i := k; i < len(specs); i += x.Fleets {
 			spec.Nodes = append(spec.Nodes, specs[i])
 		}
@@ -223,11 +204,7 @@
 
 	for k := range x.Drivers {
 		spec := LoadSpec{Seed: x.Seed*1000 + uint64(k), Schedulers: []string{sched}, Callers: p.Callers / x.Drivers, Rate: p.Rate / float64(x.Drivers),
-			Skew: p.Skew, From: from, Measure: measure, Till: till}
-		for _, c := range x.Classes {
-			spec.Classes = append(spec.Classes, ClassSpec{Name: c.Name, Share: c.Share, Work: c.Work, Slots: c.Slots, GiveUp: c.GiveUp,
-				Aim: c.Aim + time.Duration(c.Stretch*float64(c.Work)), Keyed: c.Effect == "keyed"})
-		}
+			Skew: p.Skew, Classes: x.asked(), From: from, Measure: measure, Till: till}
 		c, err := r.start("load", spec)
 		if err != nil {
 			return nil, err
@@ -304,10 +281,15 @@
 	return append(list, word)
 }
 
+// config is a scheduler's file, in the platform's form.
+func (x *Experiment) config(listen, discovery string, settings map[string]any) ([]byte, error) {
+	return json.Marshal(map[string]any{"name": "n0", "listen": listen, "discovery": discovery, "seed": strconv.FormatUint(x.Seed, 16),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 1024, "sockets": 8192}, "settings": settings})
+}
+
 // scheduler starts the program that is measured.
 func (r *Runner) scheduler(x *Experiment, v *Variant, dir, listen, discovery string, settings map[string]any) (*child, error) {
-	file, err := json.Marshal(map[string]any{"name": "n0", "listen": listen, "discovery": discovery, "seed": strconv.FormatUint(x.Seed, 16),
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 1024, "sockets": 8192}, "settings": settings})
+	file, err := x.config(listen, discovery, settings)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/lab/whole_test.go
@@ -0,0 +1,137 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"ravendale/config"
+	scheduling "ravendale/platform/node"
+	"ravendale/scheduler"
+	"ravendale/transport/nbionet"
+)
+
+const small = `<experiment name="small">
+  <rules cold-for="2s"/>
+  <nodes kind="fast" site="here" count="3" speed="2" cores="4" slots="8" queue="40"/>
+  <nodes kind="slow" site="here" count="3" speed="1" cores="4" slots="8" queue="40"/>
+  <class name="saldo" effect="idempotent" share="60" work="1ms" give-up="5s" aim="75ms"/>
+  <class name="acreditar" effect="keyed" share="20" work="1ms" give-up="5s" aim="75ms"/>
+  <class name="canjear" effect="once" share="20" work="1ms" give-up="5s" aim="75ms"/>
+  <phase name="p" callers="24" for="1s"/>
+  <variant name="v"/>
+</experiment>`
+
+// free returns a loopback address that nobody listens at.
+func free(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// A whole scheduler on several cores, on real sockets among nodes of which two are drained and begun anew: each request has
+// one answer, its own; nothing unrepeatable runs twice; and the race detector, when it looks on, sees nothing.
+func TestAWholeSchedulerOnSeveralCores(t *testing.T) {
+	for _, cores := range []int{1, 3} {
+		t.Run(fmt.Sprint(cores), func(t *testing.T) { wholeScheduler(t, cores) })
+	}
+}
+
+func wholeScheduler(t *testing.T, cores int) {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	x, err := ParseExperiment("small", []byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	sched, disc := free(t), free(t)
+	specs, hosts, sites, kinds := x.fleet(func(int) string { return free(t) })
+	clock := scheduler.SystemClock()
+	from := clock() + 100*time.Millisecond
+
+	// Discovery.
+	loop := scheduler.NewLoop(clock)
+	engine := nbionet.New(nbionet.Options{Loop: loop, ConnectTimeout: dialWithin, Log: log})
+	if err := engine.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer engine.Close()
+	listing := newDiscovery(loop, hosts)
+	ln, err := nbionet.Listen(disc, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	engine.Serve(ln, 8, newServer(loop, listing.serve).opened)
+	stop := make(chan struct{})
+	ended := make(chan struct{})
+	go func() { loop.Run(stop); close(ended) }()
+	defer func() { close(stop); <-ended }()
+
+	// Nodes.
+	spec := FleetSpec{Rules: x.Rules.model(), Nodes: specs, Schedulers: []string{sched}, Unsafe: x.unsafe()}
+	for i, at := range []time.Duration{300 * time.Millisecond, 500 * time.Millisecond} {
+		name, at := specs[3*i].Name, from+at
+		spec.Restarts = append(spec.Restarts, Restart{name, at + 200*time.Millisecond})
+		loop.Post(func() {
+			loop.Deadlines.Add(at, func() { listing.set(name, "terminating", 0) })
+			loop.Deadlines.Add(at+220*time.Millisecond, func() { listing.set(name, "in_service", at+200*time.Millisecond) })
+		})
+	}
+	ready, fleetStop, fleetReport := make(chan struct{}), make(chan struct{}), make(chan FleetReport, 1)
+	go func() {
+		report, err := ServeFleet(spec, log, func() { close(ready) }, fleetStop)
+		if err != nil {
+			t.Error(err)
+		}
+		fleetReport <- report
+	}()
+	<-ready
+
+	// The scheduler.
+	file, err := x.config(sched, disc, x.settings(sites, kinds))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := config.Load(func(name string) string { return map[string]string{"PROXY_CONFIG": "f"}[name] },
+		func(string) ([]byte, error) { return file, nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Cores = cores
+	n, err := scheduling.New(cfg, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	gone := make(chan error, 1)
+	go func() { gone <- n.Run(ctx) }()
+	r := &Runner{}
+	if err := r.awaitReady(loop, engine, sched); err != nil {
+		t.Fatal(err)
+	}
+
+	load, err := Drive(LoadSpec{Seed: 1, Schedulers: []string{sched}, Classes: x.asked(), Callers: 24, From: from, Measure: from,
+		Till: from + time.Second}, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	if err := <-gone; err != nil {
+		t.Error(err)
+	}
+	close(fleetStop)
+	fleet := <-fleetReport
+	if load.Served == 0 || load.Wrong+load.Extra+load.Unanswered+load.Broken > 0 || fleet.Repeats+fleet.Unknown > 0 || len(fleet.Restarted) != 2 {
+		t.Errorf("clients saw %+v; nodes saw %+v", load, fleet)
+	}
+	if got := load.Served + load.Refused + load.Failed; got != load.Asked {
+		t.Errorf("%d of %d were answered", got, load.Asked)
+	}
+}
--- a/transport/nbionet/nbionet.go
+++ b/transport/nbionet/nbionet.go
@@ -62,11 +62,14 @@
 	Log            *slog.Logger
 }
 
+var setLogger sync.Once
+
 // New returns an engine that is not started yet.
 func New(o Options) *Engine {
 	e := &Engine{loop: o.Loop, timeout: o.ConnectTimeout}
+	// nbio has one logger for the whole process, which its pollers read as it stands: the first engine's.
 	if o.Log != nil {
-		logging.SetLogger(nbioLog{o.Log}) // one for the whole process: the first engine's
+		setLogger.Do(func() { logging.SetLogger(nbioLog{o.Log}) })
 	}
 	e.nb = nbio.NewEngine(nbio.Config{Name: "ravendale", Network: "tcp", NPoller: 1,
 		ReadBufferSize: readBuffer, MaxConnReadTimesPerEventLoop: readsATurn})
@@ -138,7 +141,7 @@
 		e.echo = &echo{fd: fds[1]}
 		c, err := nbio.NBConn(std)
 		if err == nil {
-			c.SetSession(&conn{nb: c, open: true, handler: e.echo})
+			hold(c, &conn{nb: c, open: true, handler: e.echo})
 			_, err = e.nb.AddConn(c)
 		}
 		if err != nil {
@@ -186,6 +189,9 @@
 	for _, g := range e.gates {
 		g.close()
 	}
+	if e.echo != nil {
+		_ = syscall.Close(e.echo.fd)
+	}
 	if !e.started || before {
 		return
 	}
@@ -305,14 +311,18 @@
 		return
 	}
 	n := &conn{nb: c, gate: g}
-	c.SetSession(n)
+	hold(c, n)
+	// In one turn: nbio fails upon a write to a connection that it was not given yet, and what is read waits for the turn.
 	e.loop.Post(func() {
 		n.open = true
+		if _, err := e.nb.AddConn(c); err != nil {
+			n.gone = true // it is closed, and room for it made
+			return
+		}
 		if n.handler = accept(n); n.gone {
 			n.handler.Closed(net.ErrClosed)
 		}
 	})
-	_, _ = e.nb.AddConn(c) // upon an error the connection is closed, and that is reported
 }
 
 // Listen opens a listener; with a descriptor above 0 it takes that one, which the process inherited, instead.
@@ -401,10 +411,18 @@
 		_ = std.Close()
 		return nil, err
 	}
-	c.SetSession(n)
+	hold(c, n)
 	return e.nb.AddConn(c)
 }
 
+// hold has nbio's connection know ours. The lock orders that before the poller's first read: epoll's own order is one that
+// the race detector does not see.
+func hold(c *nbio.Conn, n *conn) {
+	c.Lock()
+	c.SetSession(n)
+	c.Unlock()
+}
+
 // conn is a connection as the owner sees it. Only what is atomic is shared with nbio's goroutines.
 type conn struct {
 	nb        *nbio.Conn
