--- a/cmd/ravendale-lab/main.go
+++ b/cmd/ravendale-lab/main.go
@@ -50,6 +50,9 @@
 	Binary string `help:"The scheduler to run." default:"bin/ravendale" type:"path"`
 	Logs   string `help:"Folder for the scheduler's logs." type:"path"`
 	Only   string `help:"Play this variant alone."`
+
+	Commit  string   `help:"The commit that is measured, for the results."`
+	Comment []string `help:"A remark to keep with the results; may be given again." sep:"none"`
 }
 
 func read(file string) (*lab.Experiment, error) {
@@ -89,7 +92,9 @@
 		held = held && (v.Held || v.Aim)
 	}
 	if c.Out != "" {
-		if err := lab.Keep(c.Out, x, results, verdicts); err != nil {
+		origin := lab.ThisMachine(x.Seed, c.Commit, c.Short)
+		origin.Comments = c.Comment
+		if err := lab.Keep(c.Out, x, origin, results, verdicts); err != nil {
 			return err
 		}
 		fmt.Println("results in", filepath.Clean(c.Out))
--- a/lab/report.go
+++ b/lab/report.go
@@ -1,4 +1,280 @@
 package lab
 
-// Keep writes results to a folder.
-func Keep(dir string, x *Experiment, results []Result, verdicts []Verdict) error { return nil }
+import (
+	"bytes"
+	"encoding/csv"
+	"encoding/json"
+	"fmt"
+	"html/template"
+	"image/color"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+// Origin says what results were made with.
+type Origin struct {
+	At       time.Time
+	Machine  string
+	Commit   string
+	Go       string
+	Seed     uint64
+	Short    bool
+	Comments []string `json:",omitempty"`
+}
+
+// Kept is what results.json holds.
+type Kept struct {
+	Experiment string
+	Origin     Origin
+	Verdicts   []Verdict
+	Results    []Result
+}
+
+// ThisMachine names the machine by its processors and memory, and the commit by what the caller knows of it.
+func ThisMachine(seed uint64, commit string, short bool) Origin {
+	o := Origin{At: time.Now().UTC().Truncate(time.Second), Commit: commit, Go: runtime.Version(), Seed: seed, Short: short}
+	model := "unknown processor"
+	if text, err := os.ReadFile("/proc/cpuinfo"); err == nil {
+		if _, rest, found := strings.Cut(string(text), "model name"); found {
+			line, _, _ := strings.Cut(rest, "\n")
+			model = strings.TrimLeft(line, "\t :")
+		}
+	}
+	kernel, _ := os.ReadFile("/proc/sys/kernel/osrelease")
+	o.Machine = fmt.Sprintf("%d processors (%s), Linux %s", runtime.NumCPU(), model, strings.TrimSpace(string(kernel)))
+	return o
+}
+
+// Keep writes results.json, results.csv and report.html to a folder.
+func Keep(dir string, x *Experiment, origin Origin, results []Result, verdicts []Verdict) error {
+	text, err := json.MarshalIndent(Kept{x.Name, origin, verdicts, results}, "", " ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "results.json"), append(text, '\n'), 0o644); err != nil {
+		return err
+	}
+	var table bytes.Buffer
+	w := csv.NewWriter(&table)
+	_ = w.Write(append([]string{"variant", "phase"}, figureNames...))
+	for _, r := range results {
+		row := []string{r.Variant, r.Phase}
+		for _, name := range figureNames {
+			row = append(row, strconv.FormatFloat(r.Figures[name], 'g', 6, 64))
+		}
+		_ = w.Write(row)
+	}
+	if w.Flush(); w.Error() != nil {
+		return w.Error()
+	}
+	if err := os.WriteFile(filepath.Join(dir, "results.csv"), table.Bytes(), 0o644); err != nil {
+		return err
+	}
+	page, err := report(x, origin, results, verdicts)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, "report.html"), page, 0o644)
+}
+
+// palette holds the lines' and bars' colours, which are told apart by those who see few colours too.
+var palette = []color.Color{color.RGBA{0, 114, 178, 255}, color.RGBA{230, 159, 0, 255}, color.RGBA{0, 158, 115, 255},
+	color.RGBA{204, 121, 167, 255}, color.RGBA{86, 180, 233, 255}, color.RGBA{213, 94, 0, 255}}
+
+// chart is one picture of the report.
+type chart struct {
+	Title string
+	SVG   template.HTML
+}
+
+func render(p *plot.Plot, title string) (chart, error) {
+	c := vgsvg.New(15*vg.Centimeter, 8*vg.Centimeter)
+	p.Draw(draw.New(c))
+	var b bytes.Buffer
+	if _, err := c.WriteTo(&b); err != nil {
+		return chart{}, err
+	}
+	svg := b.String()
+	return chart{title, template.HTML(svg[max(strings.Index(svg, "<svg"), 0):])}, nil // written by the library, from numbers and our own names
+}
+
+// bars shows some figures of each variant in one phase.
+func bars(title, unit string, results []Result, figures ...string) (chart, error) {
+	p := plot.New()
+	p.Y.Label.Text, p.Y.Min = unit, 0
+	var names []string
+	for i := range results {
+		names = append(names, results[i].Variant)
+	}
+	width := vg.Points(min(40, 240/float64(len(names)*len(figures))))
+	for k, figure := range figures {
+		values := make(plotter.Values, len(results))
+		for i := range results {
+			values[i] = results[i].Figures[figure]
+		}
+		b, err := plotter.NewBarChart(values, width)
+		if err != nil {
+			return chart{}, err
+		}
+		b.Color, b.LineStyle.Width = palette[k%len(palette)], 0
+		b.Offset = width * vg.Length(float64(k)-float64(len(figures)-1)/2)
+		p.Add(b)
+		if len(figures) > 1 {
+			p.Legend.Add(figure, b)
+		}
+	}
+	p.Legend.Top = true
+	p.NominalX(names...)
+	return render(p, title)
+}
+
+// lines shows how something went over time for each variant.
+func lines(title, unit string, results []Result, value func(SecondReport) float64) (chart, error) {
+	p := plot.New()
+	p.X.Label.Text, p.Y.Label.Text, p.Y.Min = "s from the begin", unit, 0
+	for i := range results {
+		var points plotter.XYs
+		for _, l := range results[i].Load {
+			for s, second := range l.Seconds {
+				for len(points) <= s {
+					points = append(points, plotter.XY{X: float64(len(points))})
+				}
+				points[s].Y += value(second)
+			}
+		}
+		if len(points) < 3 {
+			continue
+		}
+		line, err := plotter.NewLine(points[:len(points)-1]) // the last second is a part
+		if err != nil {
+			return chart{}, err
+		}
+		line.Color, line.Width = palette[i%len(palette)], vg.Points(1.5)
+		p.Add(line)
+		p.Legend.Add(results[i].Variant, line)
+	}
+	p.Legend.Top = true
+	return render(p, title)
+}
+
+func report(x *Experiment, origin Origin, results []Result, verdicts []Verdict) ([]byte, error) {
+	type phase struct {
+		Name    string
+		Results []Result
+		Charts  []chart
+	}
+	page := struct {
+		X        *Experiment
+		Origin   Origin
+		Verdicts []Verdict
+		Figures  []string
+		Phases   []phase
+	}{X: x, Origin: origin, Verdicts: verdicts}
+	for _, name := range figureNames {
+		if slices.ContainsFunc(results, func(r Result) bool { return r.Figures[name] != 0 }) {
+			page.Figures = append(page.Figures, name)
+		}
+	}
+	for _, p := range x.Phases {
+		ph := phase{Name: p.Name}
+		for _, r := range results {
+			if r.Phase == p.Name {
+				ph.Results = append(ph.Results, r)
+			}
+		}
+		if len(ph.Results) == 0 {
+			continue
+		}
+		for _, draw := range []func() (chart, error){
+			func() (chart, error) { return bars("Jobs served a second", "jobs/s", ph.Results, "throughput") },
+			func() (chart, error) {
+				return bars("Latency", "ms", ph.Results, "p50_ms", "p99_ms", "p999_ms")
+			},
+			func() (chart, error) {
+				return bars("CPU a job", "us", ph.Results, "cpu_user_us_a_job", "cpu_sys_us_a_job")
+			},
+			func() (chart, error) {
+				return bars("Instructions and cycles a job", "thousands", ph.Results, "k_instructions_a_job", "k_cycles_a_job")
+			},
+			func() (chart, error) {
+				return bars("Last send after a drain was told", "ms", ph.Results, "drain_last_ms")
+			},
+			func() (chart, error) {
+				return bars("Most that a cold node was sent, of what it may be", "", ph.Results, "cold_worst")
+			},
+			func() (chart, error) {
+				return lines("Served by the second", "jobs", ph.Results, func(s SecondReport) float64 { return float64(s.Served) })
+			},
+			func() (chart, error) {
+				return lines("p99 by the second", "ms", ph.Results, func(s SecondReport) float64 { return ms(s.P99) })
+			},
+		} {
+			c, err := draw()
+			if err != nil {
+				return nil, err
+			}
+			ph.Charts = append(ph.Charts, c)
+		}
+		page.Phases = append(page.Phases, ph)
+	}
+	var b bytes.Buffer
+	err := pageForm.Execute(&b, page)
+	return b.Bytes(), err
+}
+
+var pageForm = template.Must(template.New("report").Funcs(template.FuncMap{
+	"figure": func(r Result, name string) string { return strconv.FormatFloat(r.Figures[name], 'f', decimals(r.Figures[name]), 64) },
+}).Parse(`<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><meta name="viewport" content="width=device-width, initial-scale=1">
+<title>Experiment {{.X.Name}}</title>
+<style>
+:root { color-scheme: light dark; --back: #fbfbf9; --text: #1d1d1b; --rule: #c9c9c4; --good: #0a6b3d; --bad: #b3261e; }
+@media (prefers-color-scheme: dark) { :root { --back: #17181a; --text: #e6e6e3; --rule: #45474b; --good: #6fd19f; --bad: #ff8a80; } }
+body { background: var(--back); color: var(--text); font: 15px/1.5 system-ui, sans-serif; margin: 2rem auto; max-width: 72rem; padding: 0 1rem; }
+.charts { display: grid; grid-template-columns: repeat(auto-fit, minmax(26rem, 1fr)); gap: 1rem; }
+figure { margin: 0; background: #fff; color: #1d1d1b; border: 1px solid var(--rule); border-radius: 6px; padding: .7rem; }
+figure svg { width: 100%; height: auto; }
+figcaption { font-weight: 600; margin-bottom: .3rem; }
+.wide { overflow-x: auto; }
+table { border-collapse: collapse; font-variant-numeric: tabular-nums; }
+th, td { border-bottom: 1px solid var(--rule); padding: .2rem .7rem; text-align: right; }
+th:first-child, td:first-child { text-align: left; }
+.held { color: var(--good); } .missed { color: var(--bad); font-weight: 600; }
+</style></head><body>
+<h1>Experiment {{.X.Name}}</h1>
+<p>{{.X.About}}</p>
+<p>{{.Origin.At.Format "2006-01-02 15:04 UTC"}}, {{.Origin.Machine}}, {{.Origin.Go}}{{if .Origin.Commit}}, commit {{.Origin.Commit}}{{end}}, seed {{.Origin.Seed}}{{if .Origin.Short}}, short form{{end}}.</p>
+{{range .Origin.Comments}}<p>{{.}}</p>{{end}}
+{{if .Verdicts}}<h2>What was expected</h2>
+<table><tr><th>what</th><th>found</th><th></th></tr>
+{{range .Verdicts}}<tr><td>{{.Text}}</td><td>{{printf "%.4g" .Found}}</td><td class="{{if .Held}}held{{else}}missed{{end}}">{{if .Held}}held{{else}}missed{{if .Aim}} (an aim){{end}}{{end}}</td></tr>
+{{end}}</table>{{end}}
+{{$figures := .Figures}}{{range .Phases}}<h2>Phase {{.Name}}</h2>
+<div class="charts">{{range .Charts}}<figure><figcaption>{{.Title}}</figcaption>{{.SVG}}</figure>{{end}}</div>
+<div class="wide"><table><tr><th>figure</th>{{range .Results}}<th>{{.Variant}}</th>{{end}}</tr>
+{{$results := .Results}}{{range $figures}}{{$name := .}}<tr><td>{{.}}</td>{{range $results}}<td>{{figure . $name}}</td>{{end}}</tr>
+{{end}}</table></div>
+{{end}}</body></html>
+`))
+
+// decimals is how many a figure of that size is shown with.
+func decimals(v float64) int {
+	switch {
+	case v >= 100 || v == float64(int(v)):
+		return 0
+	case v >= 10:
+		return 1
+	}
+	return 2
+}
