--- a/lab/report.go
+++ b/lab/report.go
@@ -234,7 +234,9 @@
 }
 
 var pageForm = template.Must(template.New("report").Funcs(template.FuncMap{
-	"figure": func(r Result, name string) string { return strconv.FormatFloat(r.Figures[name], 'f', decimals(r.Figures[name]), 64) },
+	"figure": func(r Result, name string) string {
+		return strconv.FormatFloat(r.Figures[name], 'f', decimals(r.Figures[name]), 64)
+	},
 }).Parse(`<!DOCTYPE html>
 <html lang="en"><head><meta charset="utf-8"><meta name="viewport" content="width=device-width, initial-scale=1">
 <title>Experiment {{.X.Name}}</title>
