Have a process that stood still hear discovery before it sends

Cause, seen in the experiment's phase 'stopped': after a SIGSTOP of one second a process on one core took clients' requests first and discovery's word after them; the last send came 821 ms after a drain was told.

The lab's clients send once more where a kept connection ends unread, as the platform's do.

--- a/cmd/ravendale/main.go
+++ b/cmd/ravendale/main.go
@@ -108,7 +108,11 @@
 	if cfg.Cores < 1 || cfg.Cores > operator.MostCores {
 		return fmt.Errorf("--cores: %d is not between 1 and %d", cfg.Cores, operator.MostCores)
 	}
-	runtime.GOMAXPROCS(cfg.Cores) // the platform's machine has a single core
+	processors := cfg.Cores // the platform's machine has a single core
+	if cfg.Cores > 1 {
+		processors++ // the decider's poller keeps one while it sleeps in the system: see docs/cores.md
+	}
+	runtime.GOMAXPROCS(processors)
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(400) // little lives long: see docs/cores.md
 	}
--- a/lab/load.go
+++ b/lab/load.go
@@ -45,6 +45,7 @@
 	Broken                         int // the connection ended without an answer
 	Wrong                          int // served with another job's result
 	Extra                          int // more than one answer
+	Again                          int // sent once more, since a kept connection ended before its answer began
 	Unanswered                     int // nothing by the time that the client gave up, or by the end
 	InTime                         int
 	Span                           time.Duration
@@ -214,7 +215,7 @@
 		next()
 		l.checkEnd()
 	})
-	c = p.ask(request, func(resp *http1.Response, err error) {
+	answered := func(resp *http1.Response, err error) {
 		l.loop.Deadlines.Drop(overdue)
 		l.open--
 		took := l.loop.Now() - due
@@ -256,7 +257,13 @@
 			next()
 		}
 		l.checkEnd()
-	})
+	}
+	c = p.ask(request, answered)
+	// The closing of a kept connection may cross a request that was not read: clients send it once more, on a new one.
+	c.again = func() {
+		l.report.Again++
+		c = p.askAnew(request, answered)
+	}
 	c.extra = func() { l.report.Extra++ }
 }
 
--- a/lab/run.go
+++ b/lab/run.go
@@ -44,7 +44,7 @@
 // figureNames are what an experiment may expect something of.
 var figureNames = []string{"throughput", "p50_ms", "p99_ms", "p999_ms", "cpu_us_a_job", "cpu_user_us_a_job", "cpu_sys_us_a_job",
 	"rss_mb", "k_instructions_a_job", "k_cycles_a_job", "steal_percent", "drains", "drain_last_ms", "cold_worst", "falls", "asked", "served", "refused", "failed", "broken", "wrong", "extra",
-	"unanswered", "repeats", "unknown", "in_time", "behind_ms", "runs_a_job"}
+	"unanswered", "again", "repeats", "unknown", "in_time", "behind_ms", "runs_a_job"}
 
 // Run plays all phases of all variants.
 func (r *Runner) Run(x *Experiment) (results []Result, err error) {
@@ -375,7 +375,7 @@
 		l := &r.Load[i]
 		latency.Merge(imported(l.Latency))
 		for name, n := range map[string]int{"asked": l.Asked, "served": l.Served, "refused": l.Refused, "failed": l.Failed, "broken": l.Broken,
-			"wrong": l.Wrong, "extra": l.Extra, "unanswered": l.Unanswered, "in_time": l.InTime} {
+			"wrong": l.Wrong, "extra": l.Extra, "again": l.Again, "unanswered": l.Unanswered, "in_time": l.InTime} {
 			f[name] += float64(n)
 		}
 		f["throughput"] += float64(l.Served) / l.Span.Seconds()
--- a/scheduler/loop.go
+++ b/scheduler/loop.go
@@ -19,6 +19,10 @@
 // Combining and the Synchronization-Parallelism Tradeoff" (SPAA 2010).
 type Loop struct {
 	Deadlines *deadline.Queue
+	// Gap, if set, is called in a turn whose time is more than GapOver after the last one looked at: the loop was idle, or
+	// its process stood still, and what came meanwhile is taken in no order of its own.
+	Gap     func()
+	GapOver time.Duration
 
 	clock func() time.Duration
 	turn  sync.Mutex
@@ -103,11 +107,19 @@
 		l.turn.Unlock()
 		return false
 	}
+	l.tick()
 	l.takePosted()
-	l.now = max(l.now, l.clock())
 	return true
 }
 
+// tick brings the turn's time up.
+func (l *Loop) tick() {
+	before := l.now
+	if l.now = max(l.now, l.clock()); l.Gap != nil && l.now-before > l.GapOver {
+		l.Gap()
+	}
+}
+
 // End takes what was posted meanwhile, sweeps what is due and gives the turn back. Then it sees to the loops that
 // something was sent to.
 func (l *Loop) End() {
@@ -154,7 +166,7 @@
 			l.turn.Unlock()
 			return sent
 		}
-		l.now = max(l.now, l.clock())
+		l.tick()
 	}
 }
 
@@ -167,7 +179,7 @@
 		l.turn.Unlock()
 		return nil
 	}
-	l.now = max(l.now, l.clock())
+	l.tick()
 	return l.finish()
 }
 
@@ -181,7 +193,7 @@
 	batch := l.spare
 	l.mu.Unlock()
 	for i, f := range batch {
-		l.now = max(l.now, l.clock())
+		l.tick()
 		f()
 		batch[i] = nil
 	}
@@ -208,8 +220,9 @@
 		case <-l.timer.C:
 		}
 		l.turn.Lock()
+		l.tick()
 		l.takePosted()
-		l.now, l.armed = max(l.now, l.clock()), noTime
+		l.armed = noTime
 		l.End()
 	}
 }
