--- a/lab/report.go
+++ b/lab/report.go
@@ -58,7 +58,14 @@
 
 // Keep writes results.json, results.csv and report.html to a folder.
 func Keep(dir string, x *Experiment, origin Origin, results []Result, verdicts []Verdict) error {
-	text, err := json.MarshalIndent(Kept{x.Name, origin, verdicts, results}, "", " ")
+	kept := slices.Clone(results)
+	for i := range kept {
+		kept[i].Load = slices.Clone(kept[i].Load)
+		for k := range kept[i].Load {
+			kept[i].Load[k].Latency = nil // thousands of counts; the figures have its percentiles
+		}
+	}
+	text, err := json.Marshal(Kept{x.Name, origin, verdicts, kept})
 	if err != nil {
 		return err
 	}
@@ -202,7 +209,7 @@
 				return bars("Latency", "ms", ph.Results, "p50_ms", "p99_ms", "p999_ms")
 			},
 			func() (chart, error) {
-				return bars("CPU a job", "us", ph.Results, "cpu_user_us_a_job", "cpu_sys_us_a_job")
+				return bars("CPU a job", "us", ph.Results, "cpu_user_us_a_job", "cpu_sys_us_a_job", "cpu_nodes_us_a_job", "cpu_clients_us_a_job")
 			},
 			func() (chart, error) {
 				return bars("Instructions and cycles a job", "thousands", ph.Results, "k_instructions_a_job", "k_cycles_a_job")
--- a/lab/run.go
+++ b/lab/run.go
@@ -42,7 +42,7 @@
 }
 
 // figureNames are what an experiment may expect something of.
-var figureNames = []string{"throughput", "p50_ms", "p99_ms", "p999_ms", "cpu_us_a_job", "cpu_user_us_a_job", "cpu_sys_us_a_job",
+var figureNames = []string{"throughput", "p50_ms", "p99_ms", "p999_ms", "cpu_us_a_job", "cpu_user_us_a_job", "cpu_sys_us_a_job", "cpu_nodes_us_a_job", "cpu_clients_us_a_job",
 	"rss_mb", "k_instructions_a_job", "k_cycles_a_job", "steal_percent", "drains", "drain_last_ms", "cold_worst", "falls", "asked", "served", "refused", "failed", "broken", "wrong", "extra",
 	"unanswered", "again", "repeats", "unknown", "in_time", "behind_ms", "runs_a_job"}
 
@@ -225,6 +225,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w\n%s", err, server.log)
 	}
+	nodesBefore, clientsBefore := cpuOf(fleets), cpuOf(loads)
 	counted, err := count(server.cmd.Process.Pid)
 	if err != nil {
 		counted = &counters{} // a machine without them
@@ -234,6 +235,7 @@
 	time.Sleep(till - clock())
 	instructions, cycles := counted.read()
 	ticksNow, stealNow := stolen()
+	nodesCPU, clientsCPU := cpuOf(fleets)-nodesBefore, cpuOf(loads)-clientsBefore
 	after, err := usage(server.cmd.Process.Pid)
 	if err != nil {
 		return nil, fmt.Errorf("%w\n%s", err, server.log)
@@ -258,6 +260,8 @@
 	result.sum(<-told, before, after)
 	if f := result.Figures; f["asked"] > 0 {
 		f["k_instructions_a_job"], f["k_cycles_a_job"] = instructions/1000/f["asked"], cycles/1000/f["asked"]
+		f["cpu_nodes_us_a_job"] = float64(nodesCPU.Microseconds()) / f["asked"]
+		f["cpu_clients_us_a_job"] = float64(clientsCPU.Microseconds()) / f["asked"]
 		f["steal_percent"] = 100 * (stealNow - steal) / max(ticksNow-ticks, 1)
 	}
 	if r.Logs != "" {
@@ -339,6 +343,16 @@
 	peakKB       int
 }
 
+// cpuOf is the processor time that children used so far; one that has ended counts as none.
+func cpuOf(children []*child) (sum time.Duration) {
+	for _, c := range children {
+		if u, err := usage(c.cmd.Process.Pid); err == nil {
+			sum += u.user + u.system
+		}
+	}
+	return sum
+}
+
 // usage reads it from /proc, whose clock ticks are 10 ms.
 func usage(pid int) (u used, err error) {
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
