--- a/lab/experiment.go
+++ b/lab/experiment.go
@@ -94,6 +94,7 @@
 	Short    time.Duration `xml:"short,attr"` // in place of For, with --short
 	Restarts []RestartXML  `xml:"restart"`
 	Stalls   []StallXML    `xml:"stall"`
+	Acts     []ActXML      `xml:"act"`
 }
 
 // Check implements xmlfile.Checker.
@@ -117,6 +118,29 @@
 	For time.Duration `xml:"for,attr,required"`
 }
 
+// ActXML is something that operators do.
+type ActXML struct {
+	At    time.Duration `xml:"at,attr,required"`
+	Do    string        `xml:"do,attr,required"` // see acts
+	Node  int           `xml:"node,attr"`        // by its number, for 'hand'
+	For   time.Duration `xml:"for,attr"`         // until it is undone: clients are back, the node is put back
+	Cores int           `xml:"cores,attr"`       // of the new version
+}
+
+// acts are what can be done: the configuration is read again; clients are sent away; a node is taken out by hand, begins
+// anew and is put back; a new version takes over.
+var acts = []string{"reload", "away", "hand", "upgrade"}
+
+// Check implements xmlfile.Checker.
+func (a *ActXML) Check(bad func(string)) {
+	if !slices.Contains(acts, a.Do) {
+		bad("do is one of " + strings.Join(acts, ", "))
+	}
+	if a.Cores < 0 || a.Node < 0 || (a.Do == "hand" || a.Do == "away") && a.For <= 0 {
+		bad("cores and node are no less than 0, and for is above 0 where something is undone")
+	}
+}
+
 // Variant is one way to run the scheduler.
 type Variant struct {
 	Name   string `xml:"name,attr,required"`
--- a/scheduler/loop.go
+++ b/scheduler/loop.go
@@ -36,6 +36,7 @@
 	posted []func()
 	spare  []func()
 	any    atomic.Bool // something is posted
+	queued atomic.Int64
 	wake   chan struct{}
 }
 
@@ -84,9 +85,13 @@
 	l.mu.Lock()
 	l.posted = append(l.posted, f)
 	l.any.Store(true)
+	l.queued.Store(int64(len(l.posted)))
 	l.mu.Unlock()
 }
 
+// Queued is how much waits to be called, about; other goroutines may ask.
+func (l *Loop) Queued() int { return int(l.queued.Load()) }
+
 // Send has f called in a turn of another loop, soon after this loop's present turn, which the caller has. What is sent
 // to one loop is called in the order in which it was sent. A loop that sends to itself posts.
 func (l *Loop) Send(to *Loop, f func()) {
@@ -190,6 +195,7 @@
 	l.mu.Lock()
 	l.posted, l.spare = l.spare[:0], l.posted
 	l.any.Store(false)
+	l.queued.Store(0)
 	batch := l.spare
 	l.mu.Unlock()
 	for i, f := range batch {
