--- a/lab/judge.go
+++ b/lab/judge.go
@@ -31,7 +31,8 @@
 			if e.Variant != "" && e.Variant != r.Variant || e.Phase != "" && e.Phase != r.Phase {
 				continue
 			}
-			found, what := r.Figures[e.Figure], fmt.Sprintf("%s, %s: %s", r.Variant, r.Phase, e.Figure)
+			found, given := r.Figures[e.Figure]
+			what := fmt.Sprintf("%s, %s: %s", r.Variant, r.Phase, e.Figure)
 			if e.Of != "" {
 				base := find(results, e.Of, r.Phase)
 				if base == nil || base.Figures[e.Figure] == 0 {
@@ -45,6 +46,9 @@
 			if e.atMost {
 				v.Text, v.Held = fmt.Sprintf("%s at most %g", what, e.Most), found <= e.Most
 			}
+			if v.Held = v.Held && given; !given {
+				v.Text += " (not measured)"
+			}
 			verdicts = append(verdicts, v)
 		}
 		if !any {
