--- a/cmd/ravendale-lab/main.go
+++ b/cmd/ravendale-lab/main.go
@@ -19,6 +19,8 @@
 type commands struct {
 	Run   runCmd   `cmd:"" help:"Play an experiment and keep its results."`
 	Check checkCmd `cmd:"" help:"Tell what is wrong with experiment files."`
+	List  listCmd  `cmd:"" help:"List the experiments of a folder."`
+	Draw  drawCmd  `cmd:"" help:"Write the table and the report of kept results anew."`
 	Fleet fleetCmd `cmd:"" hidden:"" help:"Play nodes; the spec is JSON on standard input, whose end is the end."`
 	Load  loadCmd  `cmd:"" hidden:"" help:"Play clients; the spec is JSON on standard input."`
 }
@@ -111,6 +113,49 @@
 	return nil
 }
 
+type listCmd struct {
+	Dir string `arg:"" optional:"" default:"experiments" help:"The folder." type:"path"`
+}
+
+func (c *listCmd) Run() error {
+	files, err := filepath.Glob(filepath.Join(c.Dir, "*.xml"))
+	if err != nil {
+		return err
+	}
+	for _, file := range files {
+		x, err := read(file)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%-12s %d variants, %d phases: %s\n", x.Name, len(x.Variants), len(x.Phases), x.About)
+	}
+	return nil
+}
+
+type drawCmd struct {
+	File string `arg:"" help:"The experiment file."`
+	Dir  string `arg:"" help:"The folder with results.json." type:"path"`
+}
+
+func (c *drawCmd) Run() error {
+	x, err := read(c.File)
+	if err != nil {
+		return err
+	}
+	text, err := os.ReadFile(filepath.Join(c.Dir, "results.json"))
+	if err != nil {
+		return err
+	}
+	var kept lab.Kept
+	if err := json.Unmarshal(text, &kept); err != nil {
+		return fmt.Errorf("%s: %w", c.Dir, err)
+	}
+	if kept.Experiment != x.Name {
+		return fmt.Errorf("%s holds results of the experiment %q", c.Dir, kept.Experiment)
+	}
+	return lab.Keep(c.Dir, x, kept.Origin, kept.Results, x.Judge(kept.Results))
+}
+
 type checkCmd struct {
 	Files []string `arg:"" help:"The experiment files."`
 }
--- a/lab/report.go
+++ b/lab/report.go
@@ -141,7 +141,9 @@
 			p.Legend.Add(figure, b)
 		}
 	}
-	p.Legend.Top = true
+	if p.Legend.Top = true; len(figures) > 1 {
+		p.Y.Max *= 1.35 // for the legend
+	}
 	p.NominalX(names...)
 	return render(p, title)
 }
@@ -172,6 +174,7 @@
 		p.Legend.Add(results[i].Variant, line)
 	}
 	p.Legend.Top = true
+	p.Y.Max *= 1.35 // for the legend
 	return render(p, title)
 }
 
@@ -185,9 +188,19 @@
 		X        *Experiment
 		Origin   Origin
 		Verdicts []Verdict
+		Aims     []Verdict // and what did not hold
+		Held     int
 		Figures  []string
 		Phases   []phase
 	}{X: x, Origin: origin, Verdicts: verdicts}
+	for _, v := range verdicts {
+		if v.Held {
+			page.Held++
+		}
+		if v.Aim || !v.Held {
+			page.Aims = append(page.Aims, v)
+		}
+	}
 	for _, name := range figureNames {
 		if slices.ContainsFunc(results, func(r Result) bool { return r.Figures[name] != 0 }) {
 			page.Figures = append(page.Figures, name)
@@ -266,16 +279,18 @@
 <p>{{.Origin.At.Format "2006-01-02 15:04 UTC"}}, {{.Origin.Machine}}, {{.Origin.Go}}{{if .Origin.Commit}}, commit {{.Origin.Commit}}{{end}}, seed {{.Origin.Seed}}{{if .Origin.Short}}, short form{{end}}.</p>
 {{range .Origin.Comments}}<p>{{.}}</p>{{end}}
 {{if .Verdicts}}<h2>What was expected</h2>
-<table><tr><th>what</th><th>found</th><th></th></tr>
-{{range .Verdicts}}<tr><td>{{.Text}}</td><td>{{printf "%.4g" .Found}}</td><td class="{{if .Held}}held{{else}}missed{{end}}">{{if .Held}}held{{else}}missed{{if .Aim}} (an aim){{end}}{{end}}</td></tr>
-{{end}}</table>{{end}}
+<p>{{.Held}} of {{len .Verdicts}} held.{{if .Aims}} What did not, and the aims:{{end}}</p>
+{{if .Aims}}{{template "verdicts" .Aims}}{{end}}
+<details><summary>All</summary>{{template "verdicts" .Verdicts}}</details>{{end}}
 {{$figures := .Figures}}{{range .Phases}}<h2>Phase {{.Name}}</h2>
 <div class="charts">{{range .Charts}}<figure><figcaption>{{.Title}}</figcaption>{{.SVG}}</figure>{{end}}</div>
 <div class="wide"><table><tr><th>figure</th>{{range .Results}}<th>{{.Variant}}</th>{{end}}</tr>
 {{$results := .Results}}{{range $figures}}{{$name := .}}<tr><td>{{.}}</td>{{range $results}}<td>{{figure . $name}}</td>{{end}}</tr>
 {{end}}</table></div>
 {{end}}</body></html>
-`))
+{{define "verdicts"}}<table><tr><th>what</th><th>found</th><th></th></tr>
+{{range .}}<tr><td>{{.Text}}</td><td>{{printf "%.4g" .Found}}</td><td class="{{if .Held}}held{{else}}missed{{end}}">{{if .Held}}held{{else}}missed{{if .Aim}} (an aim){{end}}{{end}}</td></tr>
+{{end}}</table>{{end}}`))
 
 // decimals is how many a figure of that size is shown with.
 func decimals(v float64) int {
