Give the module an event for what other dispatchers know, safe against lies

Change: Learnt takes a Memory where nothing was seen here.

Nothing sends the event on the platform.

--- a/api.go
+++ b/api.go
@@ -176,6 +176,7 @@
 	WorkerBack                     // Worker: the list counts again, and it is to be taken for cold
 	SentElsewhere                  // Worker, Slots: another process of this dispatcher sent a job there; below 0: it ended
 	Inherited                      // Past: of the process before this one, after its list
+	Learnt                         // Past: what others know, after the list; it counts where nothing was seen here
 	Leaving                        // Left: all that is open, or comes yet, is to be answered within it
 )
 
@@ -225,7 +226,10 @@
 }
 
 // RunMemory is what was seen of the jobs of one class.
-type RunMemory struct{ Run, Dev, Longest time.Duration }
+type RunMemory struct {
+	Run, Dev, Longest time.Duration
+	Weight            float64 `json:",omitempty"` // of what is learnt from others: how many observations it is worth
+}
 
 // WorkerMemory is what was seen of one worker.
 type WorkerMemory struct {
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -91,6 +91,7 @@
 	run     time.Duration // from send to answer, of late
 	dev     time.Duration // mean deviation from run
 	longest time.Duration // the longest time that a try came with
+	prior   *prior        // what others saw, until enough was seen here
 }
 
 type attempt struct {
@@ -199,6 +200,8 @@
 		}
 	case Inherited:
 		d.inherit(ev.Past)
+	case Learnt:
+		d.believe(ev.Past)
 	case Leaving:
 		d.leave(d.now + ev.Left)
 	}
@@ -908,10 +911,7 @@
 // where there are no hints, from send to answer by class.
 func (d *Dispatcher) learnPace(a *attempt, j *job) {
 	if j.hint <= 0 {
-		c := j.seen
-		off := d.now - a.sentAt - c.run
-		c.run += off / looksKept
-		c.dev += (off.Abs() - c.dev) / looksKept
+		j.seen.saw(d.now - a.sentAt)
 		return
 	}
 	if a.started && a.w.Weight > 0 {
