--- /dev/null
+++ b/knowledge/frames/frames.go
@@ -0,0 +1,287 @@
+// Package frames is the form in which schedulers tell one another what they know: binary frames, each with a version, a
+// bound on its size and a MAC (HMAC-SHA-256, RFC 2104) under a shared key. It does no I/O.
+//
+// A frame, integers big-endian:
+//
+//	magic "RVKN" | version 1 | kind | key id (4) | session (16) | number (8) | length (4) | content | MAC (32)
+//
+// The MAC covers everything before it. Session is what both ends drew at the begin of a connection, so that no frame of
+// another connection, or of the other direction, is taken; number counts up by one from 0, so that none is taken twice, left
+// out or moved.
+package frames
+
+import (
+	"bytes"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"math"
+	"strings"
+	"time"
+
+	"ravendale/knowledge"
+)
+
+const (
+	magic = "RVKN"
+	// Version is of the frames; another is refused, older or newer.
+	Version = 1
+	// MaxContent bounds the content of a frame, in bytes.
+	MaxContent = 1 << 20
+
+	headSize = len(magic) + 2 + 4 + 16 + 8 + 4
+	macSize  = sha256.Size
+	leastKey = 16 // bytes
+	mostKeys = 2
+)
+
+// What may be wrong with a frame. Each refuses the connection that it came by.
+var (
+	ErrForeign  = errors.New("not a frame of ours")
+	ErrVersion  = errors.New("a frame of another version")
+	ErrTooLarge = errors.New("a frame too large")
+	ErrKey      = errors.New("a frame under a key that is not known")
+	ErrMAC      = errors.New("a frame that was changed, or made without the key")
+	ErrReplayed = errors.New("a frame of another connection, or out of its turn")
+	ErrContent  = errors.New("a frame whose content makes no sense")
+)
+
+// Kind is what a frame says.
+type Kind uint8
+
+// Kinds of frames.
+const (
+	Hello Kind = iota + 1 // its content is what the sender drew for the session, and its own session is of zeros
+	Whole                 // words: all that the sender saw itself
+	Delta                 // words: what changed since
+)
+
+// Key is one shared key. ID is told in each frame, so that keys can be changed without a gap.
+type Key struct {
+	ID     uint32
+	Secret []byte
+}
+
+// Keys are at most two: the first makes frames, any takes them. To change: add the new one as second everywhere, then
+// put it first everywhere, then drop the old one.
+type Keys []Key
+
+// ParseKeys reads a key file: one key a line, its number and its secret in hex (16 bytes or more), first the one that makes
+// frames. Empty lines and those that begin with # are passed over. An error names file and line, never a secret.
+func ParseKeys(file string, text []byte) (Keys, error) {
+	var keys Keys
+	for i, line := range strings.Split(string(text), "\n") {
+		if line = strings.TrimSpace(line); line == "" || line[0] == '#' {
+			continue
+		}
+		bad := func(reason string) (Keys, error) { return nil, fmt.Errorf("%s:%d: %s", file, i+1, reason) }
+		var id uint32
+		words := strings.Fields(line)
+		if len(words) != 2 {
+			return bad("a number and a secret in hex are wanted")
+		}
+		if _, err := fmt.Sscanf(words[0]+"\n", "%d\n", &id); err != nil || fmt.Sprint(id) != words[0] {
+			return bad("the key's number is none")
+		}
+		secret, err := hex.DecodeString(words[1])
+		switch {
+		case err != nil:
+			return bad("the secret is no hex")
+		case len(secret) < leastKey:
+			return bad(fmt.Sprintf("the secret has less than %d bytes", leastKey))
+		case len(keys) == mostKeys:
+			return bad(fmt.Sprintf("more than %d keys", mostKeys))
+		case len(keys) == 1 && keys[0].ID == id:
+			return bad("the number is there twice")
+		}
+		keys = append(keys, Key{id, secret})
+	}
+	if len(keys) == 0 {
+		return nil, fmt.Errorf("%s: no key", file)
+	}
+	return keys, nil
+}
+
+// Session names one direction of one connection.
+type Session [16]byte
+
+// SessionOf joins what both ends drew, for frames that the first of the two makes.
+func SessionOf(maker, taker [16]byte) (s Session) {
+	sum := sha256.Sum256(append(append([]byte("ravendale knowledge"), maker[:]...), taker[:]...))
+	copy(s[:], sum[:])
+	return s
+}
+
+// Writer makes the frames of one direction.
+type Writer struct {
+	Keys    Keys
+	Session Session
+	number  uint64
+}
+
+// Append adds a frame to b. Content above MaxContent is an error.
+func (w *Writer) Append(b []byte, kind Kind, content []byte) ([]byte, error) {
+	if len(content) > MaxContent {
+		return b, ErrTooLarge
+	}
+	from := len(b)
+	b = append(append(b, magic...), Version, byte(kind))
+	b = binary.BigEndian.AppendUint32(b, w.Keys[0].ID)
+	b = append(b, w.Session[:]...)
+	b = binary.BigEndian.AppendUint64(b, w.number)
+	b = binary.BigEndian.AppendUint32(b, uint32(len(content)))
+	b = append(b, content...)
+	w.number++
+	return append(b, mac(w.Keys[0].Secret, b[from:])...), nil
+}
+
+func mac(secret, text []byte) []byte {
+	h := hmac.New(sha256.New, secret)
+	h.Write(text)
+	return h.Sum(nil)
+}
+
+// Reader takes the frames of one direction from bytes as they come. After an error it is of no more use.
+type Reader struct {
+	Keys    Keys
+	Session Session
+	number  uint64
+	buf     []byte
+}
+
+// Feed adds bytes.
+func (r *Reader) Feed(b []byte) { r.buf = append(r.buf, b...) }
+
+// Next returns the next whole frame, or kind 0 while more bytes are wanted. What can't be ours is refused by its first bytes,
+// before anything is waited for.
+func (r *Reader) Next() (kind Kind, content []byte, err error) {
+	n := min(len(r.buf), len(magic))
+	if string(r.buf[:n]) != magic[:n] {
+		return 0, nil, ErrForeign
+	}
+	if len(r.buf) > len(magic) && r.buf[len(magic)] != Version {
+		return 0, nil, fmt.Errorf("%w: %d", ErrVersion, r.buf[len(magic)])
+	}
+	if len(r.buf) < headSize {
+		return 0, nil, nil
+	}
+	head := r.buf[len(magic)+1 : headSize]
+	length := binary.BigEndian.Uint32(head[29:])
+	if length > MaxContent {
+		return 0, nil, ErrTooLarge
+	}
+	whole := headSize + int(length) + macSize
+	if len(r.buf) < whole {
+		return 0, nil, nil
+	}
+	var secret []byte
+	for _, k := range r.Keys {
+		if k.ID == binary.BigEndian.Uint32(head[1:]) {
+			secret = k.Secret
+		}
+	}
+	signed := r.buf[:whole-macSize]
+	switch {
+	case secret == nil:
+		return 0, nil, ErrKey
+	case !hmac.Equal(mac(secret, signed), r.buf[whole-macSize:whole]):
+		return 0, nil, ErrMAC
+	case !bytes.Equal(head[5:21], r.Session[:]) || binary.BigEndian.Uint64(head[21:]) != r.number:
+		return 0, nil, ErrReplayed
+	}
+	r.number++
+	kind, content = Kind(head[0]), bytes.Clone(signed[headSize:])
+	r.buf = r.buf[whole:]
+	if kind < Hello || kind > Delta {
+		return 0, nil, ErrContent
+	}
+	return kind, content, nil
+}
+
+// AppendWords writes words as the content of a frame.
+func AppendWords(b []byte, words []knowledge.Word) []byte {
+	b = binary.AppendUvarint(b, uint64(len(words)))
+	for _, w := range words {
+		b = append(b, byte(w.Kind))
+		b = binary.AppendUvarint(b, uint64(len(w.Name)))
+		b = append(b, w.Name...)
+		b = binary.AppendVarint(b, int64(w.Born))
+		b = binary.BigEndian.AppendUint64(b, math.Float64bits(w.Value))
+		b = binary.BigEndian.AppendUint64(b, math.Float64bits(w.Count))
+		b = binary.AppendVarint(b, int64(w.Age))
+	}
+	return b
+}
+
+// leastWord is the shortest that a word can be, in bytes.
+const leastWord = 1 + 1 + 1 + 8 + 8 + 1
+
+// Words reads what AppendWords wrote: all of it, or none and ErrContent.
+func Words(b []byte) ([]knowledge.Word, error) {
+	c := cursor{b: b}
+	n := c.uvarint()
+	if n > uint64(len(b))/leastWord || n > knowledge.MostItems {
+		return nil, ErrContent // guards against a count that asks for more memory than the frame has bytes
+	}
+	words := make([]knowledge.Word, 0, n)
+	for range n {
+		var w knowledge.Word
+		w.Kind = knowledge.Kind(c.byte())
+		w.Name = string(c.take(c.uvarint()))
+		w.Born = time.Duration(c.varint())
+		w.Value, w.Count = math.Float64frombits(c.uint64()), math.Float64frombits(c.uint64())
+		w.Age = time.Duration(c.varint())
+		words = append(words, w)
+	}
+	if c.bad || len(c.b) > 0 {
+		return nil, ErrContent
+	}
+	return words, nil
+}
+
+// cursor reads a content; bad tells once at the end that it did not hold what was asked for.
+type cursor struct {
+	b   []byte
+	bad bool
+}
+
+func (c *cursor) take(n uint64) []byte {
+	if n > uint64(len(c.b)) {
+		c.bad, c.b = true, nil
+		return nil
+	}
+	b := c.b[:n]
+	c.b = c.b[n:]
+	return b
+}
+
+func (c *cursor) byte() byte {
+	if b := c.take(1); b != nil {
+		return b[0]
+	}
+	return 0
+}
+
+func (c *cursor) uint64() uint64 {
+	if b := c.take(8); b != nil {
+		return binary.BigEndian.Uint64(b)
+	}
+	return 0
+}
+
+func (c *cursor) uvarint() uint64 {
+	v, n := binary.Uvarint(c.b)
+	c.take(uint64(max(n, 0)))
+	c.bad = c.bad || n <= 0
+	return v
+}
+
+func (c *cursor) varint() int64 {
+	v, n := binary.Varint(c.b)
+	c.take(uint64(max(n, 0)))
+	c.bad = c.bad || n <= 0
+	return v
+}
--- /dev/null
+++ b/knowledge/frames/frames_test.go
@@ -0,0 +1,157 @@
+package frames
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"ravendale/knowledge"
+)
+
+var (
+	oldKey  = Key{1, bytes.Repeat([]byte{1}, 16)}
+	newKey  = Key{2, bytes.Repeat([]byte{2}, 32)}
+	session = SessionOf([16]byte{1}, [16]byte{2})
+	words   = []knowledge.Word{{Subject: knowledge.Subject{Kind: knowledge.Run, Name: "saldo"}, Value: 0.2, Count: 12, Age: time.Second},
+		{Subject: knowledge.Subject{Kind: knowledge.Sick, Name: "s-1", Born: time.Hour}, Value: 1, Count: 1}}
+)
+
+func frame(t *testing.T, w *Writer, kind Kind, content []byte) []byte {
+	t.Helper()
+	b, err := w.Append(nil, kind, content)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// next is the first frame's error, or nil where it is taken or waited for.
+func next(r *Reader, b []byte) error {
+	r.Feed(b)
+	_, _, err := r.Next()
+	return err
+}
+
+func TestFramesCarryWords(t *testing.T) {
+	w, r := &Writer{Keys: Keys{oldKey}, Session: session}, &Reader{Keys: Keys{newKey, oldKey}, Session: session}
+	stream := append(frame(t, w, Whole, AppendWords(nil, words)), frame(t, w, Delta, AppendWords(nil, nil))...)
+	var kinds []Kind
+	var got []knowledge.Word
+	for _, b := range stream { // one byte at a time
+		r.Feed([]byte{b})
+		kind, content, err := r.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if kind != 0 {
+			some, err := Words(content)
+			if err != nil {
+				t.Fatal(err)
+			}
+			kinds, got = append(kinds, kind), append(got, some...)
+		}
+	}
+	if diff := cmp.Diff([]Kind{Whole, Delta}, kinds) + cmp.Diff(words, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestWhatIsRefused(t *testing.T) {
+	w := &Writer{Keys: Keys{newKey, oldKey}, Session: session}
+	first, second := frame(t, w, Whole, []byte("content")), frame(t, w, Delta, nil)
+	reader := func() *Reader { return &Reader{Keys: Keys{newKey, oldKey}, Session: session} }
+	with := func(i int, b byte) []byte {
+		c := bytes.Clone(first)
+		c[i] = b
+		return c
+	}
+	for name, tc := range map[string]struct {
+		r    *Reader
+		b    []byte
+		want error
+	}{
+		"another protocol, by its first byte": {reader(), []byte("G"), ErrForeign},
+		"an older version":                    {reader(), with(4, 0), ErrVersion},
+		"a newer version":                     {reader(), with(4, 2), ErrVersion},
+		"a length beyond the bound":           {reader(), with(34, 0xff)[:headSize], ErrTooLarge},
+		"a kind that was changed":             {reader(), with(5, byte(Delta)), ErrMAC},
+		"a key that is gone":                  {&Reader{Keys: Keys{oldKey}, Session: session}, first, ErrKey},
+		"another secret under its number":     {&Reader{Keys: Keys{{2, oldKey.Secret}}, Session: session}, first, ErrMAC},
+		"of another connection":               {&Reader{Keys: Keys{newKey}, Session: SessionOf([16]byte{3}, [16]byte{2})}, first, ErrReplayed},
+		"of the other direction":              {&Reader{Keys: Keys{newKey}, Session: SessionOf([16]byte{2}, [16]byte{1})}, first, ErrReplayed},
+		"out of its turn":                     {reader(), second, ErrReplayed},
+		"cut off":                             {reader(), first[:len(first)-1], nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if err := next(tc.r, tc.b); !errors.Is(err, tc.want) {
+				t.Errorf("%v, not %v", err, tc.want)
+			}
+		})
+	}
+	r := reader()
+	if err := next(r, first); err != nil {
+		t.Fatal(err)
+	}
+	if err := next(r, first); !errors.Is(err, ErrReplayed) {
+		t.Errorf("the same frame again: %v", err)
+	}
+	for bit := range 8 * len(first) { // any flipped bit
+		c := bytes.Clone(first)
+		c[bit/8] ^= 1 << (bit % 8)
+		r := reader()
+		r.Feed(c)
+		if kind, _, err := r.Next(); kind != 0 {
+			t.Fatalf("bit %d flipped, and taken: %v", bit, err)
+		}
+	}
+	if _, err := w.Append(nil, Whole, make([]byte, MaxContent+1)); !errors.Is(err, ErrTooLarge) {
+		t.Error(err)
+	}
+}
+
+func TestKeyFiles(t *testing.T) {
+	good := "# made on Tuesday\n 2 " + strings.Repeat("02", 32) + "\n\n1 " + strings.Repeat("01", 16) + "\n"
+	keys, err := ParseKeys("k", []byte(good))
+	if diff := cmp.Diff(Keys{newKey, oldKey}, keys); err != nil || diff != "" {
+		t.Error(err, diff)
+	}
+	secret := strings.Repeat("ab", 16)
+	for text, want := range map[string]string{
+		"":                              "k: no key",
+		"1":                             "k:1: a number and a secret in hex are wanted",
+		"\nx " + secret:                 "k:2: the key's number is none",
+		"-1 " + secret:                  "k:1: the key's number is none",
+		"1 " + secret + "g":             "k:1: the secret is no hex",
+		"1 abcd":                        "k:1: the secret has less than 16 bytes",
+		"1 " + secret + "\n1 " + secret: "k:2: the number is there twice",
+		"1 " + secret + "\n2 " + secret + "\n3 " + secret: "k:3: more than 2 keys",
+	} {
+		if _, err := ParseKeys("k", []byte(text)); err == nil || err.Error() != want || strings.Contains(err.Error(), secret) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
+
+// Foreign bytes lead to an error or to words that write back as the same content's, and never to more memory than they have.
+func FuzzWords(f *testing.F) {
+	f.Add(AppendWords(nil, words))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 1})
+	f.Add([]byte{1, 0, 0x80})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		got, err := Words(b)
+		if err != nil {
+			if !errors.Is(err, ErrContent) || got != nil {
+				t.Errorf("%v, %v", got, err)
+			}
+			return
+		}
+		again, err := Words(AppendWords(nil, got))
+		if err != nil || len(again) != len(got) || !bytes.Equal(AppendWords(nil, again), AppendWords(nil, got)) {
+			t.Errorf("%v came back as %v, %v", got, again, err)
+		}
+	})
+}
