--- /dev/null
+++ b/knowledge/snapshot/snapshot.go
@@ -0,0 +1,128 @@
+// Package snapshot keeps what a scheduler saw in a file, for the process that starts in its place: one more donor, of the
+// file's age. A file is whole or refused.
+package snapshot
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"ravendale/knowledge"
+	"ravendale/knowledge/frames"
+)
+
+const (
+	magic    = "RVKS"
+	version  = 1
+	headSize = len(magic) + 1 + 8
+	// MaxSize bounds a file, in bytes.
+	MaxSize = 4 << 20
+	// Oldest is how old a file may be: of what it says nothing would weigh any more.
+	Oldest = time.Hour
+	// Ahead is how far a file may be ahead of the clock: the system's may have been set back a little since.
+	Ahead = 2 * time.Second
+)
+
+// Why a file is refused.
+var (
+	ErrForeign = errors.New("no snapshot of knowledge")
+	ErrVersion = errors.New("a snapshot of another version")
+	ErrTorn    = errors.New("a snapshot that is cut off or was changed")
+	ErrTime    = errors.New("a snapshot that is too old, or of the future")
+	ErrSize    = errors.New("a snapshot too large")
+)
+
+// Append writes a snapshot of words that was made at a time, in Unix nanoseconds, big-endian, with SHA-256 over all before it.
+func Append(b []byte, at time.Duration, words []knowledge.Word) []byte {
+	from := len(b)
+	b = append(append(b, magic...), version)
+	b = binary.BigEndian.AppendUint64(b, uint64(at))
+	b = frames.AppendWords(b, words)
+	sum := sha256.Sum256(b[from:])
+	return append(b, sum[:]...)
+}
+
+// Parse reads what Append wrote, and makes every word as much older as the snapshot is at the time now.
+func Parse(b []byte, now time.Duration) ([]knowledge.Word, error) {
+	switch {
+	case len(b) > MaxSize:
+		return nil, ErrSize
+	case !bytes.HasPrefix(b, []byte(magic)):
+		return nil, ErrForeign
+	case len(b) < headSize+sha256.Size:
+		return nil, ErrTorn
+	case b[len(magic)] != version:
+		return nil, fmt.Errorf("%w: %d", ErrVersion, b[len(magic)])
+	}
+	text, sum := b[:len(b)-sha256.Size], b[len(b)-sha256.Size:]
+	if got := sha256.Sum256(text); !bytes.Equal(got[:], sum) {
+		return nil, ErrTorn
+	}
+	age := now - time.Duration(binary.BigEndian.Uint64(text[len(magic)+1:]))
+	if age > Oldest || age < -Ahead {
+		return nil, fmt.Errorf("%w: of %v ago", ErrTime, age.Round(time.Second))
+	}
+	words, err := frames.Words(text[headSize:])
+	if err != nil {
+		return nil, err
+	}
+	for i := range words {
+		words[i].Age = max(words[i].Age, 0) + max(age, 0)
+	}
+	return words, nil
+}
+
+// Save puts a snapshot in the place of the one before, whole or not at all: whoever reads meanwhile, or after a crash, finds
+// the old one or the new one.
+func Save(path string, at time.Duration, words []knowledge.Word) (err error) {
+	b := Append(nil, at, words)
+	if len(b) > MaxSize {
+		return fmt.Errorf("%s: %w", path, ErrSize)
+	}
+	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*.new")
+	if err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	defer func() {
+		if err != nil {
+			_ = f.Close()
+			_ = os.Remove(f.Name())
+			err = fmt.Errorf("snapshot: %w", err)
+		}
+	}()
+	if _, err = f.Write(b); err != nil {
+		return err
+	}
+	if err = f.Sync(); err != nil {
+		return err
+	}
+	if err = f.Close(); err != nil {
+		return err
+	}
+	return os.Rename(f.Name(), path)
+}
+
+// Load reads a file; no more than MaxSize of it, whatever stands there. Errors name the file; os.ErrNotExist is one where
+// there is none.
+func Load(path string, now time.Duration) ([]knowledge.Word, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	b, err := io.ReadAll(io.LimitReader(f, MaxSize+1))
+	if err != nil {
+		return nil, err
+	}
+	words, err := Parse(b, now)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return words, nil
+}
--- /dev/null
+++ b/knowledge/snapshot/snapshot_test.go
@@ -0,0 +1,78 @@
+package snapshot
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"ravendale/knowledge"
+)
+
+const at = 1_700_000_000 * time.Second
+
+var words = []knowledge.Word{{Subject: knowledge.Subject{Kind: knowledge.Prompt, Name: "zona-4"}, Value: 0.006, Count: 9, Age: time.Second}}
+
+func TestAFileAgesWithTheClock(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "known")
+	if _, err := Load(path, at); !errors.Is(err, os.ErrNotExist) {
+		t.Error(err)
+	}
+	if err := Save(path, at-time.Minute, nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := Save(path, at, words); err != nil {
+		t.Fatal(err)
+	}
+	want := words[0]
+	want.Age = 11 * time.Second
+	got, err := Load(path, at+10*time.Second)
+	if diff := cmp.Diff([]knowledge.Word{want}, got); err != nil || diff != "" {
+		t.Error(err, diff)
+	}
+	if left, err := os.ReadDir(filepath.Dir(path)); err != nil || len(left) != 1 {
+		t.Errorf("%d files are left, %v", len(left), err)
+	}
+	if err := Save(filepath.Join(path, "none"), at, words); err == nil {
+		t.Error("saved below a file")
+	}
+}
+
+func TestWhatIsRefused(t *testing.T) {
+	good := Append(nil, at, words)
+	for name, tc := range map[string]struct {
+		b    []byte
+		now  time.Duration
+		want error
+	}{
+		"whole":            {good, at, nil},
+		"a clock set back": {good, at - Ahead, nil},
+		"foreign":          {[]byte("PK\x03\x04 something else of some length that is no snapshot at all"), at, ErrForeign},
+		"empty":            {nil, at, ErrForeign},
+		"cut off":          {good[:len(good)-1], at, ErrTorn},
+		"its head alone":   {good[:headSize], at, ErrTorn},
+		"with a tail":      {append(bytes.Clone(good), 0), at, ErrTorn},
+		"a newer version":  {append([]byte(magic+"\x02"), good[len(magic)+1:]...), at, ErrVersion},
+		"ancient":          {good, at + Oldest + 1, ErrTime},
+		"of the future":    {good, at - Ahead - 1, ErrTime},
+		"too large":        {make([]byte, MaxSize+1), at, ErrSize},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, err := Parse(tc.b, tc.now)
+			if !errors.Is(err, tc.want) || tc.want != nil && got != nil {
+				t.Errorf("%v, %v", got, err)
+			}
+		})
+	}
+	for bit := range 8 * len(good) {
+		b := bytes.Clone(good)
+		b[bit/8] ^= 1 << (bit % 8)
+		if got, err := Parse(b, at); err == nil || got != nil {
+			t.Fatalf("bit %d flipped, and taken", bit)
+		}
+	}
+}
