--- a/transport/nbionet/nbionet_test.go
+++ b/transport/nbionet/nbionet_test.go
@@ -318,3 +318,31 @@
 		t.Error("nobody listens there")
 	}
 }
+
+// Another process that does not read costs no more memory than a bound: its connection ends.
+func TestAUnixSocketThatNobodyReadsEnds(t *testing.T) {
+	e, o, _ := start(t)
+	path := filepath.Join(t.TempDir(), "s")
+	ln, err := ListenUnix(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	n := newEnd()
+	o.on(func() { n.net = e.Dial(path, n) })
+	<-n.connected
+	text := make([]byte, 1<<20)
+	o.on(func() {
+		for range maxQueued>>20 + 4 {
+			n.net.Write(text)
+		}
+	})
+	if err := <-n.closed; err != errBehind {
+		t.Error(err)
+	}
+	o.on(func() {
+		if left := n.net.Unwritten(); left > maxQueued+len(text) {
+			t.Errorf("%d bytes wait", left)
+		}
+	})
+}
--- a/transport/nbionet/unix.go
+++ b/transport/nbionet/unix.go
@@ -1,6 +1,7 @@
 package nbionet
 
 import (
+	"errors"
 	"net"
 	"sync"
 
@@ -90,12 +91,25 @@
 	}
 }
 
+// maxQueued is how many bytes may wait for the other process. One that does not read is as good as gone.
+const maxQueued = 16 << 20
+
+var errBehind = errors.New("the other process does not read")
+
 func (l *local) Write(b []byte) {
+	if l.gone {
+		return
+	}
 	l.mu.Lock()
 	l.queue = append(l.queue, append([]byte(nil), b...))
 	l.queued += len(b)
+	behind := l.queued > maxQueued
 	l.mu.Unlock()
 	l.more.Signal()
+	if behind {
+		l.release()
+		l.loop.Post(func() { l.handler.Closed(errBehind) })
+	}
 }
 
 func (l *local) Unwritten() int {
