Draw among equal workers by weight alone, so that a busy zone herds nobody onto its fastest

It scaled the draw and the zone's busy part together by the worker's weight; from busy 0.3 or so on, the fastest always won. Now only the draw is scaled: first sends fall by weight whatever the zone's state (rank in dispatcher.go).

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -621,14 +621,14 @@
 func (d *Dispatcher) rank(w *worker) float64 {
 	const remote, longWait = 0.25, 8
 	wait := d.random.Float64()
+	if w.Weight > 0 {
+		wait *= d.meanWeight / w.Weight
+	}
 	if d.now-w.seenAt < reportLife {
 		wait += min(max(0, 1-w.free), longWait)
 	} else {
 		wait += d.zone(w.Zone).busy
 	}
-	if w.Weight > 0 {
-		wait *= d.meanWeight / w.Weight
-	}
 	if w.Zone != d.set.Zone {
 		wait += remote
 	}
