Give a waiting keyed job a second place among the workers that drop its repeat

A keyed job may follow within its zone and window as well (mayFollow), so it gets its second place there.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -252,8 +252,8 @@
 }
 
 // watchStart moves a job that waits. Where the start note is overdue the job stands behind others, and a second place in
-// another queue costs nothing: the first to start is kept. So the job gets a copy whatever N is, and when that waits too,
-// the copy moves on while attempts are left; the first send keeps its place.
+// another queue costs nothing: the first to start is kept. So the job, unless unsafe, gets a copy whatever N is, and when
+// that waits too, the copy moves on while attempts are left; the first send keeps its place.
 func (d *Dispatcher) watchStart(j *job) {
 	newest := -1
 	for i := range j.attempts {
@@ -279,7 +279,7 @@
 			}
 		}
 	}
-	if newest < 0 || j.class.Effect != Safe || !d.set.MayCopy {
+	if newest < 0 || j.class.Effect == Unsafe || !d.set.MayCopy {
 		return
 	}
 	if d.lesser(j) && len(j.attempts) < j.most {
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -288,6 +288,20 @@
 	b.one(Send)
 }
 
+// A keyed job that waits moves as well, to workers that would drop the repeat, and no further.
+func TestAWaitingKeyedJobGetsASecondPlaceInItsGroup(t *testing.T) {
+	b := newBench(t, startSettings(), ready("a", 0, 0), ready("b", 0, 1), ready("c", 0, 0), ready("d", 0, 1))
+	b.arrive(1, 1, 25*time.Second)
+	first := b.one(Send).Worker
+	b.fire(firstStartWait)
+	second := b.one(Send).Worker
+	if b.d.byName[first].Cell != b.d.byName[second].Cell || first == second {
+		t.Errorf("the second place is at %s, the first at %s", second, first)
+	}
+	b.fire(firstStartWait)
+	b.none(Send) // there is no third in the group
+}
+
 func TestUnsafeJobGetsNoSecondPlace(t *testing.T) {
 	b := newBench(t, startSettings(), ready("a", 0, 0), ready("b", 0, 0))
 	b.arrive(1, 2, 25*time.Second)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -4,6 +4,7 @@
 package scheduler
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -346,6 +347,9 @@
 	}
 }
 
+// traces says whether each attempt is logged: `ravendale-lab fleet` counts them across many schedulers.
+func (s *Scheduler) traces() bool { return s.log.Enabled(context.Background(), slog.LevelDebug) }
+
 func (n *Session) send(a *ravendale.Action) {
 	s, now := n.s, n.s.loop.Now()
 	d := &Dispatch{Session: n, Worker: a.Worker, Deadline: n.answerBy, number: len(n.dispatches), sentAt: now}
@@ -365,6 +369,9 @@
 	if d.begun = true; s.twin != nil {
 		s.twin.Sent(d.Worker)
 	}
+	if s.traces() {
+		s.log.Debug("send", "job", n.job, "try", d.number, "class", n.class.Name, "server", d.Worker, "cold", s.Cold(d.Worker), "open", len(s.byID))
+	}
 	s.backend.Send(d)
 }
 
@@ -422,6 +429,9 @@
 	if n.s.twin != nil && d.begun {
 		n.s.twin.Ended(d.Worker)
 	}
+	if n.s.traces() {
+		n.s.log.Debug("end", "job", n.job, "try", d.number, "server", d.Worker, "outcome", outcome, "took", n.s.loop.Now()-d.sentAt)
+	}
 	n.s.feed(ravendale.Event{Kind: ravendale.AttemptEnded, Job: n.job, Attempt: d.number, Outcome: outcome,
 		Took: n.s.loop.Now() - d.sentAt, Closed: n.closed})
 	n.forget()
@@ -433,6 +443,10 @@
 		return
 	}
 	n.close()
+	if n.s.traces() {
+		n.s.log.Debug("answer", "job", n.job, "class", n.class.Name, "kind", a.Kind, "tries", len(n.dispatches),
+			"left", n.answerBy-n.s.loop.Now(), "came", n.ex.Facts.Left)
+	}
 	n.s.count(n.class.Name, a.Kind)
 	n.ex.Answer(a)
 }
