--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 .PHONY: build test lint run
 
 build:
-	mkdir -p bin && go build -o bin/ ./cmd/...
+	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
 
 # the command that CI takes from README.md
 test:
--- a/cmd/ravendale-lab/main.go
+++ b/cmd/ravendale-lab/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -21,6 +22,7 @@
 	Check checkCmd `cmd:"" help:"Tell what is wrong with experiment files."`
 	List  listCmd  `cmd:"" help:"List the experiments of a folder."`
 	Draw  drawCmd  `cmd:"" help:"Write the table and the report of kept results anew."`
+	Trace traceCmd `cmd:"" help:"Count what many schedulers did together, from the logs that they wrote with --log-level debug --log-format json."`
 	Fleet fleetCmd `cmd:"" hidden:"" help:"Play nodes; the spec is JSON on standard input, whose end is the end."`
 	Load  loadCmd  `cmd:"" hidden:"" help:"Play clients; the spec is JSON on standard input."`
 }
@@ -41,6 +43,25 @@
 	}
 }
 
+type traceCmd struct {
+	Folder string        `arg:"" help:"Where the logs are, NAME.log for each scheduler." type:"path"`
+	Span   time.Duration `help:"Length of the spans of time that are counted." default:"2s"`
+}
+
+func (c *traceCmd) Run() error {
+	if c.Span <= 0 {
+		return fmt.Errorf("--span: %v is no length of time", c.Span)
+	}
+	spans, skipped, err := lab.Trace(c.Folder, c.Span)
+	if err != nil {
+		return err
+	}
+	if skipped > 0 {
+		fmt.Fprintln(os.Stderr, skipped, "lines are no JSON of a log and were passed over")
+	}
+	return lab.WriteTrace(os.Stdout, spans, c.Span)
+}
+
 func logger() *slog.Logger {
 	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn}))
 }
--- /dev/null
+++ b/lab/trace.go
@@ -0,0 +1,158 @@
+package lab
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"ravendale"
+)
+
+// Span is what all schedulers together did in a span of time, counted from what each logged of its attempts: serve with
+// `--log-level debug --log-format json`.
+type Span struct {
+	From                       time.Duration // after the first line of all
+	Jobs, Sends, ToCold, Dials int
+	Served, Refused, Failed    int
+	ListCalls, ListCallsFailed int
+	Open                       float64                   // jobs in hand at a scheduler, mean over first sends
+	Outcomes                   map[ravendale.Outcome]int // of attempts
+	MostToOneCold, ColdServers int                       // the most sends to one cold server within ColdSpan, and how many were sent to
+	LateSends                  int                       // to a server told as draining or gone
+	LatestSend                 time.Duration             // after that was told to its sender
+	mostOf                     map[string][]time.Duration
+}
+
+// ColdSpan is the time in which sends to one cold server are counted: the span of the rule on overfeeding.
+const ColdSpan = 2 * time.Second
+
+// traced is a line of a log at debug level, in JSON. Only what is there counts.
+type traced struct {
+	Time    time.Time `json:"time"`
+	Msg     string    `json:"msg"`
+	Job     int       `json:"job"`
+	Try     int       `json:"try"`
+	Server  string    `json:"server"`
+	Cold    bool      `json:"cold"`
+	Open    int       `json:"open"`
+	Outcome int       `json:"outcome"`
+	Kind    int       `json:"kind"`
+
+	scheduler string
+}
+
+// Trace counts across the logs of a folder, a file for each scheduler, in spans of a length. A line may have a time of the
+// one who collected it in front; what is no such JSON is passed over, and counted.
+func Trace(folder string, span time.Duration) (spans []*Span, skipped int, err error) {
+	files, err := filepath.Glob(filepath.Join(folder, "*.log"))
+	if err != nil || len(files) == 0 {
+		return nil, 0, fmt.Errorf("%s: no logs there (%v)", folder, err)
+	}
+	var lines []traced
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, 0, err
+		}
+		in := bufio.NewScanner(f)
+		in.Buffer(nil, 8<<20)
+		for in.Scan() {
+			_, object, found := bytes.Cut(in.Bytes(), []byte("{"))
+			l := traced{scheduler: strings.TrimSuffix(filepath.Base(name), ".log")}
+			if !found || json.Unmarshal(append([]byte("{"), object...), &l) != nil || l.Time.IsZero() {
+				skipped++
+				continue
+			}
+			lines = append(lines, l)
+		}
+		err = in.Err()
+		f.Close()
+		if err != nil {
+			return nil, 0, fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return tally(lines, span), skipped, nil
+}
+
+func tally(lines []traced, span time.Duration) (spans []*Span) {
+	slices.SortStableFunc(lines, func(a, b traced) int { return a.Time.Compare(b.Time) })
+	told := make(map[[2]string]time.Time) // to a scheduler, that a server drains
+	for i := range lines {
+		l := &lines[i]
+		after := l.Time.Sub(lines[0].Time)
+		for time.Duration(len(spans))*span <= after {
+			spans = append(spans, &Span{From: time.Duration(len(spans)) * span, Outcomes: make(map[ravendale.Outcome]int),
+				mostOf: make(map[string][]time.Duration)})
+		}
+		s := spans[len(spans)-1]
+		switch l.Msg {
+		case "send":
+			s.Sends++
+			if l.Try == 0 {
+				s.Jobs++
+				s.Open += float64(l.Open)
+			}
+			if l.Cold {
+				s.ToCold++
+				s.mostOf[l.Server] = append(s.mostOf[l.Server], after)
+			}
+			if at, was := told[[2]string{l.scheduler, l.Server}]; was {
+				s.LateSends++
+				s.LatestSend = max(s.LatestSend, l.Time.Sub(at))
+			}
+		case "end":
+			s.Outcomes[ravendale.Outcome(l.Outcome)]++
+		case "answer":
+			*[]*int{&s.Served, &s.Refused, &s.Failed}[min(max(l.Kind, 0), 2)]++
+		case "dial":
+			s.Dials++
+		case "watch asked":
+			s.ListCalls++
+		case "watch ended":
+			s.ListCallsFailed++
+		case "leaves":
+			told[[2]string{l.scheduler, l.Server}] = l.Time
+		case "serving": // started again: it has no list from before
+			for key := range told {
+				if key[0] == l.scheduler {
+					delete(told, key)
+				}
+			}
+		}
+	}
+	for _, s := range spans {
+		s.Open /= max(float64(s.Jobs), 1)
+		s.ColdServers = len(s.mostOf)
+		for _, at := range s.mostOf {
+			for i, first := 0, 0; i < len(at); i++ {
+				for at[i]-at[first] > ColdSpan {
+					first++
+				}
+				s.MostToOneCold = max(s.MostToOneCold, i-first+1)
+			}
+		}
+	}
+	return spans
+}
+
+// WriteTrace writes the spans as a table.
+func WriteTrace(to io.Writer, spans []*Span, span time.Duration) error {
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "from\tjobs/s\topen\tsends/job\tdials/job\tserved\trefused\tfailed\tcancelled\tfull\tno conn\terrors\tto cold\tmost/2 s\tlist calls\tfailed\tafter told\tlatest\t")
+	for _, s := range spans {
+		jobs := max(float64(s.Jobs), 1)
+		fmt.Fprintf(w, "%v\t%.0f\t%.1f\t%.2f\t%.2f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%v\t\n", s.From, float64(s.Jobs)/span.Seconds(), s.Open,
+			float64(s.Sends)/jobs, float64(s.Dials)/jobs, s.Served, s.Refused, s.Failed, s.Outcomes[ravendale.Cancelled], s.Outcomes[ravendale.FullUp],
+			s.Outcomes[ravendale.ConnectFailed], s.Outcomes[ravendale.Error]+s.Outcomes[ravendale.Reset], s.ToCold, s.MostToOneCold,
+			s.ListCalls, s.ListCallsFailed, s.LateSends, s.LatestSend.Round(time.Millisecond))
+	}
+	return w.Flush()
+}
