--- a/lab/trace.go
+++ b/lab/trace.go
@@ -53,8 +53,11 @@
 // one who collected it in front; what is no such JSON is passed over, and counted.
 func Trace(folder string, span time.Duration) (spans []*Span, skipped int, err error) {
 	files, err := filepath.Glob(filepath.Join(folder, "*.log"))
-	if err != nil || len(files) == 0 {
-		return nil, 0, fmt.Errorf("%s: no logs there (%v)", folder, err)
+	if err != nil {
+		return nil, 0, fmt.Errorf("%s: %w", folder, err)
+	}
+	if len(files) == 0 {
+		return nil, 0, fmt.Errorf("%s: no logs there", folder)
 	}
 	var lines []traced
 	for _, name := range files {
--- a/transport/nbionet/nbionet_test.go
+++ b/transport/nbionet/nbionet_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"path/filepath"
+	"runtime"
 	"syscall"
 	"testing"
 	"time"
@@ -226,6 +227,11 @@
 	first := <-accepted
 	o.on(func() { first.net.Close() })
 	g.Pause()
+	for out := false; !out; runtime.Gosched() { // of an Accept that had begun: it may still have taken one connection
+		g.mu.Lock()
+		out = g.open == 0
+		g.mu.Unlock()
+	}
 	theirs := dial()
 	c, err := held.Accept()
 	if err != nil {
