Hold the module to odd lists: 600 entries, half gone, moved zones, doubled, empty, old ones

A test plays them for 1, 8 and 800 dispatchers: jobs go to listed workers only and each is answered in time. It fails when a whole list no longer ends the workers that it lacks.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -242,3 +242,51 @@
 		t.Errorf("the job goes to %s, while a cold worker may have one", a.Worker)
 	}
 }
+
+// Lists may be anything: long ones, ones that lack half the fleet, servers that move between zones or come twice; the number of
+// dispatchers may be wrong by far. Each job is sent to a worker that the last list has ready, or held and answered in time.
+func TestOddListsBreakNoRule(t *testing.T) {
+	for _, dispatchers := range []int{1, 8, 800} {
+		s := startSettings()
+		s.Dispatchers, s.Me, s.MustAsk = dispatchers, 0, true
+		all := kinds(600)
+		moved := kinds(60)
+		for i := range moved {
+			moved[i].Zone, moved[i].Cell = i%3-1, -1 // one zone is unknown
+		}
+		twice := append(kinds(10), kinds(10)...)
+		b := newBench(t, s, all...)
+		job, listed := JobID(0), make(map[string]bool)
+		for _, list := range []struct {
+			kind  ListKind
+			hosts []Entry
+		}{{Full, all[:60]}, {Full, all[:30]}, {Delta, moved}, {Full, twice}, {Full, nil}, {Failed, nil}, {Full, all}, {Cached, all[:5]}} {
+			b.do(Event{Kind: WorkersListed, List: list.kind, Entries: list.hosts})
+			if list.kind == Full || list.kind == Cached {
+				clear(listed)
+			}
+			for _, e := range list.hosts {
+				listed[e.Worker] = true
+			}
+			for range 50 {
+				job++
+				b.now += 20 * ms
+				b.arrive(job, int(job)%3, 5*time.Second)
+				for _, a := range b.of(Send) {
+					if !listed[a.Worker] {
+						t.Fatalf("%d dispatchers: a job goes to %s, which is not listed", dispatchers, a.Worker)
+					}
+				}
+				if job%2 == 0 {
+					b.end(job, 0, OK)
+				}
+			}
+		}
+		for range 1000 {
+			b.fire(10 * ms)
+		}
+		if left := len(b.d.open); left > 0 {
+			t.Errorf("%d dispatchers: %d jobs were never answered", dispatchers, left)
+		}
+	}
+}
