Take a zone for lost after four signs of no life in a row, from whichever of its workers

Now what shows no life counts for the zone as well (muted in health.go); after four in a row, with no start or answer from there between, its workers come after all others for 1.5 to 2.5 s, and then only safe jobs try it until it speaks.

--- a/cold.go
+++ b/cold.go
@@ -1,5 +1,3 @@
-// How much a worker that has just started may be sent: see dispatcher.go.
-
 package ravendale
 
 import "math"
@@ -14,10 +12,8 @@
 }
 
 // hasToken says whether a cold worker may be sent one job more. Its budget is shared by all dispatchers unseen, so each
-// keeps to its own share: the jobs that it would send there if the whole fleet were up, by listed weight, times the warmth
-// and a part of FallMultiple. The fleet carries what comes, so over all dispatchers, whatever their number, that is at most
-// that part of what the worker can do: less while one job is most of a span. More is sent while cold workers are seen to
-// start jobs promptly: then they have room, and are far from falling.
+// keeps to its own share of what the worker can do, by listed weight, times the warmth and a part of FallMultiple: less while
+// one job is most of a span, more while cold workers are seen to start jobs promptly, and so are far from falling.
 func (d *Dispatcher) hasToken(w *worker) bool {
 	part := coldestSpend
 	if d.now-w.StartedAt > d.set.ColdFor/4 {
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -25,6 +25,8 @@
 	faulty, faultsKept = 0.3, 6
 
 	sick = 1e6 // added to its rank: such come last, however few of our slots are there
+	// After so many signs of no life in a row a zone is taken for lost, and its workers come after all others.
+	lostAfter, lost = 4, 1e3
 
 	reportLife = time.Second // a report is believed for so long, about a mean run
 
@@ -70,14 +72,14 @@
 	seenAt             time.Duration // when free was last set
 }
 
-// zone is what was seen of the workers of one zone.
 type zone struct {
 	busy   float64       // part of the looks that found a worker without room, of late
 	queue  float64       // jobs that wait for each slot, by reports of late
 	prompt time.Duration // from a send to the start note where nothing waits; 0 until seen
+	mute   int           // signs of no life in a row, from whichever workers
+	lost   time.Duration // until when it is passed over for that
 }
 
-// seenOfClass is what was seen of the jobs of one class.
 type seenOfClass struct {
 	run     time.Duration // from send to answer, of late
 	dev     time.Duration // mean deviation from run
@@ -192,7 +194,6 @@
 	return acts
 }
 
-// wake makes sure that a timer fires at the given time or before.
 func (d *Dispatcher) wake(at time.Duration) {
 	if at >= d.wakeAt {
 		return
@@ -318,6 +319,7 @@
 	}
 	a := &j.attempts[ev.Attempt]
 	a.started, j.started = true, true
+	d.zone(a.w.Zone).mute = 0
 	if d.set.TellsStart && ev.Kind == JobStarted {
 		z, took := d.zone(a.w.Zone), d.now-a.sentAt
 		if z.prompt += z.prompt / 32; z.prompt == 0 || z.prompt > took {
@@ -341,7 +343,6 @@
 	}
 }
 
-// cancel withdraws an attempt that is still out.
 func (d *Dispatcher) cancel(j *job, i int) {
 	a := &j.attempts[i]
 	if !a.out || a.cancelled || !d.set.MayCancel {
@@ -352,7 +353,6 @@
 	d.acts = append(d.acts, Action{Kind: Cancel, Job: j.id, Attempt: i})
 }
 
-// arrive takes a job and sends it at once.
 func (d *Dispatcher) arrive(ev *Event) {
 	class := ev.Class
 	if class < 0 || class >= len(d.set.Classes) {
@@ -387,6 +387,7 @@
 	if j == nil || !j.open || ev.Attempt >= len(j.attempts) || j.class.Effect == Unsafe {
 		return
 	}
+	d.muted(j.attempts[ev.Attempt].w)
 	d.fault(j.attempts[ev.Attempt].w)
 	d.cancel(j, ev.Attempt)
 }
@@ -429,7 +430,6 @@
 	return j.live == 0 || d.set.TellsStart && !j.started
 }
 
-// place sends a job that has no attempt out, or holds it until a worker shows.
 func (d *Dispatcher) place(j *job) {
 	if w := d.pick(j, false); w != nil {
 		d.send(j, w)
@@ -477,7 +477,6 @@
 	}
 }
 
-// giveUp ends a job unserved.
 func (d *Dispatcher) giveUp(j *job) {
 	a := Action{Kind: Fail, Job: j.id}
 	if j.mayRefuse() {
@@ -495,7 +494,6 @@
 	return min(max(j.seen.run, holdRetry), max(d.set.MaxRetryAfter, 0))
 }
 
-// close takes a job out of the open ones and cancels what is still out.
 func (d *Dispatcher) close(j *job) {
 	if !j.open {
 		return
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -290,3 +290,44 @@
 		}
 	}
 }
+
+// A zone that is lost says nothing, and a dispatcher that sees few jobs needs seconds to learn it of each of its workers: after
+// a few signs in a row it goes elsewhere, until the zone speaks or some time has passed.
+func TestALostZoneIsLeftAfterAFewSigns(t *testing.T) {
+	s := testSettings()
+	workers := kinds(20)
+	for i := range workers {
+		workers[i].Zone = i % 2
+	}
+	b := newBench(t, s, workers...)
+	id := JobID(0)
+	send := func(class int, o Outcome) (toOwn bool) {
+		id++
+		b.arrive(id, class, 25*time.Second)
+		w := b.d.byName[b.one(Send).Worker]
+		if w.Zone != 0 {
+			o = OK
+		}
+		b.end(id, 0, o)
+		if o == ConnectFailed { // the job goes on, or waits: it is not what is looked at
+			b.do(Event{Kind: ClientLeft, Job: id})
+		}
+		return w.Zone == 0
+	}
+	for range lostAfter {
+		for !send(2, ConnectFailed) {
+		}
+	}
+	for range 20 {
+		if send(0, OK) {
+			t.Fatal("a job goes to a zone of which nothing but failures was seen")
+		}
+	}
+	b.now += 2 * sickFor
+	for range 40 { // tried again, and it speaks
+		send(0, OK)
+	}
+	if z := b.d.zone(0); z.mute != 0 {
+		t.Errorf("after answers %d signs still count", z.mute)
+	}
+}
--- a/health.go
+++ b/health.go
@@ -1,5 +1,3 @@
-// What outcomes and start notes say of workers and classes: see dispatcher.go.
-
 package ravendale
 
 import "time"
@@ -13,7 +11,6 @@
 	return firstStartWait
 }
 
-// settle moves a mean towards what was seen last.
 func settle(mean *float64, seen float64) { *mean += (seen - *mean) / looksKept }
 
 // learn notes what an outcome says of the worker's health.
@@ -24,6 +21,7 @@
 	}
 	switch ev.Outcome {
 	case OK:
+		d.zone(w.Zone).mute = 0
 		j.seen.saw(d.now - a.sentAt)
 		w.free += j.slots // a report is older than the finish that brings it
 		w.faults -= w.faults / faultsKept
@@ -34,6 +32,7 @@
 		w.limit, w.turnedAway = w.slots, d.now
 		settle(&d.zone(w.Zone).busy, 1)
 	case ConnectFailed:
+		d.muted(w)
 		d.ail(w)
 	case Error, Reset: // not Rejected: clients that send rubbish must not make workers sick
 		d.fault(w)
@@ -59,6 +58,15 @@
 	settle(&z.queue, max(0, -free))
 }
 
+// muted notes that a worker gave no sign of life. Several in a row, and it is the zone: learnt of each worker that takes a
+// dispatcher that sees few jobs as long as the zone is away.
+func (d *Dispatcher) muted(w *worker) {
+	z := d.zone(w.Zone)
+	if z.mute++; z.mute >= lostAfter {
+		z.lost = d.now + time.Duration((0.75+0.5*d.random.Float64())*float64(sickFor))
+	}
+}
+
 // ail passes a worker over for a while that gave no sign of life.
 func (d *Dispatcher) ail(w *worker) {
 	settle(&d.zone(w.Zone).busy, 1)
--- a/learnt.go
+++ b/learnt.go
@@ -1,5 +1,3 @@
-// What others saw: see dispatcher.go.
-
 package ravendale
 
 import "time"
@@ -40,10 +38,8 @@
 	}
 }
 
-// believe takes what other dispatchers know, of whatever truth. It counts only where nothing was seen here, and so that it
-// does no more harm than a blind start: a run longer than clients wait makes no sense; a worker is avoided for no longer
-// than one that showed no life here, and never taken for well; and of a cold one's budget what is learnt may take, never
-// give. Arrivals and starts are not learnt: they would raise that budget.
+// believe takes what other dispatchers know, of whatever truth: where nothing was seen here, and so that it does no more harm
+// than a blind start. Of a cold one's budget it may take, never give; arrivals and starts, which would raise it, are not learnt.
 func (d *Dispatcher) believe(m *Memory) {
 	for i, c := range d.set.Classes {
 		r, seen := m.Classes[c.Name], d.seen[i]
--- a/members.go
+++ b/members.go
@@ -1,5 +1,3 @@
-// Which workers there are, by the list and by hand: see dispatcher.go.
-
 package ravendale
 
 import (
--- a/placement.go
+++ b/placement.go
@@ -1,5 +1,3 @@
-// Which worker a job goes to: see dispatcher.go.
-
 package ravendale
 
 import "math"
@@ -50,7 +48,7 @@
 			continue
 		}
 		rank := d.rank(w)
-		if w.sickTill > 0 && j.class.Effect == Unsafe {
+		if w.sickTill > 0 && j.class.Effect == Unsafe || d.zone(w.Zone).mute >= lostAfter && j.class.Effect != Safe {
 			rank += 1 + d.slots/float64(len(d.workers)) // others try a sick one first: they can be sent again
 		}
 		if rank < least {
@@ -90,10 +88,9 @@
 	return w.slots+j.slots <= w.limit+float64(since)/float64(trialEvery)/float64(d.set.Dispatchers)
 }
 
-// rank orders workers: first by our slots in flight, sick ones last. Own slots tie at zero nearly everywhere where a
-// dispatcher sees a trickle, so the tie-break decides. The draw is by weight, so that dispatchers don't herd: were the rest
-// scaled by it too, all would take the fastest of a busy zone. A cold worker of the zone with a token goes first: a budget
-// that waits for the draw is not spent, and so the worker warms late.
+// rank orders workers: first by our slots in flight, sick ones last. Own slots tie at zero nearly everywhere where many
+// see a trickle each. The draw is by weight: were the rest scaled by it too, all would take the fastest of a busy zone. A cold
+// worker of the zone with a token goes first: a budget that waits for the draw is not spent, and the worker warms late.
 func (d *Dispatcher) rank(w *worker) float64 {
 	const remote, longWait = 0.25, 8
 	wait := d.random.Float64()
@@ -111,6 +108,9 @@
 		wait = 0
 	}
 	rank := w.slots + wait/(1+wait)
+	if d.zone(w.Zone).lost > d.now {
+		rank += lost
+	}
 	if w.sickTill > d.now {
 		rank += sick
 	}
