--- a/lab/trace.go
+++ b/lab/trace.go
@@ -123,6 +123,8 @@
 			s.ListCallsFailed++
 		case "leaves":
 			told[[2]string{l.scheduler, l.Server}] = l.Time
+		case "joins": // again, under the same name
+			delete(told, [2]string{l.scheduler, l.Server})
 		case "serving": // started again: it has no list from before
 			for key := range told {
 				if key[0] == l.scheduler {
--- a/lab/trace_test.go
+++ b/lab/trace_test.go
@@ -22,7 +22,8 @@
 	for name, text := range map[string]string{
 		"n0.log": line("0", `"msg":"serving"`) + "0.1 " + line("0.1", `"msg":"send","job":1,"try":0,"server":"a","cold":true,"open":2`) +
 			line("0.2", `"msg":"dial"`) + line("0.3", `"msg":"end","outcome":0`) + line("0.3", `"msg":"answer","kind":0`) +
-			line("0.4", `"msg":"leaves","server":"a"`) + "no JSON\n" + line("5.5", `"msg":"send","job":2,"try":0,"server":"b","open":4`),
+			line("0.4", `"msg":"leaves","server":"a"`) +
+			line("0.4", `"msg":"leaves","server":"b"`) + line("5", `"msg":"joins","server":"b"`) + "no JSON\n" + line("5.5", `"msg":"send","job":2,"try":0,"server":"b","open":4`),
 		"n1.log": line("1", `"msg":"watch asked"`) + line("1.5", `"msg":"watch ended"`) +
 			line("1.9", `"msg":"send","job":1,"try":0,"server":"a","cold":true,"open":0`) +
 			line("2.2", `"msg":"send","job":1,"try":1,"server":"a","cold":true,"open":0`) + line("2.3", `"msg":"answer","kind":1`),
