Count requests answered without a send by why: no time, no start, leaving, no room

Change: scheduler.Figures.Unsent counts them by reason: no_time (its time spent before a send), no_start (the module gave up with time left), leaving (a stopping scheduler's frontend), no_room (all requests in hand). BenchmarkServers runs at 200 servers too.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -186,7 +186,7 @@
 
 // BenchmarkServers is what one job costs the module, from its arrival to its end, by how many workers are listed.
 func BenchmarkServers(b *testing.B) {
-	for _, n := range []int{10, 60, 600} {
+	for _, n := range []int{10, 60, 200, 600} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			m := newBench(new(testing.T), startSettings(), kinds(n)...)
 			for id := range JobID(b.N) {
--- a/lab/trace.go
+++ b/lab/trace.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -27,6 +28,7 @@
 	Open                       float64                   // jobs in hand at a scheduler, mean over first sends
 	Outcomes                   map[ravendale.Outcome]int // of attempts
 	MostToOneCold, ColdServers int                       // the most sends to one cold server within ColdSpan, and how many were sent to
+	Unsent                     map[string]int            // answered as refused or failed without a send, by why
 	LateSends                  int                       // to a server told as draining or gone
 	LatestSend                 time.Duration             // after that was told to its sender
 }
@@ -45,6 +47,7 @@
 	Open    int                  `json:"open"`
 	Outcome ravendale.Outcome    `json:"outcome"`
 	Kind    scheduler.AnswerKind `json:"kind"`
+	Why     string               `json:"why"` // of an answer without a send
 
 	from string // the scheduler
 }
@@ -93,7 +96,8 @@
 		l := &lines[i]
 		after := l.Time.Sub(lines[0].Time)
 		for time.Duration(len(spans))*span <= after {
-			spans = append(spans, &Span{From: time.Duration(len(spans)) * span, Outcomes: make(map[ravendale.Outcome]int)})
+			spans = append(spans, &Span{From: time.Duration(len(spans)) * span, Outcomes: make(map[ravendale.Outcome]int),
+				Unsent: make(map[string]int)})
 		}
 		s := spans[len(spans)-1]
 		switch l.Msg {
@@ -118,7 +122,13 @@
 			}
 		case "end":
 			s.Outcomes[l.Outcome]++
+		case "refused": // by a frontend, before the module saw it
+			s.Refused++
+			s.Unsent[l.Why]++
 		case "answer":
+			if l.Why != "" {
+				s.Unsent[l.Why]++
+			}
 			switch l.Kind {
 			case scheduler.Served:
 				s.Served++
@@ -151,16 +161,28 @@
 	return spans
 }
 
+// whys is a count by reason in one field: "no_start=3,no_time=9", or "-".
+func whys(counts map[string]int) string {
+	var parts []string
+	for _, why := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%s=%d", why, counts[why]))
+	}
+	if parts == nil {
+		return "-"
+	}
+	return strings.Join(parts, ",")
+}
+
 // WriteTrace writes the spans as a table.
 func WriteTrace(to io.Writer, spans []*Span, span time.Duration) error {
 	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "from\tjobs/s\topen\tsends/job\tdials/job\tserved\trefused\tfailed\tcancelled\tfull\tno conn\terrors\tto cold\tmost/2 s\tlist calls\tfailed\tafter told\tlatest\t")
+	fmt.Fprintln(w, "from\tjobs/s\topen\tsends/job\tdials/job\tserved\trefused\tfailed\tcancelled\tfull\tno conn\terrors\tto cold\tmost/2 s\tlist calls\tfailed\tafter told\tlatest\tunsent by why\t")
 	for _, s := range spans {
 		jobs := max(float64(s.Jobs), 1)
-		fmt.Fprintf(w, "%v\t%.0f\t%.1f\t%.2f\t%.2f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%v\t\n", s.From, float64(s.Jobs)/span.Seconds(), s.Open,
+		fmt.Fprintf(w, "%v\t%.0f\t%.1f\t%.2f\t%.2f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%v\t%s\t\n", s.From, float64(s.Jobs)/span.Seconds(), s.Open,
 			float64(s.Sends)/jobs, float64(s.Dials)/jobs, s.Served, s.Refused, s.Failed, s.Outcomes[ravendale.Cancelled], s.Outcomes[ravendale.FullUp],
 			s.Outcomes[ravendale.ConnectFailed], s.Outcomes[ravendale.Error]+s.Outcomes[ravendale.Reset], s.ToCold, s.MostToOneCold,
-			s.ListCalls, s.ListCallsFailed, s.LateSends, s.LatestSend.Round(time.Millisecond))
+			s.ListCalls, s.ListCallsFailed, s.LateSends, s.LatestSend.Round(time.Millisecond), whys(s.Unsent))
 	}
 	return w.Flush()
 }
--- a/scheduler/figures.go
+++ b/scheduler/figures.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "maps"
+import (
+	"maps"
+	"strconv"
+)
 
 // Figures are what a scheduler reports of itself: counts since its start, and what it holds now.
 type Figures struct {
@@ -10,6 +13,32 @@
 
 	Listed, Avoided         int // backend servers in the list, and those of them that are avoided now
 	ConfLoaded, ConfInvalid int // configurations taken and turned down while it ran
+
+	// Unsent counts the requests answered as refused or failed that were never sent to a backend server, by why: the
+	// fleet's bench prices each of them as refused, so an operator weighs these against what waiting would have cost.
+	Unsent [Unsents]int
+}
+
+// Unsent says why a request ended without a send. The reasons are the paths that answer so; each is counted apart.
+type Unsent uint8
+
+// Why requests end unsent.
+const (
+	NoTime  Unsent = iota // it came with its time spent, or it ran out while the module waited
+	NoStart               // the module gave up on it while time was left: no ready server, budget or room in time
+	Leaving               // the scheduler stops and takes nothing new: another has room
+	NoRoom                // the scheduler holds as many requests as it may
+	Unsents               // how many reasons there are
+)
+
+var unsentNames = [Unsents]string{"no_time", "no_start", "leaving", "no_room"}
+
+// String is the reason's name in figures and logs.
+func (u Unsent) String() string {
+	if u < Unsents {
+		return unsentNames[u]
+	}
+	return "unsent(" + strconv.Itoa(int(u)) + ")"
 }
 
 // ClassFigures count the requests of one class by their answer.
@@ -48,6 +77,17 @@
 	s.figures.Classes[class] = c
 }
 
+// CountUnsent counts a request that a frontend answered itself, as refused or failed, without a send.
+func (s *Scheduler) CountUnsent(class int, kind AnswerKind, why Unsent) {
+	s.Count(class, kind)
+	if why < Unsents {
+		s.figures.Unsent[why]++
+	}
+	if s.traces() {
+		s.log.Debug("refused", "class", class, "why", why.String())
+	}
+}
+
 // CountConfig counts a configuration that came while the scheduler runs.
 func (s *Scheduler) CountConfig(taken bool) {
 	if taken {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -446,14 +446,34 @@
 		return
 	}
 	n.close()
+	why, unsent := n.unsent(a)
+	if unsent {
+		n.s.figures.Unsent[why]++
+	}
 	if n.s.traces() {
-		n.s.log.Debug("answer", "job", n.job, "class", n.class.Name, "kind", a.Kind, "tries", len(n.dispatches),
-			"left", n.answerBy-n.s.loop.Now(), "came", n.ex.Facts.Left)
+		args := []any{"job", n.job, "class", n.class.Name, "kind", a.Kind, "tries", len(n.dispatches),
+			"left", n.answerBy - n.s.loop.Now(), "came", n.ex.Facts.Left}
+		if unsent {
+			args = append(args, "why", why.String())
+		}
+		n.s.log.Debug("answer", args...)
 	}
 	n.s.count(n.class.Name, a.Kind)
 	n.ex.Answer(a)
 }
 
+// unsent tells whether an answer ends a request that no backend server was sent, and why: with time left, the module
+// gave up on a start; without, time ran out first. A dispatch that was decided but not begun was sent nowhere.
+func (n *Session) unsent(a Answer) (Unsent, bool) {
+	if a.Kind == Served || slices.ContainsFunc(n.dispatches, func(d *Dispatch) bool { return d.begun }) {
+		return 0, false
+	}
+	if n.answerBy <= n.s.loop.Now() {
+		return NoTime, true
+	}
+	return NoStart, true
+}
+
 func (n *Session) clientLeft() {
 	if n.closed {
 		return
