Count no attempt whose connection never came up against the cap, on sockets

Job 196 at n110 (perfil, 4,997 ms) spent its six attempts in 0.8 s while a zone was cut off: three connects that timed out at 250 ms, a silent one and two moves, and was refused with 4.2 s left. The protocol counts an attempt when its last byte has come; the module (dispatcher.go, the end of an attempt) and the scheduler (Session.send's cap) counted every send.

Change: Settings.WrittenCount, set by config for sockets, gives a job one more attempt for each ConnectFailed, up to twice the cap; the scheduler's own cap counts dispatches less those whose connection never came up. The simulator counts every send and keeps its count.

--- a/api.go
+++ b/api.go
@@ -89,10 +89,13 @@
 	FallMultiple float64 // and falls if sent more than this multiple of what it can do
 	FallSpan     time.Duration
 
-	TellsStart bool          // workers tell when a job starts
-	Progress   time.Duration // interval of progress notes, 0 for none
-	ReportsIn  ReportMode
-	Tick       time.Duration // events are delivered this coarsely
+	TellsStart bool // workers tell when a job starts
+	// WrittenCount: an attempt counts against MaxAttempts once its request may have reached the worker, so one whose
+	// connection never came up is none. So the platform's protocol counts on sockets; the simulator counts every send.
+	WrittenCount bool
+	Progress     time.Duration // interval of progress notes, 0 for none
+	ReportsIn    ReportMode
+	Tick         time.Duration // events are delivered this coarsely
 }
 
 // ReportMode says where load reports come from.
--- a/config/config.go
+++ b/config/config.go
@@ -193,6 +193,7 @@
 	if c.Settings, c.Names, pairs, err = wire.Nested(f.Settings); err != nil {
 		return nil, err
 	}
+	c.Settings.WrittenCount = true // "an attempt counts when its last byte has come"
 	if err := c.Settings.Validate(); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -1,5 +1,4 @@
 // Every decision is in this file, placement.go, cold.go, health.go, members.go and learnt.go; the interface in api.go.
-//
 // The ordinary path is the rule pi-gamma of Lee, Pedarsani and Ramchandran, "On Scheduling Redundant Requests with
 // Cancellation Overheads". docs/design.md says what was kept, what was changed and why.
 
@@ -531,6 +530,9 @@
 	switch ev.Outcome {
 	case FullUp, ConnectFailed, NotSent:
 		a.mayRun = false
+		if ev.Outcome == ConnectFailed && d.set.WrittenCount && j.most < 2*d.set.MaxAttempts {
+			j.most++ // it was none, and six can go to a cut zone in a second: some are left for where it can run
+		}
 	}
 	d.learn(j, a, ev)
 	switch {
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"os"
 	"reflect"
 	"strconv"
@@ -11,6 +12,8 @@
 	"testing"
 	"time"
 	"unicode/utf8"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 const ms = time.Millisecond
@@ -882,3 +885,43 @@
 		t.Fatalf("%v jobs to a cold worker, %v with retries", once, often)
 	}
 }
+
+// On sockets an attempt whose connection never came up is none by the protocol's count: a job that meets a cut zone keeps
+// some for where it can run, but not without end. The simulator counts every send.
+func TestAttemptsThatNeverCameUpCountOnlyWhereEverySendCounts(t *testing.T) {
+	for _, tc := range []struct {
+		written  bool
+		outcomes []Outcome // of the attempts in turn, the last one again and again
+		want     int       // sends until the job is given up
+	}{
+		{false, []Outcome{ConnectFailed}, 5},
+		{true, []Outcome{ConnectFailed}, 10},
+		{true, []Outcome{Error}, 5},
+		{true, []Outcome{ConnectFailed, ConnectFailed, Error}, 7},
+		{true, []Outcome{NotSent}, 5},
+	} {
+		s := testSettings()
+		s.WrittenCount = tc.written
+		var workers []Entry
+		for i := range 40 {
+			workers = append(workers, ready(fmt.Sprint("w", i), i%2, 0))
+		}
+		b := newBench(t, s, workers...)
+		b.arrive(1, 0, 6*time.Second)
+		sends, ended := 0, false
+		for !ended && b.now < time.Hour+6*time.Second {
+			sent := b.of(Send)
+			ended = len(b.of(Refuse))+len(b.of(Fail)) > 0
+			if len(sent) == 0 {
+				b.fire(50 * ms)
+				continue
+			}
+			b.now += ms
+			b.end(1, sends, tc.outcomes[min(sends, len(tc.outcomes)-1)])
+			sends++
+		}
+		if diff := cmp.Diff(tc.want, sends); diff != "" {
+			t.Errorf("written %v, %v: sends (-want +got)\n%s", tc.written, tc.outcomes, diff)
+		}
+	}
+}
--- a/placement.go
+++ b/placement.go
@@ -15,8 +15,7 @@
 	return &d.zones[number]
 }
 
-// pick returns the ready worker of the job's kind with fewest of our slots in flight, or nil. For a copy only a worker that
-// holds none of ours will do.
+// pick returns the ready worker of the job's kind with fewest of our slots in flight, or nil; for a copy, one with none.
 func (d *Dispatcher) pick(j *job, idle bool) *worker {
 	if len(j.attempts) >= j.most {
 		return nil
@@ -68,8 +67,7 @@
 }
 
 // hasRoom keeps jobs from long queues and from workers that would turn them away. One that did so lately takes as many of
-// our slots as it held then. Beyond that all dispatchers together try it once in trialEvery. One that showed no life is
-// tried with one job.
+// our slots as it held then; beyond that all together try it once in trialEvery. One that showed no life gets one job.
 func (d *Dispatcher) hasRoom(j *job, w *worker) bool {
 	if w.sickTill > 0 && w.slots > 0 || w.slots > 2*(1+d.slots/float64(len(d.workers))) {
 		return false
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -211,7 +211,8 @@
 	job        ravendale.JobID
 	ex         *Exchange
 	class      ravendale.Class // as it was when the request came, like attempts: a change of settings is not for it
-	attempts   int
+	attempts   int             // that may reach a backend server: one whose connection never came up is none, by the protocol
+	unreached  int             // dispatches whose connection never came up
 	answerBy   time.Duration
 	guard      *deadline.Deadline
 	dispatches []*Dispatch
@@ -358,7 +359,7 @@
 	}
 	n.dispatches = append(n.dispatches, d)
 	n.out++
-	if n.closed || a.Wait < 0 || now >= d.Deadline || len(n.dispatches) > n.attempts {
+	if n.closed || a.Wait < 0 || now >= d.Deadline || len(n.dispatches)-n.unreached > n.attempts {
 		d.finish(ravendale.NotSent)
 		return
 	}
@@ -429,6 +430,9 @@
 	d.ended = true
 	n.s.loop.Deadlines.Drop(d.timer)
 	n.out--
+	if outcome == ravendale.ConnectFailed {
+		n.unreached++
+	}
 	if n.s.twin != nil && d.begun {
 		n.s.twin.Ended(d.Worker)
 	}
