Wait for room rather than send to a zone taken for lost

Ruled out first: that most workers looked dead (2,857 of 84,959 sends went to a server that had failed a connect of the sender in the 2 s before).

Change: pick returns nothing while the best is in a lost zone or sick, unless most look dead; the zone is tried again once its time as lost (1.5 to 2.5 s) is over.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -198,3 +198,45 @@
 		})
 	}
 }
+
+// Where the own zone has no room and the other is taken for lost, a job waits for room rather than spend a connect on a
+// zone that says nothing: a cut zone drew one failed connect from each of its workers and scheduler (zone+mass, 300
+// schedulers). It is tried again once the zone's time as lost is over.
+func TestAJobWaitsForRoomRatherThanGoToALostZone(t *testing.T) {
+	var workers []Entry
+	for i := range 12 {
+		workers = append(workers, ready(fmt.Sprint("b", i), 1, 0))
+	}
+	workers = append(workers, ready("a0", 0, 0), ready("a1", 0, 0))
+	b, id, tries := newBench(t, testSettings(), workers...), JobID(0), map[JobID]int{}
+	// Jobs until both own workers have turned one away and four connects to the other zone failed in a row.
+	for b.d.zones[1].mute < lostAfter || b.d.byName["a0"].turnedAway == 0 || b.d.byName["a1"].turnedAway == 0 {
+		if id++; id > 100 {
+			t.Fatal("the zone was never taken for lost")
+		}
+		b.now += ms
+		sends := b.arrive(id, 0, 6*time.Second)
+		for len(sends) > 0 {
+			a := sends[0]
+			if a.Kind != Send {
+				sends = sends[1:]
+				continue
+			}
+			outcome := ConnectFailed
+			if a.Worker[0] == 'a' {
+				outcome = FullUp
+			}
+			tries[a.Job]++
+			sends = append(sends[1:], b.end(a.Job, tries[a.Job]-1, outcome)...)
+		}
+		b.do(Event{Kind: ClientLeft, Job: id})
+	}
+	id++
+	b.arrive(id, 0, 6*time.Second)
+	b.none(Send)
+	b.do(Event{Kind: ClientLeft, Job: id})
+	b.now += 3 * sickFor / 2 // the zone's time as lost is over, and its workers' as sick; own ones still turn jobs away
+	if sent := b.arrive(id+1, 0, 6*time.Second); len(b.of(Send)) != 1 {
+		t.Errorf("once the zone's time as lost is over, %+v, want a send", sent)
+	}
+}
--- a/placement.go
+++ b/placement.go
@@ -54,7 +54,7 @@
 			best, least = w, rank
 		}
 	}
-	if least >= sick && well > 0 {
+	if least >= lost && well > 0 {
 		return nil // a dead worker always looks free: wait for a live one, unless most look dead
 	}
 	return best
