Wait for room only while the own zone is not lost; unsent counts connects that never came up

Cause, read again: pick waited whenever its best worker was in a lost zone. Where the own zone is the lost one, or the only one (sites without zones, where three in ten lost workers make the whole list one lost zone), nothing else can free up and all jobs would stop for 1.5 to 2.5 s. And a request whose only attempts were connects that never came up was counted as sent, though nothing reached a backend server.

Change: pick waits for a lost zone only while the own zone is not lost, and as before only while most do not look dead. Session.unsent counts dispatches begun less those whose connection never came up. CountUnsent takes no kind (frontends only refuse); the names of reasons are no global.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -240,3 +240,23 @@
 		t.Errorf("once the zone's time as lost is over, %+v, want a send", sent)
 	}
 }
+
+// Where the lost zone is the own one, or the only one, there is no room to wait for: the job goes to a worker that has not
+// failed yet, as before.
+func TestALostOwnZoneStillGetsJobs(t *testing.T) {
+	var workers []Entry
+	for i := range 10 {
+		workers = append(workers, ready(fmt.Sprint("a", i), 0, 0))
+	}
+	b := newBench(t, testSettings(), workers...)
+	for id := range JobID(lostAfter) {
+		b.arrive(id, 0, 6*time.Second)
+		b.end(id, 0, ConnectFailed)
+		b.do(Event{Kind: ClientLeft, Job: id})
+	}
+	if b.d.zones[0].lostTill <= b.now {
+		t.Fatal("the zone was not taken for lost")
+	}
+	b.arrive(lostAfter, 0, 6*time.Second)
+	b.one(Send)
+}
--- a/placement.go
+++ b/placement.go
@@ -54,8 +54,8 @@
 			best, least = w, rank
 		}
 	}
-	if least >= lost && well > 0 {
-		return nil // a dead worker always looks free: wait for a live one, unless most look dead
+	if well > 0 && (least >= sick || least >= lost && d.zone(d.set.Zone).lostTill <= d.now) {
+		return nil // a dead worker, or a lost zone's, always looks free: wait for the own zone, unless that is gone too
 	}
 	return best
 }
--- a/scheduler/figures.go
+++ b/scheduler/figures.go
@@ -31,12 +31,10 @@
 	Unsents               // how many reasons there are
 )
 
-var unsentNames = [Unsents]string{"no_time", "no_start", "leaving", "no_room"}
-
 // String is the reason's name in figures and logs.
 func (u Unsent) String() string {
 	if u < Unsents {
-		return unsentNames[u]
+		return [Unsents]string{"no_time", "no_start", "leaving", "no_room"}[u]
 	}
 	return "unsent(" + strconv.Itoa(int(u)) + ")"
 }
@@ -77,9 +75,9 @@
 	s.figures.Classes[class] = c
 }
 
-// CountUnsent counts a request that a frontend answered itself, as refused or failed, without a send.
-func (s *Scheduler) CountUnsent(class int, kind AnswerKind, why Unsent) {
-	s.Count(class, kind)
+// CountUnsent counts a request that a frontend refused itself, without a send.
+func (s *Scheduler) CountUnsent(class int, why Unsent) {
+	s.Count(class, Refused)
 	if why < Unsents {
 		s.figures.Unsent[why]++
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -467,9 +467,16 @@
 }
 
 // unsent tells whether an answer ends a request that no backend server was sent, and why: with time left, the module
-// gave up on a start; without, time ran out first. A dispatch that was decided but not begun was sent nowhere.
+// gave up on a start; without, time ran out first. A dispatch that was decided but not begun was sent nowhere, nor was
+// one whose connection never came up.
 func (n *Session) unsent(a Answer) (Unsent, bool) {
-	if a.Kind == Served || slices.ContainsFunc(n.dispatches, func(d *Dispatch) bool { return d.begun }) {
+	begun := 0
+	for _, d := range n.dispatches {
+		if d.begun {
+			begun++
+		}
+	}
+	if a.Kind == Served || begun > n.unreached {
 		return 0, false
 	}
 	if n.answerBy <= n.s.loop.Now() {
