Let keyed jobs that can't be refused and earn nothing late keep their places in queues

Worth a second of the classes there is equal to the hundredth, so that "lesser" is a matter of noise. Change: only jobs that can be refused, or that earn something late, yield (dispatcher.go, watchStart).

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -284,7 +284,7 @@
 	if newest < 0 || j.class.Effect == Unsafe || !d.set.MayCopy {
 		return
 	}
-	if d.lesser(j) && len(j.attempts) < j.most {
+	if d.lesser(j) && (j.mayRefuse() || j.class.LateWorth > 0) && len(j.attempts) < j.most {
 		d.yield(j)
 		return
 	}
@@ -300,8 +300,8 @@
 	d.wake(j.due)
 }
 
-// yield gives up a lesser job's places and spreads the attempts that are left over the time that is left: it takes only room
-// that it finds free, so that what is worth more goes first though workers serve in order.
+// yield gives up a lesser job's places and spreads the attempts left over the time left: it takes only room that it finds free,
+// so that what is worth more goes first though workers serve in order. Not one that can't be refused and earns nothing late.
 func (d *Dispatcher) yield(j *job) {
 	for i := range j.attempts {
 		d.cancel(j, i)
