--- a/knowledge/frames/frames.go
+++ b/frames/frames.go
@@ -1,5 +1,5 @@
-// Package frames is the form in which schedulers tell one another what they know: binary frames, each with a version, a
-// bound on its size and a MAC (HMAC-SHA-256, RFC 2104) under a shared key. It does no I/O.
+// Package frames is the form in which schedulers talk to one another: binary frames, each with a version, a bound on its size
+// and a MAC (HMAC-SHA-256, RFC 2104) under a shared key. What a frame says is its user's. It does no I/O.
 //
 // A frame, integers big-endian:
 //
@@ -18,11 +18,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"math"
 	"strings"
-	"time"
-
-	"ravendale/knowledge"
 )
 
 const (
@@ -49,16 +45,9 @@
 	ErrContent  = errors.New("a frame whose content makes no sense")
 )
 
-// Kind is what a frame says.
+// Kind is what a frame says: a number of its user's, from 1 on.
 type Kind uint8
 
-// Kinds of frames.
-const (
-	Hello Kind = iota + 1 // its content is what the sender drew for the session, and its own session is of zeros
-	Whole                 // words: all that the sender saw itself
-	Delta                 // words: what changed since
-)
-
 // Key is one shared key. ID is told in each frame, so that keys can be changed without a gap.
 type Key struct {
 	ID     uint32
@@ -108,9 +97,10 @@
 // Session names one direction of one connection.
 type Session [16]byte
 
-// SessionOf joins what both ends drew, for frames that the first of the two makes.
-func SessionOf(maker, taker [16]byte) (s Session) {
-	sum := sha256.Sum256(append(append([]byte("ravendale knowledge"), maker[:]...), taker[:]...))
+// SessionOf joins what both ends drew, for frames that the first of the two makes. What they talk of is joined too, so that no
+// frame of one use is taken in another.
+func SessionOf(use string, maker, taker [16]byte) (s Session) {
+	sum := sha256.Sum256(append(append([]byte("ravendale "+use), maker[:]...), taker[:]...))
 	copy(s[:], sum[:])
 	return s
 }
@@ -195,93 +185,8 @@
 	r.number++
 	kind, content = Kind(head[0]), bytes.Clone(signed[headSize:])
 	r.buf = r.buf[whole:]
-	if kind < Hello || kind > Delta {
+	if kind == 0 {
 		return 0, nil, ErrContent
 	}
 	return kind, content, nil
 }
-
-// AppendWords writes words as the content of a frame.
-func AppendWords(b []byte, words []knowledge.Word) []byte {
-	b = binary.AppendUvarint(b, uint64(len(words)))
-	for _, w := range words {
-		b = append(b, byte(w.Kind))
-		b = binary.AppendUvarint(b, uint64(len(w.Name)))
-		b = append(b, w.Name...)
-		b = binary.AppendVarint(b, int64(w.Born))
-		b = binary.BigEndian.AppendUint64(b, math.Float64bits(w.Value))
-		b = binary.BigEndian.AppendUint64(b, math.Float64bits(w.Count))
-		b = binary.AppendVarint(b, int64(w.Age))
-	}
-	return b
-}
-
-// leastWord is the shortest that a word can be, in bytes.
-const leastWord = 1 + 1 + 1 + 8 + 8 + 1
-
-// Words reads what AppendWords wrote: all of it, or none and ErrContent.
-func Words(b []byte) ([]knowledge.Word, error) {
-	c := cursor{b: b}
-	n := c.uvarint()
-	if n > uint64(len(b))/leastWord || n > knowledge.MostItems {
-		return nil, ErrContent // guards against a count that asks for more memory than the frame has bytes
-	}
-	words := make([]knowledge.Word, 0, n)
-	for range n {
-		var w knowledge.Word
-		w.Kind = knowledge.Kind(c.byte())
-		w.Name = string(c.take(c.uvarint()))
-		w.Born = time.Duration(c.varint())
-		w.Value, w.Count = math.Float64frombits(c.uint64()), math.Float64frombits(c.uint64())
-		w.Age = time.Duration(c.varint())
-		words = append(words, w)
-	}
-	if c.bad || len(c.b) > 0 {
-		return nil, ErrContent
-	}
-	return words, nil
-}
-
-// cursor reads a content; bad tells once at the end that it did not hold what was asked for.
-type cursor struct {
-	b   []byte
-	bad bool
-}
-
-func (c *cursor) take(n uint64) []byte {
-	if n > uint64(len(c.b)) {
-		c.bad, c.b = true, nil
-		return nil
-	}
-	b := c.b[:n]
-	c.b = c.b[n:]
-	return b
-}
-
-func (c *cursor) byte() byte {
-	if b := c.take(1); b != nil {
-		return b[0]
-	}
-	return 0
-}
-
-func (c *cursor) uint64() uint64 {
-	if b := c.take(8); b != nil {
-		return binary.BigEndian.Uint64(b)
-	}
-	return 0
-}
-
-func (c *cursor) uvarint() uint64 {
-	v, n := binary.Uvarint(c.b)
-	c.take(uint64(max(n, 0)))
-	c.bad = c.bad || n <= 0
-	return v
-}
-
-func (c *cursor) varint() int64 {
-	v, n := binary.Varint(c.b)
-	c.take(uint64(max(n, 0)))
-	c.bad = c.bad || n <= 0
-	return v
-}
--- a/knowledge/frames/frames_test.go
+++ b/frames/frames_test.go
@@ -5,19 +5,16 @@
 	"errors"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/google/go-cmp/cmp"
-
-	"ravendale/knowledge"
 )
 
+const first, then Kind = 1, 2
+
 var (
 	oldKey  = Key{1, bytes.Repeat([]byte{1}, 16)}
 	newKey  = Key{2, bytes.Repeat([]byte{2}, 32)}
-	session = SessionOf([16]byte{1}, [16]byte{2})
-	words   = []knowledge.Word{{Subject: knowledge.Subject{Kind: knowledge.Run, Name: "saldo"}, Value: 0.2, Count: 12, Age: time.Second},
-		{Subject: knowledge.Subject{Kind: knowledge.Sick, Name: "s-1", Born: time.Hour}, Value: 1, Count: 1}}
+	session = SessionOf("test", [16]byte{1}, [16]byte{2})
 )
 
 func frame(t *testing.T, w *Writer, kind Kind, content []byte) []byte {
@@ -36,11 +33,11 @@
 	return err
 }
 
-func TestFramesCarryWords(t *testing.T) {
+func TestFramesCarryContent(t *testing.T) {
 	w, r := &Writer{Keys: Keys{oldKey}, Session: session}, &Reader{Keys: Keys{newKey, oldKey}, Session: session}
-	stream := append(frame(t, w, Whole, AppendWords(nil, words)), frame(t, w, Delta, AppendWords(nil, nil))...)
+	stream := append(frame(t, w, first, []byte("content")), frame(t, w, then, nil)...)
 	var kinds []Kind
-	var got []knowledge.Word
+	var got []byte
 	for _, b := range stream { // one byte at a time
 		r.Feed([]byte{b})
 		kind, content, err := r.Next()
@@ -48,24 +45,20 @@
 			t.Fatal(err)
 		}
 		if kind != 0 {
-			some, err := Words(content)
-			if err != nil {
-				t.Fatal(err)
-			}
-			kinds, got = append(kinds, kind), append(got, some...)
+			kinds, got = append(kinds, kind), append(got, content...)
 		}
 	}
-	if diff := cmp.Diff([]Kind{Whole, Delta}, kinds) + cmp.Diff(words, got); diff != "" {
+	if diff := cmp.Diff([]Kind{first, then}, kinds) + cmp.Diff("content", string(got)); diff != "" {
 		t.Error(diff)
 	}
 }
 
 func TestWhatIsRefused(t *testing.T) {
 	w := &Writer{Keys: Keys{newKey, oldKey}, Session: session}
-	first, second := frame(t, w, Whole, []byte("content")), frame(t, w, Delta, nil)
+	whole, second := frame(t, w, first, []byte("content")), frame(t, w, then, nil)
 	reader := func() *Reader { return &Reader{Keys: Keys{newKey, oldKey}, Session: session} }
 	with := func(i int, b byte) []byte {
-		c := bytes.Clone(first)
+		c := bytes.Clone(whole)
 		c[i] = b
 		return c
 	}
@@ -78,13 +71,13 @@
 		"an older version":                    {reader(), with(4, 0), ErrVersion},
 		"a newer version":                     {reader(), with(4, 2), ErrVersion},
 		"a length beyond the bound":           {reader(), with(34, 0xff)[:headSize], ErrTooLarge},
-		"a kind that was changed":             {reader(), with(5, byte(Delta)), ErrMAC},
-		"a key that is gone":                  {&Reader{Keys: Keys{oldKey}, Session: session}, first, ErrKey},
-		"another secret under its number":     {&Reader{Keys: Keys{{2, oldKey.Secret}}, Session: session}, first, ErrMAC},
-		"of another connection":               {&Reader{Keys: Keys{newKey}, Session: SessionOf([16]byte{3}, [16]byte{2})}, first, ErrReplayed},
-		"of the other direction":              {&Reader{Keys: Keys{newKey}, Session: SessionOf([16]byte{2}, [16]byte{1})}, first, ErrReplayed},
+		"a kind that was changed":             {reader(), with(5, byte(then)), ErrMAC},
+		"a key that is gone":                  {&Reader{Keys: Keys{oldKey}, Session: session}, whole, ErrKey},
+		"another secret under its number":     {&Reader{Keys: Keys{{2, oldKey.Secret}}, Session: session}, whole, ErrMAC},
+		"of another connection":               {&Reader{Keys: Keys{newKey}, Session: SessionOf("test", [16]byte{3}, [16]byte{2})}, whole, ErrReplayed},
+		"of the other direction":              {&Reader{Keys: Keys{newKey}, Session: SessionOf("test", [16]byte{2}, [16]byte{1})}, whole, ErrReplayed},
 		"out of its turn":                     {reader(), second, ErrReplayed},
-		"cut off":                             {reader(), first[:len(first)-1], nil},
+		"cut off":                             {reader(), whole[:len(whole)-1], nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			if err := next(tc.r, tc.b); !errors.Is(err, tc.want) {
@@ -93,14 +86,14 @@
 		})
 	}
 	r := reader()
-	if err := next(r, first); err != nil {
+	if err := next(r, whole); err != nil {
 		t.Fatal(err)
 	}
-	if err := next(r, first); !errors.Is(err, ErrReplayed) {
+	if err := next(r, whole); !errors.Is(err, ErrReplayed) {
 		t.Errorf("the same frame again: %v", err)
 	}
-	for bit := range 8 * len(first) { // any flipped bit
-		c := bytes.Clone(first)
+	for bit := range 8 * len(whole) { // any flipped bit
+		c := bytes.Clone(whole)
 		c[bit/8] ^= 1 << (bit % 8)
 		r := reader()
 		r.Feed(c)
@@ -108,7 +101,7 @@
 			t.Fatalf("bit %d flipped, and taken: %v", bit, err)
 		}
 	}
-	if _, err := w.Append(nil, Whole, make([]byte, MaxContent+1)); !errors.Is(err, ErrTooLarge) {
+	if _, err := w.Append(nil, first, make([]byte, MaxContent+1)); !errors.Is(err, ErrTooLarge) {
 		t.Error(err)
 	}
 }
@@ -135,23 +128,3 @@
 		}
 	}
 }
-
-// Foreign bytes lead to an error or to words that write back as the same content's, and never to more memory than they have.
-func FuzzWords(f *testing.F) {
-	f.Add(AppendWords(nil, words))
-	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 1})
-	f.Add([]byte{1, 0, 0x80})
-	f.Fuzz(func(t *testing.T, b []byte) {
-		got, err := Words(b)
-		if err != nil {
-			if !errors.Is(err, ErrContent) || got != nil {
-				t.Errorf("%v, %v", got, err)
-			}
-			return
-		}
-		again, err := Words(AppendWords(nil, got))
-		if err != nil || len(again) != len(got) || !bytes.Equal(AppendWords(nil, again), AppendWords(nil, got)) {
-			t.Errorf("%v came back as %v, %v", got, again, err)
-		}
-	})
-}
--- a/knowledge/snapshot/snapshot.go
+++ b/knowledge/snapshot/snapshot.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"ravendale/knowledge"
-	"ravendale/knowledge/frames"
+	"ravendale/knowledge/words"
 )
 
 const (
@@ -39,11 +39,11 @@
 )
 
 // Append writes a snapshot of words that was made at a time, in Unix nanoseconds, big-endian, with SHA-256 over all before it.
-func Append(b []byte, at time.Duration, words []knowledge.Word) []byte {
+func Append(b []byte, at time.Duration, known []knowledge.Word) []byte {
 	from := len(b)
 	b = append(append(b, magic...), version)
 	b = binary.BigEndian.AppendUint64(b, uint64(at))
-	b = frames.AppendWords(b, words)
+	b = words.Append(b, known)
 	sum := sha256.Sum256(b[from:])
 	return append(b, sum[:]...)
 }
@@ -68,20 +68,20 @@
 	if age > Oldest || age < -Ahead {
 		return nil, fmt.Errorf("%w: of %v ago", ErrTime, age.Round(time.Second))
 	}
-	words, err := frames.Words(text[headSize:])
+	known, err := words.Read(text[headSize:])
 	if err != nil {
 		return nil, err
 	}
-	for i := range words {
-		words[i].Age = max(words[i].Age, 0) + max(age, 0)
+	for i := range known {
+		known[i].Age = max(known[i].Age, 0) + max(age, 0)
 	}
-	return words, nil
+	return known, nil
 }
 
 // Save puts a snapshot in the place of the one before, whole or not at all: whoever reads meanwhile, or after a crash, finds
 // the old one or the new one.
-func Save(path string, at time.Duration, words []knowledge.Word) (err error) {
-	b := Append(nil, at, words)
+func Save(path string, at time.Duration, known []knowledge.Word) (err error) {
+	b := Append(nil, at, known)
 	if len(b) > MaxSize {
 		return fmt.Errorf("%s: %w", path, ErrSize)
 	}
@@ -120,9 +120,9 @@
 	if err != nil {
 		return nil, err
 	}
-	words, err := Parse(b, now)
+	known, err := Parse(b, now)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	return words, nil
+	return known, nil
 }
--- a/knowledge/snapshot/snapshot_test.go
+++ b/knowledge/snapshot/snapshot_test.go
@@ -15,7 +15,7 @@
 
 const at = 1_700_000_000 * time.Second
 
-var words = []knowledge.Word{{Subject: knowledge.Subject{Kind: knowledge.Prompt, Name: "zona-4"}, Value: 0.006, Count: 9, Age: time.Second}}
+var known = []knowledge.Word{{Subject: knowledge.Subject{Kind: knowledge.Prompt, Name: "zona-4"}, Value: 0.006, Count: 9, Age: time.Second}}
 
 func TestAFileAgesWithTheClock(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "known")
@@ -25,10 +25,10 @@
 	if err := Save(path, at-time.Minute, nil); err != nil {
 		t.Fatal(err)
 	}
-	if err := Save(path, at, words); err != nil {
+	if err := Save(path, at, known); err != nil {
 		t.Fatal(err)
 	}
-	want := words[0]
+	want := known[0]
 	want.Age = 11 * time.Second
 	got, err := Load(path, at+10*time.Second)
 	if diff := cmp.Diff([]knowledge.Word{want}, got); err != nil || diff != "" {
@@ -37,13 +37,13 @@
 	if left, err := os.ReadDir(filepath.Dir(path)); err != nil || len(left) != 1 {
 		t.Errorf("%d files are left, %v", len(left), err)
 	}
-	if err := Save(filepath.Join(path, "none"), at, words); err == nil {
+	if err := Save(filepath.Join(path, "none"), at, known); err == nil {
 		t.Error("saved below a file")
 	}
 }
 
 func TestWhatIsRefused(t *testing.T) {
-	good := Append(nil, at, words)
+	good := Append(nil, at, known)
 	for name, tc := range map[string]struct {
 		b    []byte
 		now  time.Duration
--- /dev/null
+++ b/knowledge/words/words_test.go
@@ -0,0 +1,42 @@
+package words
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"ravendale/knowledge"
+)
+
+var words = []knowledge.Word{{Subject: knowledge.Subject{Kind: knowledge.Run, Name: "saldo"}, Value: 0.2, Count: 12, Age: time.Second},
+	{Subject: knowledge.Subject{Kind: knowledge.Sick, Name: "s-1", Born: time.Hour}, Value: 1, Count: 1}}
+
+func TestWordsComeBack(t *testing.T) {
+	got, err := Read(Append(nil, words))
+	if diff := cmp.Diff(words, got); err != nil || diff != "" {
+		t.Error(err, diff)
+	}
+}
+
+// Foreign bytes lead to an error or to words that write back as the same content's, and never to more memory than they have.
+func FuzzWords(f *testing.F) {
+	f.Add(Append(nil, words))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 1})
+	f.Add([]byte{1, 0, 0x80})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		got, err := Read(b)
+		if err != nil {
+			if !errors.Is(err, ErrContent) || got != nil {
+				t.Errorf("%v, %v", got, err)
+			}
+			return
+		}
+		again, err := Read(Append(nil, got))
+		if err != nil || len(again) != len(got) || !bytes.Equal(Append(nil, again), Append(nil, got)) {
+			t.Errorf("%v came back as %v, %v", got, again, err)
+		}
+	})
+}
