--- a/dispatcher.go
+++ b/dispatcher.go
@@ -1,5 +1,4 @@
-// Every decision is in dispatcher.go, placement.go, cold.go, health.go, members.go and learnt.go; the interface in api.go. The
-// ordinary path is Lee, Pedarsani and Ramchandran's pi-gamma, "On Scheduling Redundant Requests with Cancellation Overheads".
+// The ordinary path is Lee, Pedarsani and Ramchandran's pi-gamma, "On Scheduling Redundant Requests with Cancellation Overheads".
 
 package ravendale
 
@@ -45,10 +44,8 @@
 
 	scarce, tight = 0.5, 0.65 // room is while this part of the looks at the own zone find none: see lesser and pick
 
-	worthKept = 64 // arrivals that the mean worth is averaged over
-
-	looksKept = 16               // looks and runs that the busy part of a zone and the runs of a class are averaged over
-	rateOver  = 10 * time.Second // the arrival rate is averaged over so long
+	worthKept, looksKept = 64, 16           // arrivals, for the mean worth; looks and runs, for a zone's busy part and a class's run
+	rateOver             = 10 * time.Second // the arrival rate is averaged over so long
 
 	// First calls to the list are spread over this for each dispatcher, and retried after a delay that doubles.
 	askSpread, askRetry = 20 * time.Millisecond, time.Second
