--- a/dispatcher.go
+++ b/dispatcher.go
@@ -1,4 +1,4 @@
-// The interface is in api.go; the ordinary path is pi-gamma: Lee et al., "On Scheduling Redundant Requests with Cancellation Overheads".
+// The interface is in api.go; the path is pi-gamma: Lee et al., "On Scheduling Redundant Requests with Cancellation Overheads".
 
 package ravendale
 
