--- /dev/null
+++ b/audit/audit_test.go
@@ -0,0 +1,433 @@
+package audit
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// writer is a member that writes, on a clock of the test's.
+type writer struct {
+	*Log
+	name  string
+	clock Clock
+	now   *int64 // true time, in milliseconds
+	off   int64  // of its wall clock
+	since int64
+	inc   uint64
+}
+
+func begin(dir, name string, inc uint64, now *int64, off int64, o Options) *writer {
+	w := &writer{name: name, now: now, off: off, since: *now, inc: inc}
+	o.Dir, o.Member, o.Incarnation, o.Sync = dir, name, inc, time.Microsecond
+	o.Wall, o.Mono = func() int64 { return *now + w.off }, func() int64 { return *now - w.since }
+	var before Head
+	w.Log, before = Open(o)
+	w.add(Entry{Kind: Start, Before: &before, Trust: 1000})
+	return w
+}
+
+func (w *writer) add(e Entry) {
+	e.At = w.clock.Now(*w.now + w.off)
+	w.Add(e)
+}
+
+// settled waits until all that was added is on disk.
+func (w *writer) settled(t *testing.T, seq uint64) Head {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); w.Head().Seq < seq; {
+		if time.Now().After(end) {
+			t.Fatalf("%s: entry %d never came on disk", w.name, seq)
+		}
+		time.Sleep(100 * time.Microsecond)
+	}
+	return w.Head()
+}
+
+func span(epoch *ID, since int64, taken int) Entry {
+	return Entry{Kind: Span, Epoch: epoch, Since: since, Sent: taken, Classes: map[string]Count{"saldo": {Taken: taken, Served: taken}}}
+}
+
+// fleetRecord writes what three members did: a and b come to epoch 7 in time, c, whose clock is 5 s ahead and steps back 9 s,
+// is brought up 400 ms after the floor's date.
+func fleetRecord(t *testing.T, dir string, o Options, cActs bool) {
+	now := int64(1_700_000_000_000)
+	id := &ID{7, strings.Repeat("7", 64)}
+	var all []*writer
+	for i, name := range []string{"a", "b", "c"} {
+		all = append(all, begin(dir, name, 3, &now, int64(i)*2500, o))
+	}
+	yes, no := true, false
+	c := all[2]
+	witness := func() {
+		for _, w := range all {
+			w.settled(t, 1)
+		}
+		for _, w := range all {
+			seen := make(map[string]Seen)
+			for _, p := range all {
+				if p != w {
+					seen[p.name] = Seen{Head: p.Head(), OffMs: p.off - w.off, ErrMs: 2}
+				}
+			}
+			w.add(Entry{Kind: Witness, Seen: seen})
+		}
+	}
+	witness()
+	for _, w := range all {
+		w.add(Entry{Kind: Standing, Acts: &yes})
+	}
+	now += 1000
+	for _, w := range all[:2] {
+		w.add(Entry{Kind: InForce, Epoch: id})
+		w.add(Entry{Kind: Adopted, Epoch: id, Floor: 7, Within: 2000, From: "a"})
+	}
+	for i := range 8 { // the date is 3000 ms after this
+		if i == 3 {
+			c.off -= 9000
+			witness()
+		}
+		since := *c.now - c.since
+		now += 400
+		for _, w := range all[:2] {
+			w.add(span(id, since, 5))
+		}
+		c.add(span(nil, since, 5))
+	}
+	if cActs {
+		now += 600
+		c.add(span(nil, *c.now-c.since-50, 4))
+	} else {
+		c.add(Entry{Kind: Standing, Acts: &no, Why: "alone"})
+	}
+	now = 1_700_000_000_000 + 1000 + 3000 + 400 + map[bool]int64{true: 600}[cActs]
+	c.add(Entry{Kind: Adopted, Epoch: id, Floor: 7, Within: 2000, From: "b"})
+	c.add(Entry{Kind: Standing, Acts: &yes})
+	for _, w := range all {
+		w.add(Entry{Kind: "of the next version", Words: "kept"})
+		w.add(Entry{Kind: Stop})
+		w.Close()
+	}
+}
+
+func kinds(a *Audit, of string) (all []string) {
+	for _, f := range a.Findings {
+		if f.Member == of && f.Kind != Foreign {
+			all = append(all, string(f.Kind))
+		}
+	}
+	return all
+}
+
+func TestARecordOfThree(t *testing.T) {
+	for _, acts := range []bool{false, true} {
+		dir := t.TempDir()
+		fleetRecord(t, dir, Options{}, acts)
+		a, err := Read(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		foreign := 0
+		for _, f := range a.Findings {
+			if f.Kind != Foreign {
+				t.Errorf("invented: %v", f)
+			}
+			foreign++
+		}
+		if foreign != 3 {
+			t.Errorf("%d of 3 entries of the next version are said to be: %v", foreign, a.Findings)
+		}
+		if len(a.Straggled) != 1 || a.Straggled[0].Member != "c" || len(a.Below) > 0 != acts || a.Broken() != acts {
+			t.Errorf("acts %v: stragglers %+v, below %+v", acts, a.Straggled, a.Below)
+		}
+		if s := a.Straggled[0]; acts && (s.End != "brought up" || s.AfterMs < 500 || s.AfterMs > 1500) || !acts && s.End != "shut out" {
+			t.Errorf("acts %v: %+v", acts, s)
+		}
+		under := a.Under(a.Epochs[0].InForce + 500)
+		if under["a"].Number != 7 || under["c"].Number != 0 {
+			t.Errorf("who acted under what: %v", under)
+		}
+	}
+}
+
+// tamper is one thing done to a record, and what is to be found in it.
+var tampers = map[string]struct {
+	do   func(t *testing.T, file string)
+	want []FindingKind // any of them
+}{
+	"a line taken out": {func(t *testing.T, file string) {
+		edit(t, file, func(l [][]byte) [][]byte { return slices.Delete(l, 5, 6) })
+	}, []FindingKind{Missing}},
+	"two lines changed about": {func(t *testing.T, file string) {
+		edit(t, file, func(l [][]byte) [][]byte { l[5], l[6] = l[6], l[5]; return l })
+	}, []FindingKind{Reordered, Missing}},
+	"a word altered": {func(t *testing.T, file string) {
+		edit(t, file, func(l [][]byte) [][]byte {
+			l[6] = bytes.Replace(l[6], []byte(`"seq":`), []byte(`"peer":"x","seq":`), 1)
+			return l
+		})
+	}, []FindingKind{Altered}},
+	"a line of noise": {func(t *testing.T, file string) {
+		edit(t, file, func(l [][]byte) [][]byte { return slices.Insert(l, 6, []byte("noise\n")) })
+	}, []FindingKind{Altered}},
+	"a line twice": {func(t *testing.T, file string) {
+		edit(t, file, func(l [][]byte) [][]byte { return slices.Insert(l, 6, bytes.Clone(l[5])) })
+	}, []FindingKind{Reordered}},
+	"the end cut off behind what peers were told": {func(t *testing.T, file string) {
+		edit(t, file, func(l [][]byte) [][]byte { return l[:1] })
+	}, []FindingKind{Missing}},
+	"all of it chained anew": {func(t *testing.T, file string) {
+		edit(t, file, func(l [][]byte) [][]byte {
+			prev := ""
+			for i, line := range l {
+				text := bytes.TrimSuffix(line[2*hashSize+1:], []byte("\n"))
+				if i == 1 {
+					text = bytes.Replace(text, []byte(`"kind"`), []byte(`"peer":"x","kind"`), 1)
+				}
+				prev = chain(prev, text)
+				l[i] = append([]byte(prev+" "), append(text, '\n')...)
+			}
+			return l
+		})
+	}, []FindingKind{Altered}},
+	"the file gone": {func(t *testing.T, file string) {
+		if err := os.WriteFile(file, nil, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}, []FindingKind{Missing}},
+}
+
+func edit(t *testing.T, file string, change func([][]byte) [][]byte) {
+	t.Helper()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := bytes.SplitAfter(bytes.TrimSuffix(text, []byte("\n")), []byte("\n"))
+	lines[len(lines)-1] = append(bytes.Clone(lines[len(lines)-1]), '\n')
+	if err := os.WriteFile(file, bytes.Join(change(lines), nil), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestTamperingIsNamedAndNoneInvented(t *testing.T) {
+	for name, tc := range tampers {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			fleetRecord(t, dir, Options{}, false)
+			files, err := memberFiles(dir, "b")
+			if err != nil || len(files) != 1 {
+				t.Fatal(files, err)
+			}
+			tc.do(t, files[0].path)
+			a, err := Read(dir)
+			if err != nil {
+				t.Fatal(err)
+			}
+			found := kinds(a, "b")
+			if !slices.ContainsFunc(found, func(k string) bool { return slices.Contains(tc.want, FindingKind(k)) }) {
+				t.Errorf("found %v, want one of %v: %v", found, tc.want, a.Findings)
+			}
+			if others := append(kinds(a, "a"), kinds(a, "c")...); len(others) > 0 {
+				t.Errorf("invented: %v", a.Findings)
+			}
+		})
+	}
+}
+
+// A crash cuts the last line at any byte: that is no tampering, and the next process goes on from what is whole.
+func TestACrashTearsTheLastLineAlone(t *testing.T) {
+	dir := t.TempDir()
+	fleetRecord(t, dir, Options{}, false)
+	files, _ := memberFiles(dir, "a")
+	text, err := os.ReadFile(files[0].path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	last := bytes.LastIndexByte(text[:len(text)-1], '\n') + 1
+	for cut := last + 1; cut < len(text); cut += 7 {
+		if err := os.WriteFile(files[0].path, text[:cut], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		r, err := readMember(dir, "a")
+		if err != nil || len(r.found) != 2 || r.found[1].Kind != Torn {
+			t.Fatalf("cut at %d of %d: %v, %v", cut, len(text), r.found, err)
+		}
+	}
+	now := int64(1_700_000_100_000)
+	w := begin(dir, "a", 4, &now, 0, Options{})
+	w.Close()
+	if a, err := Read(dir); err != nil || slices.ContainsFunc(a.Findings, func(f Finding) bool { return f.Kind.Fault() }) {
+		t.Error(a.Findings, err)
+	}
+}
+
+// A disk put back to an older state, on which a new process goes on, holds together by itself: its peers were told of more.
+func TestAnOldDiskIsSeen(t *testing.T) {
+	dir := t.TempDir()
+	now := int64(1_700_000_000_000)
+	a, b := begin(dir, "a", 1, &now, 0, Options{}), begin(dir, "b", 1, &now, 0, Options{})
+	a.settled(t, 1)
+	files, _ := memberFiles(dir, "a")
+	old, err := os.ReadFile(files[0].path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 5 {
+		a.add(Entry{Kind: Command, Words: fmt.Sprint(i)})
+	}
+	b.add(Entry{Kind: Witness, Seen: map[string]Seen{"a": {Head: a.settled(t, 6)}}})
+	a.Close()
+	b.Close()
+	if err := os.WriteFile(files[0].path, old, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	begin(dir, "a", 2, &now, 0, Options{}).Close()
+	read, err := Read(dir)
+	if err != nil || !slices.Contains(kinds(read, "a"), string(Rolled)) {
+		t.Error(read.Findings, err)
+	}
+}
+
+// brokenDisk fails its writes or fsyncs while it is told to.
+type brokenDisk struct {
+	*os.File
+	write, sync *atomic.Bool
+}
+
+func (d brokenDisk) Write(b []byte) (int, error) {
+	if d.write.Load() {
+		n, _ := d.File.Write(b[:len(b)/2])
+		return n, errors.New("no space left on device")
+	}
+	return d.File.Write(b)
+}
+
+func (d brokenDisk) Sync() error {
+	if d.sync.Load() {
+		return errors.New("input/output error")
+	}
+	return d.File.Sync()
+}
+
+func TestAFailingDiskIsAGapAndNoTampering(t *testing.T) {
+	for _, what := range []string{"write", "sync"} {
+		dir := t.TempDir()
+		now := int64(1_700_000_000_000)
+		var write, sync atomic.Bool
+		o := Options{Retry: time.Microsecond, Create: func(path string) (File, error) {
+			f, err := os.Create(path)
+			return brokenDisk{f, &write, &sync}, err
+		}}
+		w := begin(dir, "a", 1, &now, 0, o)
+		w.settled(t, 1)
+		write.Store(what == "write")
+		sync.Store(what == "sync")
+		for i := range 3 {
+			w.add(Entry{Kind: Command, Words: fmt.Sprint(i)})
+		}
+		for w.Figures().Failures == 0 {
+			time.Sleep(100 * time.Microsecond)
+		}
+		write.Store(false)
+		sync.Store(false)
+		w.settled(t, 2)
+		w.add(Entry{Kind: Command, Words: "after"})
+		w.Close()
+		a, err := Read(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var words []string
+		for _, e := range a.Timeline {
+			words = append(words, e.Kind+e.Words)
+		}
+		if got := kinds(a, "a"); !slices.Contains(got, string(Lost)) || len(got) != 1 {
+			t.Errorf("%s: %v: %v", what, a.Findings, words)
+		}
+		if words[len(words)-1] != "commandafter" {
+			t.Errorf("%s: %v", what, words)
+		}
+	}
+}
+
+// The bound holds: the oldest spans become sums, what they sum to stays, and nothing counts as tampering.
+func TestTheBoundFoldsTheOldest(t *testing.T) {
+	dir := t.TempDir()
+	now := int64(1_700_000_000_000)
+	w := begin(dir, "a", 1, &now, 0, Options{Segment: 4 << 10, Most: 24 << 10})
+	id := &ID{3, "abc"}
+	for i := range 400 {
+		w.add(span(id, 0, 2))
+		w.settled(t, uint64(i+2))
+	}
+	w.add(Entry{Kind: Command, Words: "kept"})
+	w.Close()
+	a, err := Read(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	taken := 0
+	for _, e := range a.Timeline {
+		taken += e.Classes["saldo"].Taken
+	}
+	if taken != 800 || w.Figures().Bytes > 24<<10 {
+		t.Errorf("%d taken of 800, %d bytes", taken, w.Figures().Bytes)
+	}
+	for _, f := range a.Findings {
+		if f.Kind != Folded {
+			t.Errorf("invented: %v", f)
+		}
+	}
+}
+
+// The timeline is the same whatever the order of the folders, and keeps each member's own order.
+func TestTheTimelineDoesNotDependOnTheOrder(t *testing.T) {
+	var dirs []string
+	now := int64(1_700_000_000_000)
+	for i, name := range []string{"a", "b", "c", "d"} {
+		dir := filepath.Join(t.TempDir(), name)
+		w := begin(dir, name, 1, &now, int64(i)*700, Options{})
+		for j := range 5 {
+			now += int64(i*j) % 3
+			w.add(Entry{Kind: Command, Words: fmt.Sprint(j)})
+		}
+		w.Close()
+		dirs = append(dirs, dir)
+	}
+	want, err := Read(dirs...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		got, err := Read(rapid.Permutation(dirs).Draw(t, "order")...)
+		if diff := cmp.Diff(want.Timeline, got.Timeline) + cmp.Diff(want.Findings, got.Findings); err != nil || diff != "" {
+			t.Error(err, diff)
+		}
+	})
+}
+
+// Foreign bytes lead to findings, never to a crash, and what was written reads back.
+func FuzzRecord(f *testing.F) {
+	line, _, _ := appendLine(nil, "", &Entry{Kind: Segment, Name: "a", Incarnation: 1, Number: 1})
+	f.Add(line)
+	f.Add(append(line, "0123 {}\n"...))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r := &Record{Member: "a", hashes: make(map[Head]bool), ends: make(map[uint64]uint64), folds: make(map[uint64]uint64)}
+		r.read(memberFile{"a.1.1.audit", 1, 1, 0}, text, true, true)
+		a := &Audit{Members: []string{"a"}, records: map[string]*Record{"a": r}}
+		a.witnesses()
+		a.align()
+		a.judge()
+	})
+}
--- /dev/null
+++ b/audit/log.go
@@ -0,0 +1,393 @@
+package audit
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Options say what a log is of and how much it may take.
+type Options struct {
+	Dir         string
+	Member      string // letters, digits, '-' and '_' alone: it is part of files' names
+	Incarnation uint64
+	Segment     int64         // bytes after which a new file begins, 256 KiB if 0
+	Most        int64         // bytes of all files of the member, above which the oldest are folded, 16 MiB if 0
+	Sync        time.Duration // at most so long until what was written is on disk, 200 ms if 0
+	Retry       time.Duration // after a failure, 1 s if 0
+	Wall        func() int64  // Unix milliseconds
+	Mono        func() int64  // milliseconds since the start, monotonic
+	// Create opens a file for writing; os.OpenFile if nil. A test puts a disk that fails in its place.
+	Create func(path string) (File, error)
+}
+
+// File is what a log needs of one.
+type File interface {
+	io.WriteCloser
+	Sync() error
+	Truncate(size int64) error
+}
+
+// queued bounds the entries that wait for the disk; what comes beyond that is lost, and said to be.
+const queued = 4096
+
+// Figures count what became of entries.
+type Figures struct {
+	Written, Lost, Failures uint64 // entries, entries, and times that the disk failed
+	Bytes                   int64  // of all files of the member
+}
+
+// Log writes a record in a goroutine of its own: whoever adds an entry never waits for the disk.
+type Log struct {
+	o     Options
+	mu    sync.Mutex
+	waits []Entry
+	lost  uint64 // not told yet
+	all   Figures
+	head  Head
+	ended bool
+	wake  chan struct{}
+	done  chan struct{}
+
+	// The goroutine's own.
+	file   File
+	path   string
+	size   int64
+	number int
+	prev   string
+	seq    uint64
+	at     Entry // its times are those of the last entry that came
+	failed time.Time
+}
+
+// Open begins a record where the member's last one in the folder ends, whose head it returns. A folder that can't be read or
+// written is no error here: it is a gap.
+func Open(o Options) (l *Log, before Head) {
+	if o.Segment == 0 {
+		o.Segment = 256 << 10
+	}
+	if o.Most == 0 {
+		o.Most = 16 << 20
+	}
+	if o.Sync == 0 {
+		o.Sync = 200 * time.Millisecond
+	}
+	if o.Retry == 0 {
+		o.Retry = time.Second
+	}
+	if o.Create == nil {
+		o.Create = func(path string) (File, error) {
+			return os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o644)
+		}
+	}
+	l = &Log{o: o, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	if rec, err := readMember(o.Dir, o.Member); err == nil {
+		before = rec.head
+		l.prev = rec.head.Hash
+	}
+	l.head = Head{Incarnation: o.Incarnation}
+	go l.run()
+	return l, before
+}
+
+// Add has an entry written, after those added before.
+func (l *Log) Add(e Entry) {
+	e.Wall, e.Mono = l.o.Wall(), l.o.Mono()
+	l.mu.Lock()
+	if len(l.waits) >= queued || l.ended {
+		l.lost++
+		l.all.Lost++
+	} else {
+		l.waits = append(l.waits, e)
+	}
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Head is how far the record is on disk.
+func (l *Log) Head() Head {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.head
+}
+
+// Figures returns the counts of now.
+func (l *Log) Figures() Figures {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all
+}
+
+// Close writes what waits, and ends the log.
+func (l *Log) Close() {
+	l.mu.Lock()
+	was := l.ended
+	l.ended = true
+	l.mu.Unlock()
+	if !was {
+		select {
+		case l.wake <- struct{}{}:
+		default:
+		}
+	}
+	<-l.done
+}
+
+// run writes what waits, batch by batch: one fsync each, and at most one in Sync.
+func (l *Log) run() {
+	defer close(l.done)
+	for {
+		<-l.wake
+		l.mu.Lock()
+		ended := l.ended
+		l.mu.Unlock()
+		l.batch(ended)
+		if ended {
+			if l.file != nil {
+				_ = l.file.Close() // it was synced
+			}
+			return
+		}
+		time.Sleep(l.o.Sync) // others come meanwhile, for the same fsync
+	}
+}
+
+// batch writes all that waits. What a failing disk did not take is lost, and the first entry after it says how much.
+func (l *Log) batch(last bool) {
+	l.mu.Lock()
+	waits, lost := l.waits, l.lost
+	l.waits, l.lost = nil, 0
+	l.mu.Unlock()
+	if len(waits) == 0 && lost == 0 {
+		return
+	}
+	err := l.write(waits, lost, last)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.lost += lost + uint64(len(waits))
+		l.all.Lost += uint64(len(waits))
+		l.all.Failures++
+		select {
+		case l.wake <- struct{}{}: // to say so once the disk works
+		default:
+		}
+		return
+	}
+	l.all.Written += uint64(len(waits))
+	l.head = Head{Incarnation: l.o.Incarnation, Seq: l.seq, Hash: l.prev}
+	l.all.Bytes = l.fold()
+}
+
+func (l *Log) write(waits []Entry, lost uint64, last bool) (err error) {
+	if !l.failed.IsZero() && time.Since(l.failed) < l.o.Retry && !last {
+		return errors.New("the disk failed just now")
+	}
+	if len(waits) > 0 {
+		l.at = Entry{At: waits[0].At, Wall: waits[0].Wall, Mono: waits[0].Mono}
+	}
+	seq, prev, size := l.seq, l.prev, l.size
+	defer func() {
+		if err == nil {
+			l.failed = time.Time{}
+			return
+		}
+		l.failed = time.Now()
+		l.seq, l.prev = seq, prev
+		if l.file != nil {
+			_ = l.file.Truncate(size) // else its end counts as torn
+			_ = l.file.Close()
+			l.file = nil
+		}
+	}()
+	if l.file == nil || l.size >= l.o.Segment {
+		size = 0
+		if err := l.next(); err != nil {
+			return err
+		}
+	}
+	if lost > 0 {
+		gap := l.at
+		gap.Kind, gap.Lost = Gap, lost
+		waits = append([]Entry{gap}, waits...)
+	}
+	var b []byte
+	for i := range waits {
+		l.seq++
+		waits[i].Seq = l.seq
+		if b, l.prev, err = appendLine(b, l.prev, &waits[i]); err != nil {
+			return err
+		}
+	}
+	if _, err = l.file.Write(b); err != nil {
+		return err
+	}
+	if err = l.file.Sync(); err != nil {
+		return err // never tried again on this file: what of it is on disk is not known any more
+	}
+	l.size += int64(len(b))
+	return nil
+}
+
+// next begins a file.
+func (l *Log) next() error {
+	if l.file != nil {
+		_ = l.file.Close() // it was synced
+		l.file = nil
+	}
+	if err := os.MkdirAll(l.o.Dir, 0o755); err != nil {
+		return err
+	}
+	l.number++
+	l.path = filepath.Join(l.o.Dir, fileName(l.o.Member, l.o.Incarnation, l.number))
+	f, err := l.o.Create(l.path)
+	if err != nil {
+		return err
+	}
+	line, hash, err := appendLine(nil, l.prev, &Entry{Kind: Segment, Seq: l.seq, At: l.at.At, Wall: l.at.Wall, Mono: l.at.Mono,
+		Name: l.o.Member, Incarnation: l.o.Incarnation, Number: l.number, Prev: l.prev})
+	if err == nil {
+		_, err = f.Write(line)
+	}
+	if err != nil {
+		_ = f.Close()
+		_ = os.Remove(l.path) // it says nothing
+		return err
+	}
+	l.file, l.size, l.prev = f, int64(len(line)), hash
+	return nil
+}
+
+const suffix = ".audit"
+
+func fileName(member string, incarnation uint64, number int) string {
+	return fmt.Sprintf("%s.%020d.%06d%s", member, incarnation, number, suffix)
+}
+
+// parseName reads what fileName wrote.
+func parseName(name string) (member string, incarnation uint64, number int, ok bool) {
+	parts := strings.Split(strings.TrimSuffix(name, suffix), ".")
+	if len(parts) != 3 || !strings.HasSuffix(name, suffix) {
+		return "", 0, 0, false
+	}
+	incarnation, err := strconv.ParseUint(parts[1], 10, 64)
+	number, err2 := strconv.Atoi(parts[2])
+	return parts[0], incarnation, number, err == nil && err2 == nil
+}
+
+// fold keeps the member's files within their bound: the oldest first becomes sums, and then, if that is not enough, goes. It
+// returns what they take.
+func (l *Log) fold() int64 {
+	files, err := memberFiles(l.o.Dir, l.o.Member)
+	if err != nil {
+		return l.all.Bytes
+	}
+	total := int64(0)
+	for _, f := range files {
+		total += f.size
+	}
+	for pass := 0; pass < 2 && total > l.o.Most; pass++ {
+		for _, f := range files {
+			if total <= l.o.Most || f.path == l.path {
+				break
+			}
+			left := int64(0)
+			if pass == 0 {
+				if left = foldFile(f.path); left < 0 {
+					continue // it is one already, or does not hold together: it stays as it is, for whoever looks into that
+				}
+			} else if os.Remove(f.path) != nil {
+				continue
+			}
+			total -= f.size - left
+		}
+		if files, err = memberFiles(l.o.Dir, l.o.Member); err != nil {
+			break
+		}
+	}
+	return total
+}
+
+// foldFile puts sums in the place of a file's spans, whole or not at all, and returns its size then; below 0, nothing was done.
+func foldFile(path string) int64 {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return -1
+	}
+	lines := bytes.Split(bytes.TrimSuffix(text, []byte("\n")), []byte("\n"))
+	var head, sum Entry
+	prev := ""
+	sum.Kind = Fold
+	for i, line := range lines {
+		if i == 0 {
+			prev = peekPrev(line)
+		}
+		e, hash, err := readLine(prev, line)
+		if err != nil || e.Kind == Fold {
+			return -1
+		}
+		prev = hash
+		switch {
+		case i == 0:
+			head = *e
+			continue
+		case e.Kind == Span:
+			sum.Spans = addSpan(sum.Spans, e)
+		default:
+			sum.Kept = append(sum.Kept, bytes.Clone(line[2*hashSize+1:]))
+		}
+		sum.Seq, sum.At, sum.Wall, sum.Mono, sum.Upto = e.Seq, e.At, e.Wall, e.Mono, e.Seq
+	}
+	sum.Before = &Head{Incarnation: head.Incarnation, Seq: sum.Seq, Hash: prev}
+	b, hash, err := appendLine(nil, head.Prev, &head)
+	if err == nil {
+		b, _, err = appendLine(b, hash, &sum)
+	}
+	if err != nil || os.WriteFile(path+".new", b, 0o644) != nil || os.Rename(path+".new", path) != nil {
+		return -1
+	}
+	return int64(len(b))
+}
+
+// peekPrev is what a file's first line is chained to, as it says itself.
+func peekPrev(line []byte) string {
+	var e Entry
+	if len(line) > 2*hashSize {
+		_ = json.Unmarshal(line[2*hashSize+1:], &e) // what makes no sense has none
+	}
+	return e.Prev
+}
+
+// addSpan adds what was done in a span to the sum for its epoch.
+func addSpan(sums []Entry, e *Entry) []Entry {
+	i := slices.IndexFunc(sums, func(s Entry) bool {
+		return s.Marked == e.Marked && (s.Epoch == nil) == (e.Epoch == nil) && (s.Epoch == nil || *s.Epoch == *e.Epoch)
+	})
+	if i < 0 {
+		s := *e
+		s.Classes = make(map[string]Count)
+		s.Sent = 0
+		sums = append(sums, s)
+		i = len(sums) - 1
+	}
+	s := &sums[i]
+	s.At, s.Wall, s.Mono, s.Seq = e.At, e.Wall, e.Mono, e.Seq
+	s.Sent += e.Sent
+	for name, c := range e.Classes {
+		t := s.Classes[name]
+		s.Classes[name] = Count{t.Taken + c.Taken, t.Served + c.Served, t.Refused + c.Refused, t.Failed + c.Failed}
+	}
+	return sums
+}
