Add the fleet's members, epochs and their agent, switched off without the operator's element

Change: fleet, a pure core (votes on disk, one content a number, trust by answered pings, a floor that only rises, amnesiacs that cast no vote); fleet/link, frames under the shared key; fleet/agent, the shell with state, record and witnesses; <fleet> in the operator's file and schema; the gate of new requests; `ravendale fleet status|roll-out` and `ravendale audit`; fleettest, a bench of real processes with fault proxies.

--- a/cmd/ravendale/main.go
+++ b/cmd/ravendale/main.go
@@ -24,6 +24,8 @@
 type commands struct {
 	Serve serveCmd `cmd:"" default:"withargs" help:"Serve, as PROXY_CONFIG says. What is done where no command is given."`
 	Check checkCmd `cmd:"" help:"Tell all that is wrong with an operator's file."`
+	Fleet fleetCmd `cmd:"" help:"Ask and steer the fleet that an operator's file names."`
+	Audit auditCmd `cmd:"" help:"Read the records of schedulers as one timeline."`
 }
 
 // errWrong is a file of which everything wrong has been told.
@@ -123,6 +125,11 @@
 	if err != nil {
 		return err
 	}
+	if file.Fleet != nil {
+		if err := join(n, c.Config, file, log); err != nil {
+			return err
+		}
+	}
 	n.Paired = func(processes int) { limitMemory(cfg, processes) }
 	go func() {
 		for range hangup {
--- a/config/config.go
+++ b/config/config.go
@@ -65,6 +65,24 @@
 // Load reads the file that PROXY_CONFIG names, by way of the two functions given.
 func Load(getenv Getenv, read ReadFile) (*Config, error) { return loadAs(getenv, read, nil) }
 
+// Patched has a read function put a merge of settings in the place of those of the file that PROXY_CONFIG names.
+func Patched(getenv Getenv, read ReadFile, merge func(settings []byte) ([]byte, error)) ReadFile {
+	return func(name string) ([]byte, error) {
+		text, err := read(name)
+		if err != nil || name != getenv("PROXY_CONFIG") {
+			return text, err
+		}
+		var all map[string]json.RawMessage
+		if err := json.Unmarshal(text, &all); err != nil {
+			return text, nil // Load says what is wrong with it
+		}
+		if all["settings"], err = merge(all["settings"]); err != nil {
+			return nil, fmt.Errorf("settings: %w", err)
+		}
+		return json.Marshal(all)
+	}
+}
+
 // loadAs reads the file, which is to have the shape given.
 func loadAs(getenv Getenv, read ReadFile, s *shape) (*Config, error) {
 	path := getenv("PROXY_CONFIG")
--- /dev/null
+++ b/fleet/agent/disk.go
@@ -0,0 +1,64 @@
+package agent
+
+import (
+	"sync"
+
+	"ravendale/fleet"
+)
+
+// stateWriter writes states in a goroutine of its own: whatever comes while one is written, the newest alone is next.
+type stateWriter struct {
+	path  string
+	mu    sync.Mutex
+	next  *fleet.State
+	told  []func(error)
+	ended bool
+	wake  chan struct{}
+}
+
+func newStateWriter(path string) *stateWriter {
+	w := &stateWriter{path: path, wake: make(chan struct{}, 1)}
+	go w.run()
+	return w
+}
+
+// save has a state written, and tells once it, or a later one, is on the disk or was not.
+func (w *stateWriter) save(s fleet.State, done func(error)) {
+	w.mu.Lock()
+	w.next = &s
+	w.told = append(w.told, done)
+	w.mu.Unlock()
+	w.rouse()
+}
+
+func (w *stateWriter) rouse() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (w *stateWriter) run() {
+	for range w.wake {
+		w.mu.Lock()
+		s, told, ended := w.next, w.told, w.ended
+		w.next, w.told = nil, nil
+		w.mu.Unlock()
+		if s != nil {
+			err := saveState(w.path, s)
+			for _, f := range told {
+				f(err)
+			}
+		}
+		if ended {
+			return
+		}
+	}
+}
+
+func (w *stateWriter) close() {
+	w.mu.Lock()
+	w.ended = true
+	w.mu.Unlock()
+	w.rouse()
+}
--- /dev/null
+++ b/fleet/floor_mutant.go
@@ -0,0 +1,5 @@
+//go:build mutant
+
+package fleet
+
+const keepsFloor = false
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -3,9 +3,12 @@
 package operator
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
 	"os"
+	"regexp"
+	"time"
 
 	"ravendale/xmlfile"
 )
@@ -14,6 +17,7 @@
 type File struct {
 	Cores *Cores `xml:"cores"`
 	Log   *Log   `xml:"log"`
+	Fleet *Fleet `xml:"fleet"`
 }
 
 // MostCores bounds Cores.Count.
@@ -31,6 +35,106 @@
 	}
 }
 
+// Fleet has the scheduler settle with others which policy epoch they act under: see docs/fleet.md.
+type Fleet struct {
+	Name    string        `xml:"name,attr,required"`
+	Listen  string        `xml:"listen,attr,required"`
+	Dir     string        `xml:"dir,attr,required"`  // of its state and its record, of this member alone or shared with others' on one disk
+	Keys    string        `xml:"keys,attr,required"` // a file, as package frames has it
+	Beat    time.Duration `xml:"beat,attr"`          // 500ms
+	Trust   time.Duration `xml:"trust,attr"`         // 5s
+	Span    time.Duration `xml:"span,attr"`          // 10s
+	Record  int64         `xml:"record,attr"`        // bytes, 16 MiB
+	Alone   Alone         `xml:"alone,attr"`
+	ShutOut ShutOut       `xml:"shut-out,attr"`
+	Members []Member      `xml:"member"`
+}
+
+// Member is one scheduler of a fleet.
+type Member struct {
+	Name    string `xml:"name,attr,required"`
+	Address string `xml:"address,attr,required"`
+}
+
+// Alone is what a member does that has not heard of a majority: mark (the default) goes on and says so in the record, stop takes
+// nothing new.
+type Alone string
+
+// ShutOut is what a member does that must not act any more: wait (the default) to be brought up, or exit.
+type ShutOut string
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (a *Alone) UnmarshalText(text []byte) error {
+	if *a = Alone(text); *a != "mark" && *a != "stop" {
+		return fmt.Errorf("%q is neither mark nor stop", text)
+	}
+	return nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *ShutOut) UnmarshalText(text []byte) error {
+	if *s = ShutOut(text); *s != "wait" && *s != "exit" {
+		return fmt.Errorf("%q is neither wait nor exit", text)
+	}
+	return nil
+}
+
+// MostMembers bounds a fleet, MostRecord a record in bytes, and LeastRecord it from below.
+const (
+	MostMembers = 300
+	LeastRecord = 1 << 20
+	MostRecord  = 1 << 40
+)
+
+var memberName = regexp.MustCompile(`^[A-Za-z0-9_-]{1,64}$`)
+
+// Defaults puts in what the file leaves out.
+func (f *Fleet) Defaults() {
+	f.Beat = cmp.Or(f.Beat, 500*time.Millisecond)
+	f.Trust = cmp.Or(f.Trust, 5*time.Second)
+	f.Span = cmp.Or(f.Span, 10*time.Second)
+	f.Record = cmp.Or(f.Record, 16<<20)
+	f.Alone, f.ShutOut = cmp.Or(f.Alone, "mark"), cmp.Or(f.ShutOut, "wait")
+}
+
+// Check implements xmlfile.Checker.
+func (f *Fleet) Check(bad func(string)) {
+	d := *f
+	d.Defaults()
+	if d.Beat < 10*time.Millisecond || d.Beat > time.Minute {
+		bad(fmt.Sprintf("beat: %v is not between 10ms and 1m", d.Beat))
+	}
+	if d.Trust < 4*d.Beat || d.Trust > time.Hour {
+		bad(fmt.Sprintf("trust: %v is not between four beats and 1h", d.Trust))
+	}
+	if d.Span < 100*time.Millisecond || d.Span > time.Hour {
+		bad(fmt.Sprintf("span: %v is not between 100ms and 1h", d.Span))
+	}
+	if d.Record < LeastRecord || d.Record > MostRecord {
+		bad(fmt.Sprintf("record: %d is not between %d and %d", d.Record, LeastRecord, int64(MostRecord)))
+	}
+	names := make(map[string]bool)
+	for _, m := range f.Members {
+		if names[m.Name] {
+			bad(fmt.Sprintf("the member %q stands twice", m.Name))
+		}
+		names[m.Name] = true
+	}
+	switch {
+	case len(f.Members) == 0 || len(f.Members) > MostMembers:
+		bad(fmt.Sprintf("%d members are not between 1 and %d", len(f.Members), MostMembers))
+	case !names[f.Name]:
+		bad(fmt.Sprintf("name: %q is none of the members", f.Name))
+	}
+}
+
+// Check implements xmlfile.Checker.
+func (m *Member) Check(bad func(string)) {
+	if !memberName.MatchString(m.Name) {
+		bad(fmt.Sprintf("name: %q is not 1 to 64 letters, digits, - and _", m.Name))
+	}
+}
+
 // Log is how the program logs.
 type Log struct {
 	Level  Level  `xml:"level,attr"`
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -37,6 +37,17 @@
 	"empty":            {``, `f:1: the file holds no element`},
 	"two elements":     {"<ravendale/>\n<ravendale/>", `f:2: <ravendale>: the file has a second element at its top`},
 	"something within": {`<ravendale><cores count="2"><cores count="2"/></cores></ravendale>`, `f:1: <cores>: there is no such element in <cores>`},
+	"a fleet": {`<ravendale><fleet name="a" listen="127.0.0.1:1" dir="d" keys="k" beat="100ms" trust="1s" span="2s" record="1048576" alone="stop" shut-out="exit">` +
+		`<member name="a" address="127.0.0.1:1"/><member name="b-2" address="127.0.0.1:2"/></fleet></ravendale>`, ""},
+	"a fleet of none": {`<ravendale><fleet name="a" listen="x" dir="d" keys="k"/></ravendale>`, `f:1: <fleet>: 0 members are not between 1 and 300`},
+	"a fleet's beat": {`<ravendale><fleet name="a" listen="x" dir="d" keys="k" beat="2 x"><member name="a" address="x"/></fleet></ravendale>`,
+		`f:1: <fleet>: beat: "2 x" is no time: a number with us, ms, s, min or h`},
+	"a fleet's words": {`<ravendale><fleet name="a" listen="x" dir="d" keys="k" alone="go" shut-out="no"><member name="a" address="x"/></fleet></ravendale>`,
+		"f:1: <fleet>: alone: \"go\" is neither mark nor stop\nf:1: <fleet>: shut-out: \"no\" is neither wait nor exit"},
+	"a fleet's member": {"<ravendale><fleet name=\"a\" listen=\"x\" dir=\"d\" keys=\"k\">\n<member name=\"a b\" address=\"x\"/></fleet></ravendale>",
+		"f:2: <member>: name: \"a b\" is not 1 to 64 letters, digits, - and _"},
+	"a fleet's bound": {`<ravendale><fleet name="a" listen="x" dir="d" keys="k" record="5"><member name="a" address="x"/></fleet></ravendale>`,
+		"f:1: <fleet>: record: 5 is not between 1048576 and 1099511627776"},
 	"all that is wrong": {"<ravendale>\n<cores count=\"0\"/>\n<log level=\"x\" form=\"y\"/>\n<more/>\n</ravendale>",
 		"f:2: <cores>: count: 0 is not between 1 and 64\nf:3: <log>: level: \"x\" is none of debug, info, warn and error\n" +
 			"f:3: <log>: there is no attribute form\nf:4: <more>: there is no such element in <ravendale>"},
--- a/scheduler/figures.go
+++ b/scheduler/figures.go
@@ -39,8 +39,8 @@
 	return "unsent(" + strconv.Itoa(int(u)) + ")"
 }
 
-// ClassFigures count the requests of one class by their answer.
-type ClassFigures struct{ Answered, Deferred, Errored int }
+// ClassFigures count the requests of one class by their answer, and those that were taken in hand.
+type ClassFigures struct{ Answered, Deferred, Errored, Taken int }
 
 // Figures returns the figures of now.
 func (s *Scheduler) Figures() Figures {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -74,7 +74,8 @@
 
 	kept, keptElsewhere []keptID // those, in the order in which they are let go of
 
-	quiet   func() // called once nothing is owed
+	gate    func() bool // whether a request may be taken now; nil: any
+	quiet   func()      // called once nothing is owed
 	figures Figures
 
 	events  []ravendale.Event // not handled yet
@@ -260,9 +261,22 @@
 		ex.Repeated()
 		return
 	}
-	s.arrived(s.open(ex), nil)
+	if s.gate != nil && !s.gate() {
+		s.CountUnsent(ex.Facts.Class, Leaving)
+		ex.Answer(Answer{Kind: Refused})
+		return
+	}
+	n := s.open(ex)
+	if c, given := s.figures.Classes[n.class.Name]; given {
+		c.Taken++
+		s.figures.Classes[n.class.Name] = c
+	}
+	s.arrived(n, nil)
 }
 
+// Gate has a function asked before each new request: where it says no the request is refused at once. What is in hand goes on.
+func (s *Scheduler) Gate(may func() bool) { s.gate = may }
+
 // open makes a session of a request, and takes it in hand.
 func (s *Scheduler) open(ex *Exchange) *Session {
 	s.lastJob++
--- a/transport/nbionet/nbionet.go
+++ b/transport/nbionet/nbionet.go
@@ -236,6 +236,9 @@
 // Addr is where it listens.
 func (g *Gate) Addr() net.Addr { return g.ln.Addr() }
 
+// Close ends the listener; connections that came by it stay.
+func (g *Gate) Close() { g.close() }
+
 // Pause has nothing more accepted until Resume. What waits in the system's queue is left to others who listen on the
 // same socket.
 func (g *Gate) Pause() { g.set(func() { g.paused = true }, time.Unix(1, 0)) }
