--- a/audit/read.go
+++ b/audit/read.go
@@ -163,6 +163,10 @@
 		prev = hash
 		r.hashes[Head{f.incarnation, e.Seq, hash}] = err == nil
 		r.hashes[Head{f.incarnation, 0, hash}] = true
+		if e.Kind == Segment && e.Seq < seq { // a write failed, and what of it is on disk all the same was written again
+			r.Entries = slices.DeleteFunc(r.Entries, func(p Placed) bool { return p.Incarnation == f.incarnation && p.Seq > e.Seq })
+			seq = e.Seq
+		}
 		seq = max(seq, e.Seq)
 		r.take(f, e, place)
 		if e.Kind == Fold && e.Before != nil {
--- a/cmd/ravendale/fleet.go
+++ b/cmd/ravendale/fleet.go
@@ -11,10 +11,12 @@
 	"log/slog"
 	"maps"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"text/tabwriter"
 	"time"
 
@@ -74,6 +76,7 @@
 	if err != nil {
 		return err
 	}
+	signal.Ignore(syscall.SIGXFSZ) // a disk or quota that is full is an error of the write, not the end of the scheduler
 	sum := sha256.Sum256(text)
 	n.Join(node.FleetOptions{File: f, Keys: keys, Build: generation(), Digest: hex.EncodeToString(sum[:8]), Wall: wallClock(),
 		Getenv: os.Getenv, Read: os.ReadFile})
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -210,6 +210,7 @@
 	adoptAt int           // the serial that Adopted waits for
 	applied ID            // what the scheduler was given
 	noDisk  bool          // it can't write, and does not vote
+	writeAt time.Duration // and tries again
 	begun   bool          // the incarnation is on disk
 	sureAt  time.Duration // from then on every peer that can answer has been asked what it remembers of this member
 
@@ -420,7 +421,7 @@
 		c.noDisk = failed
 		why := ""
 		if failed {
-			why = err.Error()
+			why, c.writeAt = err.Error(), c.now+c.cfg.Trust
 		}
 		c.note(audit.Entry{Kind: audit.Member, Peer: c.cfg.Me, State: map[bool]string{true: "disk fails", false: "disk works"}[failed], Why: why})
 	}
@@ -635,6 +636,10 @@
 			c.see(p, Suspect)
 		}
 	}
+	if c.noDisk && c.now >= c.writeAt { // the state is written anew and whole, never what failed again
+		c.writeAt = c.now + c.cfg.Trust
+		c.store()
+	}
 	if c.state.Amnesiac && !c.noDisk && c.allAnswered() {
 		for _, p := range c.peers {
 			c.state.Promised = max(c.state.Promised, p.Accepted.Number, p.youVote)
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -59,6 +59,8 @@
 	all   map[ID]*Epoch
 	// mutant changes what a process does, for a checker to trip.
 	mutant string
+	forges string           // gives other contents than those it is asked for
+	gave   map[string][]int // contents given, by donor and beat
 	strict bool
 }
 
@@ -105,6 +107,19 @@
 	for _, a := range acts {
 		switch a.Kind {
 		case Tell:
+			if a.Word.Kind == Have {
+				if h.name == f.forges {
+					a.Word.Content = epoch(a.Word.ID.Number, 0, "forged").Content
+				}
+				if f.gave == nil {
+					f.gave = make(map[string][]int)
+				}
+				beats := int(f.now / beat)
+				if len(f.gave[h.name]) <= beats {
+					f.gave[h.name] = append(f.gave[h.name], make([]int, beats+1-len(f.gave[h.name]))...)
+				}
+				f.gave[h.name][beats]++
+			}
 			if !f.cut[[2]string{h.name, a.To}] {
 				f.flying = append(f.flying, flight{a.To, a.Word})
 			}
@@ -343,6 +358,70 @@
 	t.Error("not caught")
 }
 
+// Ten stragglers that wake together spread over those who hold the content, and no donor gives more than a few a beat.
+func TestStragglersTogetherDoNotHoldUpOneDonor(t *testing.T) {
+	f := newFleet(21, t.Fatalf)
+	f.pass(time.Second)
+	for _, h := range f.hosts[11:] {
+		h.paused = true
+	}
+	if err := f.propose(f.hosts[0], epoch(1, 1, "x")); err != nil {
+		t.Fatal(err)
+	}
+	f.pass(time.Second)
+	for _, h := range f.hosts[11:] {
+		h.paused = false
+	}
+	f.pass(2 * time.Second)
+	for _, h := range f.hosts {
+		if h.Acting().Number != 1 {
+			t.Errorf("%s acts under %v", h.name, h.Acting())
+		}
+	}
+	for name, beats := range f.gave {
+		for _, n := range beats {
+			if n > 2*donateMost { // its beats and the test's lie across each other
+				t.Errorf("%s gave %d contents in a beat", name, n)
+			}
+		}
+	}
+	if len(f.gave) < 4 {
+		t.Errorf("%d donors gave all", len(f.gave))
+	}
+}
+
+// A peer that gives another content than the one it was asked for is refused by the digest, and another one is asked.
+func TestAForgedContentIsRefused(t *testing.T) {
+	f := newFleet(5, t.Fatalf)
+	f.pass(time.Second)
+	f.forges = "a"
+	if err := f.propose(f.hosts[0], epoch(1, 1, "x")); err != nil {
+		t.Fatal(err)
+	}
+	f.pass(2 * time.Second)
+	if n := f.hosts[1].Acting().Number; n != 0 {
+		t.Fatalf("epoch %d came from the only one who had it, and forged", n)
+	}
+	f.forges = ""
+	f.start(f.hosts[0]) // the proposer's vote is on its disk, and now it gives what it should
+	for _, h := range f.hosts {
+		clear(h.bad)
+	}
+	f.pass(3 * time.Second)
+	f.forges = "a" // for one that comes to it later others are there
+	late := f.hosts[4]
+	late.disk = State{}
+	f.start(late)
+	f.pass(3 * time.Second)
+	if late.Acting().Number != 1 {
+		t.Errorf("e acts under %v", late.Acting())
+	}
+	refused := slices.ContainsFunc(f.hosts[1].noted, func(e audit.Entry) bool { return e.Kind == audit.Refused && e.Peer == "a" })
+	if !refused {
+		t.Error("the record does not say who gave a forged content")
+	}
+}
+
 // A vote that was told is never forgotten: the voter crashes before it was on disk, or its disk is lost, and then the other half
 // of a cut asks it for its vote for another content of that number. Without the guard both are in force.
 func TestAVoteIsNotForgotten(t *testing.T) {
--- /dev/null
+++ b/lab/fleetplays.go
@@ -0,0 +1,388 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"ravendale/audit"
+	"ravendale/fleettest"
+	"ravendale/xmlfile"
+)
+
+// FleetExperiment is a file that plays fleets of schedulers on the bench for processes (package fleettest).
+type FleetExperiment struct {
+	Name     string     `xml:"name,attr,required"`
+	About    string     `xml:"about,attr"`
+	Seed     uint64     `xml:"seed,attr"`
+	RollOuts []RollOuts `xml:"roll-outs"`
+	Faults   []Faults   `xml:"faults"`
+	Pairs    []Pair     `xml:"pair"`
+	Expect   []Expect   `xml:"expect"`
+}
+
+// RollOuts are some, one after the other, on a fleet that is well.
+type RollOuts struct {
+	Members int           `xml:"members,attr,required"`
+	Count   int           `xml:"count,attr,required"`
+	Beat    time.Duration `xml:"beat,attr,required"`
+	Trust   time.Duration `xml:"trust,attr,required"`
+}
+
+// Faults are plays of fleettest.Random, a seed each, some side by side.
+type Faults struct {
+	Members int `xml:"members,attr,required"`
+	Seeds   int `xml:"seeds,attr,required"`
+	Short   int `xml:"short,attr,required"`
+	Beside  int `xml:"beside,attr"`
+}
+
+// Pair compares schedulers with all of it on and off, in turn.
+type Pair struct {
+	Members int           `xml:"members,attr,required"`
+	Rounds  int           `xml:"rounds,attr,required"`
+	Rate    float64       `xml:"rate,attr,required"` // requests a second and scheduler
+	For     time.Duration `xml:"for,attr,required"`
+}
+
+// Check implements xmlfile.Checker.
+func (f *FleetExperiment) Check(bad func(string)) {
+	for _, r := range f.RollOuts {
+		if r.Members < 1 || r.Members > 250 || r.Count < 1 || r.Beat < 10*time.Millisecond || r.Trust < 4*r.Beat {
+			bad("roll-outs: 1 to 250 members, a count, a beat from 10ms on and a trust of four beats are wanted")
+		}
+	}
+	for _, x := range f.Faults {
+		if x.Members < 3 || x.Members > 50 || x.Seeds < 1 || x.Short < 1 {
+			bad("faults: 3 to 50 members and a count of seeds are wanted")
+		}
+	}
+	for _, p := range f.Pairs {
+		if p.Members < 1 || p.Members > 50 || p.Rounds < 1 || p.Rate <= 0 || p.Rate > 5000 || p.For < time.Second {
+			bad("pair: 1 to 50 members, rounds, a rate of up to 5000 and a second or more are wanted")
+		}
+	}
+}
+
+// ParseFleetExperiment reads such a file.
+func ParseFleetExperiment(file string, text []byte) (*FleetExperiment, error) {
+	x := &FleetExperiment{Seed: 1}
+	return x, xmlfile.Read(file, text, "fleet-experiment", x)
+}
+
+// fleetFigures are what a fleet's experiment may expect something of.
+var fleetFigures = []string{"members", "roll_out_ms_mean", "roll_out_ms_worst", "bytes_a_member_s", "cpu_percent_a_member", "rss_mb_a_member", "seeds", "seeds_failed",
+	"stopped_across", "straggled", "straggled_missed", "straggled_invented", "end_ms_worst", "below_floor", "conflicts", "record_faults", "asked", "served", "refused",
+	"unanswered", "p50_on_ms", "p50_off_ms", "p99_on_ms", "p99_off_ms", "p99_ratio", "cpu_on_us_a_job", "cpu_off_us_a_job", "cpu_ratio"}
+
+// As is the experiment in the form that judges and reports take.
+func (f *FleetExperiment) As() *Experiment {
+	x := &Experiment{Name: f.Name, About: f.About, Seed: f.Seed, Expect: f.Expect, figures: fleetFigures}
+	for _, name := range []string{"roll-outs", "faults", "pair"} {
+		x.Phases = append(x.Phases, Phase{Name: name})
+	}
+	return x
+}
+
+// RunFleet plays all of a fleet's experiment.
+func (r *Runner) RunFleet(x *FleetExperiment) (results []Result, err error) {
+	for _, play := range x.RollOuts {
+		if r.Short && play.Members > 5 {
+			continue
+		}
+		got, err := r.rollOuts(&play)
+		if err != nil {
+			return results, fmt.Errorf("roll-outs, %d members: %w", play.Members, err)
+		}
+		results = append(results, *got)
+	}
+	for _, play := range x.Faults {
+		got, err := r.faults(&play, x.Seed)
+		if err != nil {
+			return results, err
+		}
+		results = append(results, *got)
+	}
+	for _, play := range x.Pairs {
+		got, err := r.pair(&play)
+		if err != nil {
+			return results, fmt.Errorf("pair: %w", err)
+		}
+		results = append(results, *got)
+	}
+	return results, nil
+}
+
+// bench lays one out in a folder that goes with it.
+func (r *Runner) bench(o fleettest.Options, play func(*fleettest.Bench) error) (err error) {
+	if o.Dir, err = os.MkdirTemp("", "ravendale-fleet"); err != nil {
+		return err
+	}
+	defer os.RemoveAll(o.Dir)
+	o.Binary = r.Binary
+	b, err := fleettest.New(o)
+	if err != nil {
+		return err
+	}
+	defer b.Close()
+	if err = play(b); err != nil && r.Logs != "" {
+		err = errors.Join(err, os.CopyFS(filepath.Join(r.Logs, filepath.Base(o.Dir)), os.DirFS(o.Dir)))
+	}
+	return err
+}
+
+func (r *Runner) rollOuts(play *RollOuts) (*Result, error) {
+	f := map[string]float64{"members": float64(play.Members)}
+	o := fleettest.Options{Members: play.Members, Alone: "stop", Beat: play.Beat, Trust: play.Trust, Direct: play.Members > 30}
+	err := r.bench(o, func(b *fleettest.Bench) error {
+		if err := b.Run("start all\nawait acts all"); err != nil {
+			return err
+		}
+		began, at := b.Usage(), time.Now()
+		time.Sleep(3 * time.Second) // at rest
+		rest := b.Usage()
+		seconds := time.Since(at).Seconds() * float64(play.Members)
+		f["cpu_percent_a_member"] = 100 * (rest.CPU - began.CPU).Seconds() / seconds
+		f["bytes_a_member_s"] = float64(rest.Told-began.Told) / seconds
+		f["rss_mb_a_member"] = float64(rest.RSS) / (1 << 20) / float64(play.Members)
+		for n := 1; n <= play.Count; n++ {
+			if err := b.Run(fmt.Sprintf("roll-out %d floor=%d within=%dms via %s\nawait epoch %d all", n, n, 4*play.Trust.Milliseconds(), "a", n)); err != nil {
+				return err
+			}
+		}
+		a, _, err := b.Finish()
+		if err != nil {
+			return err
+		}
+		for _, took := range rollOutTimes(a) {
+			f["roll_out_ms_mean"] += float64(took) / float64(play.Count)
+			f["roll_out_ms_worst"] = max(f["roll_out_ms_worst"], float64(took))
+		}
+		f["below_floor"], f["straggled"] = float64(len(a.Below)), float64(len(a.Straggled))
+		return nil
+	})
+	r.Say("roll-outs  %3d members: %.0f ms until all act under it (worst %.0f); at rest %.0f bytes a second and member, CPU %.2f%%, %.1f MB", play.Members,
+		f["roll_out_ms_mean"], f["roll_out_ms_worst"], f["bytes_a_member_s"], f["cpu_percent_a_member"], f["rss_mb_a_member"])
+	return &Result{Variant: fmt.Sprint(play.Members, " members"), Phase: "roll-outs", Figures: f}, err
+}
+
+// rollOutTimes are from each proposal until the last member acted under it, in milliseconds, by the records.
+func rollOutTimes(a *audit.Audit) (all []int64) {
+	proposed := make(map[audit.ID]int64)
+	for _, e := range a.Timeline {
+		if e.Kind == audit.Proposed {
+			proposed[*e.Epoch] = e.When
+		}
+	}
+	for _, l := range a.Epochs {
+		last := int64(math.MinInt64)
+		for _, at := range l.Adopted {
+			last = max(last, at)
+		}
+		all = append(all, last-proposed[l.ID])
+	}
+	return all
+}
+
+// faults plays seeds side by side, and holds what the audit finds against what was injected.
+func (r *Runner) faults(play *Faults, first uint64) (*Result, error) {
+	seeds := play.Seeds
+	if r.Short {
+		seeds = play.Short
+	}
+	f := map[string]float64{"members": float64(play.Members), "seeds": float64(seeds)}
+	for _, name := range []string{"seeds_failed", "straggled_missed", "straggled_invented", "below_floor", "conflicts", "record_faults", "unanswered"} {
+		f[name] = 0
+	}
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	next := make(chan uint64)
+	for range max(play.Beside, 1) {
+		wait.Go(func() {
+			for seed := range next {
+				got, err := r.faultPlay(play, seed)
+				mu.Lock()
+				for name, value := range got {
+					if name == "end_ms_worst" {
+						f[name] = max(f[name], value)
+					} else {
+						f[name] += value
+					}
+				}
+				if err != nil {
+					f["seeds_failed"]++
+					r.Say("seed %d: %v", seed, err)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for i := range seeds {
+		next <- first + uint64(i)
+	}
+	close(next)
+	wait.Wait()
+	r.Say("faults     %d members, %d seeds: %.0f failed; stopped across a date %.0f, found %.0f, missed %.0f, invented %.0f; below the floor %.0f; requests %.0f, unanswered %.0f",
+		play.Members, seeds, f["seeds_failed"], f["stopped_across"], f["straggled"], f["straggled_missed"], f["straggled_invented"], f["below_floor"], f["asked"], f["unanswered"])
+	return &Result{Variant: fmt.Sprint(play.Members, " members"), Phase: "faults", Figures: f}, nil
+}
+
+func (r *Runner) faultPlay(play *Faults, seed uint64) (map[string]float64, error) {
+	f := make(map[string]float64)
+	o := fleettest.Options{Members: play.Members, Alone: "stop", Seed: seed, Beat: 100 * time.Millisecond, Trust: time.Second, Every: 20 * time.Millisecond}
+	script, stopped, killed := fleettest.Random(seed, play.Members, o.Trust)
+	err := r.bench(o, func(b *fleettest.Bench) error {
+		if err := b.Run(script); err != nil {
+			return err
+		}
+		a, asked, err := b.Finish()
+		if err != nil {
+			return err
+		}
+		want := make(map[string]bool)
+		for number, names := range stopped {
+			for _, name := range names {
+				// One that is below an older floor already counts there too.
+				want[fmt.Sprint(number, name)] = true
+			}
+		}
+		f["stopped_across"] = float64(len(want))
+		floors := make(map[uint64]uint64)
+		for _, l := range a.Epochs {
+			floors[l.ID.Number] = l.Floor
+		}
+		for key := range want { // who was under the epoch before is at the floor where the floor is that one
+			number, _ := strconv.ParseUint(key[:1], 10, 64)
+			if floors[number] < number {
+				delete(want, key)
+			}
+		}
+		f["stopped_across"] = float64(len(want))
+		for _, s := range a.Straggled {
+			f["straggled"]++
+			f["end_ms_worst"] = max(f["end_ms_worst"], float64(s.AfterMs))
+			key := fmt.Sprint(s.Epoch.Number, s.Member)
+			if !want[key] {
+				f["straggled_invented"]++
+			}
+			delete(want, key)
+		}
+		f["straggled_missed"] = float64(len(want))
+		f["below_floor"] = float64(len(a.Below))
+		for _, l := range a.Epochs {
+			if l.Conflict {
+				f["conflicts"]++
+			}
+		}
+		for _, x := range a.Findings {
+			if x.Kind.Fault() {
+				f["record_faults"]++
+				r.Say("seed %d: %v", seed, x)
+			}
+		}
+		for _, x := range asked {
+			f["asked"]++
+			switch {
+			case x.Status == 200 && !x.Wrong:
+				f["served"]++
+			case x.Status == 503:
+				f["refused"]++
+			case !slices.Contains(killed, x.Member):
+				f["unanswered"]++
+			}
+		}
+		if n := f["straggled_missed"] + f["straggled_invented"] + f["below_floor"] + f["conflicts"] + f["unanswered"]; n > 0 {
+			return fmt.Errorf("%v in\n%s", f, script)
+		}
+		return nil
+	})
+	return f, err
+}
+
+// pair plays the same load with the fleet's parts on and off in turn.
+func (r *Runner) pair(play *Pair) (*Result, error) {
+	f := map[string]float64{"members": float64(play.Members)}
+	var p50, p99, cpu [2][]float64
+	rounds := play.Rounds
+	if r.Short {
+		rounds = 1
+	}
+	for round := range 2 * rounds {
+		off := round % 2
+		o := fleettest.Options{Members: play.Members, Off: off == 1, Every: time.Duration(float64(time.Second) / play.Rate)}
+		err := r.bench(o, func(b *fleettest.Bench) error {
+			if err := b.Run("start all"); err != nil {
+				return err
+			}
+			if off == 0 {
+				if err := b.Run("await acts all"); err != nil {
+					return err
+				}
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), fleettest.Patience)
+			defer cancel()
+			if err := b.Ready(ctx); err != nil {
+				return err
+			}
+			if err := b.Run("load on\npass 1s"); err != nil { // connections and code are warm
+				return err
+			}
+			began, from := b.Usage(), time.Now()
+			time.Sleep(play.For)
+			ended, to := b.Usage(), time.Now()
+			if err := b.Run("load off"); err != nil {
+				return err
+			}
+			var took []float64
+			for _, x := range b.Asked() {
+				if x.Sent.After(from) && x.Sent.Before(to) && x.Status == 200 {
+					took = append(took, x.Answered.Sub(x.Sent).Seconds()*1e3)
+				}
+			}
+			if len(took) == 0 {
+				return errors.New("nothing was served")
+			}
+			slices.Sort(took)
+			p50[off] = append(p50[off], took[len(took)/2])
+			p99[off] = append(p99[off], took[len(took)*99/100])
+			cpu[off] = append(cpu[off], float64((ended.CPU-began.CPU).Microseconds())/float64(len(took)))
+			f["served"] += float64(len(took))
+			return nil
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	for i, name := range []string{"on", "off"} {
+		f["p50_"+name+"_ms"], f["p99_"+name+"_ms"], f["cpu_"+name+"_us_a_job"] = middle(p50[i]), middle(p99[i]), middle(cpu[i])
+	}
+	f["p99_ratio"], f["cpu_ratio"] = f["p99_on_ms"]/f["p99_off_ms"], f["cpu_on_us_a_job"]/f["cpu_off_us_a_job"]
+	r.Say("pair       %d members, %g requests a second each: p99 %.2f ms on, %.2f off; CPU a job %.0f us on, %.0f off", play.Members, play.Rate,
+		f["p99_on_ms"], f["p99_off_ms"], f["cpu_on_us_a_job"], f["cpu_off_us_a_job"])
+	return &Result{Variant: fmt.Sprint(play.Members, " members"), Phase: "pair", Figures: f}, nil
+}
+
+func middle(all []float64) float64 {
+	slices.Sort(all)
+	return all[len(all)/2]
+}
+
+// Parse reads an experiment file of either kind. That of a fleet has the form that judges and reports take beside its own.
+func Parse(file string, text []byte) (x *Experiment, fleet *FleetExperiment, err error) {
+	if !strings.Contains(string(text), "<fleet-experiment") {
+		x, err = ParseExperiment(file, text)
+		return x, nil, err
+	}
+	if fleet, err = ParseFleetExperiment(file, text); err != nil {
+		return nil, nil, err
+	}
+	return fleet.As(), fleet, nil
+}
