Give the bench's clients ids that the protocol takes

Cause: with 30 members 4182 of 7380 requests got 400, for a name like 'ac' is no hexadecimal digit of X-Txn. Change: the client's number in place of its name; the pair plays with the program's own beats.

--- a/fleettest/bench.go
+++ b/fleettest/bench.go
@@ -643,7 +643,7 @@
 	b.stop = cancel
 	for i, p := range b.all {
 		b.asking.Go(func() {
-			client(ctx, p.name, fmt.Sprintf("%s.%d:9000", b.net, 1+i), b.o.Every, func(a Asked) {
+			client(ctx, i, p.name, fmt.Sprintf("%s.%d:9000", b.net, 1+i), b.o.Every, func(a Asked) {
 				b.mu.Lock()
 				b.asked = append(b.asked, a)
 				b.mu.Unlock()
--- a/fleettest/world.go
+++ b/fleettest/world.go
@@ -87,10 +87,11 @@
 	Sent, Answered time.Time
 	Status         int // 0: the connection ended, or was never made
 	Wrong          bool
+	Err            string
 }
 
 // client asks one scheduler for as long as ctx lasts, a request every so often.
-func client(ctx context.Context, member, scheduler string, every time.Duration, keep func(Asked)) {
+func client(ctx context.Context, number int, member, scheduler string, every time.Duration, keep func(Asked)) {
 	c := &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
 	defer c.CloseIdleConnections()
 	var all sync.WaitGroup
@@ -104,13 +105,16 @@
 		case <-ticker.C:
 		}
 		all.Go(func() {
-			id := fmt.Sprintf("%s%015x", member, n)
+			id := fmt.Sprintf("%04x%012x", number, n)
 			req, _ := http.NewRequest("POST", "http://"+scheduler+"/api?user=1", bytes.NewReader([]byte("x")))
 			req.Header.Set("X-Txn", id)
 			req.Header.Set("X-Lane", "saldo")
 			req.Header.Set("X-Remaining-Ms", "5000")
 			a := Asked{Member: member, Sent: time.Now()}
-			if resp, err := c.Do(req); err == nil {
+			resp, err := c.Do(req)
+			if err != nil {
+				a.Err = err.Error()
+			} else {
 				text, err := io.ReadAll(resp.Body)
 				_ = resp.Body.Close()
 				a.Status = resp.StatusCode
--- a/lab/fleetplays.go
+++ b/lab/fleetplays.go
@@ -296,7 +296,9 @@
 			case x.Status == 503:
 				f["refused"]++
 			case !slices.Contains(killed, x.Member):
-				f["unanswered"]++
+				if f["unanswered"]++; f["unanswered"] == 1 {
+					r.Say("seed %d: %+v", seed, x)
+				}
 			}
 		}
 		if n := f["straggled_missed"] + f["straggled_invented"] + f["below_floor"] + f["conflicts"] + f["unanswered"]; n > 0 {
@@ -317,7 +319,7 @@
 	}
 	for round := range 2 * rounds {
 		off := round % 2
-		o := fleettest.Options{Members: play.Members, Off: off == 1, Every: time.Duration(float64(time.Second) / play.Rate)}
+		o := fleettest.Options{Members: play.Members, Off: off == 1, Beat: 500 * time.Millisecond, Trust: 5 * time.Second, Every: time.Duration(float64(time.Second) / play.Rate)}
 		err := r.bench(o, func(b *fleettest.Bench) error {
 			if err := b.Run("start all"); err != nil {
 				return err
