--- a/lab/fleetplays.go
+++ b/lab/fleetplays.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
@@ -43,6 +44,7 @@
 	Seeds   int `xml:"seeds,attr,required"`
 	Short   int `xml:"short,attr,required"`
 	Beside  int `xml:"beside,attr"`
+	Tamper  int `xml:"tamper,attr"` // so many members' records are tampered with afterwards
 }
 
 // Pair compares schedulers with all of it on and off, in turn.
@@ -61,8 +63,8 @@
 		}
 	}
 	for _, x := range f.Faults {
-		if x.Members < 3 || x.Members > 50 || x.Seeds < 1 || x.Short < 1 {
-			bad("faults: 3 to 50 members and a count of seeds are wanted")
+		if x.Members < 3 || x.Members > 50 || x.Seeds < 1 || x.Short < 1 || x.Tamper < 0 || x.Tamper > x.Members {
+			bad("faults: 3 to 50 members, a count of seeds and no more members tampered with are wanted")
 		}
 	}
 	for _, p := range f.Pairs {
@@ -80,7 +82,7 @@
 
 // fleetFigures are what a fleet's experiment may expect something of.
 var fleetFigures = []string{"members", "roll_out_ms_mean", "roll_out_ms_worst", "bytes_a_member_s", "cpu_percent_a_member", "rss_mb_a_member", "seeds", "seeds_failed",
-	"stopped_across", "straggled", "straggled_missed", "straggled_invented", "end_ms_worst", "below_floor", "conflicts", "record_faults", "asked", "served", "refused",
+	"stopped_across", "straggled", "straggled_missed", "straggled_invented", "end_ms_worst", "below_floor", "conflicts", "record_faults", "tampered", "tamper_missed", "tamper_invented", "asked", "served", "refused",
 	"unanswered", "p50_on_ms", "p50_off_ms", "p99_on_ms", "p99_off_ms", "p99_ratio", "cpu_on_us_a_job", "cpu_off_us_a_job", "cpu_ratio"}
 
 // As is the experiment in the form that judges and reports take.
@@ -199,7 +201,7 @@
 		seeds = play.Short
 	}
 	f := map[string]float64{"members": float64(play.Members), "seeds": float64(seeds)}
-	for _, name := range []string{"seeds_failed", "straggled_missed", "straggled_invented", "below_floor", "conflicts", "record_faults", "unanswered"} {
+	for _, name := range []string{"seeds_failed", "straggled_missed", "straggled_invented", "below_floor", "conflicts", "record_faults", "unanswered", "tampered", "tamper_missed", "tamper_invented"} {
 		f[name] = 0
 	}
 	var mu sync.Mutex
@@ -230,8 +232,9 @@
 	}
 	close(next)
 	wait.Wait()
-	r.Say("faults     %d members, %d seeds: %.0f failed; stopped across a date %.0f, found %.0f, missed %.0f, invented %.0f; below the floor %.0f; requests %.0f, unanswered %.0f",
-		play.Members, seeds, f["seeds_failed"], f["stopped_across"], f["straggled"], f["straggled_missed"], f["straggled_invented"], f["below_floor"], f["asked"], f["unanswered"])
+	r.Say("faults     %d members, %d seeds: %.0f failed; stopped across a date %.0f, found %.0f, missed %.0f, invented %.0f; below the floor %.0f; requests %.0f, unanswered %.0f; records tampered with %.0f, missed %.0f, invented %.0f",
+		play.Members, seeds, f["seeds_failed"], f["stopped_across"], f["straggled"], f["straggled_missed"], f["straggled_invented"], f["below_floor"], f["asked"], f["unanswered"],
+		f["tampered"], f["tamper_missed"], f["tamper_invented"])
 	return &Result{Variant: fmt.Sprint(play.Members, " members"), Phase: "faults", Figures: f}, nil
 }
 
@@ -301,7 +304,10 @@
 				}
 			}
 		}
-		if n := f["straggled_missed"] + f["straggled_invented"] + f["below_floor"] + f["conflicts"] + f["unanswered"]; n > 0 {
+		if err := tamper(f, b, seed, play.Tamper); err != nil {
+			return err
+		}
+		if n := f["straggled_missed"] + f["straggled_invented"] + f["below_floor"] + f["conflicts"] + f["unanswered"] + f["tamper_missed"] + f["tamper_invented"]; n > 0 {
 			return fmt.Errorf("%v in\n%s", f, script)
 		}
 		return nil
@@ -309,6 +315,46 @@
 	return f, err
 }
 
+// tamper changes some members' records, and holds what the audit says of each against that.
+func tamper(f map[string]float64, b *fleettest.Bench, seed uint64, members int) error {
+	if members == 0 {
+		return nil
+	}
+	r := rand.New(rand.NewPCG(seed, 1))
+	dirs := b.Records()
+	r.Shuffle(len(dirs), func(i, j int) { dirs[i], dirs[j] = dirs[j], dirs[i] })
+	changed := make(map[string]bool)
+	for _, dir := range dirs[:members] {
+		member := filepath.Base(filepath.Dir(dir))
+		if _, err := fleettest.Tamper(r, dir, member); err != nil {
+			return err
+		}
+		changed[member] = true
+	}
+	a, err := audit.Read(b.Records()...)
+	if err != nil {
+		return err
+	}
+	found := make(map[string]bool)
+	for _, x := range a.Findings {
+		if x.Kind.Fault() {
+			found[x.Member] = true
+		}
+	}
+	f["tampered"] = float64(members)
+	for member := range changed {
+		if !found[member] {
+			f["tamper_missed"]++
+		}
+	}
+	for member := range found {
+		if !changed[member] {
+			f["tamper_invented"]++
+		}
+	}
+	return nil
+}
+
 // pair plays the same load with the fleet's parts on and off in turn.
 func (r *Runner) pair(play *Pair) (*Result, error) {
 	f := map[string]float64{"members": float64(play.Members)}
--- a/lab/report.go
+++ b/lab/report.go
@@ -192,7 +192,8 @@
 			"roll-outs": {bar("From a proposal until all act under it", "ms", "roll_out_ms_mean", "roll_out_ms_worst"),
 				bar("Words of a member at rest", "bytes/s", "bytes_a_member_s"), bar("CPU of a member at rest", "%", "cpu_percent_a_member")},
 			"faults": {bar("Below a floor at its date", "", "stopped_across", "straggled", "straggled_missed", "straggled_invented"),
-				bar("What must be none", "", "below_floor", "conflicts", "unanswered", "record_faults")},
+				bar("What must be none", "", "below_floor", "conflicts", "unanswered", "record_faults"),
+				bar("Records tampered with", "", "tampered", "tamper_missed", "tamper_invented")},
 			"pair": {bar("p99, on and off", "ms", "p99_on_ms", "p99_off_ms"), bar("CPU a job, on and off", "us", "cpu_on_us_a_job", "cpu_off_us_a_job")},
 		}[phase]
 	}
