--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -66,9 +66,10 @@
 	var all []*writer
 	for i, name := range []string{"a", "b", "c"} {
 		all = append(all, begin(dir, name, 3, &now, int64(i)*2500, o))
+		now += 137 // their monotonic clocks begin at different times
 	}
-	yes, no := true, false
-	c := all[2]
+	yes, no, begun := true, false, now
+	a, c := all[0], all[2]
 	witness := func() {
 		for _, w := range all {
 			w.settled(t, 1)
@@ -77,7 +78,7 @@
 			seen := make(map[string]Seen)
 			for _, p := range all {
 				if p != w {
-					seen[p.name] = Seen{Head: p.Head(), OffMs: p.off - w.off, ErrMs: 2}
+					seen[p.name] = Seen{Head: p.Head(), OffMs: w.since - p.since, ErrMs: 2}
 				}
 			}
 			w.add(Entry{Kind: Witness, Seen: seen})
@@ -95,6 +96,7 @@
 	for i := range 8 { // the date is 3000 ms after this
 		if i == 3 {
 			c.off -= 9000
+			a.off += 7000 // the reference's clock steps too
 			witness()
 		}
 		since := *c.now - c.since
@@ -110,7 +112,7 @@
 	} else {
 		c.add(Entry{Kind: Standing, Acts: &no, Why: "alone"})
 	}
-	now = 1_700_000_000_000 + 1000 + 3000 + 400 + map[bool]int64{true: 600}[cActs]
+	now = begun + 1000 + 3000 + 400 + map[bool]int64{true: 600}[cActs]
 	c.add(Entry{Kind: Adopted, Epoch: id, Floor: 7, Within: 2000, From: "b"})
 	c.add(Entry{Kind: Standing, Acts: &yes})
 	for _, w := range all {
--- a/audit/entry.go
+++ b/audit/entry.go
@@ -98,7 +98,7 @@
 // Seen is what a witness says of a peer.
 type Seen struct {
 	Head  Head  `json:"head"`
-	OffMs int64 `json:"off_ms"` // the peer's wall clock less the own one, and how wrong that may be
+	OffMs int64 `json:"off_ms"` // the peer's monotonic clock less the own one, and how wrong that may be
 	ErrMs int64 `json:"err_ms"`
 }
 
--- a/audit/log.go
+++ b/audit/log.go
@@ -53,6 +53,7 @@
 	head  Head
 	ended bool
 	wake  chan struct{}
+	close chan struct{}
 	done  chan struct{}
 
 	// The goroutine's own.
@@ -89,7 +90,7 @@
 			return os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o644)
 		}
 	}
-	l = &Log{o: o, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	l = &Log{o: o, wake: make(chan struct{}, 1), close: make(chan struct{}), done: make(chan struct{})}
 	if rec, err := readMember(o.Dir, o.Member); err == nil {
 		before = rec.head
 		l.prev = rec.head.Hash
@@ -134,18 +135,21 @@
 	return l.all
 }
 
-// Close writes what waits, and ends the log.
-func (l *Log) Close() {
+// End has what waits written, and ends the log; the channel is closed once that is done.
+func (l *Log) End() (done <-chan struct{}) {
 	l.mu.Lock()
-	was := l.ended
-	l.ended = true
-	l.mu.Unlock()
-	if !was {
-		l.rouse()
+	if !l.ended {
+		l.ended = true
+		close(l.close)
 	}
-	<-l.done
+	l.mu.Unlock()
+	l.rouse()
+	return l.done
 }
 
+// Close is End, and waits.
+func (l *Log) Close() { <-l.End() }
+
 // run writes what waits, batch by batch: one fsync each, and at most one in Sync.
 func (l *Log) run() {
 	defer close(l.done)
@@ -161,7 +165,10 @@
 			}
 			return
 		}
-		time.Sleep(l.o.Sync) // others come meanwhile, for the same fsync
+		select { // others come meanwhile, for the same fsync
+		case <-time.After(l.o.Sync):
+		case <-l.close:
+		}
 	}
 }
 
--- a/audit/read.go
+++ b/audit/read.go
@@ -51,6 +51,7 @@
 	Incarnation uint64
 	Place       string
 	When        int64 // Unix milliseconds by the reference's clock, as far as is known; see Read
+	Loose       bool  // nothing was measured of its process's clock: the time is its own, and nothing is judged by it
 }
 
 // Record is all that was read of one member.
--- a/audit/timeline.go
+++ b/audit/timeline.go
@@ -48,55 +48,52 @@
 // slackMs is what clocks that were compared may still be off, and a span that straddles a date may reach over it.
 const slackMs = 250
 
-// align gives each entry a time by one clock, that of the first member: by each process's monotonic clock, which can't step, and
-// what its peers' clocks were compared to it. Where nothing tells, the member's own clock is taken, and that is said.
+// align gives each entry a time by one clock: that of the first member's first process. Each process's monotonic clock, which
+// can't step, is laid on it by what peers measured between their monotonic clocks, outwards from that process. Where nothing was
+// measured the process's own wall clock is taken, and that is said.
 func (a *Audit) align() {
 	type process struct {
 		member string
 		inc    uint64
 	}
-	base := make(map[process]int64) // of its monotonic clock, on the reference's
 	median := func(all []int64) int64 {
 		slices.Sort(all)
 		return all[len(all)/2]
 	}
-	own := make(map[process][]int64)
+	own := make(map[process][]int64)                 // wall less monotonic clock
+	between := make(map[process]map[process][]int64) // the second's monotonic clock less the first's
+	link := func(p, q process, off int64) {
+		if between[p] == nil {
+			between[p] = make(map[process][]int64)
+		}
+		between[p][q] = append(between[p][q], off)
+	}
+	base := make(map[process]int64) // of a monotonic clock, on the reference's wall clock
+	known := make(map[process]bool)
+	var next []process
 	for _, m := range a.Members {
 		for _, e := range a.records[m].Entries {
 			p := process{m, e.Incarnation}
 			own[p] = append(own[p], e.Wall-e.Mono)
+			for peer, seen := range e.Seen {
+				if q := (process{peer, seen.Head.Incarnation}); seen.ErrMs < slackMs {
+					link(p, q, seen.OffMs)
+					link(q, p, -seen.OffMs)
+				}
+			}
 		}
 	}
-	ref := a.Members[0]
-	offset := make(map[process]int64) // of its wall clock against the reference's
-	known := make(map[process]bool)
-	for p, walls := range own {
-		if p.member == ref {
-			base[p], known[p] = median(walls), true
-		}
+	if first := a.records[a.Members[0]].Entries; len(first) > 0 {
+		p := process{a.Members[0], first[0].Incarnation}
+		base[p], known[p], next = median(own[p]), true, []process{p}
 	}
-	for changed := true; changed; { // outwards from the reference: each by those that it was compared with
-		changed = false
-		for p := range own {
-			if known[p] {
-				continue
-			}
-			var bases, offsets []int64
-			for _, e := range a.records[p.member].Entries {
-				if e.Incarnation != p.inc {
-					continue
-				}
-				for peer, seen := range e.Seen {
-					q := process{peer, seen.Head.Incarnation}
-					if known[q] && seen.ErrMs < slackMs {
-						bases = append(bases, e.Wall+seen.OffMs-offset[q]-e.Mono)
-						offsets = append(offsets, offset[q]-seen.OffMs)
-					}
-				}
-			}
-			if len(bases) > 0 {
-				base[p], offset[p], known[p] = median(bases), median(offsets), true
-				changed = true
+	for ; len(next) > 0; next = next[1:] {
+		p := next[0]
+		for _, q := range slices.SortedFunc(maps.Keys(between[p]), func(x, y process) int {
+			return cmp.Or(cmp.Compare(x.member, y.member), cmp.Compare(x.inc, y.inc))
+		}) {
+			if !known[q] {
+				base[q], known[q], next = base[p]-median(between[p][q]), true, append(next, q)
 			}
 		}
 	}
@@ -105,8 +102,8 @@
 		for i := range r.Entries {
 			e := &r.Entries[i]
 			p := process{m, e.Incarnation}
-			if !known[p] {
-				base[p], known[p] = median(own[p]), true
+			if e.Loose = !known[p]; e.Loose {
+				base[p] = median(own[p])
 				if len(a.Members) > 1 {
 					a.find(Unheard, m, fmt.Sprintf("incarnation %d", e.Incarnation), "its clock was compared with nobody's: its times are its own")
 				}
@@ -147,7 +144,7 @@
 		trust = max(trust, e.Trust)
 	}
 	for _, e := range a.Timeline {
-		if e.Epoch == nil || e.Kind != InForce && e.Kind != Adopted && e.Kind != Proposed {
+		if e.Loose || e.Epoch == nil || e.Kind != InForce && e.Kind != Adopted && e.Kind != Proposed {
 			continue
 		}
 		l := lives[*e.Epoch]
@@ -197,7 +194,7 @@
 		under, acts, lastSeen := uint64(0), false, false
 		var s *Straggler
 		for _, e := range a.Timeline {
-			if e.Member != m {
+			if e.Member != m || e.Loose {
 				continue
 			}
 			if s == nil && e.When > l.Date && lastSeen && under < l.Floor && acts {
--- a/fleet/agent/agent.go
+++ b/fleet/agent/agent.go
@@ -64,6 +64,7 @@
 	classes   map[string]audit.Count
 	spanAt    time.Duration
 	witnessAt time.Duration
+	witnessed bool
 	seq       int64 // of the list of servers
 	ticking   *deadline.Deadline
 	ended     bool
@@ -78,8 +79,9 @@
 	heard  time.Duration
 	tries  int
 	next   time.Duration
-	pings  map[uint64]int64 // wall clock at which a ping was sent, by its number
-	off    int64            // the peer's wall clock less the own one, and how wrong that may be
+	pings  map[uint64]int64 // the own monotonic clock at which a ping was sent, by its number
+	off    int64            // the peer's monotonic clock less the own one, and how wrong that may be
+	skew   int64            // the same of the wall clocks
 	err    int64
 	known  bool
 	bytes  int64
@@ -155,7 +157,7 @@
 	if now-a.spanAt >= a.o.Span {
 		a.span()
 	}
-	if now-a.witnessAt >= witnessBeats*a.o.Member.Beat {
+	if wait := witnessBeats * a.o.Member.Beat; now-a.witnessAt >= wait || !a.witnessed && now-a.began > wait/5 { // soon at first: it may be killed young
 		a.witness()
 	}
 }
@@ -224,7 +226,7 @@
 
 // tell sends a word to a peer: on the link that this member made, or, where that is down, on the peer's own.
 func (a *Agent) tell(to string, w fleet.Word) {
-	w.Stamp, w.Wall, w.Head = a.clock.Now(a.o.Wall()), a.o.Wall(), a.log.Head()
+	w.Stamp, w.Wall, w.Mono, w.Head = a.clock.Now(a.o.Wall()), a.o.Wall(), a.mono(), a.log.Head()
 	text, err := json.Marshal(w)
 	if err != nil {
 		a.o.Log.Error("a word that can't be written", "err", err) // of plain values: a fault of the program
@@ -235,7 +237,7 @@
 		return
 	}
 	if w.Kind == fleet.Ping {
-		n.pings[w.Number] = w.Wall
+		n.pings[w.Number] = w.Mono
 		for number := range n.pings {
 			if number+200 < w.Number {
 				delete(n.pings, number)
@@ -267,9 +269,9 @@
 	a.clock.Saw(w.Stamp)
 	if sent, known := n.pings[w.Number]; w.Kind == fleet.Pong && known {
 		delete(n.pings, w.Number)
-		if now := a.o.Wall(); now >= sent { // a clock that stepped back meanwhile tells nothing
-			n.off, n.err, n.known = w.Wall-(sent+now)/2, (now-sent)/2+1, true
-		}
+		now := a.mono()
+		n.off, n.err, n.known = w.Mono-(sent+now)/2, (now-sent)/2+1, true
+		n.skew = w.Wall - a.o.Wall() + (now-sent)/2
 	}
 	a.event(fleet.Event{Kind: fleet.Heard, Word: w})
 	return nil
@@ -316,6 +318,7 @@
 		}
 	}
 	if len(seen) > 0 {
+		a.witnessed = true
 		a.add(audit.Entry{Kind: audit.Witness, Seen: seen})
 	}
 }
@@ -331,20 +334,15 @@
 	a.add(audit.Entry{Kind: audit.Command, Words: "settings", Settings: digest})
 }
 
-// Stop ends the member: its peers are told, and the record is closed with what was done.
-func (a *Agent) Stop(why string) {
+// Stop ends the member: its peers are told, and the record is closed with what was done. The disk is waited for in a goroutine, not
+// here: done is called once nothing more is written, by that goroutine.
+func (a *Agent) Stop(why string, done func()) {
 	if a.ended {
 		return
 	}
 	a.span()
 	a.add(audit.Entry{Kind: audit.Stop, Why: why})
 	a.do(a.core.Handle(a.o.Loop.Now(), fleet.Event{Kind: fleet.Leaving}))
-	a.Abandon()
-	a.log.Close()
-}
-
-// Abandon ends the links without a word, as the next process of this member has taken its place.
-func (a *Agent) Abandon() {
 	a.ended = true
 	a.o.Loop.Deadlines.Drop(a.ticking)
 	for _, n := range a.links {
@@ -355,7 +353,12 @@
 	for l := range a.accepted {
 		l.Finish()
 	}
-	a.state.close()
+	state, record := a.state.end(), a.log.End()
+	go func() {
+		<-state
+		<-record
+		done()
+	}()
 }
 
 // Opened takes a connection that a peer or a tool made.
@@ -488,9 +491,9 @@
 	Vote       audit.ID        `json:"vote"`
 	HeardMs    int64           `json:"heard_ms"`
 	AnsweredMs int64           `json:"answered_ms"`
-	Link       string          `json:"link"` // "up", or why not
-	OffMs      int64           `json:"off_ms"`
-	Bytes      int64           `json:"bytes"` // of words to it
+	Link       string          `json:"link"`    // "up", or why not
+	SkewMs     int64           `json:"skew_ms"` // of its wall clock
+	Bytes      int64           `json:"bytes"`   // of words to it
 	Dropped    int             `json:"dropped"`
 }
 
@@ -539,7 +542,7 @@
 	for _, p := range a.core.Peers() {
 		n := a.links[p.Name]
 		ps := PeerStatus{State: p.State, Inc: p.Inc, Acting: p.Adopted, Vote: p.Accepted, HeardMs: age(p.Heard), AnsweredMs: age(p.Answered),
-			Link: "up", OffMs: n.off, Bytes: n.bytes}
+			Link: "up", SkewMs: n.skew, Bytes: n.bytes}
 		if !n.up {
 			ps.Link = "down"
 			if n.failed != "" {
--- a/fleet/agent/disk.go
+++ b/fleet/agent/disk.go
@@ -14,10 +14,11 @@
 	told  []func(error)
 	ended bool
 	wake  chan struct{}
+	done  chan struct{}
 }
 
 func newStateWriter(path string) *stateWriter {
-	w := &stateWriter{path: path, wake: make(chan struct{}, 1)}
+	w := &stateWriter{path: path, wake: make(chan struct{}, 1), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -39,6 +40,7 @@
 }
 
 func (w *stateWriter) run() {
+	defer close(w.done)
 	for range w.wake {
 		w.mu.Lock()
 		s, told, ended := w.next, w.told, w.ended
@@ -56,9 +58,11 @@
 	}
 }
 
-func (w *stateWriter) close() {
+// end has the last state written; the channel is closed once that is done, and nothing more is written.
+func (w *stateWriter) end() (done <-chan struct{}) {
 	w.mu.Lock()
 	w.ended = true
 	w.mu.Unlock()
 	w.rouse()
+	return w.done
 }
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -76,6 +76,7 @@
 	Content []byte `json:"content,omitempty"`
 
 	Stamp audit.Stamp `json:"stamp"` // the shell's: for the record alone
+	Mono  int64       `json:"mono"`  // milliseconds of the sender's monotonic clock
 	Wall  int64       `json:"wall"`
 	Head  audit.Head  `json:"head"`
 }
@@ -350,6 +351,9 @@
 	c.note(audit.Entry{Kind: audit.Proposed, Epoch: &e.ID, Floor: e.Floor, Within: e.Within.Milliseconds()})
 	c.epochs[e.ID] = e
 	c.votes[e.ID] = make(map[string]bool)
+	if _, known := c.openAt[e.Number]; !known {
+		c.openAt[e.Number] = now
+	}
 	c.settle()
 	c.stand()
 	return c.take(), nil
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -369,6 +369,9 @@
 	if err := f.propose(f.hosts[0], epoch(1, 1, strings.Repeat("x", donateMost/3))); err != nil {
 		t.Fatal(err)
 	}
+	if !f.hosts[0].Last().Acts {
+		t.Errorf("the one who proposes stands as %+v", f.hosts[0].Last())
+	}
 	f.pass(2 * time.Second)
 	for _, h := range f.hosts[11:] {
 		h.paused = false
--- a/fleettest/bench.go
+++ b/fleettest/bench.go
@@ -685,6 +685,27 @@
 	return a, b.asked, errors.Join(err, readErr)
 }
 
+// Keep copies the bench's files, logs and records among them, to a folder.
+func (b *Bench) Keep(to string) error {
+	return filepath.WalkDir(b.o.Dir, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || !d.Type().IsRegular() { // sockets of hand-overs lie there too
+			return err
+		}
+		rel, err := filepath.Rel(b.o.Dir, path)
+		if err != nil {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		if err := os.MkdirAll(filepath.Dir(filepath.Join(to, rel)), 0o755); err != nil {
+			return err
+		}
+		return os.WriteFile(filepath.Join(to, rel), text, 0o600)
+	})
+}
+
 // Records are the folders of the members' records.
 func (b *Bench) Records() (dirs []string) {
 	for _, p := range b.all {
--- a/lab/fleetplays.go
+++ b/lab/fleetplays.go
@@ -136,7 +136,7 @@
 	}
 	defer b.Close()
 	if err = play(b); err != nil && r.Logs != "" {
-		err = errors.Join(err, os.CopyFS(filepath.Join(r.Logs, filepath.Base(o.Dir)), os.DirFS(o.Dir)))
+		err = errors.Join(err, b.Keep(filepath.Join(r.Logs, filepath.Base(o.Dir))))
 	}
 	return err
 }
