Take the largest part of processes whose clocks were compared for the audit's reference

Cause: the two cases that kill whole fleets failed: the first member's first process was killed young, so that all others hung together with each other but not with it, and nothing of them was judged. Change: the reference is in the largest part that hangs together; adoption counts whatever the clock, times only where they were measured.

--- a/audit/timeline.go
+++ b/audit/timeline.go
@@ -68,12 +68,13 @@
 		}
 		between[p][q] = append(between[p][q], off)
 	}
-	base := make(map[process]int64) // of a monotonic clock, on the reference's wall clock
-	known := make(map[process]bool)
-	var next []process
+	var all []process
 	for _, m := range a.Members {
 		for _, e := range a.records[m].Entries {
 			p := process{m, e.Incarnation}
+			if own[p] == nil {
+				all = append(all, p)
+			}
 			own[p] = append(own[p], e.Wall-e.Mono)
 			for peer, seen := range e.Seen {
 				if q := (process{peer, seen.Head.Incarnation}); seen.ErrMs < slackMs {
@@ -83,17 +84,29 @@
 			}
 		}
 	}
-	if first := a.records[a.Members[0]].Entries; len(first) > 0 {
-		p := process{a.Members[0], first[0].Incarnation}
-		base[p], known[p], next = median(own[p]), true, []process{p}
-	}
-	for ; len(next) > 0; next = next[1:] {
-		p := next[0]
-		for _, q := range slices.SortedFunc(maps.Keys(between[p]), func(x, y process) int {
-			return cmp.Or(cmp.Compare(x.member, y.member), cmp.Compare(x.inc, y.inc))
-		}) {
-			if !known[q] {
-				base[q], known[q], next = base[p]-median(between[p][q]), true, append(next, q)
+	// The largest part that hangs together is taken, and in it the first process for the reference.
+	base := make(map[process]int64) // of a monotonic clock, on the reference's wall clock
+	known := make(map[process]bool)
+	seen := make(map[process]bool)
+	for _, first := range all {
+		part := map[process]int64{first: median(own[first])}
+		for next := []process{first}; len(next) > 0 && !seen[first]; next = next[1:] {
+			p := next[0]
+			for _, q := range slices.SortedFunc(maps.Keys(between[p]), func(x, y process) int {
+				return cmp.Or(cmp.Compare(x.member, y.member), cmp.Compare(x.inc, y.inc))
+			}) {
+				if _, has := part[q]; !has && own[q] != nil {
+					part[q], next = part[p]-median(between[p][q]), append(next, q)
+				}
+			}
+		}
+		for p := range part {
+			seen[p] = true
+		}
+		if len(part) > len(base) {
+			base, known = part, make(map[process]bool)
+			for p := range part {
+				known[p] = true
 			}
 		}
 	}
@@ -117,34 +130,34 @@
 		stamp Stamp
 		e     *Placed
 	}
-	var all []keyed
+	var ordered []keyed
 	for _, m := range a.Members {
 		for i := range a.records[m].Entries {
 			e := &a.records[m].Entries[i]
 			if e.Entry.At.Compare(stamps[m]) > 0 {
 				stamps[m] = e.Entry.At
 			}
-			all = append(all, keyed{stamps[m], e})
+			ordered = append(ordered, keyed{stamps[m], e})
 		}
 	}
-	slices.SortStableFunc(all, func(x, y keyed) int {
+	slices.SortStableFunc(ordered, func(x, y keyed) int {
 		return cmp.Or(x.stamp.Compare(y.stamp), cmp.Compare(x.e.Member, y.e.Member), cmp.Compare(x.e.Incarnation, y.e.Incarnation),
 			cmp.Compare(x.e.Seq, y.e.Seq))
 	})
-	for _, k := range all {
+	for _, k := range ordered {
 		a.Timeline = append(a.Timeline, *k.e)
 	}
 }
 
 // judge holds what was done against the roll-outs' rules.
 func (a *Audit) judge() {
-	lives := make(map[ID]*EpochLife)
+	lives, loose := make(map[ID]*EpochLife), make(map[*EpochLife]bool)
 	trust := int64(0)
 	for _, e := range a.Timeline {
 		trust = max(trust, e.Trust)
 	}
 	for _, e := range a.Timeline {
-		if e.Loose || e.Epoch == nil || e.Kind != InForce && e.Kind != Adopted && e.Kind != Proposed {
+		if e.Epoch == nil || e.Kind != InForce && e.Kind != Adopted && e.Kind != Proposed {
 			continue
 		}
 		l := lives[*e.Epoch]
@@ -152,8 +165,9 @@
 			l = &EpochLife{ID: *e.Epoch, Adopted: make(map[string]int64)}
 			lives[*e.Epoch] = l
 		}
-		if e.Kind != Proposed && (l.InForce == 0 || e.When < l.InForce) { // what a disk held was in force before
-			l.InForce = e.When
+		// What a disk held was in force before. A time that nothing was measured for counts only where there is no other.
+		if e.Kind != Proposed && (l.InForce == 0 || loose[l] && !e.Loose || loose[l] == e.Loose && e.When < l.InForce) {
+			l.InForce, loose[l] = e.When, e.Loose
 		}
 		if e.Within > 0 {
 			l.Floor = e.Floor
