--- a/operator/operator.go
+++ b/operator/operator.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"log/slog"
 	"os"
-	"regexp"
+	"strings"
 	"time"
 
 	"ravendale/xmlfile"
@@ -86,7 +86,13 @@
 	MostRecord  = 1 << 40
 )
 
-var memberName = regexp.MustCompile(`^[A-Za-z0-9_-]{1,64}$`)
+// named says whether a text may be a member's name, which is a part of files' names. No regexp: its tables would be pages of every
+// process.
+func named(text string) bool {
+	return text != "" && len(text) <= 64 && !strings.ContainsFunc(text, func(r rune) bool {
+		return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && r != '_' && r != '-'
+	})
+}
 
 // Defaults puts in what the file leaves out.
 func (f *Fleet) Defaults() {
@@ -130,7 +136,7 @@
 
 // Check implements xmlfile.Checker.
 func (m *Member) Check(bad func(string)) {
-	if !memberName.MatchString(m.Name) {
+	if !named(m.Name) {
 		bad(fmt.Sprintf("name: %q is not 1 to 64 letters, digits, - and _", m.Name))
 	}
 }
