Keep what waits for a connection from being sent when its request or window is over

Where the settings allow no cancel the module gives none (dispatcher.go, cancel), so backend.Withdraw was never called and link.Connected carried the attempt of a request that was over. The module looked at the window when it decided (placement.go, mayFollow), nobody when the bytes went (backend.go, carry and finish). Ruled out: answers given twice, the guard, ids (none of the lines), zones moved by a list (the repeat went within its zone).

Change: the end of a session, whatever its cause, retracts each attempt that has not begun, which ends as not sent; Send carries until when it may go, and the backend looks at both before the first byte and before the last (Dispatch.Due).

--- a/api.go
+++ b/api.go
@@ -264,7 +264,7 @@
 type ActionKind uint8
 
 const (
-	Send      ActionKind = iota // Job, Worker: attempts count 0, 1, 2 in the order of their sends
+	Send      ActionKind = iota // Job, Worker, By: attempts count 0, 1, 2 in the order of their sends
 	Cancel                      // Job, Attempt
 	Refuse                      // Job, Wait: final; a retry can do no harm, best after Wait
 	Fail                        // Job: final, without that promise
@@ -281,6 +281,7 @@
 	Worker  string
 	Attempt int
 	Wait    time.Duration
+	By      time.Duration // on the clock of the events: the send's last byte may go until then, whenever a connection is there
 	To      int
 	Data    []byte
 }
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -440,9 +440,7 @@
 		d.send(j, w)
 		return
 	}
-	first := j.bound()
-	if len(j.attempts) >= j.most || first != nil && (j.class.Effect == Unsafe ||
-		j.class.Effect == Keyed && d.now-first.sentAt >= j.class.Window) {
+	if len(j.attempts) >= j.most || d.now >= d.repeatBy(j) {
 		d.giveUp(j)
 		return
 	}
@@ -450,7 +448,16 @@
 	d.wake(j.due)
 }
 
+// repeatBy is until when a job may be sent again: see take for the windows of those that are not keyed.
+func (d *Dispatcher) repeatBy(j *job) time.Duration {
+	if first := j.bound(); first != nil {
+		return first.sentAt + j.class.Window - answerTicks*d.set.Tick
+	}
+	return never
+}
+
 func (d *Dispatcher) send(j *job, w *worker) {
+	d.acts = append(d.acts, Action{Kind: Send, Job: j.id, Worker: w.Worker, By: d.repeatBy(j)})
 	j.attempts = append(j.attempts, attempt{w: w, zone: w.Zone, cell: w.Cell, sentAt: d.now, out: true, mayRun: true})
 	j.out++
 	j.live++
@@ -460,7 +467,6 @@
 	if d.warmth(w) < 1 {
 		w.tokens -= j.cost
 	}
-	d.acts = append(d.acts, Action{Kind: Send, Job: j.id, Worker: w.Worker})
 }
 
 // copyOldest is pi-gamma: at each arrival and finish, while N <= gamma, the oldest uncopied safe job is copied on idle room.
--- a/placement.go
+++ b/placement.go
@@ -20,7 +20,7 @@
 
 // pick returns the ready worker of the job's kind with fewest of our slots in flight, or nil; for a copy, one with none.
 func (d *Dispatcher) pick(j *job, idle bool) *worker {
-	if len(j.attempts) >= j.most {
+	if len(j.attempts) >= j.most || d.now >= d.repeatBy(j) {
 		return nil
 	}
 	// What must not run twice can't be taken back from a queue: worth under half of the mean it waits here while room is scarce.
@@ -130,23 +130,15 @@
 	return nil
 }
 
-// mayFollow says whether a job that may have run on first's worker may go to w as well.
+// mayFollow says whether a job that may have run on first's worker may go to w as well, before repeatBy.
 func (d *Dispatcher) mayFollow(j *job, first *attempt, w *worker) bool {
 	for i := range j.attempts {
-		if j.attempts[i].out && j.attempts[i].w == w {
+		if j.attempts[i].out && (j.attempts[i].w == w || !d.set.MayCopy) {
 			return false
 		}
 	}
-	switch {
-	case j.out > 0 && !d.set.MayCopy || j.class.Effect == Unsafe:
-		return false
-	case j.class.Effect == Safe:
-		return true
-	case d.now-first.sentAt >= j.class.Window-answerTicks*d.set.Tick:
-		return false
-	}
 	group := j.class.Group
-	return group == GroupAll || group == GroupZone && w.Zone == first.zone && w.Zone >= 0 ||
+	return j.class.Effect == Safe || group == GroupAll || group == GroupZone && w.Zone == first.zone && w.Zone >= 0 ||
 		group == GroupCell && w.Cell == first.cell && w.Cell >= 0
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"ravendale"
@@ -20,6 +21,7 @@
 type Backend interface {
 	Send(d *Dispatch)
 	Withdraw(d *Dispatch) // stop waiting for it, and stop the work if possible
+	Retract(d *Dispatch)  // its request is over: unless it has begun it must not, and ends as not sent
 	Avoid(worker string)  // it drains or is gone: what is not on its way there must not go
 
 	Settled(d *Dispatch) bool // whether it needs no connection of this process any more
@@ -242,6 +244,8 @@
 	Core  int // that carries it out, where there are several
 
 	number int
+	by     time.Duration // a repeat that begins later could run twice
+	off    atomic.Bool   // its request is over
 	sentAt time.Duration
 	timer  *deadline.Deadline
 	begun  bool // the backend has it
@@ -251,6 +255,10 @@
 // Repeatable says whether the request may run any number of times.
 func (d *Dispatch) Repeatable() bool { return d.Session.class.Effect == ravendale.Safe }
 
+// Due says whether the last byte of the request, with which it begins, may be written at a time. Any loop may ask. A connection can
+// take longer to come up than the request lives, or than a server drops a repeat of it.
+func (d *Dispatch) Due(now time.Duration) bool { return !d.off.Load() && now < d.by }
+
 // Exchange is the request that the dispatch is for.
 func (d *Dispatch) Exchange() *Exchange { return d.Session.ex }
 
@@ -384,7 +392,7 @@
 
 func (n *Session) send(a *ravendale.Action) {
 	s, now := n.s, n.s.loop.Now()
-	d := &Dispatch{Session: n, Worker: a.Worker, Deadline: n.answerBy, number: len(n.dispatches), sentAt: now}
+	d := &Dispatch{Session: n, Worker: a.Worker, Deadline: n.answerBy, number: len(n.dispatches), by: a.By, sentAt: now}
 	if a.Wait > 0 {
 		d.Deadline = min(d.Deadline, now+a.Wait)
 	}
@@ -501,6 +509,16 @@
 	}
 	n.s.count(n.class.Name, a.Kind)
 	n.ex.Answer(a)
+	n.retract()
+}
+
+// retract keeps what has not begun from beginning, where the module may not cancel, too.
+func (n *Session) retract() {
+	for _, d := range n.dispatches {
+		if !d.ended {
+			n.s.backend.Retract(d)
+		}
+	}
 }
 
 // unsent tells whether an answer ends a request that no backend server was sent, and why: with time left, the module
@@ -528,10 +546,14 @@
 	}
 	n.close()
 	n.s.feed(ravendale.Event{Kind: ravendale.ClientLeft, Job: n.job})
+	n.retract()
 }
 
 func (n *Session) close() {
 	n.closed = true
+	for _, d := range n.dispatches {
+		d.off.Store(true)
+	}
 	n.s.loop.Deadlines.Drop(n.guard)
 	delete(n.s.byID, n.ex.ID)
 	n.s.keep(n.ex.ID, n.s.idKept(), &n.s.kept)
--- a/settings.go
+++ b/settings.go
@@ -40,6 +40,14 @@
 // never run twice.
 func (d *Dispatcher) take(s Settings) {
 	s.Classes = append(s.Classes[:len(s.Classes):len(s.Classes)], Class{Effect: Unsafe, Kind: -1, LateWorth: 1})
+	for i := range s.Classes { // for so long a job may be sent again that may have run
+		switch c := &s.Classes[i]; c.Effect {
+		case Safe:
+			c.Window = never / 2 // for good, and still a sum with a time is no overflow
+		case Unsafe:
+			c.Window = 0
+		}
+	}
 	seen := make([]*seenOfClass, len(s.Classes))
 	for i, c := range s.Classes {
 		seen[i] = &seenOfClass{}
