--- a/transport/nbionet/nbionet_test.go
+++ b/transport/nbionet/nbionet_test.go
@@ -392,6 +392,63 @@
 	}
 }
 
+// A close over unread bytes destroys what the system still holds back of small writes, so it must hold back none: on connections that were
+// accepted, on an own or an inherited listener, dialled, and given by another process.
+func TestSmallWritesAreNotHeldBack(t *testing.T) {
+	e, o, accepted, near, far, _ := linked(t)
+	check := func(which string, c transport.Conn) {
+		t.Helper()
+		if on, err := syscall.GetsockoptInt(c.(*conn).nb.Hash(), syscall.IPPROTO_TCP, syscall.TCP_NODELAY); err != nil || on != 1 {
+			t.Errorf("%s: TCP_NODELAY is %d, %v", which, on, err)
+		}
+	}
+	file, err := e.gates[0].ln.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	fd, err := syscall.Dup(int(file.Fd()))
+	file.Close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	inherited, err := Listen("ignored", fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, which := range []string{"accepted", "inherited"} {
+		if which == "inherited" {
+			e.gates[0].Pause()
+			e.Serve(inherited, 4, func(c transport.Conn) transport.Handler {
+				n := newEnd()
+				n.net = c
+				accepted <- n
+				return n
+			})
+		}
+		dialled := newEnd()
+		o.on(func() { dialled.net = e.Dial(inherited.Addr().String(), dialled) })
+		<-dialled.connected
+		held := <-accepted
+		o.on(func() {
+			check("dialled", dialled.net)
+			check(which, held.net)
+			near.net.(transport.Carrier).Carry([]byte("with it"), held.net).Drop()
+		})
+		<-far.data
+		adopted := newEnd()
+		o.on(func() {
+			err = e.Adopt(far.net.(transport.Carrier).Given(), nil, func(c transport.Conn) transport.Handler {
+				check("given", c)
+				adopted.net = c
+				return adopted
+			})
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // What was given away must not stay in epoll, which would tell its events to whoever has the number next.
 func TestACopyLeavesEpoll(t *testing.T) {
 	fds, _ := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM, 0)
