Let the poller alone close descriptors, so that no event ends a connection that came after

Cause, proved by a test: nbio (v1.6.8, poller_epoll.go:256) looks up by descriptor number whom an event is for when it comes to it. Between epoll_wait and that the loop's owner could close a connection (nbionet.go, Close; and Write, where nbio closes upon an error), and a connection accepted or dialled meanwhile got its number: the old one's end was taken for the new one's, which was closed with whatever it carried. The poller waits for its turn in the middle of a batch, so resets and closes under load make room for it. Ruled out: the client, the gate, the shutdown before the close (it closes the socket, not the number).

Change: leave: the owner shuts the socket down and ignores it, and the poller closes it when it hears of that. Write goes to the system itself and leaves nbio only what that did not take; an error leaves the same way. A connection given to another process can't be shut down: it is closed after an echo through the poller.

Test: the poller gets bytes and two ends in one batch; while it hands over the bytes both are closed, or written to, and a third is dialled, which gets their number.

--- a/fleet/agent/call.go
+++ b/fleet/agent/call.go
@@ -79,3 +79,4 @@
 func (b blocking) Finish()                                       {}
 func (b blocking) Close()                                        { _ = b.Conn.Close() }
 func (b blocking) Unwritten() int                                { return 0 }
+func (b blocking) Peer() string                                  { return b.RemoteAddr().String() }
--- a/fleet/link/link_test.go
+++ b/fleet/link/link_test.go
@@ -30,6 +30,7 @@
 func (e *end) Finish()                                           {}
 func (e *end) Close()                                            { e.ended = true }
 func (e *end) Unwritten() int                                    { return e.stuck }
+func (e *end) Peer() string                                      { return "" }
 func (e *end) Dial(_ string, h transport.Handler) transport.Conn { e.dialled = h; return e }
 func (e *end) Up(*Link)                                          { e.up++ }
 func (e *end) Heard(_ *Link, _ frames.Kind, content []byte) {
--- a/transport/nbionet/nbionet.go
+++ b/transport/nbionet/nbionet.go
@@ -325,7 +325,7 @@
 		g.left()
 		return
 	}
-	n := &conn{nb: c, gate: g}
+	n := &conn{e: e, nb: c, gate: g}
 	hold(c, n)
 	// In one turn: nbio fails upon a write to a connection that it was not given yet, and what is read waits for the turn.
 	e.loop.Post(func() {
@@ -401,7 +401,7 @@
 		return e.dialLocal(addr, h)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), e.timeout)
-	n := &conn{handler: h, cancel: cancel}
+	n := &conn{e: e, handler: h, cancel: cancel}
 	go func() {
 		defer cancel()
 		c, err := e.dial(ctx, addr, n)
@@ -462,6 +462,7 @@
 
 // conn is a connection as the owner sees it. Only what is atomic is shared with nbio's goroutines.
 type conn struct {
+	e         *Engine
 	nb        *nbio.Conn
 	handler   transport.Handler
 	open      bool
@@ -479,7 +480,8 @@
 func (n *conn) connected(c *nbio.Conn, err error) {
 	switch {
 	case n.gone && c != nil:
-		_ = c.Close() // given up while it was being made
+		n.nb = c
+		n.leave() // given up while it was being made
 		return
 	case err != nil:
 		n.lost(err)
@@ -518,11 +520,43 @@
 		return
 	}
 	n.queued.Add(int64(len(b)))
-	_, _ = n.nb.Write(b) // an error closes the connection, and that is reported
+	if n.Unwritten() == int(len(b)) { // nbio has nothing of it to write first
+		took, err := n.writeNow(b)
+		if n.written.Add(int64(took)); err != nil {
+			n.leave() // which is reported
+			return
+		}
+		b = b[took:]
+	}
+	if len(b) > 0 {
+		_, _ = n.nb.Write(b) // an error closes the connection, and that is reported
+	}
+}
+
+// writeNow writes what the system takes at once. nbio's Write would close a connection upon an error where it stands: see leave.
+func (n *conn) writeNow(b []byte) (took int, err error) {
+	n.nb.Lock()
+	defer n.nb.Unlock()
+	if closed, _ := n.nb.IsClosed(); closed {
+		return 0, nil
+	}
+	took, err = syscall.Write(n.nb.Hash(), b)
+	if err == syscall.EAGAIN || err == syscall.EINTR {
+		err = nil
+	}
+	return max(took, 0), err
 }
 
 func (n *conn) Unwritten() int { return int(n.queued.Load() - n.written.Load()) }
 
+// Peer implements transport.Conn.
+func (n *conn) Peer() string {
+	if n.nb == nil || n.nb.RemoteAddr() == nil {
+		return ""
+	}
+	return n.nb.RemoteAddr().String()
+}
+
 func (n *conn) Ignore() { n.ignoring.Store(true) }
 
 func (n *conn) Finish() {
@@ -543,9 +577,16 @@
 	n.nb.Unlock()
 }
 
-// Close ends the connection, at once for the other side too. The shutdown guards against a close that meets the
-// poller's epoll_wait while that looks at the socket: the system (seen on Linux 6.18) then releases the
-// socket only when that call returns, which without other traffic is never.
+// leave ends the connection, at once for the other side too, and has the poller close the descriptor when it hears of that. Closed by
+// anybody else the number may be another connection's before the poller comes to what epoll had told it of this one: nbio (v1.6.8,
+// poller_epoll.go:256) looks up by number whom an event is for, and would end the newcomer. A close that met the poller's epoll_wait was
+// no end either: the system (seen on Linux 6.18) released the socket only when that call returned.
+func (n *conn) leave() {
+	n.Ignore()
+	n.shutdown(syscall.SHUT_RDWR)
+}
+
+// Close implements transport.Conn.
 func (n *conn) Close() {
 	if !n.gone {
 		n.gone = true
@@ -553,8 +594,7 @@
 			n.cancel()
 		}
 		if n.open {
-			n.shutdown(syscall.SHUT_RDWR)
-			_ = n.nb.Close()
+			n.leave()
 		}
 	}
 }
--- a/transport/nbionet/nbionet_test.go
+++ b/transport/nbionet/nbionet_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bytes"
+	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -392,6 +396,108 @@
 	}
 }
 
+// onData is an end that does something in the turn in which bytes come.
+type onData struct {
+	*end
+	do func()
+}
+
+func (e onData) Data(b []byte) {
+	e.do()
+	e.end.Data(b)
+}
+
+// What epoll told of a connection before that was closed must not end another that has its number by then. The poller has both events, of
+// bytes and of two ends, from one call; while it hands over the bytes, the two connections are closed or written to, and a third is
+// dialled, which gets the numbers of both: one while it is made, and one to stay.
+func TestANewcomerOutlivesWhoHadItsNumber(t *testing.T) {
+	for how, leave := range map[string]func(c transport.Conn){
+		"closed":  func(c transport.Conn) { c.Close() },
+		"written": func(c transport.Conn) { c.Write([]byte("too late")) },
+	} {
+		t.Run(how, func(t *testing.T) {
+			e, o, accepted := start(t)
+			far, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer far.Close()
+			var clients []*net.TCPConn
+			var held []*end
+			dial := func() {
+				c, err := net.Dial("tcp", e.gates[0].Addr().String())
+				if err != nil {
+					t.Fatal(err)
+				}
+				clients, held = append(clients, c.(*net.TCPConn)), append(held, <-accepted)
+			}
+			for range 4 {
+				dial()
+			}
+			newcomer := &conn{handler: newEnd()}
+			o.on(func() {
+				held[1].net.(*conn).handler = onData{held[1], func() {
+					leave(held[2].net)
+					leave(held[3].net)
+					newcomer.connected(e.dial(context.Background(), far.Addr().String(), newcomer))
+				}}
+			})
+			o.Begin() // the poller waits for the turn with the first one's bytes, and what comes meanwhile it gets at once
+			_, _ = clients[0].Write([]byte("first"))
+			unread(t, clients[0])
+			_, _ = clients[1].Write([]byte("second"))
+			for _, c := range clients[2:] {
+				_ = c.SetLinger(0)
+				_ = c.Close()
+			}
+			for last := held[3].net.(*conn).nb.Hash(); ; { // no lower number is to be free than theirs
+				fd, err := syscall.Dup(0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer syscall.Close(fd)
+				if fd > last {
+					break
+				}
+			}
+			o.End()
+			<-held[1].data
+			passed := make(chan struct{}) // all that epoll had told by then
+			o.on(func() {
+				if err := e.Echo(func() { close(passed) }); err != nil {
+					t.Error(err)
+				}
+			})
+			<-passed
+			o.on(func() {
+				if closed, err := newcomer.nb.IsClosed(); closed {
+					t.Error("the newcomer was ended: ", err)
+				}
+			})
+			for _, c := range clients[:2] {
+				_ = c.Close()
+			}
+		})
+	}
+}
+
+// unread waits until the engine has read all that a client of this process sent, as the system's table of connections has it.
+func unread(t *testing.T, c net.Conn) {
+	t.Helper()
+	row := fmt.Sprintf("0100007F:%04X 0100007F:%04X 01 ", c.RemoteAddr().(*net.TCPAddr).Port, c.LocalAddr().(*net.TCPAddr).Port)
+	for till := time.Now().Add(20 * time.Second); time.Now().Before(till); {
+		table, err := os.ReadFile("/proc/net/tcp")
+		_, queues, found := strings.Cut(string(table), row)
+		if err != nil || !found {
+			t.Fatal("no such connection: ", err)
+		}
+		if queues[:17] == "00000000:00000000" {
+			return
+		}
+	}
+	t.Fatal("what was sent is not read")
+}
+
 // A close over unread bytes destroys what the system still holds back of small writes, so it must hold back none: on connections that were
 // accepted, on an own or an inherited listener, dialled, and given by another process.
 func TestSmallWritesAreNotHeldBack(t *testing.T) {
--- a/transport/nbionet/unix.go
+++ b/transport/nbionet/unix.go
@@ -219,7 +219,7 @@
 		_ = std.Close()
 		return fmt.Errorf("a connection that was given: %w", err)
 	}
-	n := &conn{nb: c, open: true, gate: gate}
+	n := &conn{e: e, nb: c, open: true, gate: gate}
 	if hold(c, n); gate != nil {
 		gate.admit()
 	}
@@ -260,7 +260,10 @@
 	n.nb.Unlock()
 	if err == nil {
 		n.gone = true
-		_ = n.nb.Close()
+		closeIt := func() { _ = n.nb.Close() }
+		if n.e.Echo(closeIt) != nil { // the poller may have an event of it still: see leave
+			closeIt()
+		}
 	}
 	return fd, err
 }
@@ -315,8 +318,9 @@
 	return l.queued
 }
 
-func (l *local) Ignore() {}
-func (l *local) Finish() {}
+func (l *local) Ignore()      {}
+func (l *local) Peer() string { return "" }
+func (l *local) Finish()      {}
 
 // Close ends the connection; the handler hears no more.
 func (l *local) Close() {
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -11,6 +11,7 @@
 	// Unwritten is how many bytes are known not to have been handed to the system. It still counts
 	// after the connection has closed.
 	Unwritten() int
+	Peer() string // the address of the other side, for people
 }
 
 // Handler hears of one connection. Closed comes once, unless the connection is closed by Conn.Close.
