--- a/emulator/node.go
+++ b/emulator/node.go
@@ -125,9 +125,6 @@
 // Falls is how often the node went down.
 func (n *Node) Falls() int { return n.falls }
 
-// Held is how many jobs run and wait.
-func (n *Node) Held() (running, waiting int) { return len(n.running), len(n.waiting) }
-
 // rate is how much of a job's work each running one does in a second at a time, warmth left out.
 func (n *Node) rate() float64 {
 	if len(n.running) == 0 {
