Count requests sent on after their clients left, by two debug lines and the lab's trace

Need: the term on clients that leave while they wait can't be shown from the logs: nothing said that a client left, or when the last byte went.

Change: 'left' and 'sent' at debug level; ravendale-lab trace counts clients that left before anything was sent, and what was sent on over 0.3 s later. Test: one sent 0.31 s later counts, one within 0.3 s and one sent before don't.

--- a/lab/trace.go
+++ b/lab/trace.go
@@ -31,11 +31,16 @@
 	Unsent                     map[string]int            // answered as refused or failed without a send, by why
 	LateSends                  int                       // to a server told as draining or gone
 	LatestSend                 time.Duration             // after that was told to its sender
+	LeftWaiting                int                       // clients that left before their request was sent to any server
+	SentAfterLeft              int                       // of those requests, that were sent more than LeftSlack later all the same
 }
 
 // ColdSpan is the time in which sends to one cold server are counted: the span of the rule on overfeeding.
 const ColdSpan = 2 * time.Second
 
+// LeftSlack is how long after its client left a request may still be sent on, by the users' page.
+const LeftSlack = 300 * time.Millisecond
+
 // traced is a line of a log at debug level, in JSON. Only what is there counts.
 type traced struct {
 	Time    time.Time            `json:"time"`
@@ -92,6 +97,11 @@
 	slices.SortStableFunc(lines, func(a, b traced) int { return a.Time.Compare(b.Time) })
 	told := make(map[[2]string]time.Time) // to a scheduler, that a server drains
 	recent := make(map[string][]time.Duration)
+	type request struct {
+		from string
+		job  int
+	}
+	sent, left := make(map[request]bool), make(map[request]time.Time)
 	for i := range lines {
 		l := &lines[i]
 		after := l.Time.Sub(lines[0].Time)
@@ -120,6 +130,17 @@
 				s.LateSends++
 				s.LatestSend = max(s.LatestSend, l.Time.Sub(at))
 			}
+		case "sent":
+			r := request{l.from, l.Job}
+			if at, has := left[r]; has && l.Time.Sub(at) > LeftSlack {
+				s.SentAfterLeft++
+			}
+			sent[r] = true
+		case "left":
+			if r := (request{l.from, l.Job}); !sent[r] {
+				s.LeftWaiting++
+				left[r] = l.Time
+			}
 		case "end":
 			s.Outcomes[l.Outcome]++
 		case "refused": // by a frontend, before the module saw it
@@ -153,6 +174,9 @@
 					delete(told, key)
 				}
 			}
+			of := func(r request) bool { return r.from == l.from } // its jobs are numbered anew
+			maps.DeleteFunc(sent, func(r request, _ bool) bool { return of(r) })
+			maps.DeleteFunc(left, func(r request, _ time.Time) bool { return of(r) })
 		}
 	}
 	for _, s := range spans {
@@ -176,13 +200,13 @@
 // WriteTrace writes the spans as a table.
 func WriteTrace(to io.Writer, spans []*Span, span time.Duration) error {
 	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "from\tjobs/s\topen\tsends/job\tdials/job\tserved\trefused\tfailed\tcancelled\tfull\tno conn\terrors\tto cold\tmost/2 s\tlist calls\tfailed\tafter told\tlatest\tunsent by why\t")
+	fmt.Fprintln(w, "from\tjobs/s\topen\tsends/job\tdials/job\tserved\trefused\tfailed\tcancelled\tfull\tno conn\terrors\tto cold\tmost/2 s\tlist calls\tfailed\tafter told\tlatest\tleft waiting\tsent on\tunsent by why\t")
 	for _, s := range spans {
 		jobs := max(float64(s.Jobs), 1)
-		fmt.Fprintf(w, "%v\t%.0f\t%.1f\t%.2f\t%.2f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%v\t%s\t\n", s.From, float64(s.Jobs)/span.Seconds(), s.Open,
+		fmt.Fprintf(w, "%v\t%.0f\t%.1f\t%.2f\t%.2f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%v\t%d\t%d\t%s\t\n", s.From, float64(s.Jobs)/span.Seconds(), s.Open,
 			float64(s.Sends)/jobs, float64(s.Dials)/jobs, s.Served, s.Refused, s.Failed, s.Outcomes[ravendale.Cancelled], s.Outcomes[ravendale.FullUp],
 			s.Outcomes[ravendale.ConnectFailed], s.Outcomes[ravendale.Error]+s.Outcomes[ravendale.Reset], s.ToCold, s.MostToOneCold,
-			s.ListCalls, s.ListCallsFailed, s.LateSends, s.LatestSend.Round(time.Millisecond), whys(s.Unsent))
+			s.ListCalls, s.ListCallsFailed, s.LateSends, s.LatestSend.Round(time.Millisecond), s.LeftWaiting, s.SentAfterLeft, whys(s.Unsent))
 	}
 	return w.Flush()
 }
--- a/lab/trace_test.go
+++ b/lab/trace_test.go
@@ -22,7 +22,8 @@
 			`5.5 "msg":"send","job":2,"server":"b","open":4`, `5.7 "msg":"send","job":2,"try":1,"server":"a","cold":true`},
 		"n1.log": {`1 "msg":"watch asked"`, `1.5 "msg":"watch ended"`, `1.9 "msg":"send","job":1,"server":"a","cold":true`,
 			`4.2 "msg":"send","job":1,"try":1,"server":"a","cold":true`, `4.3 "msg":"answer","kind":1`,
-			`4.4 "msg":"answer","kind":1,"why":"no_start"`, `4.5 "msg":"refused","why":"leaving"`},
+			`4.4 "msg":"left","job":7`, `4.4 "msg":"left","job":8`, `4.4 "msg":"sent","job":9`, `4.4 "msg":"left","job":9`,
+			`4.4 "msg":"answer","kind":1,"why":"no_start"`, `4.7 "msg":"sent","job":7`, `4.71 "msg":"sent","job":8`, `4.9 "msg":"sent","job":9`, `4.5 "msg":"refused","why":"leaving"`},
 	} {
 		for i, line := range lines {
 			at, rest, _ := strings.Cut(line, " ")
@@ -35,7 +36,7 @@
 	spans, skipped, err := Trace(dir, 5*time.Second)
 	want := []*Span{{Jobs: 2, Sends: 3, ToCold: 3, Dials: 1, Served: 1, Refused: 3, ListCalls: 1, ListCallsFailed: 1, Open: 1,
 		Outcomes: map[ravendale.Outcome]int{ravendale.OK: 1}, MostToOneCold: 2,
-		Unsent: map[string]int{"no_start": 1, "leaving": 1}},
+		Unsent: map[string]int{"no_start": 1, "leaving": 1}, LeftWaiting: 2, SentAfterLeft: 1},
 		{From: 5 * time.Second, Jobs: 1, Sends: 2, ToCold: 1, Open: 4, Outcomes: map[ravendale.Outcome]int{}, MostToOneCold: 2,
 			Unsent: map[string]int{}, LateSends: 1, LatestSend: 5300 * time.Millisecond}}
 	if diff := cmp.Diff(want, spans); diff != "" || skipped != 1 || err != nil {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -422,7 +422,14 @@
 }
 
 // Sent tells that the request is written whole.
-func (d *Dispatch) Sent() { d.tell(func() { d.Session.s.figures.Sends++ }) }
+func (d *Dispatch) Sent() {
+	d.tell(func() {
+		s := d.Session.s
+		if s.figures.Sends++; s.traces() {
+			s.log.Debug("sent", "job", d.Session.job, "try", d.number, "server", d.Worker)
+		}
+	})
+}
 
 // Started tells that the job runs.
 func (d *Dispatch) Started() { d.note(ravendale.JobStarted, 0) }
@@ -545,6 +552,9 @@
 		return
 	}
 	n.close()
+	if n.s.traces() {
+		n.s.log.Debug("left", "job", n.job, "tries", len(n.dispatches))
+	}
 	n.s.feed(ravendale.Event{Kind: ravendale.ClientLeft, Job: n.job})
 	n.retract()
 }
