--- /dev/null
+++ b/cmd/ravendale/stop_test.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// One who is told to end twice, and to read its configuration again between, still answers what it has, and ends in order: the built
+// program, among a client, a backend server, and a discovery that never answers.
+func TestASecondSIGTERMEndsNothing(t *testing.T) {
+	listen := func() *net.TCPListener {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = ln.Close() })
+		return ln.(*net.TCPListener)
+	}
+	clients, server, discovery := listen(), listen(), listen()
+	text, err := os.ReadFile("../../example/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	host := fmt.Sprintf(`"hosts": [{"host":"w1","dial":%q,"site":"here","class":"toy","health":"in_service","share":1,"born_ms":0}]`, server.Addr())
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, []byte(strings.Replace(string(text), `"hosts": []`, host, 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	inherited, err := clients.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command("../../bin/ravendale")
+	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+file, "PROXY_FD=3", "PROXY_LISTEN="+clients.Addr().String(),
+		"PROXY_DISCOVERY="+discovery.Addr().String(), "PROXY_MANAGEMENT=127.0.0.1:0", "TMPDIR="+t.TempDir())
+	cmd.ExtraFiles = []*os.File{inherited}
+	stderr, err := cmd.StderrPipe()
+	if err == nil {
+		err = cmd.Start()
+	}
+	if err != nil {
+		t.Fatalf("%v: 'make build' makes it", err)
+	}
+	defer func() { _ = cmd.Process.Kill() }()
+	_, _ = inherited.Close(), clients.Close()
+	log := bufio.NewScanner(stderr)
+	logged := func(word string) {
+		for log.Scan() {
+			if strings.Contains(log.Text(), word) {
+				return
+			}
+		}
+		t.Fatalf("%q was not logged", word)
+	}
+	say := func(c net.Conn, text string) {
+		_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+		if _, err := io.WriteString(c, text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", clients.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	answer := func(c net.Conn, want int) {
+		t.Helper()
+		if r, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || r.StatusCode != want {
+			t.Fatalf("answered %v, %v", r, err)
+		}
+	}
+	logged("msg=serving")
+	client := dial()
+	say(client, "POST /api HTTP/1.1\r\nX-Txn: 00000000000000a1\r\nX-Lane: saldo\r\nX-Remaining-Ms: 5000\r\nContent-Length: 2\r\n\r\nhi")
+	w, err := server.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	if _, err := http.ReadRequest(bufio.NewReader(w)); err != nil {
+		t.Fatal(err)
+	}
+	say(w, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+	for _, step := range []struct {
+		sig  syscall.Signal
+		word string
+	}{{syscall.SIGTERM, "msg=stopping"}, {syscall.SIGHUP, "configuration read again"}, {syscall.SIGTERM, ""}} {
+		if err := cmd.Process.Signal(step.sig); err != nil {
+			t.Fatal(err)
+		}
+		if step.word != "" {
+			logged(step.word)
+		}
+	}
+	call := dial()
+	body := `{"id":"00000000000000a1","from":"w1","state":"done","result":"x"}`
+	say(call, fmt.Sprintf("POST /callback HTTP/1.1\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", len(body), body))
+	answer(call, 204)
+	answer(client, 200)
+	_, _ = call.Close(), client.Close()
+	logged(`why="nothing is owed"`)
+	if err := cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+}
