--- a/transport/nbionet/nbionet.go
+++ b/transport/nbionet/nbionet.go
@@ -520,7 +520,7 @@
 		return
 	}
 	n.queued.Add(int64(len(b)))
-	if n.Unwritten() == int(len(b)) { // nbio has nothing of it to write first
+	if n.Unwritten() == len(b) { // nbio has nothing of it to write first
 		took, err := n.writeNow(b)
 		if n.written.Add(int64(took)); err != nil {
 			n.leave() // which is reported
