--- /dev/null
+++ b/rpc/conn.go
@@ -0,0 +1,390 @@
+// Package rpc carries typed messages between processes: msgpack bodies in length-prefixed frames over TCP. Both ends of a
+// connection may call. It resolves no names, retries nothing and chooses no peers: who talks to whom is settled above it.
+package rpc
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"ravendale/wire"
+)
+
+// Bounds of a connection.
+const (
+	MaxFrame  = 32 << 20 // bytes of one frame; a longer one ends the connection
+	MaxQueued = 48 << 20 // bytes that wait to be written; more ends the connection
+
+	headerSize   = 4 + 1 + 2 + 4 // length of the rest, kind, method, call
+	keptBuffer   = 64 << 10      // larger buffers are given back after use
+	readBuffer   = 4 << 10
+	writeTimeout = 10 * time.Second
+)
+
+// Errors of a connection.
+var (
+	ErrClosed   = errors.New("rpc: connection closed")
+	ErrSilent   = errors.New("rpc: peer is silent")
+	ErrOverflow = errors.New("rpc: peer does not read")
+	ErrTooLong  = errors.New("rpc: frame too long")
+	ErrMethod   = errors.New("rpc: unknown method")
+)
+
+// RemoteError is what the other end answered in place of a reply.
+type RemoteError struct{ Text string }
+
+func (e *RemoteError) Error() string { return "rpc: peer answered: " + e.Text }
+
+type frameKind uint8
+
+const (
+	frameRequest frameKind = iota
+	frameNotice
+	frameReply
+	frameError
+	framePing
+	framePong
+)
+
+// Options of a connection.
+type Options struct {
+	Mux *Mux // what the other end may call; nil: nothing
+	// A peer that says nothing for PingAfter is asked for a sign of life; after SilentAfter the connection is closed. Zero for
+	// the defaults.
+	PingAfter, SilentAfter time.Duration
+	ConnectTimeout         time.Duration
+}
+
+// Defaults of Options.
+const (
+	DefaultPingAfter      = 400 * time.Millisecond
+	DefaultSilentAfter    = 1200 * time.Millisecond
+	DefaultConnectTimeout = 500 * time.Millisecond
+)
+
+func (o Options) withDefaults() Options {
+	if o.PingAfter <= 0 {
+		o.PingAfter = DefaultPingAfter
+	}
+	if o.SilentAfter <= 0 {
+		o.SilentAfter = DefaultSilentAfter
+	}
+	if o.ConnectTimeout <= 0 {
+		o.ConnectTimeout = DefaultConnectTimeout
+	}
+	if o.Mux == nil {
+		o.Mux = NewMux()
+	}
+	return o
+}
+
+// Conn is a connection to a peer. Its methods may be called by any goroutine.
+type Conn struct {
+	options Options
+	socket  net.Conn
+	tag     atomic.Value
+	heard   atomic.Int64 // steady time at which something was read last
+	done    chan struct{}
+
+	mu      sync.Mutex
+	out     []byte
+	calls   map[uint32]func(payload []byte, err error)
+	next    uint32
+	err     error
+	onClose []func(error)
+	wake    chan struct{}
+	ping    *time.Timer
+}
+
+var started = time.Now()
+
+func steady() int64 { return int64(time.Since(started)) }
+
+func newConn(socket net.Conn, options Options) *Conn {
+	c := &Conn{
+		options: options, socket: socket, done: make(chan struct{}),
+		calls: make(map[uint32]func([]byte, error)), wake: make(chan struct{}, 1),
+	}
+	c.heard.Store(steady())
+	return c
+}
+
+func (c *Conn) start() {
+	go c.write()
+	go c.read()
+	c.mu.Lock()
+	c.ping = time.AfterFunc(c.options.PingAfter, c.watch)
+	c.mu.Unlock()
+}
+
+// Dial connects to a peer.
+func Dial(ctx context.Context, address string, options Options) (*Conn, error) {
+	options = options.withDefaults()
+	dialer := net.Dialer{Timeout: options.ConnectTimeout, KeepAlive: -1}
+	socket, err := dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	c := newConn(socket, options)
+	c.start()
+	return c, nil
+}
+
+// Tag returns what SetTag set, or nil.
+func (c *Conn) Tag() any { return c.tag.Load() }
+
+// SetTag keeps a value with the connection, as who the peer is. All values of one connection must have the same type.
+func (c *Conn) SetTag(value any) { c.tag.Store(value) }
+
+// RemoteAddress is the peer's address, for logs.
+func (c *Conn) RemoteAddress() string { return c.socket.RemoteAddr().String() }
+
+// Done is closed once the connection is.
+func (c *Conn) Done() <-chan struct{} { return c.done }
+
+// Err is why the connection is closed, nil while it is open.
+func (c *Conn) Err() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err
+}
+
+// OnClose has f called once the connection is closed, at once if it is.
+func (c *Conn) OnClose(f func(error)) {
+	c.mu.Lock()
+	if err := c.err; err != nil {
+		c.mu.Unlock()
+		f(err)
+		return
+	}
+	c.onClose = append(c.onClose, f)
+	c.mu.Unlock()
+}
+
+// Close ends the connection. Calls that wait fail with ErrClosed.
+func (c *Conn) Close() { c.fail(ErrClosed) }
+
+func (c *Conn) fail(err error) {
+	c.mu.Lock()
+	if c.err != nil {
+		c.mu.Unlock()
+		return
+	}
+	c.err = err
+	calls, onClose := c.calls, c.onClose
+	c.calls, c.onClose, c.out = nil, nil, nil
+	if c.ping != nil {
+		c.ping.Stop()
+	}
+	c.mu.Unlock()
+	close(c.done)
+	_ = c.socket.Close()
+	for _, done := range calls {
+		done(nil, err)
+	}
+	for _, f := range onClose {
+		f(err)
+	}
+}
+
+// Notify sends a message that gets no reply. Without an error it is queued, which promises nothing.
+func (c *Conn) Notify(method wire.Method, message msgp.Marshaler) error {
+	return c.queue(frameNotice, method, 0, message)
+}
+
+// Start sends a request. Done is called once, by the goroutine that reads the connection, so it must not wait for anything;
+// the payload is its only until it returns. No time limit is kept: the connection's end ends the call.
+func (c *Conn) Start(method wire.Method, request msgp.Marshaler, done func(payload []byte, err error)) {
+	c.begin(method, request, done)
+}
+
+func (c *Conn) begin(method wire.Method, request msgp.Marshaler, done func(payload []byte, err error)) uint32 {
+	c.mu.Lock()
+	if err := c.err; err != nil {
+		c.mu.Unlock()
+		done(nil, err)
+		return 0
+	}
+	c.next++
+	call := c.next
+	c.calls[call] = done
+	c.mu.Unlock()
+	if err := c.queue(frameRequest, method, call, request); err != nil {
+		c.settle(call, nil, err)
+	}
+	return call
+}
+
+// settle ends a call, if it has not ended.
+func (c *Conn) settle(call uint32, payload []byte, err error) {
+	c.mu.Lock()
+	done := c.calls[call]
+	delete(c.calls, call)
+	c.mu.Unlock()
+	if done != nil {
+		done(payload, err)
+	}
+}
+
+// Call sends a request and waits for its reply, which it decodes into reply unless that is nil.
+func (c *Conn) Call(ctx context.Context, method wire.Method, request msgp.Marshaler, reply msgp.Unmarshaler) error {
+	result := make(chan error, 1)
+	call := c.begin(method, request, func(payload []byte, err error) {
+		if err == nil && reply != nil {
+			_, err = reply.UnmarshalMsg(payload)
+		}
+		result <- err
+	})
+	select {
+	case err := <-result:
+		return err
+	case <-ctx.Done():
+	}
+	c.settle(call, nil, ctx.Err())
+	return <-result // the reply may just have been decoded
+}
+
+func (c *Conn) queue(kind frameKind, method wire.Method, call uint32, message msgp.Marshaler) error {
+	c.mu.Lock()
+	if c.err != nil {
+		err := c.err
+		c.mu.Unlock()
+		return err
+	}
+	at := len(c.out)
+	out, err := appendFrame(c.out, kind, method, call, message)
+	if err != nil {
+		c.out = out[:at]
+		c.mu.Unlock()
+		return err
+	}
+	c.out = out
+	over := len(c.out) > MaxQueued
+	c.mu.Unlock()
+	if over {
+		c.fail(ErrOverflow)
+		return ErrOverflow
+	}
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+func appendFrame(out []byte, kind frameKind, method wire.Method, call uint32, message msgp.Marshaler) ([]byte, error) {
+	at := len(out)
+	out = append(out, 0, 0, 0, 0, byte(kind))
+	out = binary.BigEndian.AppendUint16(out, uint16(method))
+	out = binary.BigEndian.AppendUint32(out, call)
+	if message != nil {
+		var err error
+		if out, err = message.MarshalMsg(out); err != nil {
+			return out, err
+		}
+	}
+	size := len(out) - at - 4
+	if size > MaxFrame {
+		return out, ErrTooLong
+	}
+	binary.BigEndian.PutUint32(out[at:], uint32(size))
+	return out, nil
+}
+
+func (c *Conn) write() {
+	var spare []byte
+	for {
+		select {
+		case <-c.wake:
+		case <-c.done:
+			return
+		}
+		c.mu.Lock()
+		buffer := c.out
+		c.out = spare[:0]
+		c.mu.Unlock()
+		if len(buffer) == 0 {
+			spare = buffer
+			continue
+		}
+		_ = c.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := c.socket.Write(buffer); err != nil {
+			c.fail(err)
+			return
+		}
+		spare = nil
+		if cap(buffer) <= keptBuffer {
+			spare = buffer
+		}
+	}
+}
+
+// watch asks a quiet peer for a sign of life, and closes the connection to a silent one.
+func (c *Conn) watch() {
+	quiet := time.Duration(steady() - c.heard.Load())
+	if quiet >= c.options.SilentAfter {
+		c.fail(ErrSilent)
+		return
+	}
+	if quiet >= c.options.PingAfter/2 {
+		_ = c.queue(framePing, 0, 0, nil)
+	}
+	c.mu.Lock()
+	if c.err == nil {
+		c.ping.Reset(c.options.PingAfter)
+	}
+	c.mu.Unlock()
+}
+
+func (c *Conn) read() {
+	reader := bufio.NewReaderSize(c.socket, readBuffer)
+	var header [headerSize]byte
+	var buffer []byte
+	for {
+		if _, err := io.ReadFull(reader, header[:]); err != nil {
+			c.fail(err)
+			return
+		}
+		size := int(binary.BigEndian.Uint32(header[:])) - (headerSize - 4)
+		if size < 0 || size > MaxFrame {
+			c.fail(ErrTooLong)
+			return
+		}
+		if cap(buffer) < size || cap(buffer) > keptBuffer && size <= keptBuffer {
+			buffer = make([]byte, size)
+		}
+		payload := buffer[:size]
+		if _, err := io.ReadFull(reader, payload); err != nil {
+			c.fail(err)
+			return
+		}
+		c.heard.Store(steady())
+		c.handle(frameKind(header[4]), wire.Method(binary.BigEndian.Uint16(header[5:])), binary.BigEndian.Uint32(header[7:]), payload)
+	}
+}
+
+func (c *Conn) handle(kind frameKind, method wire.Method, call uint32, payload []byte) {
+	switch kind {
+	case frameRequest, frameNotice:
+		reply := Reply{conn: c, method: method, call: call, wanted: kind == frameRequest}
+		if handler := c.options.Mux.handlers[method]; handler != nil {
+			handler(c, payload, reply)
+			return
+		}
+		reply.Fail(ErrMethod)
+	case frameReply:
+		c.settle(call, payload, nil)
+	case frameError:
+		c.settle(call, nil, &RemoteError{Text: string(payload)})
+	case framePing:
+		_ = c.queue(framePong, 0, 0, nil)
+	}
+}
--- /dev/null
+++ b/rpc/link.go
@@ -0,0 +1,92 @@
+package rpc
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Pauses between attempts to connect: the first, and the longest as it doubles.
+const (
+	firstRetry   = 30 * time.Millisecond
+	longestRetry = 400 * time.Millisecond
+)
+
+// Link keeps a connection to one address: it connects again whenever that is lost, until it is closed.
+type Link struct {
+	address string
+	options Options
+	onUp    func(*Conn)
+	onDown  func(error)
+	cancel  context.CancelFunc
+
+	mu   sync.Mutex
+	conn *Conn
+}
+
+// NewLink starts a link. OnUp and onDown, which may be nil, are called in turn, on a goroutine of the link; onDown also for a
+// connect that failed.
+func NewLink(address string, options Options, onUp func(*Conn), onDown func(error)) *Link {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Link{address: address, options: options.withDefaults(), onUp: onUp, onDown: onDown, cancel: cancel}
+	go l.run(ctx)
+	return l
+}
+
+// Address is the peer's.
+func (l *Link) Address() string { return l.address }
+
+// Conn is the connection, nil while there is none.
+func (l *Link) Conn() *Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn
+}
+
+// Close ends the link and its connection.
+func (l *Link) Close() {
+	l.cancel()
+	if c := l.Conn(); c != nil {
+		c.Close()
+	}
+}
+
+func (l *Link) run(ctx context.Context) {
+	pause := firstRetry
+	for ctx.Err() == nil {
+		conn, err := Dial(ctx, l.address, l.options)
+		if err == nil {
+			pause = firstRetry
+			err = l.hold(ctx, conn)
+		}
+		if l.onDown != nil && ctx.Err() == nil {
+			l.onDown(err)
+		}
+		select {
+		case <-time.After(pause/2 + rand.N(pause)):
+		case <-ctx.Done():
+		}
+		pause = min(2*pause, longestRetry)
+	}
+}
+
+func (l *Link) hold(ctx context.Context, conn *Conn) error {
+	l.set(conn)
+	if l.onUp != nil {
+		l.onUp(conn)
+	}
+	select {
+	case <-conn.Done():
+	case <-ctx.Done():
+		conn.Close()
+	}
+	l.set(nil)
+	return conn.Err()
+}
+
+func (l *Link) set(conn *Conn) {
+	l.mu.Lock()
+	l.conn = conn
+	l.mu.Unlock()
+}
--- /dev/null
+++ b/rpc/rpc_test.go
@@ -0,0 +1,112 @@
+package rpc
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravendale/wire"
+)
+
+func pair(t *testing.T, server, client *Mux) (*Conn, chan *Conn) {
+	t.Helper()
+	accepted := make(chan *Conn, 1)
+	s, err := Listen("127.0.0.1:0", Options{Mux: server}, func(c *Conn) { accepted <- c })
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	c, err := Dial(context.Background(), s.Address(), Options{Mux: client})
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	return c, accepted
+}
+
+func TestCallsGoBothWays(t *testing.T) {
+	server, client := NewMux(), NewMux()
+	Handle(server, wire.MethodFind, func(_ *Conn, find *wire.Find, reply Reply) {
+		reply.Send(&wire.FindReply{Found: true, Body: []byte(find.ID)})
+	})
+	granted := make(chan string, 1)
+	Handle(client, wire.MethodGrant, func(_ *Conn, grant *wire.Grant, _ Reply) { granted <- grant.ID })
+	conn, accepted := pair(t, server, client)
+
+	var reply wire.FindReply
+	require.NoError(t, conn.Call(context.Background(), wire.MethodFind, &wire.Find{ID: "x"}, &reply))
+	require.Equal(t, "x", string(reply.Body))
+
+	require.NoError(t, (<-accepted).Notify(wire.MethodGrant, &wire.Grant{ID: "y"}))
+	require.Equal(t, "y", <-granted)
+}
+
+func TestUnknownMethodsAndBadMessagesAreAnsweredWithErrors(t *testing.T) {
+	server := NewMux()
+	Handle(server, wire.MethodFind, func(_ *Conn, _ *wire.Find, reply Reply) { reply.Send(&wire.FindReply{}) })
+	conn, _ := pair(t, server, nil)
+	var remote *RemoteError
+	err := conn.Call(context.Background(), wire.MethodPut, &wire.Put{}, nil)
+	require.ErrorAs(t, err, &remote)
+	err = conn.Call(context.Background(), wire.MethodFind, rawText("\xc1"), nil)
+	require.ErrorAs(t, err, &remote)
+	require.NoError(t, conn.Call(context.Background(), wire.MethodFind, &wire.Find{}, nil), "the connection lives on")
+}
+
+func TestCallsEndWithTheConnection(t *testing.T) {
+	server := NewMux()
+	Handle(server, wire.MethodFind, func(c *Conn, _ *wire.Find, _ Reply) { c.Close() })
+	conn, _ := pair(t, server, nil)
+	require.Error(t, conn.Call(context.Background(), wire.MethodFind, &wire.Find{}, nil))
+	<-conn.Done()
+	require.Error(t, conn.Err())
+	require.Error(t, conn.Notify(wire.MethodGrant, &wire.Grant{}))
+}
+
+func TestACallCanBeGivenUp(t *testing.T) {
+	server := NewMux()
+	asked := make(chan struct{})
+	Handle(server, wire.MethodFind, func(*Conn, *wire.Find, Reply) { close(asked) })
+	conn, _ := pair(t, server, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { <-asked; cancel() }()
+	require.ErrorIs(t, conn.Call(ctx, wire.MethodFind, &wire.Find{}, nil), context.Canceled)
+}
+
+func TestASilentPeerIsGivenUp(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	conn, err := Dial(context.Background(), listener.Addr().String(), Options{PingAfter: 5 * time.Millisecond, SilentAfter: 20 * time.Millisecond})
+	require.NoError(t, err)
+	<-conn.Done()
+	require.ErrorIs(t, conn.Err(), ErrSilent)
+}
+
+func TestAFrameThatIsTooLongEndsTheConnection(t *testing.T) {
+	accepted := make(chan *Conn, 1)
+	s, err := Listen("127.0.0.1:0", Options{}, func(c *Conn) { accepted <- c })
+	require.NoError(t, err)
+	defer s.Close()
+	raw, err := net.Dial("tcp4", s.Address())
+	require.NoError(t, err)
+	defer func() { _ = raw.Close() }()
+	_, err = raw.Write([]byte{0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0, 0, 0, 0})
+	require.NoError(t, err)
+	conn := <-accepted
+	<-conn.Done()
+	require.ErrorIs(t, conn.Err(), ErrTooLong)
+}
+
+func TestALinkConnectsAgain(t *testing.T) {
+	accepted := make(chan *Conn, 4)
+	s, err := Listen("127.0.0.1:0", Options{}, func(c *Conn) { accepted <- c })
+	require.NoError(t, err)
+	defer s.Close()
+	up := make(chan *Conn, 4)
+	link := NewLink(s.Address(), Options{}, func(c *Conn) { up <- c }, nil)
+	defer link.Close()
+	first := <-up
+	(<-accepted).Close()
+	second := <-up
+	require.NotSame(t, first, second)
+}
--- /dev/null
+++ b/rpc/server.go
@@ -0,0 +1,85 @@
+package rpc
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+const acceptPause = 20 * time.Millisecond // after an error, as of descriptors that have run out
+
+// Server accepts connections.
+type Server struct {
+	listener net.Listener
+	options  Options
+	onConn   func(*Conn)
+
+	mu     sync.Mutex
+	conns  map[*Conn]struct{}
+	closed bool
+}
+
+// Listen starts a server. OnConn, if any, hears of each new connection before anything is read from it.
+func Listen(address string, options Options, onConn func(*Conn)) (*Server, error) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{listener: listener, options: options.withDefaults(), onConn: onConn, conns: make(map[*Conn]struct{})}
+	go s.accept()
+	return s, nil
+}
+
+// Address is where the server listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+func (s *Server) accept() {
+	for {
+		socket, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.serve(socket)
+	}
+}
+
+func (s *Server) serve(socket net.Conn) {
+	c := newConn(socket, s.options)
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		_ = socket.Close()
+		return
+	}
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	c.OnClose(func(error) {
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	})
+	if s.onConn != nil {
+		s.onConn(c)
+	}
+	c.start()
+}
+
+// Close ends the server and its connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	conns := make([]*Conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	_ = s.listener.Close()
+	for _, c := range conns {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/wire/queue.go
@@ -0,0 +1,140 @@
+package wire
+
+//msgp:tuple Message Attach AttachReply Put PutReply Report ReportReply Claim ClaimReply Find FindReply Grant
+
+// Message is a client's request that the system has taken, or is asked to take.
+type Message struct {
+	ID          string // its name for clients; PartitionOf tells where it lies
+	RequestID   string
+	Route       string // name of the route it came by
+	Method      string
+	Host        string
+	Target      string // path and query, as received
+	ContentType string
+	Key         string // Order-Key; empty: no order
+	Body        []byte
+	SentUnixMs  int64  // time of day when it was received
+	DelayMs     uint32 // it may run so long after that
+	RetentionMs uint32 // it ends so long after that, run or not
+	Retries     uint16 // failed attempts after which it is dead
+	Ordered     bool   // its route is ordered by Key
+}
+
+// State of a message.
+type State uint8
+
+// The states of a message.
+const (
+	StatePending State = iota
+	StateDone
+	StateDead    // refused for good, or failed as often as its route allows, or retained to its end
+	StateDropped // its route is gone
+)
+
+// Attach tells a store who is at the other end of a connection.
+type Attach struct {
+	Edge     string // Member.ID
+	Zone     string
+	Draining bool // take no hand-overs: it is being stopped
+}
+
+// AttachReply tells the store's epoch.
+type AttachReply struct {
+	Epoch uint64
+}
+
+// PutCode says what became of a Put.
+type PutCode uint8
+
+// The answers to a Put. Only PutKept accepts a message; after PutStale, PutNotPrimary and PutRefused nothing was kept and
+// nothing will be. PutUnknown promises neither.
+const (
+	PutKept       PutCode = iota
+	PutStale              // the store acts under another epoch: see PutReply.Epoch
+	PutNotPrimary         // the partition's primary is another store
+	PutRefused            // too few stores, or too full
+	PutUnknown
+)
+
+// Put asks the primary of a partition to keep a message. The same message may be put again.
+type Put struct {
+	Partition uint16
+	Epoch     uint64
+	Message   Message
+	Dispatch  bool // the edge will deliver it: else the store hands it to one that can
+}
+
+// PutReply answers a Put.
+type PutReply struct {
+	Code    PutCode
+	Epoch   uint64
+	Granted bool // of a message with an order: it is the first of its key, and may be delivered now
+}
+
+// Grant hands a message to an edge for delivery, or tells the edge that holds it that its turn has come.
+type Grant struct {
+	Partition uint16
+	ID        string
+	Failed    uint16 // attempts that failed
+	Whole     bool   // Message is set: the edge did not have it
+	Message   Message
+}
+
+// ReportKind says how a delivery went.
+type ReportKind uint8
+
+// The kinds of reports. ReportFailed and ReportReleased leave the message pending.
+const (
+	ReportDone     ReportKind = iota // with Signature
+	ReportFailed                     // one more failed attempt; the edge keeps the message
+	ReportDead                       // refused for good, or failed too often
+	ReportDropped                    // its route is gone
+	ReportReleased                   // the edge gives it back undelivered
+	ReportExpired                    // retained to its end
+)
+
+// Report tells the primary of a message's partition what became of its delivery. It may be repeated.
+type Report struct {
+	Partition uint16
+	Epoch     uint64
+	ID        string
+	Kind      ReportKind
+	Failed    uint16 // failed attempts so far, this one included
+	Signature string
+}
+
+// ReportReply is sent once the report is on disk at all replicas. Code is as for a Put: PutKept, PutStale, PutNotPrimary or
+// PutUnknown. A report of an unknown message is PutKept.
+type ReportReply struct {
+	Code  PutCode
+	Epoch uint64
+}
+
+// Claim tells a new primary which messages of its partitions an edge holds, so that it does not hand them out anew. It is sent
+// after Attach, and again for each epoch, even if empty.
+type Claim struct {
+	Epoch uint64
+	IDs   []string
+}
+
+// ClaimReply lists the claimed messages that the store does not know as pending: the edge drops them if it was never told
+// that they were kept, or if they have ended.
+type ClaimReply struct {
+	Code    PutCode
+	Epoch   uint64
+	Unknown []string
+}
+
+// Find asks for a message's state, and with Body for its bytes. Any replica answers.
+type Find struct {
+	ID   string
+	Body bool
+}
+
+// FindReply answers a Find.
+type FindReply struct {
+	Found     bool
+	State     State
+	Signature string
+	Body      []byte
+}
