Add what all processes share at start and end, and follow the settings file

Arguments by kong, logs by slog, exit codes, SIGTERM as a context's end, SIGHUP and silent changes of the settings file. A file that is not valid changes nothing. Tested: only other, valid content is taken.

--- /dev/null
+++ b/program/program.go
@@ -0,0 +1,98 @@
+// Package program has what the processes of the system share at their start and end: arguments, logs, settings and signals.
+package program
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"ravendale/settings"
+)
+
+// Arguments of every process of the system.
+type Arguments struct {
+	Settings  string `help:"Path of the settings file." env:"RAVENDALE_SETTINGS" required:"" type:"path"`
+	LogLevel  string `help:"Least level that is logged: debug, info, warn or error." enum:"debug,info,warn,error" default:"info"`
+	LogFormat string `help:"Form of the log: text or json." enum:"text,json" default:"text"`
+	Check     bool   `help:"Check the settings file, tell all that is wrong with it, and exit."`
+}
+
+// Exit codes of a process.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitSettings = 2
+)
+
+// Environment is what a process runs with.
+type Environment struct {
+	Settings *settings.Settings
+	Path     string // of the settings file
+	Log      *slog.Logger
+	Hangup   <-chan os.Signal // SIGHUP
+}
+
+// Run parses the arguments, loads the settings, and calls run with a context that ends at SIGTERM or SIGINT. It does not
+// return.
+func Run(name, description string, run func(context.Context, Environment) error) {
+	var arguments Arguments
+	kong.Parse(&arguments, kong.Name(name), kong.Description(description), kong.UsageOnError())
+	os.Exit(start(arguments, os.Stderr, run))
+}
+
+func start(arguments Arguments, output io.Writer, run func(context.Context, Environment) error) int {
+	loaded, err := settings.Load(arguments.Settings)
+	if err != nil {
+		fmt.Fprintln(output, err)
+		return ExitSettings
+	}
+	if arguments.Check {
+		fmt.Fprintf(output, "%s: no findings\n", arguments.Settings)
+		return ExitOK
+	}
+	log := Logger(output, arguments.LogLevel, arguments.LogFormat).With("node", loaded.Node)
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := run(ctx, Environment{Settings: loaded, Path: arguments.Settings, Log: log, Hangup: hangup}); err != nil {
+		log.Error("stopped", "error", err)
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+// Logger makes a logger of a level and a form as Arguments has them.
+func Logger(output io.Writer, level, format string) *slog.Logger {
+	var least slog.Level
+	if err := least.UnmarshalText([]byte(level)); err != nil {
+		least = slog.LevelInfo
+	}
+	options := &slog.HandlerOptions{Level: least}
+	if format == "json" {
+		return slog.New(slog.NewJSONHandler(output, options))
+	}
+	return slog.New(slog.NewTextHandler(output, options))
+}
+
+// WatchSettings follows the settings file until the context ends.
+func (e Environment) WatchSettings(ctx context.Context, changed func(*settings.Settings)) {
+	settings.Watch(ctx, e.Path, e.Hangup, changed, func(err error) {
+		e.Log.Warn("settings not taken", "error", err)
+	})
+}
+
+// Memory sets the garbage collector's goal: a heap that grows by percent before it is collected, and harder work close to a
+// part of the process's limit.
+func Memory(percent, limitMb int) {
+	const mb = 1 << 20
+	debug.SetGCPercent(percent)
+	debug.SetMemoryLimit(int64(limitMb) * mb * 8 / 10)
+}
--- /dev/null
+++ b/settings/watch_test.go
@@ -0,0 +1,35 @@
+package settings
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestWatchTakesOnlyOtherValidContent(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "local.conf")
+	write := func(text string) { require.NoError(t, os.WriteFile(path, []byte(text), 0o600)) }
+	write(example)
+	ctx, cancel := context.WithCancel(context.Background())
+	hangup := make(chan os.Signal)
+	told := make(chan string, 4)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		Watch(ctx, path, hangup, func(s *Settings) { told <- s.Node }, func(error) { told <- "refused" })
+	}()
+	hangup <- os.Interrupt // the content is the same: nothing is told
+	write(strings.Replace(example, "nodeName=edge-a-1", "nodeName=other", 1))
+	hangup <- os.Interrupt
+	require.Equal(t, "other", <-told)
+	write("nodeName=\n")
+	hangup <- os.Interrupt
+	require.Equal(t, "refused", <-told)
+	cancel()
+	<-done
+	require.Empty(t, told)
+}
