--- /dev/null
+++ b/catalog/patch.go
@@ -0,0 +1,231 @@
+package catalog
+
+import "strings"
+
+// change is a patch as read.
+type change struct {
+	version       string // as written
+	routes        items
+	services      items
+	limits        string // as written; empty: unchanged
+	deletedRoutes map[string]bool
+	deletedBacks  map[string]bool
+}
+
+// items are what is to be added to a list or replaced in it, in their order.
+type items struct {
+	names []string
+	texts []string
+}
+
+// CheckPatch checks what can be said of a patch without the configuration that it is applied to.
+func CheckPatch(patch []byte) error {
+	_, err := readPatch(patch)
+	return err
+}
+
+// Apply makes the configuration that a patch turns c into. Items are added at the end of their list, or replace the one of their
+// name in its place; names to delete need not be there. The result is checked whole; the error is of type Findings.
+func (c *Config) Apply(patch []byte) (*Config, error) {
+	p, err := readPatch(patch)
+	if err != nil {
+		return nil, err
+	}
+	base := c
+	if c.text == "" {
+		if base, err = Parse(c.Document()); err != nil {
+			return nil, err
+		}
+	}
+	return parse(base.merge(p))
+}
+
+func readPatch(patch []byte) (*change, error) {
+	text, findings := readable(patch)
+	if findings != nil {
+		return nil, findings
+	}
+	r := &reader{}
+	p := &change{}
+	members := r.members(text, "document", top)
+	for _, m := range members {
+		switch m.key {
+		case fieldVersion:
+			r.version(m.value)
+			p.version = m.value
+		case fieldUpsert:
+			r.upserts(p, m.value)
+		case fieldDelete:
+			r.deletes(p, m.value)
+		}
+	}
+	if text[0] == '{' {
+		r.require(members, top, fieldVersion)
+	}
+	r.contradictions(p.routes.names, p.deletedRoutes, fieldRoutes)
+	r.contradictions(p.services.names, p.deletedBacks, fieldServices)
+	if err := r.result(); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+func (r *reader) upserts(p *change, object string) {
+	if object == null {
+		return
+	}
+	at := place{fieldUpsert, -1}
+	for _, m := range r.members(object, fieldUpsert, at) {
+		name := at.field(m.key)
+		switch m.key {
+		case fieldRoutes:
+			routes, texts := r.routes(m.value, name)
+			p.routes.texts = texts
+			for i := range routes {
+				p.routes.names = append(p.routes.names, routes[i].Name)
+			}
+			r.distinct(p.routes.names, name)
+		case fieldServices:
+			services, texts := r.services(m.value, name)
+			p.services.texts = texts
+			for i := range services {
+				p.services.names = append(p.services.names, services[i].Name)
+			}
+			r.distinct(p.services.names, name)
+		case fieldLimits:
+			r.limits(m.value, name)
+			if m.value != null {
+				p.limits = m.value
+			}
+		default:
+			r.add(name, "unknown: nothing of this kind can be changed")
+		}
+	}
+}
+
+func (r *reader) distinct(names []string, list string) {
+	first := make(map[string]int, len(names))
+	for i, name := range names {
+		r.unique(first, name, list, i)
+	}
+}
+
+func (r *reader) deletes(p *change, object string) {
+	if object == null {
+		return
+	}
+	at := place{fieldDelete, -1}
+	for _, m := range r.members(object, fieldDelete, at) {
+		name := at.field(m.key)
+		switch m.key {
+		case fieldRoutes:
+			p.deletedRoutes = r.names(m.value, name)
+		case fieldServices:
+			p.deletedBacks = r.names(m.value, name)
+		default:
+			r.add(name, "unknown: nothing of this kind can be deleted")
+		}
+	}
+}
+
+func (r *reader) names(list, name string) map[string]bool {
+	names := make(map[string]bool)
+	if list == null {
+		return names
+	}
+	if list[0] != '[' {
+		r.add(name, "not a list")
+		return names
+	}
+	eachElement(list, func(index int, value string) {
+		at := place{name, index}
+		if value[0] != '"' {
+			r.add(at.String(), "%s is not a string", shorten(value))
+			return
+		}
+		names[unquote(value)] = true
+	})
+	return names
+}
+
+// contradictions reports names that are both given anew and deleted.
+func (r *reader) contradictions(names []string, deleted map[string]bool, list string) {
+	for i, name := range names {
+		if deleted[name] {
+			r.add(place{fieldUpsert + "." + list, i}.field(fieldName), "%q is deleted by the same change", name)
+		}
+	}
+}
+
+// merge writes the changed document.
+func (c *Config) merge(p *change) string {
+	var out strings.Builder
+	out.Grow(len(c.text) + len(p.version) + p.routes.size() + p.services.size() + len(p.limits))
+	routeName := func(i int) string { return c.Routes[i].Name }
+	serviceName := func(i int) string { return c.Services[i].Name }
+	out.WriteByte('{')
+	for i, m := range c.members {
+		if i > 0 {
+			out.WriteByte(',')
+		}
+		out.WriteString(quote(m.key))
+		out.WriteByte(':')
+		switch {
+		case m.key == fieldVersion:
+			out.WriteString(p.version)
+		case m.key == fieldRoutes:
+			mergeList(&out, c.routes, routeName, p.routes, p.deletedRoutes)
+		case m.key == fieldServices:
+			mergeList(&out, c.backs, serviceName, p.services, p.deletedBacks)
+		case m.key == fieldLimits && p.limits != "":
+			out.WriteString(p.limits)
+		default:
+			out.WriteString(m.value)
+		}
+	}
+	out.WriteByte('}')
+	return out.String()
+}
+
+func (i items) size() int {
+	size := 0
+	for _, text := range i.texts {
+		size += len(text) + 1
+	}
+	return size
+}
+
+// mergeList writes a list: what is there, without the deleted and with the replaced, then what is new.
+func mergeList(out *strings.Builder, texts []string, name func(int) string, upserts items, deleted map[string]bool) {
+	replaced := make(map[string]string, len(upserts.names))
+	for i, name := range upserts.names {
+		replaced[name] = upserts.texts[i]
+	}
+	separator := byte('[')
+	write := func(text string) {
+		out.WriteByte(separator)
+		out.WriteString(text)
+		separator = ','
+	}
+	present := make(map[string]bool, len(upserts.names))
+	for i, text := range texts {
+		key := name(i)
+		if deleted[key] {
+			continue
+		}
+		if other, ok := replaced[key]; ok {
+			present[key] = true
+			text = other
+		}
+		write(text)
+	}
+	for i, key := range upserts.names {
+		if !present[key] {
+			write(upserts.texts[i])
+		}
+	}
+	if separator == '[' {
+		out.WriteByte('[')
+	}
+	out.WriteByte(']')
+}
