Add the relay tree and the member agent behind its interface

Updates of the topics flow from the leader along a tree of schedulers, whole or as byte differences; beats and renewals name the newest versions, so that what is lost is fetched. The agent renews its lease at the leader, which any control process names.

--- a/member/agent.go
+++ b/member/agent.go
@@ -5,21 +5,21 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
 
-	"ravendale/catalog"
+	"ravendale/relay"
+	"ravendale/relay/mailbox"
 	"ravendale/rpc"
 	"ravendale/settings"
 	"ravendale/wire"
 )
 
-// Snapshot is what the process knows of all topics at one moment. It never changes; a newer one takes its place.
-type Snapshot struct {
-	Versions [wire.TopicCount]wire.Version
-	Catalog  *catalog.Index  // nil until a configuration is known
-	Workers  *wire.Workers   // nil until known
-	Stores   *wire.StoreView // nil until known
-	Members  *wire.Members   // nil until known
-}
+const (
+	connectWithin = 300 * time.Millisecond
+	silentAfter   = 1200 * time.Millisecond
+)
 
 // Config of an Agent.
 type Config struct {
@@ -31,32 +31,234 @@
 	Log      *slog.Logger            // nil: the default
 }
 
-// Agent is a process's part in membership and distribution.
-type Agent struct{ config Config }
+// Agent is a process's part in membership and distribution. Its methods may be called by any goroutine, but for OnChange.
+type Agent struct {
+	config   Config
+	log      *slog.Logger
+	started  time.Time
+	box      *mailbox.Mailbox
+	node     *relay.Node
+	snapshot atomic.Pointer[Snapshot]
+	onChange []func(wire.Topic, *Snapshot)
+	first    atomic.Pointer[relay.Versions] // what the first granted renewal named
+	leaseEnd atomic.Int64                   // steady time since started
+	leader   atomic.Pointer[rpc.Conn]       // to who granted last, while it is up
+
+	// The rest belongs to the goroutine of Run.
+	session *session
+	link    *rpc.Link
+	conn    *rpc.Conn
+	leaving bool
+	left    []chan struct{} // closed once a leader knows that the process is leaving
+	parents parentsKey
+}
 
 // New makes an agent and registers its handlers on the Mux. Nothing else happens before Run.
-func New(config Config) *Agent { return &Agent{config: config} }
+func New(config Config) *Agent {
+	a := &Agent{config: config, log: config.Log, started: time.Now(), box: mailbox.New()}
+	if a.log == nil {
+		a.log = slog.Default()
+	}
+	a.snapshot.Store(&Snapshot{})
+	heartbeat := settings.Milliseconds(float64(config.Settings.HeartbeatMs))
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	a.session = newSession(random, heartbeat, config.Settings.SeedAddresses())
+	a.node = relay.NewNode(relay.NodeConfig{
+		Self: config.Self.ID, OnUpdate: a.updated, Leader: a.leader.Load, Log: a.log,
+	})
+	relay.Register(config.Mux, func() *relay.Node { return a.node })
+	return a
+}
+
+// OnChange has f called after each change of a topic, in order, on one goroutine. It must be called before Run.
+func (a *Agent) OnChange(f func(topic wire.Topic, s *Snapshot)) { a.onChange = append(a.onChange, f) }
 
 // Run renews the lease and follows the topics until the context ends.
-func (a *Agent) Run(ctx context.Context) { <-ctx.Done() }
+func (a *Agent) Run(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		a.node.Run(ctx)
+	}()
+	a.box.Run(ctx, a.tick)
+	if a.link != nil {
+		a.link.Close()
+	}
+	<-done
+}
 
 // Snapshot is the newest state known, never nil.
-func (a *Agent) Snapshot() *Snapshot { return &Snapshot{} }
-
-// OnChange has f called after each change of a topic, in order, on one goroutine. It must be called before Run.
-func (a *Agent) OnChange(f func(topic wire.Topic, s *Snapshot)) {}
+func (a *Agent) Snapshot() *Snapshot { return a.snapshot.Load() }
 
 // Current says whether each topic is at least as new as the leader said in this life's first granted renewal.
-func (a *Agent) Current() bool { return false }
+func (a *Agent) Current() bool {
+	first := a.first.Load()
+	return first != nil && a.Snapshot().covers(first)
+}
 
 // Leased says whether the lease of membership holds now: without it the process may not be counted among the members.
-func (a *Agent) Leased() bool { return false }
+func (a *Agent) Leased() bool { return int64(a.now()) < a.leaseEnd.Load() }
 
 // Leave tells the leader that the process is being stopped, and returns once that was answered or the context ends.
-func (a *Agent) Leave(ctx context.Context) {}
+func (a *Agent) Leave(ctx context.Context) {
+	told := make(chan struct{})
+	a.box.Post(func() {
+		a.leaving = true
+		a.left = append(a.left, told)
+		a.session.hurry(a.now())
+	})
+	select {
+	case <-told:
+	case <-ctx.Done():
+	}
+}
 
 // RenewNow renews at once, as when a store's status or the process's readiness changed.
-func (a *Agent) RenewNow() {}
+func (a *Agent) RenewNow() {
+	a.box.Post(func() { a.session.hurry(a.now()) })
+}
 
 // SetSettings gives the agent settings that were read again: the seeds are looked at anew.
-func (a *Agent) SetSettings(s *settings.Settings) {}
+func (a *Agent) SetSettings(s *settings.Settings) {
+	seeds := s.SeedAddresses()
+	a.box.Post(func() { a.session.setSeeds(seeds) })
+}
+
+func (a *Agent) now() time.Duration { return time.Since(a.started) }
+
+func (a *Agent) tick() time.Duration {
+	if a.session.tick(a.now(), a.conn != nil) {
+		a.renew()
+	}
+	a.connect()
+	return max(a.session.next()-a.now(), time.Millisecond)
+}
+
+// connect has the link go to the session's target.
+func (a *Agent) connect() {
+	target := a.session.target
+	if a.link != nil && a.link.Address() == target {
+		return
+	}
+	if a.link != nil {
+		a.link.Close()
+		a.link, a.conn = nil, nil
+	}
+	if target == "" {
+		return
+	}
+	options := rpc.Options{Mux: a.config.Mux, ConnectTimeout: connectWithin, SilentAfter: silentAfter}
+	up := func(c *rpc.Conn) { a.box.Post(func() { a.connected(c, target) }) }
+	down := func(error) { a.box.Post(func() { a.disconnected(target) }) }
+	a.link = rpc.NewLink(target, options, up, down)
+}
+
+func (a *Agent) connected(c *rpc.Conn, address string) {
+	if a.link != nil && a.link.Address() == address {
+		a.conn = c
+	}
+}
+
+func (a *Agent) disconnected(address string) {
+	if a.link != nil && a.link.Address() == address {
+		a.conn = nil
+		a.session.disconnected(a.now(), address)
+	}
+}
+
+func (a *Agent) renew() {
+	conn, address, sentAt, leaving := a.conn, a.session.target, a.now(), a.leaving
+	renew := a.request()
+	conn.Start(wire.MethodRenew, &renew, func(payload []byte, err error) {
+		reply := new(wire.RenewReply)
+		if err == nil {
+			_, err = reply.UnmarshalMsg(payload)
+		}
+		a.box.Post(func() { a.replied(conn, address, sentAt, leaving, reply, err) })
+	})
+}
+
+func (a *Agent) request() wire.Renew {
+	self := a.config.Self
+	self.Leaving = a.leaving
+	self.Ready = !a.leaving && (a.config.Ready == nil || a.config.Ready())
+	renew := wire.Renew{Member: self, Have: relay.Versions(a.Snapshot().Versions).List()}
+	if a.config.Status != nil {
+		renew.Store = a.config.Status()
+	}
+	return renew
+}
+
+func (a *Agent) replied(conn *rpc.Conn, address string, sentAt time.Duration, leaving bool, reply *wire.RenewReply, err error) {
+	if err != nil {
+		a.session.failed(a.now(), address)
+		return
+	}
+	a.session.replied(a.now(), sentAt, address, reply)
+	if !reply.Granted {
+		return
+	}
+	a.granted(conn, reply)
+	if leaving {
+		for _, told := range a.left {
+			close(told)
+		}
+		a.left = nil
+	}
+}
+
+func (a *Agent) granted(conn *rpc.Conn, reply *wire.RenewReply) {
+	a.leader.Store(conn)
+	a.leaseEnd.Store(int64(a.session.renewed + a.session.lease))
+	if a.first.Load() == nil && len(reply.Heads) == int(wire.TopicCount) {
+		first := relay.VersionsOf(reply.Heads)
+		a.first.Store(&first)
+	}
+	a.node.Named(reply.Heads)
+	a.placeInTree()
+}
+
+// parentsKey is what the process's parents follow from.
+type parentsKey struct {
+	leader  string
+	members *wire.Members
+	stores  int
+}
+
+func (a *Agent) placeInTree() {
+	snapshot := a.Snapshot()
+	key := parentsKey{leader: a.session.leader, members: snapshot.Members}
+	if snapshot.Stores != nil {
+		key.stores = len(snapshot.Stores.Stores)
+	}
+	if key.leader == "" || key == a.parents {
+		return
+	}
+	a.parents = key
+	a.node.SetParents(relay.Parents(a.config.Self, key.members, key.stores, key.leader))
+}
+
+// updated is called by the relay node for each newer version.
+func (a *Agent) updated(topic wire.Topic, version wire.Version, payload []byte) {
+	a.box.Post(func() { a.apply(topic, version, payload) })
+}
+
+func (a *Agent) apply(topic wire.Topic, version wire.Version, payload []byte) {
+	old := a.Snapshot()
+	if !old.Versions[topic].Less(version) {
+		return
+	}
+	snapshot, err := old.with(topic, version, payload)
+	if err != nil {
+		a.log.Error("an update can't be read and is kept out", "topic", topic, "version", version, "error", err)
+		return
+	}
+	a.snapshot.Store(snapshot)
+	if topic == wire.TopicMembers {
+		a.session.setCore(snapshot.Members.Core)
+	}
+	a.placeInTree()
+	for _, f := range a.onChange {
+		f(topic, snapshot)
+	}
+}
--- /dev/null
+++ b/member/session.go
@@ -0,0 +1,176 @@
+package member
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"ravendale/wire"
+)
+
+// Times of a session.
+const (
+	answerWithin = 350 * time.Millisecond // connect included
+	retryPause   = 130 * time.Millisecond // around which to wait after a failure
+	hopsAllowed  = 3                      // from one control process to the next before a pause
+	leaseParts   = 3                      // renewals within a lease
+)
+
+// session decides when to renew the lease, and at which control process. It is pure: time and events go in, target and what
+// tick returns come out.
+type session struct {
+	random    *rand.Rand
+	heartbeat time.Duration
+	seeds     []string
+	core      []string
+
+	target  string
+	leader  string // who granted last
+	hops    int
+	waiting bool          // a renewal is to be sent or answered
+	sent    bool          // it was sent
+	due     time.Duration // waiting: give up; else: renew
+	renewed time.Duration // when the renewal that was granted last was sent
+	lease   time.Duration
+	again   bool // something changed while a renewal was under way
+}
+
+func newSession(random *rand.Rand, heartbeat time.Duration, seeds []string) *session {
+	s := &session{random: random, heartbeat: heartbeat, seeds: seeds}
+	s.target = s.candidate()
+	return s
+}
+
+// candidate picks a control process other than the target, if there is one.
+func (s *session) candidate() string {
+	candidates := union(s.core, s.seeds)
+	if len(candidates) == 0 {
+		return ""
+	}
+	pick := s.random.IntN(len(candidates))
+	if candidates[pick] == s.target {
+		pick = (pick + 1) % len(candidates)
+	}
+	return candidates[pick]
+}
+
+func union(lists ...[]string) []string {
+	seen := map[string]bool{"": true}
+	var all []string
+	for _, list := range lists {
+		for _, address := range list {
+			if !seen[address] {
+				seen[address] = true
+				all = append(all, address)
+			}
+		}
+	}
+	return all
+}
+
+// leased says whether the lease holds.
+func (s *session) leased(now time.Duration) bool { return s.lease > 0 && now < s.renewed+s.lease }
+
+// interval between renewals.
+func (s *session) interval() time.Duration {
+	if s.lease > 0 {
+		return min(s.heartbeat, s.lease/leaseParts)
+	}
+	return s.heartbeat
+}
+
+// hurry renews at once.
+func (s *session) hurry(now time.Duration) {
+	if s.waiting {
+		s.again = s.sent
+		return
+	}
+	s.due = now
+}
+
+func (s *session) setSeeds(seeds []string) { s.seeds = seeds }
+
+func (s *session) setCore(core []string) { s.core = core }
+
+// tick says whether a renewal is to be sent to the target, over a connection that is up.
+func (s *session) tick(now time.Duration, connected bool) bool {
+	if s.waiting && now >= s.due {
+		s.failed(now, s.target)
+	}
+	if !s.waiting && now >= s.due {
+		s.waiting, s.sent, s.due = true, false, now+answerWithin
+		if s.target == "" {
+			s.target = s.candidate()
+		}
+	}
+	if !s.waiting || s.sent || !connected {
+		return false
+	}
+	s.sent, s.again = true, false
+	return true
+}
+
+// next is when tick has something to do, if nothing happens before.
+func (s *session) next() time.Duration { return s.due }
+
+// failed tells that the target can't be connected, or that a renewal ended without an answer.
+func (s *session) failed(now time.Duration, from string) {
+	if from != s.target {
+		return
+	}
+	s.target = s.candidate()
+	s.pause(now)
+}
+
+func (s *session) pause(now time.Duration) {
+	s.waiting, s.sent, s.hops = false, false, 0
+	s.due = now + retryPause/2 + time.Duration(s.random.Int64N(int64(retryPause)))
+}
+
+// disconnected tells that the connection to the target has ended. Between renewals it is only made again.
+func (s *session) disconnected(now time.Duration, from string) {
+	if from != s.target {
+		return
+	}
+	if s.waiting || !s.leased(now) {
+		s.failed(now, from)
+		return
+	}
+	s.due = now // the leader may take a broken connection for the process's end
+}
+
+// replied takes the answer to a renewal that was sent at a time.
+func (s *session) replied(now, sentAt time.Duration, from string, reply *wire.RenewReply) {
+	if len(reply.Core) > 0 {
+		s.core = reply.Core
+	}
+	if reply.Granted {
+		s.granted(now, sentAt, from, reply)
+		return
+	}
+	if from != s.target || !s.waiting {
+		return
+	}
+	if reply.Leader == "" || reply.Leader == from || s.hops >= hopsAllowed {
+		s.failed(now, from)
+		return
+	}
+	s.hops++
+	s.target = reply.Leader
+	s.sent, s.due = false, now+answerWithin
+}
+
+func (s *session) granted(now, sentAt time.Duration, from string, reply *wire.RenewReply) {
+	if sentAt >= s.renewed || s.lease == 0 {
+		s.renewed = sentAt
+		s.lease = time.Duration(reply.LeaseMillis) * time.Millisecond
+	}
+	s.leader = from
+	if from != s.target {
+		return
+	}
+	s.waiting, s.sent, s.hops = false, false, 0
+	s.due = max(now, sentAt+s.interval())
+	if s.again {
+		s.again, s.due = false, now
+	}
+}
--- /dev/null
+++ b/relay/mailbox/mailbox.go
@@ -0,0 +1,76 @@
+// Package mailbox brings events from many goroutines to the one that handles them, in order. Posting never waits, so it may be
+// done from any callback.
+package mailbox
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Limit is how many events may wait; more are dropped.
+const Limit = 4096
+
+// idle is how long the loop sleeps when nothing is due.
+const idle = time.Hour
+
+// Mailbox holds events that wait for their goroutine.
+type Mailbox struct {
+	wake chan struct{}
+
+	mu    sync.Mutex
+	queue []func()
+}
+
+// New returns an empty Mailbox.
+func New() *Mailbox { return &Mailbox{wake: make(chan struct{}, 1)} }
+
+// Post queues an event, and says whether there was room.
+func (m *Mailbox) Post(event func()) bool {
+	m.mu.Lock()
+	if len(m.queue) >= Limit {
+		m.mu.Unlock()
+		return false
+	}
+	m.queue = append(m.queue, event)
+	m.mu.Unlock()
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+func (m *Mailbox) take() []func() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	events := m.queue
+	m.queue = nil
+	return events
+}
+
+// Run handles events until the context ends. After each batch, and when its answer to the last call has passed, it calls tick,
+// which says in how long it wants to be called again; zero or less stands for never.
+func (m *Mailbox) Run(ctx context.Context, tick func() time.Duration) {
+	timer := time.NewTimer(pause(tick()))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-m.wake:
+		}
+		for _, event := range m.take() {
+			event()
+		}
+		timer.Reset(pause(tick()))
+	}
+}
+
+func pause(wanted time.Duration) time.Duration {
+	if wanted <= 0 {
+		return idle
+	}
+	return wanted
+}
--- /dev/null
+++ b/relay/node.go
@@ -0,0 +1,293 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"ravendale/relay/mailbox"
+	"ravendale/rpc"
+	"ravendale/wire"
+)
+
+// BeatEvery is how often a parent tells its children that it lives.
+const BeatEvery = 500 * time.Millisecond
+
+// uplinkPingAfter is longer than a beat, so that few pings are needed.
+const uplinkPingAfter = 600 * time.Millisecond
+
+// NodeConfig says what a Node is and whom it tells.
+type NodeConfig struct {
+	Self     string // Member.ID
+	Root     bool   // it has no parent, and any number of children
+	OnUpdate func(topic wire.Topic, version wire.Version, payload []byte)
+	Leader   func() *rpc.Conn // a connection to the leader, if there is one; nil: never
+	Log      *slog.Logger
+}
+
+// Node is a process's place in the relay tree. Its methods may be called by any goroutine.
+type Node struct {
+	config  NodeConfig
+	box     *mailbox.Mailbox
+	started time.Time
+
+	// The rest belongs to the goroutine of Run.
+	topics   Topics
+	children *Children[*rpc.Conn]
+	uplink   *Uplink
+	link     *rpc.Link
+	beat     time.Duration
+	stopped  bool
+}
+
+// NewNode makes a node that does nothing before Run.
+func NewNode(config NodeConfig) *Node {
+	if config.Log == nil {
+		config.Log = slog.Default()
+	}
+	limit := MaxChildren
+	if config.Root {
+		limit = 0
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &Node{
+		config: config, box: mailbox.New(), started: time.Now(),
+		children: NewChildren[*rpc.Conn](limit), uplink: NewUplink(random),
+	}
+}
+
+// Register has a Mux pass children's requests to the node that current names. While it names none, children are refused.
+func Register(mux *rpc.Mux, current func() *Node) {
+	rpc.Handle(mux, wire.MethodSubscribe, func(c *rpc.Conn, subscribe *wire.Subscribe, reply rpc.Reply) {
+		node := current()
+		if node == nil || !node.box.Post(func() { node.subscribe(c, subscribe, reply) }) {
+			reply.Send(&wire.SubscribeReply{})
+		}
+	})
+	rpc.Handle(mux, wire.MethodFetch, func(_ *rpc.Conn, fetch *wire.Fetch, reply rpc.Reply) {
+		node := current()
+		if node == nil || !node.box.Post(func() { node.answer(fetch, reply) }) {
+			reply.Send(&wire.Update{Topic: fetch.Topic})
+		}
+	})
+}
+
+// Run takes part in the tree until the context ends. It lets its children go then.
+func (n *Node) Run(ctx context.Context) {
+	n.box.Run(ctx, n.tick)
+	n.stop()
+}
+
+func (n *Node) stop() {
+	n.stopped = true
+	if n.link != nil {
+		n.link.Close()
+	}
+	for _, child := range n.children.List() {
+		child.Close()
+	}
+}
+
+// Publish sets a topic's newest version. Its payload must not be changed any more.
+func (n *Node) Publish(topic wire.Topic, version wire.Version, payload []byte) {
+	n.box.Post(func() {
+		if n.topics.Publish(topic, version, payload) {
+			n.changed(topic)
+		}
+	})
+}
+
+// SetParents gives the addresses of parents, the best first.
+func (n *Node) SetParents(parents []string) {
+	n.box.Post(func() { n.uplink.SetParents(n.now(), parents) })
+}
+
+// Named takes note of versions that exist somewhere; what stays missing is fetched.
+func (n *Node) Named(heads []wire.Version) {
+	n.box.Post(func() { n.topics.Named(n.now(), heads) })
+}
+
+// Take applies an update that came outside of the tree.
+func (n *Node) Take(update *wire.Update) {
+	n.box.Post(func() { n.take(update) })
+}
+
+func (n *Node) now() time.Duration { return time.Since(n.started) }
+
+func (n *Node) changed(topic wire.Topic) {
+	n.push()
+	if n.config.OnUpdate != nil {
+		n.config.OnUpdate(topic, n.topics.Versions()[topic], n.topics.Whole(topic))
+	}
+}
+
+func (n *Node) push() {
+	for _, send := range n.children.Push(&n.topics) {
+		if err := send.Child.Notify(wire.MethodUpdate, send.Update); err != nil {
+			n.children.Remove(send.Child)
+		}
+	}
+}
+
+func (n *Node) subscribe(c *rpc.Conn, subscribe *wire.Subscribe, reply rpc.Reply) {
+	if subscribe.Member == n.config.Self || !n.children.Add(c, VersionsOf(subscribe.Have)) {
+		reply.Send(&wire.SubscribeReply{})
+		return
+	}
+	c.OnClose(func(error) { n.box.Post(func() { n.children.Remove(c) }) })
+	reply.Send(&wire.SubscribeReply{Accepted: true})
+	n.push()
+}
+
+func (n *Node) answer(fetch *wire.Fetch, reply rpc.Reply) {
+	update := n.topics.Answer(fetch)
+	reply.Send(&update)
+}
+
+func (n *Node) take(update *wire.Update) {
+	newer, err := n.topics.Apply(update)
+	if err != nil { // the topic is missing now, and is fetched whole
+		n.topics.Named(n.now(), headOf(update))
+		return
+	}
+	if newer {
+		n.changed(update.Topic)
+	}
+}
+
+func headOf(update *wire.Update) []wire.Version {
+	var heads Versions
+	heads[update.Topic] = update.To
+	return heads[:]
+}
+
+func (n *Node) tick() time.Duration {
+	now := n.now()
+	n.uplink.Tick(now)
+	n.connect()
+	n.sendBeats(now)
+	for _, repair := range n.topics.Repairs(now) {
+		n.fetch(repair)
+	}
+	return n.next(now)
+}
+
+func (n *Node) next(now time.Duration) time.Duration {
+	next, found := n.uplink.Next()
+	if at, ok := n.topics.Next(); ok && (!found || at < next) {
+		next, found = at, true
+	}
+	if len(n.children.List()) > 0 && (!found || n.beat < next) {
+		next, found = n.beat, true
+	}
+	if !found {
+		return 0
+	}
+	return max(next-now, time.Millisecond)
+}
+
+func (n *Node) sendBeats(now time.Duration) {
+	if now < n.beat || len(n.children.List()) == 0 {
+		return
+	}
+	n.beat = now + BeatEvery
+	versions := n.topics.Versions()
+	beat := wire.Beat{Heads: versions.List()}
+	for _, child := range slices.Clone(n.children.List()) {
+		if err := child.Notify(wire.MethodBeat, &beat); err != nil {
+			n.children.Remove(child)
+		}
+	}
+}
+
+// connect has the link go where the uplink wants it.
+func (n *Node) connect() {
+	target := n.uplink.Target()
+	if n.link != nil && n.link.Address() == target {
+		return
+	}
+	if n.link != nil {
+		n.link.Close()
+		n.link = nil
+	}
+	if target == "" || n.stopped {
+		return
+	}
+	options := rpc.Options{Mux: n.parentMux(target), ConnectTimeout: joinWithin, PingAfter: uplinkPingAfter, SilentAfter: silentAfter}
+	up := func(c *rpc.Conn) { n.box.Post(func() { n.join(c, target) }) }
+	down := func(error) { n.box.Post(func() { n.uplink.Lost(n.now(), target) }) }
+	n.link = rpc.NewLink(target, options, up, down)
+}
+
+func (n *Node) parentMux(address string) *rpc.Mux {
+	mux := rpc.NewMux()
+	rpc.Handle(mux, wire.MethodUpdate, func(_ *rpc.Conn, update *wire.Update, _ rpc.Reply) {
+		n.box.Post(func() {
+			n.uplink.Heard(n.now(), address)
+			n.take(update)
+		})
+	})
+	rpc.Handle(mux, wire.MethodBeat, func(_ *rpc.Conn, beat *wire.Beat, _ rpc.Reply) {
+		n.box.Post(func() {
+			n.uplink.Heard(n.now(), address)
+			n.topics.Named(n.now(), beat.Heads)
+		})
+	})
+	return mux
+}
+
+func (n *Node) join(c *rpc.Conn, address string) {
+	versions := n.topics.Versions()
+	subscribe := wire.Subscribe{Member: n.config.Self, Have: versions.List()}
+	c.Start(wire.MethodSubscribe, &subscribe, func(payload []byte, err error) {
+		var reply wire.SubscribeReply
+		if err == nil {
+			_, err = reply.UnmarshalMsg(payload)
+		}
+		accepted := err == nil && reply.Accepted
+		n.box.Post(func() { n.joined(c, address, accepted) })
+	})
+}
+
+func (n *Node) joined(c *rpc.Conn, address string, accepted bool) {
+	if !accepted {
+		c.Close()
+		n.uplink.Lost(n.now(), address)
+		return
+	}
+	n.uplink.Accepted(n.now(), address)
+}
+
+// fetch asks the parent for a topic, and the leader every other time, or if there is no parent.
+func (n *Node) fetch(repair Repair) {
+	conn := n.fetchFrom(repair.Tried)
+	if conn == nil {
+		return
+	}
+	fetch := wire.Fetch{Topic: repair.Topic, Have: repair.Have}
+	conn.Start(wire.MethodFetch, &fetch, func(payload []byte, err error) {
+		update := new(wire.Update)
+		if err == nil {
+			_, err = update.UnmarshalMsg(payload)
+		}
+		if err == nil && len(update.Payload) > 0 {
+			n.Take(update)
+		}
+	})
+}
+
+func (n *Node) fetchFrom(tried int) *rpc.Conn {
+	var parent, leader *rpc.Conn
+	if n.link != nil && n.uplink.Joined() {
+		parent = n.link.Conn()
+	}
+	if n.config.Leader != nil {
+		leader = n.config.Leader()
+	}
+	if parent == nil || tried%2 == 1 && leader != nil {
+		return leader
+	}
+	return parent
+}
