--- /dev/null
+++ b/standin/client/client.go
@@ -0,0 +1,228 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ravendale/standin/history"
+	"ravendale/standin/protocol"
+)
+
+// Traffic is what clients send on one route.
+type Traffic struct {
+	Route      string
+	Host       string
+	Target     string        // path and query, below the route's prefix
+	Weight     int           // its part of all messages
+	Keys       int           // number of order keys; 0: none
+	DelayShare float64       // of messages that carry a delay
+	DelayMax   time.Duration // longest delay
+	BodyBytes  int           // largest body
+}
+
+// Load is a stretch of traffic.
+type Load struct {
+	RatePerS float64
+	Duration time.Duration
+	Traffic  []Traffic
+	Clients  int           // each has a connection of its own; 0: defaultClients
+	Tries    int           // of a message, while they are promised not to have run; 0: defaultTries
+	Patience time.Duration // for an answer; 0: defaultPatience
+}
+
+const (
+	defaultClients  = 24
+	defaultTries    = 4
+	defaultPatience = 3 * time.Second
+	maxRetryAfter   = time.Second
+)
+
+func (l Load) withDefaults() Load {
+	if l.Clients == 0 {
+		l.Clients = defaultClients
+	}
+	if l.Tries == 0 {
+		l.Tries = defaultTries
+	}
+	if l.Patience == 0 {
+		l.Patience = defaultPatience
+	}
+	return l
+}
+
+// Clients send messages through a balancer.
+type Clients struct {
+	balancer *Balancer
+	record   *history.Recorder
+	prefix   string
+	serial   atomic.Uint64
+}
+
+// New makes clients. They send nothing yet.
+func New(balancer *Balancer, record *history.Recorder) *Clients {
+	return &Clients{balancer: balancer, record: record, prefix: fmt.Sprintf("%012x", rand.Uint64()>>16)}
+}
+
+// Run sends a load, and returns when all of it is answered or given up.
+func (c *Clients) Run(ctx context.Context, load Load) {
+	load = load.withDefaults()
+	transports := make([]*http.Transport, load.Clients)
+	for i := range transports {
+		transports[i] = c.transport()
+		defer transports[i].CloseIdleConnections()
+	}
+	var group sync.WaitGroup
+	defer group.Wait()
+	end := time.Now().Add(load.Duration)
+	next := time.Now()
+	for next.Before(end) && ctx.Err() == nil {
+		time.Sleep(time.Until(next))
+		transport := transports[rand.IntN(len(transports))]
+		traffic := pick(load.Traffic)
+		group.Go(func() { c.hand(ctx, transport, traffic, load) })
+		next = next.Add(time.Duration(rand.ExpFloat64() / load.RatePerS * float64(time.Second)))
+	}
+}
+
+// pick chooses a route by weight.
+func pick(traffic []Traffic) Traffic {
+	total := 0
+	for _, t := range traffic {
+		total += max(t.Weight, 1)
+	}
+	drawn := rand.IntN(total)
+	for _, t := range traffic {
+		drawn -= max(t.Weight, 1)
+		if drawn < 0 {
+			return t
+		}
+	}
+	return traffic[0]
+}
+
+// transport dials an edge of the balancer's choice for each new connection.
+func (c *Clients) transport() *http.Transport {
+	dialer := &net.Dialer{Timeout: time.Second}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp4", c.balancer.Pick().HTTP)
+		},
+		DisableCompression: true,
+		IdleConnTimeout:    10 * time.Second,
+	}
+}
+
+// hand hands in one message, with more tries while it is promised not to have been taken.
+func (c *Clients) hand(ctx context.Context, transport *http.Transport, traffic Traffic, load Load) {
+	body := make([]byte, rand.IntN(traffic.BodyBytes+1))
+	for i := range body {
+		body[i] = byte(rand.Uint32())
+	}
+	send := history.Send{
+		Route:  traffic.Route,
+		Method: http.MethodPost,
+		Host:   traffic.Host,
+		Target: traffic.Target,
+		Body:   xxhash.Sum64(body),
+	}
+	if traffic.Keys > 0 {
+		send.Key = "key-" + strconv.Itoa(rand.IntN(traffic.Keys))
+	}
+	if rand.Float64() < traffic.DelayShare {
+		send.Delay = time.Duration(rand.Float64() * float64(traffic.DelayMax)).Truncate(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(ctx, load.Patience)
+	defer cancel()
+	for try := 0; try < load.Tries && ctx.Err() == nil; try++ {
+		tried, retryAfter := c.Send(ctx, transport, send, body)
+		if !tried.Promised() {
+			return
+		}
+		transport.CloseIdleConnections()
+		pause(ctx, retryAfter)
+	}
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-time.After(length):
+	case <-ctx.Done():
+	}
+}
+
+// SendOne hands in one message in one try on a connection of its own.
+func (c *Clients) SendOne(ctx context.Context, send history.Send, body []byte) history.Send {
+	transport := c.transport()
+	defer transport.CloseIdleConnections()
+	send.Body = xxhash.Sum64(body)
+	tried, _ := c.Send(ctx, transport, send, body)
+	return tried
+}
+
+// Send makes one try under a new Request-Id and records it.
+func (c *Clients) Send(ctx context.Context, transport *http.Transport, send history.Send, body []byte) (history.Send, time.Duration) {
+	send.RequestID = fmt.Sprintf("%s%06x", c.prefix, c.serial.Add(1))
+	send.MessageID = send.RequestID
+	send.Sent = c.record.Now()
+	retryAfter := c.attempt(ctx, transport, &send, body)
+	send.Answered = c.record.Now()
+	c.record.Send(send)
+	return send, retryAfter
+}
+
+func (c *Clients) attempt(ctx context.Context, transport *http.Transport, send *history.Send, body []byte) time.Duration {
+	request, err := newRequest(ctx, send, body)
+	if err != nil {
+		send.Problem = err.Error()
+		return 0
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		send.Problem = err.Error()
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		send.Problem = err.Error()
+		return 0
+	}
+	send.Status = response.StatusCode
+	if name := response.Header.Get(protocol.HeaderMessageID); name != "" {
+		send.MessageID = name
+	}
+	seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	return min(time.Duration(seconds*float64(time.Second)), maxRetryAfter)
+}
+
+func newRequest(ctx context.Context, send *history.Send, body []byte) (*http.Request, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) {
+		send.Edge = got.Conn.RemoteAddr().String()
+	}}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	request, err := http.NewRequestWithContext(ctx, send.Method, "http://platform"+send.Target, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Host = send.Host
+	request.Header.Set("User-Agent", "")
+	request.Header.Set(protocol.HeaderRequestID, send.RequestID)
+	if send.Key != "" {
+		request.Header.Set(protocol.HeaderOrderKey, send.Key)
+	}
+	if send.Delay > 0 {
+		request.Header.Set(protocol.HeaderDelay, strconv.FormatInt(send.Delay.Milliseconds(), 10))
+	}
+	return request, nil
+}
--- /dev/null
+++ b/standin/client/poller.go
@@ -0,0 +1,109 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ravendale/standin/history"
+	"ravendale/standin/protocol"
+)
+
+// Polling of states and bodies.
+const (
+	pollers      = 16
+	pollPatience = 2 * time.Second
+	pollPause    = 200 * time.Millisecond
+	statePath    = "/v1/message/"
+	bodyPath     = "/v1/message-body/"
+)
+
+// ReadBack asks for the state of each message, and for the body of those that it is told are pending or dead. Each is asked for
+// again after a failure, at another edge, until the context ends. All readings are recorded.
+func (c *Clients) ReadBack(ctx context.Context, sends []history.Send) {
+	work := make(chan history.Send)
+	var group sync.WaitGroup
+	for range pollers {
+		group.Go(func() {
+			transport := c.transport()
+			defer transport.CloseIdleConnections()
+			for send := range work {
+				c.readBack(ctx, transport, send)
+			}
+		})
+	}
+	for _, send := range sends {
+		work <- send
+	}
+	close(work)
+	group.Wait()
+}
+
+func (c *Clients) readBack(ctx context.Context, transport *http.Transport, send history.Send) {
+	for {
+		reading := c.Read(ctx, transport, send)
+		settled := reading.StateStatus == http.StatusOK && (reading.State == protocol.StateDone || reading.BodyStatus == http.StatusOK)
+		if settled || ctx.Err() != nil {
+			c.record.Read(reading)
+			return
+		}
+		transport.CloseIdleConnections()
+		pause(ctx, pollPause)
+	}
+}
+
+// ReadOne reads a message's state, and unless it is done its body, on a connection of its own.
+func (c *Clients) ReadOne(ctx context.Context, send history.Send) history.Reading {
+	transport := c.transport()
+	defer transport.CloseIdleConnections()
+	return c.Read(ctx, transport, send)
+}
+
+// Read reads a message's state, and unless it is done its body.
+func (c *Clients) Read(ctx context.Context, transport *http.Transport, send history.Send) history.Reading {
+	reading := history.Reading{RequestID: send.RequestID, MessageID: send.MessageID, At: c.record.Now()}
+	var state struct {
+		State     string `json:"state"`
+		Signature string `json:"signature"`
+	}
+	status, bytes := get(ctx, transport, send.Host, statePath+send.MessageID)
+	reading.StateStatus = status
+	if status != http.StatusOK {
+		return reading
+	}
+	if err := json.Unmarshal(bytes, &state); err != nil {
+		reading.StateStatus = 0
+		return reading
+	}
+	reading.State, reading.Signature = state.State, state.Signature
+	if state.State != protocol.StateDone {
+		status, bytes = get(ctx, transport, send.Host, bodyPath+send.MessageID)
+		reading.BodyStatus, reading.Body = status, xxhash.Sum64(bytes)
+	}
+	return reading
+}
+
+func get(ctx context.Context, transport *http.Transport, host, path string) (status int, body []byte) {
+	ctx, cancel := context.WithTimeout(ctx, pollPatience)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://platform"+path, nil)
+	if err != nil {
+		return 0, nil
+	}
+	request.Host = host
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return 0, nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err = io.ReadAll(response.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return response.StatusCode, body
+}
--- /dev/null
+++ b/standin/operator/operator.go
@@ -0,0 +1,195 @@
+// Package operator stands in for the operator: it orders configurations and reads them back, resends what got no clear answer as
+// the protocol says, and records what was taken.
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"ravendale/standin/history"
+	"ravendale/standin/protocol"
+)
+
+// How calls are made and made again.
+const (
+	callPatience  = time.Second
+	firstPause    = 50 * time.Millisecond
+	longestPause  = time.Second
+	redirectsMost = 2
+	othersMost    = 3 // tries after which any other 4xx ends a call
+)
+
+// Operator calls the control plane.
+type Operator struct {
+	addresses []string
+	record    *history.Recorder
+	client    *http.Client
+
+	mutex sync.Mutex
+	next  int
+}
+
+// New makes an operator that calls any of some control processes, by host:port.
+func New(addresses []string, record *history.Recorder) *Operator {
+	client := &http.Client{
+		Timeout:       callPatience,
+		Transport:     &http.Transport{DisableKeepAlives: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return &Operator{addresses: addresses, record: record, client: client}
+}
+
+// Answer to a call. Status 0: the context ended without a clear answer.
+type Answer struct {
+	Status int
+	Body   []byte
+}
+
+// Set orders a whole configuration on top of version base.
+func (o *Operator) Set(ctx context.Context, base uint64, config protocol.Config) (Answer, error) {
+	body, err := json.Marshal(config)
+	if err != nil {
+		return Answer{}, fmt.Errorf("operator: %w", err)
+	}
+	return o.order(ctx, "/v1/config/set", base, body, config), nil
+}
+
+// Patch orders a change of the configuration current.
+func (o *Operator) Patch(ctx context.Context, current protocol.Config, patch protocol.Patch) (Answer, error) {
+	body, err := json.Marshal(patch)
+	if err != nil {
+		return Answer{}, fmt.Errorf("operator: %w", err)
+	}
+	return o.order(ctx, "/v1/config/patch", current.Version, body, current.Apply(patch)), nil
+}
+
+func (o *Operator) order(ctx context.Context, path string, base uint64, body []byte, config protocol.Config) Answer {
+	order := history.Order{Base: base, Config: config, Sent: o.record.Now()}
+	header := http.Header{}
+	header.Set(protocol.HeaderBaseVersion, strconv.FormatUint(base, 10))
+	answer := o.Call(ctx, http.MethodPost, path, header, body)
+	order.Status = answer.Status
+	order.Answered = o.record.Now()
+	o.record.Order(order)
+	return answer
+}
+
+// Show reads the newest configuration.
+func (o *Operator) Show(ctx context.Context) (protocol.Config, error) {
+	answer := o.Call(ctx, http.MethodGet, "/v1/config/show", nil, nil)
+	if answer.Status != http.StatusOK {
+		return protocol.Config{}, fmt.Errorf("operator: show was answered %d", answer.Status)
+	}
+	var config protocol.Config
+	if err := json.Unmarshal(answer.Body, &config); err != nil {
+		return protocol.Config{}, fmt.Errorf("operator: show: %w", err)
+	}
+	return config, nil
+}
+
+// StartRetire asks for a storage machine to be emptied.
+func (o *Operator) StartRetire(ctx context.Context, node string, deadline time.Duration) Answer {
+	body := fmt.Appendf(nil, `{"deadlineS":%g}`, deadline.Seconds())
+	return o.Call(ctx, http.MethodPost, "/v1/retire/"+node+"/start", nil, body)
+}
+
+// RetireState asks how far the emptying of a storage machine is.
+func (o *Operator) RetireState(ctx context.Context, node string) (string, error) {
+	answer := o.Call(ctx, http.MethodGet, "/v1/retire/"+node+"/show", nil, nil)
+	if answer.Status != http.StatusOK {
+		return "", fmt.Errorf("operator: retire of %s was answered %d", node, answer.Status)
+	}
+	var state struct {
+		State string `json:"state"`
+	}
+	err := json.Unmarshal(answer.Body, &state)
+	return state.State, err
+}
+
+// Call makes a call, and makes it again at other control processes until it is answered clearly or the context ends.
+func (o *Operator) Call(ctx context.Context, method, path string, header http.Header, body []byte) Answer {
+	pause := firstPause
+	for others := 0; ctx.Err() == nil; {
+		answer := o.try(ctx, method, "http://"+o.address()+path, header, body)
+		if isOther(answer.Status) {
+			others++
+		}
+		if isClear(answer.Status) || others >= othersMost {
+			return answer
+		}
+		o.moveOn()
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+		pause = min(2*pause, longestPause)
+	}
+	return Answer{}
+}
+
+func isClear(status int) bool {
+	switch status {
+	case http.StatusBadRequest, http.StatusConflict, http.StatusPreconditionFailed,
+		http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return true
+	}
+	return status >= 200 && status < 300
+}
+
+// isOther says whether a status ends a call only when it comes again.
+func isOther(status int) bool {
+	return status >= 400 && status < 500 && !isClear(status) &&
+		status != http.StatusRequestTimeout && status != http.StatusTooManyRequests
+}
+
+func (o *Operator) address() string {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.addresses[o.next%len(o.addresses)]
+}
+
+func (o *Operator) moveOn() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.next++
+}
+
+// try makes a call once, along redirects.
+func (o *Operator) try(ctx context.Context, method, url string, header http.Header, body []byte) Answer {
+	for range redirectsMost + 1 {
+		answer, location := o.once(ctx, method, url, header, body)
+		if answer.Status != http.StatusTemporaryRedirect || location == "" {
+			return answer
+		}
+		url = location
+	}
+	return Answer{}
+}
+
+func (o *Operator) once(ctx context.Context, method, url string, header http.Header, body []byte) (answer Answer, location string) {
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return Answer{}, ""
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := o.client.Do(request)
+	if err != nil {
+		return Answer{}, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return Answer{}, ""
+	}
+	return Answer{Status: response.StatusCode, Body: content}, response.Header.Get("Location")
+}
