--- /dev/null
+++ b/queueclient/put.go
@@ -0,0 +1,325 @@
+package queueclient
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"ravendale/wire"
+)
+
+// Result is what became of a Put.
+type Result uint8
+
+// The results of a Put.
+const (
+	Kept    Result = iota // on disk at all replicas
+	Refused               // surely not kept, now or ever
+	Unsure                // promises nothing
+)
+
+const triesAtOnce = 3 // so many partitions may refuse before a pause
+
+type tryState uint8
+
+const (
+	tryWaiting tryState = iota
+	tryRefused          // surely not kept
+	tryUnsure
+	tryKept
+)
+
+// try is one request of a put. Its state is guarded by the put's lock.
+type try struct {
+	put       *put
+	id        string
+	partition uint16
+	stores    []*store // of the partition, the primary first
+	state     tryState
+	granted   bool // a grant came before the answer
+}
+
+// put is one call of Put. The first of its tries that is kept wins.
+type put struct {
+	client   *Client
+	message  *wire.Message
+	dispatch bool
+	answered chan struct{} // capacity 1: something happened to a try
+
+	mu    sync.Mutex
+	tries []*try
+	kept  *try
+	over  bool
+}
+
+// Put has a message kept, within a limit. It names the message: ID is set when it was Kept. A message with an order keeps its
+// name and its partition through all tries; another gets new ones with each. With dispatch Config.Kept is told, before Put
+// returns; the message, its body included, must then not change any more.
+func (c *Client) Put(m *wire.Message, dispatch bool, limit time.Duration) Result {
+	p := &put{client: c, message: m, dispatch: dispatch, answered: make(chan struct{}, 1)}
+	expired := time.NewTimer(limit)
+	defer expired.Stop()
+	for {
+		wait := refusalPause
+		t := p.begin()
+		if t != nil {
+			wait = putPatience
+		}
+		if !p.await(t, wait, expired) {
+			return p.finish()
+		}
+		if p.pauses(t) && !p.await(nil, refusalPause, expired) {
+			return p.finish()
+		}
+	}
+}
+
+// pauses says whether the next try would come too soon: after a refusal there is not always another partition to turn to.
+func (p *put) pauses(t *try) bool {
+	if t == nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t.state == tryWaiting {
+		return false
+	}
+	return p.message.Ordered || len(p.tries)%triesAtOnce == 0
+}
+
+// await waits until a try has an answer, or a time, and says whether the put goes on.
+func (p *put) await(t *try, wait time.Duration, expired *time.Timer) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		select {
+		case <-p.answered:
+			if p.isKept() {
+				return false
+			}
+			if t != nil && p.hasAnswer(t) {
+				return true
+			}
+		case <-timer.C:
+			p.blame(t)
+			return true
+		case <-expired.C:
+			p.blame(t)
+			return false
+		}
+	}
+}
+
+func (p *put) isKept() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.kept != nil
+}
+
+func (p *put) hasAnswer(t *try) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return t.state != tryWaiting
+}
+
+// blame has the stores passed over that left a try unanswered: any of a partition's may be the slow one.
+func (p *put) blame(t *try) {
+	if t == nil || p.hasAnswer(t) {
+		return
+	}
+	now := p.client.now()
+	for _, s := range t.stores {
+		s.blame(now)
+	}
+}
+
+// finish ends a put and says what became of it.
+func (p *put) finish() Result {
+	p.mu.Lock()
+	p.over = true
+	result := Refused
+	for _, t := range p.tries {
+		if t.state == tryWaiting || t.state == tryUnsure {
+			result = Unsure
+		}
+	}
+	if p.kept != nil {
+		result = Kept
+	}
+	p.mu.Unlock()
+	p.client.forget(p)
+	return result
+}
+
+// begin sends the message to the primary of a partition, or returns nil where that can't be.
+func (p *put) begin() *try {
+	c := p.client
+	v := c.view.Load()
+	if v == nil || len(v.Partitions) == 0 {
+		return nil
+	}
+	partition, ok := p.partition(v)
+	if !ok {
+		return nil
+	}
+	primary := v.primary(partition)
+	if primary == nil {
+		return nil
+	}
+	conn := primary.conn()
+	if conn == nil {
+		return nil
+	}
+	t := p.newTry(partition, v.replicas(partition))
+	if t == nil {
+		return nil
+	}
+	request := &wire.Put{Partition: partition, Epoch: v.Epoch, Message: *p.message, Dispatch: p.dispatch}
+	request.Message.ID = t.id
+	conn.Start(wire.MethodPut, request, t.reply)
+	return t
+}
+
+func (p *put) partition(v *view) (uint16, bool) {
+	if p.message.Ordered && p.message.Key != "" {
+		return wire.PartitionOfKey(p.message.Key, len(v.Partitions)), true
+	}
+	p.mu.Lock()
+	var tried []uint16
+	for _, t := range p.tries {
+		tried = append(tried, t.partition)
+	}
+	p.mu.Unlock()
+	return v.choose(p.client.now(), tried)
+}
+
+func (p *put) newTry(partition uint16, stores []*store) *try {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.kept != nil {
+		return nil
+	}
+	t := &try{put: p, partition: partition, stores: stores}
+	if p.message.Ordered && len(p.tries) > 0 && p.tries[0].partition == partition {
+		t.id = p.tries[0].id
+	} else {
+		t.id = p.client.name(partition)
+	}
+	p.tries = append(p.tries, t)
+	p.client.remember(t)
+	return t
+}
+
+func (c *Client) name(partition uint16) string {
+	return wire.MessageID(partition, c.life+"-"+strconv.FormatUint(c.names.Add(1), 36))
+}
+
+// reply takes the answer to a try, on the goroutine that reads the connection.
+func (t *try) reply(payload []byte, err error) {
+	reply := wire.PutReply{Code: wire.PutUnknown}
+	if err == nil {
+		_, err = reply.UnmarshalMsg(payload)
+	}
+	switch {
+	case err != nil || reply.Code == wire.PutUnknown:
+		t.settle(tryUnsure)
+	case reply.Code == wire.PutKept:
+		t.keep(reply.Granted)
+	default:
+		t.settle(tryRefused)
+	}
+}
+
+func (t *try) settle(state tryState) {
+	t.put.mu.Lock()
+	t.state = state
+	t.put.mu.Unlock()
+	t.put.poke()
+}
+
+func (p *put) poke() {
+	select {
+	case p.answered <- struct{}{}:
+	default:
+	}
+}
+
+// keep takes the message as kept by this try, unless it is too late: then the store is to drop it.
+func (t *try) keep(granted bool) {
+	p := t.put
+	for _, s := range t.stores {
+		s.clear()
+	}
+	p.mu.Lock()
+	t.state = tryKept
+	known := p.kept != nil && p.kept.id == t.id
+	late := p.over || p.kept != nil
+	if !late {
+		p.kept = t
+		p.message.ID = t.id
+	}
+	granted = granted || t.granted
+	p.mu.Unlock()
+	if late {
+		if !known {
+			p.client.Report(wire.Report{Partition: t.partition, ID: t.id, Kind: wire.ReportDropped})
+		}
+		return
+	}
+	if p.dispatch {
+		p.client.config.Kept(p.message, granted)
+	}
+	p.client.forget(p)
+	p.poke()
+}
+
+func (c *Client) remember(t *try) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tries[t.id] = t
+}
+
+func (c *Client) forget(p *put) {
+	p.mu.Lock()
+	tries := p.tries
+	p.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range tries {
+		delete(c.tries, t.id)
+	}
+}
+
+// grantTry notes a grant that overtook the answer to its put, and says whether it was one.
+func (c *Client) grantTry(id string) bool {
+	c.mu.Lock()
+	t := c.tries[id]
+	c.mu.Unlock()
+	if t == nil {
+		return false
+	}
+	t.put.mu.Lock()
+	defer t.put.mu.Unlock()
+	if t.put.kept != nil {
+		return false
+	}
+	for _, other := range t.put.tries { // a repeat under the same name may be the one that is answered
+		if other.id == id {
+			other.granted = true
+		}
+	}
+	return true
+}
+
+// putting lists the messages whose puts have no result yet.
+func (c *Client) putting() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ids := make([]string, 0, len(c.tries))
+	for id, t := range c.tries {
+		if t.put.dispatch {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/queueclient/report.go
@@ -0,0 +1,185 @@
+package queueclient
+
+import (
+	"sync"
+	"time"
+
+	"ravendale/wire"
+)
+
+// reports are those that have not been acknowledged. Of one message they are sent one after the other.
+type reports struct {
+	client *Client
+
+	mu      sync.Mutex
+	waiting map[string]*reporting
+	timer   *time.Timer
+	wakeAt  time.Duration // 0: the timer does not run
+	stopped bool
+}
+
+// reporting is what is to be told of one message.
+type reporting struct {
+	queue  []wire.Report
+	sent   uint64        // number of the newest sending; answers to older ones only count if they acknowledge
+	due    time.Duration // when it is sent again
+	number uint64        // of the report at the head
+}
+
+func (r *reports) init(c *Client) {
+	r.client = c
+	r.waiting = make(map[string]*reporting)
+}
+
+// Report tells the primary of a message's partition what became of a delivery, again until it is acknowledged. Partition and
+// Epoch are filled in.
+func (c *Client) Report(report wire.Report) {
+	partition, ok := wire.PartitionOf(report.ID)
+	if !ok {
+		return
+	}
+	report.Partition = partition
+	r := &c.reports
+	r.mu.Lock()
+	w := r.waiting[report.ID]
+	if w == nil {
+		w = &reporting{}
+		r.waiting[report.ID] = w
+	}
+	w.queue = append(w.queue, report)
+	first := len(w.queue) == 1
+	r.mu.Unlock()
+	if first {
+		r.send(report.ID)
+	}
+}
+
+func (r *reports) pending() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.waiting)
+}
+
+// send sends the report at the head of a message's queue.
+func (r *reports) send(id string) {
+	r.mu.Lock()
+	w := r.waiting[id]
+	if w == nil || r.stopped {
+		r.mu.Unlock()
+		return
+	}
+	report := w.queue[0]
+	w.sent++
+	sent, number := w.sent, w.number
+	w.due = r.client.now() + reportPatience
+	r.wake(w.due)
+	r.mu.Unlock()
+
+	v := r.client.view.Load()
+	if v == nil {
+		return
+	}
+	primary := v.primary(report.Partition)
+	if primary == nil {
+		return
+	}
+	conn := primary.conn()
+	if conn == nil {
+		return // it is sent again once the connection is up, or another store is the primary
+	}
+	report.Epoch = v.Epoch
+	conn.Start(wire.MethodReport, &report, func(payload []byte, err error) {
+		reply := wire.ReportReply{Code: wire.PutUnknown}
+		if err == nil {
+			_, err = reply.UnmarshalMsg(payload)
+		}
+		r.answered(id, number, sent, err == nil && reply.Code == wire.PutKept)
+	})
+}
+
+func (r *reports) answered(id string, number, sent uint64, kept bool) {
+	r.mu.Lock()
+	w := r.waiting[id]
+	if w == nil || w.number != number {
+		r.mu.Unlock()
+		return
+	}
+	if !kept {
+		if w.sent == sent {
+			w.due = r.client.now() + reportPause
+			r.wake(w.due)
+		}
+		r.mu.Unlock()
+		return
+	}
+	kind := w.queue[0].Kind
+	w.queue = w.queue[1:]
+	w.number++
+	last := len(w.queue) == 0
+	if last {
+		delete(r.waiting, id)
+	}
+	r.mu.Unlock()
+	if kind != wire.ReportFailed {
+		r.client.config.Acknowledged(id)
+	}
+	if !last {
+		r.send(id)
+	}
+}
+
+// resend sends all reports again, as to a new primary.
+func (r *reports) resend() {
+	r.mu.Lock()
+	ids := make([]string, 0, len(r.waiting))
+	for id := range r.waiting {
+		ids = append(ids, id)
+	}
+	r.mu.Unlock()
+	for _, id := range ids {
+		r.send(id)
+	}
+}
+
+func (r *reports) wake(at time.Duration) {
+	if r.stopped || r.wakeAt != 0 && r.wakeAt <= at {
+		return
+	}
+	r.wakeAt = at
+	if wait := max(at-r.client.now(), 0); r.timer == nil {
+		r.timer = time.AfterFunc(wait, r.sendDue)
+	} else {
+		r.timer.Reset(wait)
+	}
+}
+
+func (r *reports) sendDue() {
+	r.mu.Lock()
+	r.wakeAt = 0
+	now, next := r.client.now(), time.Duration(0)
+	var due []string
+	for id, w := range r.waiting {
+		switch {
+		case w.due <= now:
+			due = append(due, id)
+		case next == 0 || w.due < next:
+			next = w.due
+		}
+	}
+	if next > 0 {
+		r.wake(next)
+	}
+	r.mu.Unlock()
+	for _, id := range due {
+		r.send(id)
+	}
+}
+
+func (r *reports) stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopped = true
+	if r.timer != nil {
+		r.timer.Stop()
+	}
+}
--- /dev/null
+++ b/queueclient/store.go
@@ -0,0 +1,111 @@
+package queueclient
+
+import (
+	"sync/atomic"
+	"time"
+
+	"ravendale/rpc"
+	"ravendale/wire"
+)
+
+// store is a store's connection, and what is known of its health.
+type store struct {
+	client       *Client
+	address      string
+	link         *rpc.Link
+	suspectUntil atomic.Int64 // steady time of the client
+}
+
+func newStore(c *Client, entry *wire.Store) *store {
+	s := &store{client: c, address: entry.Address}
+	s.link = rpc.NewLink(entry.Address, c.config.Options, s.up, nil)
+	return s
+}
+
+func (s *store) conn() *rpc.Conn { return s.link.Conn() }
+
+func (s *store) up(conn *rpc.Conn) {
+	s.attach(conn)
+	s.claimOn(conn)
+	s.client.reports.resend()
+}
+
+// attach tells the store who is at this end. What is sent after it on the connection is taken after it.
+func (s *store) attach(conn *rpc.Conn) {
+	if conn == nil {
+		return
+	}
+	s.client.mu.Lock()
+	draining := s.client.draining
+	s.client.mu.Unlock()
+	message := &wire.Attach{Edge: s.client.config.Edge, Zone: s.client.config.Zone, Draining: draining}
+	conn.Start(wire.MethodAttach, message, func([]byte, error) {})
+}
+
+func (s *store) claim() { s.claimOn(s.conn()) }
+
+// claimOn tells the store which messages this edge holds of the partitions whose primary it is.
+func (s *store) claimOn(conn *rpc.Conn) {
+	v := s.client.view.Load()
+	if conn == nil || v == nil {
+		return
+	}
+	held := s.client.config.Held()
+	claim := &wire.Claim{Epoch: v.Epoch}
+	kept := make(map[string]bool)
+	for _, id := range held {
+		if v.leads(s, id) {
+			claim.IDs = append(claim.IDs, id)
+			kept[id] = true
+		}
+	}
+	for _, id := range s.client.putting() {
+		if v.leads(s, id) && !kept[id] {
+			claim.IDs = append(claim.IDs, id)
+		}
+	}
+	conn.Start(wire.MethodClaim, claim, func(payload []byte, err error) {
+		reply := &wire.ClaimReply{}
+		if err == nil {
+			_, err = reply.UnmarshalMsg(payload)
+		}
+		if err != nil {
+			return // a lost connection claims again when it is back
+		}
+		s.claimed(conn, v, kept, reply)
+	})
+}
+
+func (s *store) claimed(conn *rpc.Conn, v *view, kept map[string]bool, reply *wire.ClaimReply) {
+	if reply.Code != wire.PutKept {
+		time.AfterFunc(claimPause, func() {
+			if conn.Err() == nil && s.client.view.Load() == v { // else there is another claim
+				s.claimOn(conn)
+			}
+		})
+		return
+	}
+	for _, id := range reply.Unknown {
+		if kept[id] { // a put under way settles itself
+			s.client.config.Unknown(id)
+		}
+	}
+}
+
+func (v *view) leads(s *store, id string) bool {
+	partition, ok := wire.PartitionOf(id)
+	return ok && v.primary(partition) == s
+}
+
+// suspect says whether something tells against the store: it isn't connected, or left a put unanswered.
+func (s *store) suspect(now time.Duration) bool {
+	return time.Duration(s.suspectUntil.Load()) > now || s.conn() == nil
+}
+
+func (s *store) blame(now time.Duration) { s.suspectUntil.Store(int64(now + suspectFor)) }
+
+func (s *store) clear() {
+	if s.suspectUntil.Load() != 0 {
+		s.suspectUntil.Store(0)
+	}
+}
