--- /dev/null
+++ b/storage/slots/files.go
@@ -0,0 +1,85 @@
+package slots
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"golang.org/x/sys/unix"
+)
+
+// File is an open file of a Folder, to which is only appended.
+type File interface {
+	Write(data []byte) (int, error)
+	Sync() error // what was written, and the length, is on disk
+	Close() error
+}
+
+// Folder is where a store keeps its files. Names lie directly in it.
+type Folder interface {
+	// Read returns a file's content, with an error that is fs.ErrNotExist if there is none.
+	Read(name string) ([]byte, error)
+	// Open opens a file, made if there is none, cuts it to size and appends from there.
+	Open(name string, size int64) (File, error)
+	Remove(name string) error
+	Sync() error // names made and removed are on disk
+}
+
+// OSFolder is a folder of the operating system.
+type OSFolder string
+
+const (
+	folderMode = 0o700
+	fileMode   = 0o600
+)
+
+// Read implements Folder.
+func (d OSFolder) Read(name string) ([]byte, error) {
+	return os.ReadFile(filepath.Join(string(d), name))
+}
+
+// Open implements Folder.
+func (d OSFolder) Open(name string, size int64) (File, error) {
+	file, err := os.OpenFile(filepath.Join(string(d), name), os.O_RDWR|os.O_CREATE, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	if err := file.Truncate(size); err != nil {
+		return nil, errors.Join(err, file.Close())
+	}
+	if _, err := file.Seek(size, 0); err != nil {
+		return nil, errors.Join(err, file.Close())
+	}
+	return osFile{file}, nil
+}
+
+// Remove implements Folder.
+func (d OSFolder) Remove(name string) error {
+	err := os.Remove(filepath.Join(string(d), name))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	return err
+}
+
+// Sync implements Folder.
+func (d OSFolder) Sync() error {
+	folder, err := os.Open(string(d))
+	if err != nil {
+		return err
+	}
+	return errors.Join(folder.Sync(), folder.Close())
+}
+
+type osFile struct{ *os.File }
+
+// Sync implements File.
+func (f osFile) Sync() error {
+	for {
+		err := unix.Fdatasync(int(f.Fd()))
+		if !errors.Is(err, unix.EINTR) {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/storage/slots/slots.go
@@ -0,0 +1,310 @@
+// Package slots keeps a small state on disk: two slot files written in turn hold a snapshot each, and a log of records follows the
+// newer one. Whatever was there when Append or Snapshot returned without an error is there after a loss of power.
+package slots
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Errors of a store.
+var (
+	ErrDamaged = errors.New("slots: what was synced can't be read any more")
+	ErrFailed  = errors.New("slots: an earlier write failed")
+)
+
+// A record is its length (4 bytes), its generation (8), the checksum (8) over both and the content, and the content.
+const (
+	headerSize = 4 + 8 + 8
+	maxRecord  = 1 << 30
+)
+
+// Names of the files; a generation uses those of its parity.
+var (
+	slotNames = [2]string{"slot-0", "slot-1"}
+	logNames  = [2]string{"log-0", "log-1"}
+)
+
+// Store is an open store. It is not safe for use by several goroutines at once.
+type Store struct {
+	folder     Folder
+	generation uint64
+	log        File
+	size       int64
+	buffer     []byte
+	err        error
+}
+
+// Open opens the store in a folder of the operating system, which is made if there is none.
+func Open(folder string) (store *Store, snapshot []byte, records [][]byte, err error) {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return nil, nil, nil, fmt.Errorf("slots: %w", err)
+	}
+	return OpenFolder(OSFolder(folder))
+}
+
+// OpenFolder opens the store in a folder, and returns the newest snapshot, nil if there was never any, and the records after it.
+// All that it returns is on disk. The error is ErrDamaged if something that had been synced is lost.
+func OpenFolder(folder Folder) (store *Store, snapshot []byte, records [][]byte, err error) {
+	s := &Store{folder: folder}
+	if snapshot, err = s.readSlots(); err != nil {
+		return nil, nil, nil, err
+	}
+	if s.generation == 0 {
+		return s, nil, nil, nil
+	}
+	records, size, err := s.readLog()
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	if err := s.settle(size); err != nil {
+		return nil, nil, nil, err
+	}
+	return s, snapshot, records, nil
+}
+
+func parity(generation uint64) int { return int(generation % 2) }
+
+// readSlots finds the newer good slot. A log that has begun shows that the slot of its generation was synced.
+func (s *Store) readSlots() (snapshot []byte, err error) {
+	var begun uint64
+	for i := range slotNames {
+		content, generation, err := s.readSlot(slotNames[i])
+		if err != nil {
+			return nil, err
+		}
+		if generation > s.generation && parity(generation) == i {
+			s.generation, snapshot = generation, content
+		}
+		generation, err = s.logGeneration(logNames[i])
+		if err != nil {
+			return nil, err
+		}
+		begun = max(begun, generation)
+	}
+	if begun > s.generation {
+		return nil, fmt.Errorf("%w: the log of generation %d has no slot", ErrDamaged, begun)
+	}
+	return snapshot, nil
+}
+
+func (s *Store) readSlot(name string) (content []byte, generation uint64, err error) {
+	data, err := s.read(name)
+	if err != nil {
+		return nil, 0, err
+	}
+	content, generation, rest, ok := cut(data)
+	if !ok || len(rest) > 0 {
+		return nil, 0, nil
+	}
+	return content, generation, nil
+}
+
+// logGeneration reads the first record of a log, which is empty and shows that the slot of its generation is on disk.
+func (s *Store) logGeneration(name string) (uint64, error) {
+	data, err := s.read(name)
+	if err != nil {
+		return 0, err
+	}
+	_, generation, _, ok := cut(data)
+	if !ok {
+		return 0, nil
+	}
+	return generation, nil
+}
+
+func (s *Store) read(name string) ([]byte, error) {
+	data, err := s.folder.Read(name)
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, fmt.Errorf("slots: %w", err)
+	}
+	return data, nil
+}
+
+// readLog returns the good records that follow the newest slot, and how many bytes of the log they are.
+func (s *Store) readLog() (records [][]byte, size int64, err error) {
+	data, err := s.read(logNames[parity(s.generation)])
+	if err != nil {
+		return nil, 0, err
+	}
+	rest := data
+	for first := true; ; first = false {
+		content, generation, tail, ok := cut(rest)
+		if !ok || generation != s.generation {
+			return records, int64(len(data) - len(rest)), nil
+		}
+		if !first {
+			records = append(records, content)
+		}
+		rest = tail
+	}
+}
+
+// settle makes all that was read lasting: it may have been written by a process that was killed before it synced. Then it cuts
+// what follows off the log, or begins the log.
+func (s *Store) settle(size int64) error {
+	name := slotNames[parity(s.generation)]
+	content, err := s.read(name)
+	if err != nil {
+		return err
+	}
+	slot, err := s.folder.Open(name, int64(len(content)))
+	if err != nil {
+		return fmt.Errorf("slots: %w", err)
+	}
+	if err := errors.Join(slot.Sync(), slot.Close()); err != nil {
+		return fmt.Errorf("slots: %w", err)
+	}
+	return s.openLog(size)
+}
+
+func (s *Store) openLog(size int64) error {
+	log, err := s.folder.Open(logNames[parity(s.generation)], size)
+	if err != nil {
+		return fmt.Errorf("slots: %w", err)
+	}
+	s.log, s.size = log, size
+	if size == 0 {
+		if err := s.write(appendRecord(nil, s.generation, nil)); err != nil {
+			return err
+		}
+	} else if err := log.Sync(); err != nil {
+		return fmt.Errorf("slots: %w", err)
+	}
+	if err := s.folder.Sync(); err != nil {
+		return fmt.Errorf("slots: %w", err)
+	}
+	return nil
+}
+
+// Size is the log's length in bytes: time for a snapshot when it is long.
+func (s *Store) Size() int64 { return s.size }
+
+// Append adds records to the log by one write and one sync. After an error the store has failed for good: what was to be written may or
+// may not be there when it is opened again. There must have been a snapshot.
+func (s *Store) Append(records ...[]byte) error {
+	if s.err != nil {
+		return s.err
+	}
+	if s.log == nil {
+		return errors.New("slots: records need a snapshot to follow")
+	}
+	s.buffer = s.buffer[:0]
+	for _, record := range records {
+		s.buffer = appendRecord(s.buffer, s.generation, record)
+	}
+	if err := s.write(s.buffer); err != nil {
+		return s.fail(err)
+	}
+	if cap(s.buffer) > keptBuffer {
+		s.buffer = nil
+	}
+	return nil
+}
+
+const keptBuffer = 16 << 10
+
+func (s *Store) write(data []byte) error {
+	if _, err := s.log.Write(data); err != nil {
+		return fmt.Errorf("slots: %w", err)
+	}
+	if err := s.log.Sync(); err != nil {
+		return fmt.Errorf("slots: %w", err)
+	}
+	s.size += int64(len(data))
+	return nil
+}
+
+// Snapshot replaces all that is kept by a state, and begins a new log. After an error the store has failed for good.
+func (s *Store) Snapshot(state []byte) error {
+	if s.err != nil {
+		return s.err
+	}
+	if err := s.snapshot(state); err != nil {
+		return s.fail(err)
+	}
+	return nil
+}
+
+func (s *Store) snapshot(state []byte) error {
+	next := s.generation + 1
+	slot, err := s.folder.Open(slotNames[parity(next)], 0)
+	if err != nil {
+		return fmt.Errorf("slots: %w", err)
+	}
+	_, err = slot.Write(appendRecord(nil, next, state))
+	if err == nil {
+		err = slot.Sync()
+	}
+	if err := errors.Join(err, slot.Close()); err != nil {
+		return fmt.Errorf("slots: %w", err)
+	}
+	if s.log != nil {
+		if err := s.log.Close(); err != nil {
+			return fmt.Errorf("slots: %w", err)
+		}
+	}
+	s.generation = next
+	return s.openLog(0)
+}
+
+// Close gives the files back. All that was written is on disk already.
+func (s *Store) Close() error {
+	s.err = errors.Join(s.err, ErrFailed)
+	if s.log == nil {
+		return nil
+	}
+	return s.log.Close()
+}
+
+func (s *Store) fail(err error) error {
+	s.err = fmt.Errorf("%w: %w", ErrFailed, err)
+	return s.err
+}
+
+// Erase removes a store's files, so that the folder is as if it had never been used.
+func Erase(folder Folder) error {
+	for i := range slotNames {
+		if err := errors.Join(folder.Remove(logNames[i]), folder.Remove(slotNames[i])); err != nil {
+			return fmt.Errorf("slots: %w", err)
+		}
+	}
+	return folder.Sync()
+}
+
+func appendRecord(buffer []byte, generation uint64, content []byte) []byte {
+	at := len(buffer)
+	buffer = binary.LittleEndian.AppendUint32(buffer, uint32(len(content)))
+	buffer = binary.LittleEndian.AppendUint64(buffer, generation)
+	buffer = binary.LittleEndian.AppendUint64(buffer, checksum(buffer[at:], content))
+	return append(buffer, content...)
+}
+
+// cut takes the first record off data, if it is good.
+func cut(data []byte) (content []byte, generation uint64, rest []byte, ok bool) {
+	if len(data) < headerSize {
+		return nil, 0, nil, false
+	}
+	length := int64(binary.LittleEndian.Uint32(data))
+	if length > maxRecord || length > int64(len(data)-headerSize) {
+		return nil, 0, nil, false
+	}
+	content = data[headerSize : headerSize+length]
+	if checksum(data[:headerSize-8], content) != binary.LittleEndian.Uint64(data[headerSize-8:]) {
+		return nil, 0, nil, false
+	}
+	return content, binary.LittleEndian.Uint64(data[4:]), data[headerSize+length:], true
+}
+
+func checksum(head, content []byte) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.Write(head)
+	_, _ = digest.Write(content)
+	return digest.Sum64()
+}
