--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -63,11 +63,20 @@
 	if findings != nil {
 		return nil, findings
 	}
-	return parse(text)
+	return parse(text, &reader{})
 }
 
-func parse(text string) (*Config, error) {
-	r := &reader{}
+// Load reads a configuration that was checked before, as one that the control plane has taken. It costs a fraction of Parse, since
+// it leaves out the checks of single fields; types and the checks between items remain.
+func Load(document []byte) (*Config, error) {
+	text, findings := readable(document)
+	if findings != nil {
+		return nil, findings
+	}
+	return parse(text, &reader{checked: true})
+}
+
+func parse(text string, r *reader) (*Config, error) {
 	c := r.config(text)
 	if len(r.findings) == 0 {
 		r.crossCheck(c)
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -32,3 +33,162 @@
 	require.Equal(t, 39.0, c.Services[1].RatePerS)
 	require.Equal(t, Limits{16384, 262144, 3000, 15000}, c.Limits)
 }
+
+func TestParseNamesAllThatIsWrong(t *testing.T) {
+	const service = `{"name":"s"}`
+	whole := func(version, routes, services string) string {
+		return `{"version":` + version + `,"routes":[` + routes + `],"backends":[` + services + `],"limits":{}}`
+	}
+	route := func(name, prefix, more string) string {
+		return `{"name":"` + name + `","host":"h","pathPrefix":"` + prefix + `","backend":"s","timeoutMs":5` + more + `}`
+	}
+	for name, test := range map[string]struct {
+		document string
+		places   []string
+	}{
+		"nothing":               {"", []string{"byte 0"}},
+		"cut short":             {`{"version":1,"routes":[`, []string{"byte 23"}},
+		"trailing data":         {whole("1", "", service) + "{}", []string{"byte 64"}},
+		"not UTF-8":             {"{\"version\":\"\xff\"}", []string{"byte 12"}},
+		"not an object":         {`[1]`, []string{"document"}},
+		"null":                  {`null`, []string{"document"}},
+		"all missing":           {`{}`, []string{"version", "routes", "backends", "limits"}},
+		"null lists":            {`{"version":1,"routes":null,"backends":null,"limits":null}`, []string{"routes", "backends", "limits"}},
+		"lists of wrong types":  {`{"version":1,"routes":{},"backends":"x","limits":[]}`, []string{"routes", "backends", "limits"}},
+		"items of wrong types":  {whole("1", "1", `"s"`), []string{"routes[0]", "backends[0]"}},
+		"version 0":             {whole("0", "", service), []string{"version"}},
+		"negative version":      {whole("-3", "", service), []string{"version"}},
+		"version as a string":   {whole(`"3"`, "", service), []string{"version"}},
+		"version with fraction": {whole("1.5", "", service), []string{"version"}},
+		"huge version":          {whole("1e30", "", service), []string{"version"}},
+		"version twice":         {`{"version":1,"version":2,"routes":[],"backends":[],"limits":{}}`, []string{"version"}},
+		"unknown service":       {whole("1", route("r", "/", ""), ""), []string{"routes[0].backend"}},
+		"same address":          {whole("1", route("a", "/x", "")+","+route("b", "/x", ""), service), []string{"routes[1]"}},
+		"same name":             {whole("1", route("a", "/x", "")+","+route("a", "/y", ""), service+","+service), []string{"backends[1].name", "routes[1].name"}},
+		"empty route":           {whole("1", "{}", service), []string{"routes[0].name", "routes[0].host", "routes[0].pathPrefix", "routes[0].backend", "routes[0].timeoutMs"}},
+		"no time-out":           {whole("1", `{"name":"r","host":"h","pathPrefix":"/","backend":"s","timeoutMs":0}`, service), []string{"routes[0].timeoutMs"}},
+		"negative time-out":     {whole("1", `{"name":"r","host":"h","pathPrefix":"/","backend":"s","timeoutMs":-1}`, service), []string{"routes[0].timeoutMs"}},
+		"infinite time-out":     {whole("1", `{"name":"r","host":"h","pathPrefix":"/","backend":"s","timeoutMs":1e999}`, service), []string{"routes[0].timeoutMs", "routes[0].timeoutMs"}},
+		"field twice":           {whole("1", route("r", "/", `,"timeoutMs":6`), service), []string{"routes[0].timeoutMs"}},
+		"wrong types of fields": {whole("1", route("r", "/", `,"priority":"1","fifo":1,"type":3,"retries":1.5,"targetMs":true`), service),
+			[]string{"routes[0].priority", "routes[0].fifo", "routes[0].type", "routes[0].retries", "routes[0].targetMs"}},
+		"negative figures":   {whole("1", route("r", "/", `,"priority":-1,"retries":-1`), service), []string{"routes[0].priority", "routes[0].retries"}},
+		"prefix without /":   {whole("1", route("r", "x", ""), service), []string{"routes[0].pathPrefix"}},
+		"service's fields":   {whole("1", "", `{"name":"s","maxConns":-1,"healthPath":"x","tls":"no"}`), []string{"backends[0].tls", "backends[0].healthPath", "backends[0].maxConns"}},
+		"limits below 0":     {`{"version":1,"routes":[],"backends":[],"limits":{"maxBodyBytes":-1}}`, []string{"limits.maxBodyBytes"}},
+		"nested field twice": {`{"version":1,"routes":[],"backends":[],"limits":{"maxBodyBytes":1,"maxBodyBytes":2}}`, []string{"limits.maxBodyBytes"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := Parse([]byte(test.document))
+			require.Equal(t, test.places, placesOf(t, err))
+		})
+	}
+}
+
+func placesOf(t *testing.T, err error) []string {
+	t.Helper()
+	var findings Findings
+	require.ErrorAs(t, err, &findings)
+	var places []string
+	for _, finding := range findings {
+		require.NotEmpty(t, finding.Reason)
+		places = append(places, finding.Place)
+	}
+	return places
+}
+
+func TestEveryCutOfADocumentIsInvalid(t *testing.T) {
+	whole := strings.TrimSpace(example)
+	for i := range whole {
+		_, err := Parse([]byte(whole[:i]))
+		require.Error(t, err, "cut at %d", i)
+	}
+}
+
+func TestHostsThatDifferInCaseOnlyAreTheSame(t *testing.T) {
+	document := strings.Replace(example, `"pathPrefix":"/noda/deep/"`, `"pathPrefix":"/noda/"`, 1)
+	_, err := Parse([]byte(document))
+	require.Equal(t, []string{"routes[1]"}, placesOf(t, err))
+}
+
+func TestFindingsAreBounded(t *testing.T) {
+	document := `{"version":1,"routes":[` + strings.Repeat("1,", 999) + `1],"backends":[],"limits":{}}`
+	_, err := Parse([]byte(document))
+	require.Len(t, placesOf(t, err), MaxFindings+1)
+	require.ErrorContains(t, err, "900 more findings")
+}
+
+func TestWholeNumbersMayBeWrittenAsFractions(t *testing.T) {
+	c := parsed(t, strings.NewReplacer(`"version":7`, `"version":7.0`, `"retries":6`, `"retries":6e0`).Replace(example))
+	require.Equal(t, uint64(7), c.Version)
+	require.Equal(t, 6, c.Routes[0].Retries)
+}
+
+func TestEscapesAreDecoded(t *testing.T) {
+	c := parsed(t, strings.Replace(example, `"name":"r-1"`, `"na\u006de":"r-\"\u0031"`, 1))
+	require.Equal(t, `r-"1`, c.Routes[0].Name)
+}
+
+func TestTheDocumentComesBackAsSent(t *testing.T) {
+	c := parsed(t, example)
+	require.Equal(t, strings.TrimSpace(example), string(c.Document()))
+}
+
+func TestAConfigMadeInTheProgramHasADocument(t *testing.T) {
+	c := &Config{Version: 3, Services: []Service{{Name: "s"}}, Routes: []Route{{Name: "r", Host: "h", PathPrefix: "/", Service: "s", TimeoutMs: 1}}}
+	again := parsed(t, string(c.Document()))
+	require.Equal(t, c.Routes, again.Routes)
+	changed, err := c.Apply([]byte(`{"version":4,"delete":{"routes":["r"]}}`))
+	require.NoError(t, err)
+	require.Empty(t, changed.Routes)
+}
+
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	x := NewIndex(parsed(t, example))
+	for _, test := range []struct{ host, path, route string }{
+		{"lode17.example", "/noda/x", "r-1"},
+		{"LODE17.example:8044", "/noda/deep/x", "r-2"},
+		{"lode17.example:", "/noda/deep/", "r-2"},
+		{"lode17.example", "/noda/deep", "r-1"},
+		{"lode17.example", "/noda", ""},
+		{"lode17.example", "", ""},
+		{"other.example", "/noda/x", ""},
+		{"", "/noda/x", ""},
+		{"[::1]", "/noda/x", ""},
+		{"[::1]:80", "/noda/x", ""},
+	} {
+		route := x.Match(test.host, test.path)
+		if test.route == "" {
+			require.Nil(t, route, "%+v", test)
+			continue
+		}
+		require.NotNil(t, route, "%+v", test)
+		require.Equal(t, test.route, route.Name, "%+v", test)
+	}
+	require.Equal(t, "r-2", x.Route("r-2").Name)
+	require.Nil(t, x.Route("r-3"))
+	require.Equal(t, "kafi", x.Service("kafi").Name)
+	require.Nil(t, x.Service("r-1"))
+	require.Equal(t, uint64(7), x.Config().Version)
+	require.Nil(t, NewIndex(nil).Match("h", "/"))
+}
+
+func TestNormalHostKeepsIPv6Addresses(t *testing.T) {
+	require.Equal(t, "[::1]", normalHost("[::1]"))
+	require.Equal(t, "[::1]", normalHost("[::1]:80"))
+}
+
+func TestMatchDoesNotAllocate(t *testing.T) {
+	x := NewIndex(parsed(t, example))
+	require.Zero(t, testing.AllocsPerRun(100, func() { x.Match("lode17.example:80", "/noda/deep/x") }))
+}
+
+func TestLoadReadsTheSameAsParse(t *testing.T) {
+	loaded, err := Load([]byte(example))
+	require.NoError(t, err)
+	require.Equal(t, parsed(t, example), loaded)
+	_, err = Load([]byte(example + "x"))
+	require.Len(t, placesOf(t, err), 1)
+	_, err = Load([]byte(strings.Replace(example, `"backend":"kafi"`, `"backend":"none"`, 1)))
+	require.Equal(t, []string{"routes[1].backend"}, placesOf(t, err))
+}
--- a/catalog/check.go
+++ b/catalog/check.go
@@ -18,6 +18,9 @@
 
 // check reports the fields of one item that do not meet their tags.
 func (r *reader) check(item any, at place) {
+	if r.checked {
+		return
+	}
 	err := validate.Struct(item)
 	if err == nil {
 		return
--- a/catalog/read.go
+++ b/catalog/read.go
@@ -23,7 +23,10 @@
 const null = "null"
 
 // reader makes typed values of valid JSON, and gathers what is wrong with them.
-type reader struct{ collector }
+type reader struct {
+	collector
+	checked bool // the fields have been checked before
+}
 
 // place names a JSON value. It is put together only when something is to be reported.
 type place struct {
@@ -76,12 +79,12 @@
 		return nil
 	}
 	var members []member
+	seen := make(map[string]bool)
 	eachMember(object, func(key, value string) {
-		for _, m := range members {
-			if m.key == key {
-				r.add(at.field(key), "stands there twice")
-			}
+		if seen[key] {
+			r.add(at.field(key), "stands there twice")
 		}
+		seen[key] = true
 		members = append(members, member{key, value})
 	})
 	return members
@@ -105,19 +108,18 @@
 }
 
 func (r *reader) version(value string) uint64 {
-	var version uint64
 	if value == null {
 		return 0 // reported as missing
 	}
-	if number, err := strconv.ParseUint(value, 10, 64); err == nil {
-		version = number
-	} else {
-		version = uint64(max(0, r.integer(value, top, fieldVersion)))
+	if version, err := strconv.ParseUint(value, 10, 64); err == nil && version > 0 {
+		return version
 	}
-	if version == 0 {
+	version, err := strconv.ParseFloat(value, 64)
+	if err != nil || !isWhole(version) || version <= 0 {
 		r.add(fieldVersion, "%s is not a whole number above 0", shorten(value))
+		return 0
 	}
-	return version
+	return uint64(version)
 }
 
 func (r *reader) routes(list, name string) ([]Route, []string) {
@@ -319,13 +321,17 @@
 		return number
 	}
 	number := r.number(value, at, key)
-	if number != math.Trunc(number) || math.Abs(number) > maxExactInteger {
+	if !isWhole(number) {
 		r.add(at.field(key), "%s is not a whole number", shorten(value))
 		return 0
 	}
 	return int(number)
 }
 
+func isWhole(number float64) bool {
+	return number == math.Trunc(number) && math.Abs(number) <= maxExactInteger
+}
+
 // longestQuote bounds how much of a value a finding repeats, in bytes.
 const longestQuote = 60
 
