--- /dev/null
+++ b/control/state/commands.go
@@ -0,0 +1,125 @@
+package state
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"ravendale/wire"
+)
+
+//go:generate go run github.com/tinylib/msgp -file commands.go -o commands_gen.go -tests=false
+
+//msgp:tuple Set Patch Show TakeTerm PutPlacement Barrier
+//msgp:ignore Command
+
+// Kind is the first byte of an encoded command.
+type Kind uint8
+
+// The kinds of commands. Numbers are kept: logs on disk hold them.
+const (
+	KindSet Kind = 1 + iota
+	KindPatch
+	KindShow
+	KindTakeTerm
+	KindPutPlacement
+	KindBarrier
+)
+
+// Command is what the machine can be told.
+type Command interface {
+	msgp.Marshaler
+	kind() Kind
+}
+
+// Set puts a whole configuration in the place of version Base.
+type Set struct {
+	Base uint64
+	Body []byte `msg:"Body,zerocopy"` // as sent by the operator
+}
+
+// Patch changes items of version Base.
+type Patch struct {
+	Base uint64
+	Body []byte `msg:"Body,zerocopy"` // as sent by the operator
+}
+
+// Show asks for the configuration.
+type Show struct{}
+
+// TakeTerm asks for a term for a new leader.
+type TakeTerm struct {
+	Candidate string
+}
+
+// PutPlacement decides the placement of the queue of the next epoch. Term is the leader's.
+type PutPlacement struct {
+	Term uint64
+	View wire.StoreView
+}
+
+// Barrier changes nothing: once it is applied, so is all that came before it.
+type Barrier struct{}
+
+func (*Set) kind() Kind          { return KindSet }
+func (*Patch) kind() Kind        { return KindPatch }
+func (*Show) kind() Kind         { return KindShow }
+func (*TakeTerm) kind() Kind     { return KindTakeTerm }
+func (*PutPlacement) kind() Kind { return KindPutPlacement }
+func (*Barrier) kind() Kind      { return KindBarrier }
+
+// Errors of decoding a command.
+var (
+	ErrUnknownCommand = errors.New("state: unknown command")
+	ErrTrailing       = errors.New("state: bytes after the end")
+)
+
+// Encode makes bytes of a command. They share no memory with it.
+func Encode(command Command) ([]byte, error) {
+	out := make([]byte, 1, 1+sizeOf(command))
+	out[0] = byte(command.kind())
+	return command.MarshalMsg(out)
+}
+
+func sizeOf(command Command) int {
+	if sizer, ok := command.(msgp.Sizer); ok {
+		return sizer.Msgsize()
+	}
+	return 0
+}
+
+// Decode reads a command. Its bodies are parts of encoded.
+func Decode(encoded []byte) (Command, error) {
+	if len(encoded) == 0 {
+		return nil, fmt.Errorf("%w: empty", ErrUnknownCommand)
+	}
+	var command interface {
+		Command
+		msgp.Unmarshaler
+	}
+	switch Kind(encoded[0]) {
+	case KindSet:
+		command = &Set{}
+	case KindPatch:
+		command = &Patch{}
+	case KindShow:
+		command = &Show{}
+	case KindTakeTerm:
+		command = &TakeTerm{}
+	case KindPutPlacement:
+		command = &PutPlacement{}
+	case KindBarrier:
+		command = &Barrier{}
+	default:
+		return nil, fmt.Errorf("%w: kind %d", ErrUnknownCommand, encoded[0])
+	}
+	rest, err := command.UnmarshalMsg(encoded[1:])
+	if err != nil {
+		return nil, err
+	}
+	if len(rest) > 0 {
+		return nil, ErrTrailing
+	}
+	return command, nil
+}
--- /dev/null
+++ b/control/state/history.go
@@ -0,0 +1,69 @@
+package state
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+)
+
+//go:generate go run github.com/tinylib/msgp -file history.go -o history_gen.go -tests=false -unexported
+
+//msgp:tuple entry
+//msgp:ignore history
+
+// historyLength is how many of the newest orders that were taken are known again when they are repeated.
+const historyLength = 8192
+
+// digestSize is the length of a digest in bytes.
+const digestSize = 16
+
+// digest names an order by what it holds: two orders with the same digest are the same.
+type digest [digestSize]byte
+
+func digestOf(kind Kind, base uint64, body []byte) digest {
+	hash := sha256.New()
+	var head [9]byte
+	head[0] = byte(kind)
+	binary.BigEndian.PutUint64(head[1:], base)
+	hash.Write(head[:])
+	hash.Write(body)
+	var sum [sha256.Size]byte
+	return digest(hash.Sum(sum[:0])[:digestSize])
+}
+
+// entry is an order that was taken.
+type entry struct {
+	Digest  digest
+	Version uint64 // that it made
+}
+
+// history holds the newest orders that were taken, oldest first but for the wrap at next.
+type history struct {
+	entries []entry
+	next    int // where the next one goes once all are in use
+}
+
+func (h *history) add(d digest, version uint64) {
+	taken := entry{Digest: d, Version: version}
+	if len(h.entries) < historyLength {
+		h.entries = append(h.entries, taken)
+		return
+	}
+	h.entries[h.next] = taken
+	h.next = (h.next + 1) % historyLength
+}
+
+func (h *history) find(d digest) (version uint64, ok bool) {
+	for i := range h.entries {
+		if h.entries[i].Digest == d {
+			return h.entries[i].Version, true
+		}
+	}
+	return 0, false
+}
+
+// inOrder lists the orders, oldest first.
+func (h *history) inOrder() []entry {
+	ordered := make([]entry, 0, len(h.entries))
+	ordered = append(ordered, h.entries[h.next:]...)
+	return append(ordered, h.entries[:h.next]...)
+}
--- /dev/null
+++ b/control/state/image.go
@@ -0,0 +1,116 @@
+package state
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/tinylib/msgp/msgp"
+
+	"ravendale/wire"
+)
+
+//go:generate go run github.com/tinylib/msgp -file image.go -o image_gen.go -tests=false -unexported
+
+//msgp:tuple image
+
+// An encoded snapshot: the magic, the format's number, the msgpack of an image, and a checksum of all that.
+const (
+	magic        = "RVCS"
+	formatNumber = 1
+	headSize     = len(magic) + 2
+	checksumSize = 8
+)
+
+// MaxSnapshot bounds an encoded snapshot, in bytes.
+const MaxSnapshot = 256 << 20
+
+// Errors of Restore. After any error the machine is as it was.
+var (
+	ErrDamaged = errors.New("state: the snapshot is damaged")
+	ErrFormat  = errors.New("state: the snapshot has a format that is not known here")
+)
+
+// image is what a snapshot holds.
+type image struct {
+	Document  []byte
+	Version   uint64
+	Sequence  uint64
+	Placement *wire.StoreView
+	Term      uint64
+	Leader    string
+	Taken     []entry // oldest first
+}
+
+// Snapshot encodes the whole state.
+func (m *Machine) Snapshot() []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Current()
+	content := image{
+		Document:  now.Document,
+		Version:   now.Version,
+		Sequence:  now.Sequence,
+		Placement: now.Placement,
+		Term:      now.Term,
+		Leader:    now.Leader,
+		Taken:     m.taken.inOrder(),
+	}
+	out := make([]byte, 0, headSize+content.Msgsize()+checksumSize)
+	out = append(out, magic...)
+	out = binary.BigEndian.AppendUint16(out, formatNumber)
+	out, err := content.MarshalMsg(out)
+	if err != nil {
+		return nil // can't be: an image has nothing that could fail
+	}
+	return binary.BigEndian.AppendUint64(out, xxhash.Sum64(out))
+}
+
+// Restore replaces the whole state by that of a snapshot, or leaves it as it is and returns ErrDamaged or ErrFormat.
+func (m *Machine) Restore(snapshot []byte) error {
+	content, err := decodeImage(snapshot)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.taken = history{entries: content.Taken}
+	m.current.Store(&Snapshot{
+		Document:  content.Document,
+		Version:   content.Version,
+		Sequence:  content.Sequence,
+		Placement: content.Placement,
+		Term:      content.Term,
+		Leader:    content.Leader,
+	})
+	return nil
+}
+
+func decodeImage(snapshot []byte) (*image, error) {
+	if len(snapshot) < headSize+checksumSize || len(snapshot) > MaxSnapshot {
+		return nil, fmt.Errorf("%w: %d bytes", ErrDamaged, len(snapshot))
+	}
+	body, sum := snapshot[:len(snapshot)-checksumSize], snapshot[len(snapshot)-checksumSize:]
+	if string(body[:len(magic)]) != magic {
+		return nil, fmt.Errorf("%w: it begins otherwise", ErrDamaged)
+	}
+	if binary.BigEndian.Uint64(sum) != xxhash.Sum64(body) {
+		return nil, fmt.Errorf("%w: its checksum differs", ErrDamaged)
+	}
+	if number := binary.BigEndian.Uint16(body[len(magic):]); number != formatNumber {
+		return nil, fmt.Errorf("%w: number %d", ErrFormat, number)
+	}
+	content := &image{}
+	rest, err := content.UnmarshalMsg(body[headSize:])
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrDamaged, msgp.Cause(err))
+	}
+	if len(rest) > 0 || len(content.Taken) > historyLength {
+		return nil, fmt.Errorf("%w: it holds more than it may", ErrDamaged)
+	}
+	if len(content.Document) == 0 {
+		content.Document = nil
+	}
+	return content, nil
+}
--- /dev/null
+++ b/control/state/image_test.go
@@ -0,0 +1,128 @@
+package state
+
+import (
+	"encoding/binary"
+	"fmt"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+)
+
+func filled(t *testing.T) *Machine {
+	m := NewMachine()
+	set(t, m, 0, document(5))
+	patch(t, m, 5, `{"version":7,"upsert":{"routes":[`+route("a")+`]}}`)
+	apply(t, m, &TakeTerm{Candidate: "a"})
+	apply(t, m, &PutPlacement{Term: 1, View: view(1, 0, 1)})
+	return m
+}
+
+func TestASnapshotHoldsAll(t *testing.T) {
+	m := filled(t)
+	restored := NewMachine()
+	require.NoError(t, restored.Restore(m.Snapshot()))
+	require.Equal(t, m.Current(), restored.Current())
+	require.Equal(t, m.Snapshot(), restored.Snapshot())
+	require.Equal(t, OutcomeRepeated, set(t, restored, 0, document(5)).Outcome)
+	require.Equal(t, OutcomeTaken, patch(t, restored, 7, `{"version":8,"delete":{"routes":["a"]}}`).Outcome)
+	require.Equal(t, uint64(2), apply(t, restored, &TakeTerm{}).Term)
+}
+
+func TestAnEmptyMachineHasASnapshot(t *testing.T) {
+	m := filled(t)
+	require.NoError(t, m.Restore(NewMachine().Snapshot()))
+	require.Equal(t, NewMachine().Current(), m.Current())
+	require.Equal(t, OutcomeTaken, set(t, m, 0, document(5)).Outcome)
+}
+
+func TestASnapshotKeepsNothingOfTheBuffer(t *testing.T) {
+	m := filled(t)
+	snapshot := m.Snapshot()
+	restored := NewMachine()
+	require.NoError(t, restored.Restore(snapshot))
+	clear(snapshot)
+	require.Equal(t, m.Current(), restored.Current())
+}
+
+func TestDamagedSnapshotsAreRefusedWhole(t *testing.T) {
+	snapshot := filled(t).Snapshot()
+	m := NewMachine()
+	set(t, m, 0, document(1))
+	before, history := m.Current(), m.Snapshot()
+	refused := func(damaged []byte, what string, at int) {
+		require.ErrorIs(t, m.Restore(damaged), ErrDamaged, "%s at %d", what, at)
+		require.Same(t, before, m.Current())
+	}
+	for i := range snapshot {
+		refused(snapshot[:i], "cut", i)
+		flipped := append([]byte(nil), snapshot...)
+		flipped[i] ^= 1 << (i % 8)
+		refused(flipped, "flipped", i)
+	}
+	refused(append(append([]byte(nil), snapshot...), 0), "longer", len(snapshot))
+	require.Equal(t, history, m.Snapshot())
+}
+
+func sealed(body []byte) []byte { return binary.BigEndian.AppendUint64(body, xxhash.Sum64(body)) }
+
+func TestSnapshotsOfAnotherFormatAreRefused(t *testing.T) {
+	snapshot := filled(t).Snapshot()
+	body := snapshot[:len(snapshot)-checksumSize]
+	binary.BigEndian.PutUint16(body[len(magic):], formatNumber+1)
+	require.ErrorIs(t, NewMachine().Restore(sealed(body)), ErrFormat)
+}
+
+func TestSnapshotsWithARightChecksumAndWrongContentAreRefused(t *testing.T) {
+	head := binary.BigEndian.AppendUint16([]byte(magic), formatNumber)
+	require.ErrorIs(t, NewMachine().Restore(sealed(append(head, 0xc1))), ErrDamaged)
+	snapshot := filled(t).Snapshot()
+	body := append([]byte(nil), snapshot[:len(snapshot)-checksumSize]...)
+	require.ErrorIs(t, NewMachine().Restore(sealed(append(body, 0))), ErrDamaged)
+}
+
+func TestTheHistoryKeepsTheNewestOrders(t *testing.T) {
+	m := NewMachine()
+	add := func(from, to int) {
+		for i := from; i < to; i++ {
+			m.taken.add(digestOf(KindSet, uint64(i), nil), uint64(i))
+		}
+	}
+	add(0, historyLength+10)
+	knows := func(m *Machine, from, to int) {
+		for _, i := range []int{from, from + 1, to - 1} {
+			version, ok := m.taken.find(digestOf(KindSet, uint64(i), nil))
+			require.True(t, ok, i)
+			require.Equal(t, uint64(i), version)
+		}
+		_, ok := m.taken.find(digestOf(KindSet, uint64(from-1), nil))
+		require.False(t, ok)
+	}
+	knows(m, 10, historyLength+10)
+	restored := NewMachine()
+	require.NoError(t, restored.Restore(m.Snapshot()))
+	require.Equal(t, m.Snapshot(), restored.Snapshot())
+	m = restored
+	add(historyLength+10, historyLength+20)
+	knows(m, 20, historyLength+20)
+	require.GreaterOrEqual(t, historyLength, 4096)
+}
+
+// FuzzApply makes sure that two machines agree whatever they are told, and that a snapshot carries on where its machine is.
+func FuzzApply(f *testing.F) {
+	for _, command := range []Command{&Set{Body: []byte(document(1))}, &Patch{Base: 1, Body: []byte(`{"version":2}`)}, &TakeTerm{}, &PutPlacement{Term: 1, View: view(1, 0)}, &Show{}} {
+		encoded, err := Encode(command)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(encoded, encoded)
+	}
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		one, other := NewMachine(), NewMachine()
+		require.Equal(t, one.Apply(first), other.Apply(first))
+		restored := NewMachine()
+		require.NoError(t, restored.Restore(one.Snapshot()))
+		require.Equal(t, one.Apply(second), restored.Apply(second), fmt.Sprintf("%x", second))
+		require.Equal(t, one.Snapshot(), restored.Snapshot())
+	})
+}
--- /dev/null
+++ b/control/state/result.go
@@ -0,0 +1,86 @@
+package state
+
+import "ravendale/catalog"
+
+//go:generate go run github.com/tinylib/msgp -file result.go -o result_gen.go -tests=false
+
+//msgp:tuple Result Finding
+
+// Outcome says what became of a command.
+type Outcome uint8
+
+// The outcomes.
+const (
+	OutcomeTaken          Outcome = 1 + iota // done; of a Barrier and a Show: answered
+	OutcomeRepeated                          // this very order was taken before
+	OutcomeRefusedVersion                    // another version of the configuration is in place
+	OutcomeInvalid                           // see Findings
+	OutcomeStaleTerm                         // there is a newer leader
+	OutcomeStaleEpoch                        // the placement is not that of the next epoch
+	OutcomeMalformed                         // not a command that this machine knows
+)
+
+// String names the outcome for logs.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeTaken:
+		return "taken"
+	case OutcomeRepeated:
+		return "taken before"
+	case OutcomeRefusedVersion:
+		return "another version is in place"
+	case OutcomeInvalid:
+		return "invalid"
+	case OutcomeStaleTerm:
+		return "stale term"
+	case OutcomeStaleEpoch:
+		return "not the next epoch"
+	case OutcomeMalformed:
+		return "malformed"
+	}
+	return "unknown"
+}
+
+// Finding is one thing that is wrong with a configuration; see catalog.Finding.
+type Finding struct {
+	Place  string
+	Reason string
+}
+
+// Result answers a command. All numbers are those after it was applied.
+type Result struct {
+	Outcome  Outcome
+	Version  uint64 // of the configuration; of an order that was repeated, the one that it made
+	Sequence uint64 // of the configuration
+	Term     uint64
+	Epoch    uint64    // of the placement
+	Findings []Finding // of OutcomeInvalid and OutcomeMalformed
+	Document []byte    `msg:"Document,zerocopy"` // of a Show; empty if there is no configuration yet
+}
+
+// DecodeResult reads what Machine.Apply returned. The document is a part of encoded.
+func DecodeResult(encoded []byte) (*Result, error) {
+	result := &Result{}
+	rest, err := result.UnmarshalMsg(encoded)
+	if err != nil {
+		return nil, err
+	}
+	if len(rest) > 0 {
+		return nil, ErrTrailing
+	}
+	return result, nil
+}
+
+// Taken says whether the order is in force, or was.
+func (r *Result) Taken() bool {
+	return r.Outcome == OutcomeTaken || r.Outcome == OutcomeRepeated
+}
+
+// CatalogFindings are the findings as the catalog has them.
+func (r *Result) CatalogFindings() catalog.Findings {
+	findings := make(catalog.Findings, len(r.Findings))
+	for i, finding := range r.Findings {
+		findings[i] = catalog.Finding(finding)
+	}
+	return findings
+}
