--- /dev/null
+++ b/dispatch/core.go
@@ -0,0 +1,505 @@
+package dispatch
+
+import (
+	"container/heap"
+	"maps"
+	"slices"
+	"time"
+
+	"ravendale"
+	"ravendale/catalog"
+	"ravendale/wire"
+	"ravendale/worker"
+)
+
+// Config of a Core.
+type Config struct {
+	Topology  Topology
+	Window    time.Duration // of ceilings
+	Overshoot float64       // of ceilings
+	Converge  time.Duration // a route that is missing here may be new: granted messages wait so long for it
+	MaxBodies int           // bytes of held messages; more is given back
+	Seed      uint64
+}
+
+// Core holds messages and decides about their delivery. Times are steady and never go back. It is not safe for concurrent use.
+type Core struct {
+	config   Config
+	index    *catalog.Index
+	workers  *wire.Workers
+	services map[string]*service
+	messages map[string]*message
+	agenda   agenda
+	jobs     map[JobID]*job
+	lastJob  JobID
+	held     int // bytes
+	stopping bool
+
+	now     time.Duration
+	events  []moduleEvent
+	actions []Action
+	acts    []ravendale.Action // of a module, used again
+}
+
+type moduleEvent struct {
+	service *service
+	event   ravendale.Event
+}
+
+// job is a message's stay with a module, until the last of its attempts has ended.
+type job struct {
+	id       JobID
+	service  *service
+	message  *message
+	active   bool // the message waits for this job
+	attempts []attempt
+	out      int
+	token    bool // it took one
+}
+
+type attempt struct{ out, cancelled bool }
+
+func (j *job) live() bool {
+	return slices.ContainsFunc(j.attempts, func(a attempt) bool { return a.out && !a.cancelled })
+}
+
+// NewCore returns a Core that holds nothing and knows no configuration.
+func NewCore(config Config) *Core {
+	return &Core{
+		config: config, services: make(map[string]*service), messages: make(map[string]*message), jobs: make(map[JobID]*job),
+	}
+}
+
+// Held is how many bytes the held messages take.
+func (c *Core) Held() int { return c.held }
+
+// Idle says whether no message is held any more.
+func (c *Core) Idle() bool { return len(c.messages) == 0 }
+
+// Running counts attempts under way.
+func (c *Core) Running() int {
+	count := 0
+	for _, j := range c.jobs {
+		count += j.out
+	}
+	return count
+}
+
+// IDs names the held messages.
+func (c *Core) IDs() []string { return slices.Collect(maps.Keys(c.messages)) }
+
+// Sends says whether this edge may send to a service. The others' stores hand its messages to edges that may.
+func (c *Core) Sends(name string) bool {
+	s := c.services[name]
+	return s != nil && (s.bucket == nil || s.bucket.share.Burst > 0)
+}
+
+// begin starts the handling of an event, and end finishes it.
+func (c *Core) begin(now time.Duration) { c.now, c.actions = max(now, c.now), nil }
+
+func (c *Core) end() []Action {
+	for len(c.events) > 0 {
+		e := c.events[0]
+		c.events = c.events[1:]
+		c.acts = e.service.module.Handle(c.now, &e.event, c.acts[:0])
+		for _, a := range c.acts {
+			c.carryOut(e.service, a)
+		}
+	}
+	c.events = nil
+	return c.actions
+}
+
+func (c *Core) act(a Action) { c.actions = append(c.actions, a) }
+
+func (c *Core) feed(s *service, event ravendale.Event) {
+	c.events = append(c.events, moduleEvent{s, event})
+}
+
+// Accept takes a message that was put by this edge and kept.
+func (c *Core) Accept(now time.Duration, m *wire.Message, granted bool) []Action {
+	c.begin(now)
+	if c.messages[m.ID] == nil {
+		c.hold(m, 0, granted, 0)
+	}
+	return c.end()
+}
+
+// Grant takes a store's grant; age is how long ago the message was sent.
+func (c *Core) Grant(now time.Duration, g *wire.Grant, age time.Duration) []Action {
+	c.begin(now)
+	m := c.messages[g.ID]
+	switch {
+	case m != nil && m.phase != reported:
+		c.grant(m, g.Failed)
+	case g.Whole && (m == nil || m.released):
+		c.take(g, age)
+	case m == nil:
+		c.report(wire.Report{ID: g.ID, Kind: wire.ReportReleased, Failed: g.Failed})
+	}
+	return c.end()
+}
+
+func (c *Core) take(g *wire.Grant, age time.Duration) {
+	if c.stopping || c.config.MaxBodies > 0 && c.held+len(g.Message.Body) > c.config.MaxBodies {
+		c.report(wire.Report{ID: g.ID, Kind: wire.ReportReleased, Failed: g.Failed})
+		return
+	}
+	whole := g.Message
+	whole.ID = g.ID
+	m := c.hold(&whole, age, true, g.Failed)
+	m.dropAt = c.now + c.config.Converge
+}
+
+func (c *Core) grant(m *message, failed uint16) {
+	m.failed = max(m.failed, failed)
+	if m.granted {
+		return
+	}
+	m.granted = true
+	if m.phase == ungranted {
+		c.wait(m, m.start)
+	}
+}
+
+func (c *Core) hold(whole *wire.Message, age time.Duration, granted bool, failed uint16) *message {
+	m := &message{Message: *whole, granted: granted, failed: failed, position: -1}
+	m.size = len(m.Body) + messageOverhead
+	c.held += m.size
+	m.start = c.now + time.Duration(m.DelayMs)*time.Millisecond - age
+	m.expires = c.now + forever
+	if m.RetentionMs > 0 {
+		m.expires = c.now + time.Duration(m.RetentionMs)*time.Millisecond - age + expirySlack
+	}
+	c.messages[m.ID] = m
+	switch {
+	case c.stopping:
+		c.release(m)
+	case m.ready():
+		c.wait(m, max(m.start, c.now))
+	default:
+		c.schedule(m, ungranted, m.expires)
+	}
+	return m
+}
+
+// schedule has a message looked at at a time.
+func (c *Core) schedule(m *message, p phase, due time.Duration) {
+	m.phase, m.due = p, due
+	if m.position < 0 {
+		heap.Push(&c.agenda, m)
+	} else {
+		heap.Fix(&c.agenda, m.position)
+	}
+}
+
+func (c *Core) unschedule(m *message) {
+	if m.position >= 0 {
+		heap.Remove(&c.agenda, m.position)
+	}
+}
+
+// wait has a message tried at a time: now if that has come.
+func (c *Core) wait(m *message, until time.Duration) {
+	c.schedule(m, waiting, until)
+	if until <= c.now {
+		c.try(m)
+	}
+}
+
+// pause has a message that nothing ran tried again, at growing intervals.
+func (c *Core) pause(m *message) {
+	pause := min(firstPause<<min(m.pauses, 10), longestPause)
+	m.pauses++
+	c.wait(m, c.now+pause)
+}
+
+// route finds a message's route and service in the newest configuration. Gone says that the message has to end.
+func (c *Core) route(m *message) (route *catalog.Route, s *service, gone bool) {
+	if c.index == nil {
+		return nil, nil, false
+	}
+	route = c.index.Match(m.Host, m.path())
+	if !deliverable(route) {
+		return nil, nil, c.now >= m.dropAt
+	}
+	return route, c.services[route.Service], false
+}
+
+// try hands a message that is due to its service's module, or has it wait for what is missing.
+func (c *Core) try(m *message) {
+	if c.now >= m.expires {
+		c.finish(m, wire.Report{Kind: wire.ReportExpired})
+		return
+	}
+	_, s, gone := c.route(m)
+	switch {
+	case gone:
+		c.finish(m, wire.Report{Kind: wire.ReportDropped})
+	case s == nil || s.ready == 0:
+		c.pause(m)
+	case s.bucket == nil:
+		c.handOver(m, s, false)
+	case s.bucket.share.Burst == 0:
+		c.release(m)
+	case len(s.throttled) == 0 && s.bucket.take(c.now):
+		c.handOver(m, s, true)
+	default:
+		m.service = s
+		s.throttled = append(s.throttled, m)
+		c.schedule(m, throttled, m.expires)
+	}
+}
+
+func (c *Core) handOver(m *message, s *service, token bool) {
+	c.lastJob++
+	j := &job{id: c.lastJob, service: s, message: m, active: true, token: token}
+	c.jobs[j.id] = j
+	m.job, m.service = j, s
+	c.schedule(m, handed, c.now+giveBack)
+	c.feed(s, ravendale.Event{Kind: ravendale.JobArrived, Job: ravendale.JobID(j.id), Class: 0, Tenant: -1, Left: jobDeadline, Retry: m.tried})
+	m.tried = true
+}
+
+// leave ends a message's stay with its module, or in the line for a token.
+func (c *Core) leave(m *message) {
+	switch {
+	case m.phase == throttled:
+		m.service.throttled = slices.DeleteFunc(m.service.throttled, func(other *message) bool { return other == m })
+	case m.job != nil:
+		c.close(m.job)
+	}
+	m.job, m.service = nil, nil
+}
+
+func (c *Core) close(j *job) {
+	if !j.active {
+		return
+	}
+	j.active = false
+	c.feed(j.service, ravendale.Event{Kind: ravendale.ClientLeft, Job: ravendale.JobID(j.id)})
+	c.forgetJob(j)
+}
+
+func (c *Core) forgetJob(j *job) {
+	if !j.active && j.out == 0 {
+		delete(c.jobs, j.id)
+	}
+}
+
+// finish ends a message here. It is held, without its body, until the queue has acknowledged the report.
+func (c *Core) finish(m *message, report wire.Report) {
+	c.leave(m)
+	c.unschedule(m)
+	m.phase = reported
+	c.held -= m.size
+	m.size = 0
+	m.Body = nil
+	report.ID, report.Failed = m.ID, m.failed
+	c.report(report)
+}
+
+func (c *Core) release(m *message) {
+	m.released = true
+	c.finish(m, wire.Report{Kind: wire.ReportReleased})
+}
+
+func (c *Core) report(r wire.Report) {
+	r.Partition, _ = wire.PartitionOf(r.ID)
+	c.act(Report{r})
+}
+
+// Acknowledged hears that the queue has a message's last report.
+func (c *Core) Acknowledged(now time.Duration, id string) []Action {
+	c.begin(now)
+	if m := c.messages[id]; m != nil && m.phase == reported {
+		delete(c.messages, id)
+	}
+	return c.end()
+}
+
+// Unknown hears that the queue does not know a message as pending: it has ended.
+func (c *Core) Unknown(now time.Duration, id string) []Action {
+	c.begin(now)
+	if m := c.messages[id]; m != nil && m.phase != reported {
+		c.leave(m)
+		c.unschedule(m)
+		c.held -= m.size
+		delete(c.messages, id)
+	}
+	return c.end()
+}
+
+// Next is when Tick is due.
+func (c *Core) Next() time.Duration {
+	next := c.now + forever
+	if len(c.agenda) > 0 {
+		next = min(next, c.agenda[0].due)
+	}
+	for _, s := range c.services {
+		next = min(next, s.timer)
+		if len(s.throttled) > 0 && s.bucket != nil {
+			next = min(next, s.bucket.next(c.now))
+		}
+	}
+	return next
+}
+
+// Tick does what is due.
+func (c *Core) Tick(now time.Duration) []Action {
+	c.begin(now)
+	for len(c.agenda) > 0 && c.agenda[0].due <= c.now {
+		c.look(c.agenda[0])
+	}
+	for _, s := range c.services {
+		if s.timer <= c.now {
+			s.timer = forever
+			c.feed(s, ravendale.Event{Kind: ravendale.TimerFired})
+		}
+		c.spend(s)
+	}
+	return c.end()
+}
+
+// look does what is due for a message, and moves it on in the agenda.
+func (c *Core) look(m *message) {
+	switch {
+	case m.phase == waiting:
+		c.try(m)
+	case m.phase == handed && m.job.live():
+		c.schedule(m, handed, c.now+giveBack)
+	case m.phase == handed:
+		c.leave(m)
+		c.pause(m)
+	default: // nothing but its expiry is due
+		c.finish(m, wire.Report{Kind: wire.ReportExpired})
+	}
+}
+
+// spend hands over throttled messages while there are tokens.
+func (c *Core) spend(s *service) {
+	for len(s.throttled) > 0 && s.bucket != nil && s.bucket.take(c.now) {
+		m := s.throttled[0]
+		s.throttled = slices.Delete(s.throttled, 0, 1)
+		if _, current, gone := c.route(m); gone || current != s || s.ready == 0 {
+			s.bucket.tokens++
+			m.service = nil
+			c.schedule(m, waiting, c.now)
+			c.try(m)
+			continue
+		}
+		c.handOver(m, s, true)
+	}
+}
+
+// Stop gives back all that is not under way, and from then on all that does not end with a report.
+func (c *Core) Stop(now time.Duration) []Action {
+	c.begin(now)
+	c.stopping = true
+	for _, m := range c.messages {
+		if m.phase != reported && (m.phase != handed || !m.job.live()) {
+			c.release(m)
+		}
+	}
+	return c.end()
+}
+
+// carryOut does what a module asks for.
+func (c *Core) carryOut(s *service, a ravendale.Action) {
+	switch a.Kind {
+	case ravendale.SetTimer:
+		s.timer = min(s.timer, c.now+a.Wait)
+		return
+	case ravendale.Send, ravendale.Cancel, ravendale.Refuse, ravendale.Fail:
+	default:
+		return
+	}
+	j := c.jobs[JobID(a.Job)]
+	if j == nil {
+		return
+	}
+	switch a.Kind {
+	case ravendale.Send:
+		c.send(j, a.Worker)
+	case ravendale.Cancel:
+		c.cancel(j, a.Attempt)
+	default:
+		c.givenUp(j)
+	}
+}
+
+func (c *Core) cancel(j *job, number int) {
+	if a := &j.attempts[number]; a.out && !a.cancelled {
+		a.cancelled = true
+		c.act(Cancel{Job: j.id, Attempt: number})
+	}
+}
+
+// givenUp takes a message back that its module has no more use for.
+func (c *Core) givenUp(j *job) {
+	if !j.active {
+		return
+	}
+	j.active = false
+	c.forgetJob(j)
+	m := j.message
+	m.job, m.service = nil, nil
+	if c.stopping {
+		c.release(m)
+		return
+	}
+	c.pause(m)
+}
+
+// send makes an attempt, if the newest configuration still wants it.
+func (c *Core) send(j *job, name string) {
+	number := len(j.attempts)
+	j.attempts = append(j.attempts, attempt{out: true})
+	j.out++
+	m := j.message
+	route, s, gone := c.route(m)
+	address := j.service.addresses[name]
+	switch {
+	case !j.active || address == "":
+		c.ended(j, number, worker.Result{Outcome: worker.NotRun})
+	case c.stopping:
+		c.unsent(j, number)
+		c.release(m)
+	case gone || c.now >= m.expires || s != j.service:
+		c.unsent(j, number)
+		c.wait(m, c.now)
+	default:
+		instance := name
+		if s.endpoint != "" {
+			instance = ""
+		}
+		c.act(Deliver{Job: j.id, Attempt: number, Delivery: worker.Delivery{
+			Worker: name, Address: address, Instance: instance,
+			Method: m.Method, Host: m.Host, Target: m.Target, RequestID: m.RequestID, OrderKey: m.Key,
+			ContentType: m.ContentType, Body: m.Body, Limit: milliseconds(route.TimeoutMs),
+		}})
+	}
+}
+
+func milliseconds(figure float64) time.Duration {
+	return time.Duration(figure * float64(time.Millisecond))
+}
+
+// unsent ends an attempt that was not made, and its job.
+func (c *Core) unsent(j *job, number int) {
+	j.attempts[number].out = false
+	j.out--
+	j.active = false
+	j.message.job, j.message.service = nil, nil
+	c.refund(j)
+	c.feed(j.service, ravendale.Event{Kind: ravendale.AttemptEnded, Job: ravendale.JobID(j.id), Attempt: number, Outcome: ravendale.NotSent, Closed: true})
+	c.forgetJob(j)
+}
+
+// refund gives a token back whose attempt never came to the worker.
+func (c *Core) refund(j *job) {
+	if j.token && j.service.bucket != nil {
+		j.token = false
+		j.service.bucket.refund()
+	}
+}
--- /dev/null
+++ b/dispatch/service.go
@@ -0,0 +1,96 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"ravendale"
+	"ravendale/catalog"
+	"ravendale/wire"
+)
+
+// The module's settings for a service.
+const (
+	attemptsOfJob    = 3 // that the module makes by itself: those that ran nothing are followed by others
+	attemptsOfTicket = 1 // where each attempt needs a token
+	jobDeadline      = forever
+	unknownZone      = -1
+)
+
+// service is what the plane has for one service: its decision module, its workers and its ceiling.
+type service struct {
+	name      string
+	module    *ravendale.Dispatcher
+	settings  ravendale.Settings
+	endpoint  string
+	addresses map[string]string // by worker
+	listed    []ravendale.Entry
+	ready     int           // listed workers that may be sent to
+	bucket    *bucket       // nil: no ceiling
+	throttled []*message    // wait for tokens, in the order in which they came
+	timer     time.Duration // the module's; forever: none
+}
+
+func moduleSettings(config *catalog.Service, t *Topology) ravendale.Settings {
+	me := max(slices.Index(t.Edges, t.Edge), 0)
+	effect := ravendale.Unsafe
+	if config.Idempotent {
+		effect = ravendale.Safe
+	}
+	attempts, copies := attemptsOfJob, true
+	if config.RatePerS > 0 {
+		attempts, copies = attemptsOfTicket, false
+	}
+	return ravendale.Settings{
+		Dispatchers:  max(len(t.Edges), 1),
+		Me:           me,
+		Zones:        len(t.Zones),
+		Zone:         slices.Index(t.Zones, t.Zone),
+		Classes:      []ravendale.Class{{Name: config.Name, Effect: effect, Deadline: jobDeadline, Worth: 1, Kind: -1}},
+		MaxAttempts:  attempts,
+		MayCopy:      copies,
+		MayCancel:    true,
+		WrittenCount: true,
+	}
+}
+
+// entries lists a service's workers for its module, and their addresses.
+func entries(config *catalog.Service, workers *wire.Workers, t *Topology) ([]ravendale.Entry, map[string]string) {
+	addresses := make(map[string]string)
+	if config.Endpoint != "" {
+		addresses[config.Endpoint] = config.Endpoint
+		return []ravendale.Entry{{Worker: config.Endpoint, Zone: unknownZone, State: ravendale.Ready, Weight: 1}}, addresses
+	}
+	var list []ravendale.Entry
+	if workers == nil {
+		return nil, addresses
+	}
+	for i := range workers.Entries {
+		w := &workers.Entries[i]
+		if w.Service != config.Name {
+			continue
+		}
+		addresses[w.ID] = w.Address
+		list = append(list, entry(w, t))
+	}
+	return list, addresses
+}
+
+func entry(w *wire.Worker, t *Topology) ravendale.Entry {
+	state := ravendale.Ready
+	if w.Draining {
+		state = ravendale.Draining
+	}
+	return ravendale.Entry{
+		Worker: w.ID, Zone: slices.Index(t.Zones, w.Zone), State: state, Weight: max(float64(w.Capacity), 1),
+	}
+}
+
+// connectionShare is how many of a worker's connections an edge may have.
+func connectionShare(maxConns, edges int) int {
+	const used = 0.9
+	if maxConns <= 0 {
+		return 0
+	}
+	return max(1, int(used*float64(maxConns)/float64(max(edges, 1))))
+}
--- /dev/null
+++ b/dispatch/topology.go
@@ -0,0 +1,186 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ravendale"
+	"ravendale/catalog"
+	"ravendale/wire"
+)
+
+// Configure takes a configuration. Messages whose route it lacks end.
+func (c *Core) Configure(now time.Duration, index *catalog.Index) []Action {
+	c.begin(now)
+	c.index = index
+	named := make(map[string]bool)
+	for i := range index.Config().Services {
+		config := &index.Config().Services[i]
+		named[config.Name] = true
+		c.retune(config)
+	}
+	for name, s := range c.services {
+		if !named[name] {
+			c.retire(s)
+		}
+	}
+	c.dropRouteless()
+	return c.end()
+}
+
+// retire forgets a service; its messages look for their route anew.
+func (c *Core) retire(s *service) {
+	delete(c.services, s.name)
+	for _, m := range s.throttled {
+		m.service = nil
+		c.schedule(m, waiting, c.now)
+	}
+	s.throttled = nil
+}
+
+func (c *Core) dropRouteless() {
+	for _, m := range c.messages {
+		if m.phase == reported || m.phase == handed && m.job.live() {
+			continue
+		}
+		if _, _, gone := c.route(m); gone {
+			c.finish(m, wire.Report{Kind: wire.ReportDropped})
+		}
+	}
+}
+
+// retune brings what the plane has for a service up to the configuration, the workers' list and the topology.
+func (c *Core) retune(config *catalog.Service) {
+	settings := moduleSettings(config, &c.config.Topology)
+	s := c.services[config.Name]
+	if s == nil {
+		module, err := ravendale.New(settings, c.config.Seed^xxhash.Sum64String(config.Name))
+		if err != nil {
+			return // no configuration makes such settings
+		}
+		s = &service{name: config.Name, module: module, timer: forever}
+		c.services[config.Name] = s
+	} else if !sameSettings(&s.settings, &settings) {
+		_ = s.module.Retune(settings) // refused, the old ones stay in force
+	}
+	s.settings, s.endpoint = settings, config.Endpoint
+	c.relist(s, config)
+	c.limit(s, config)
+}
+
+func sameSettings(a, b *ravendale.Settings) bool {
+	return a.Dispatchers == b.Dispatchers && a.Me == b.Me && a.MaxAttempts == b.MaxAttempts && a.Classes[0] == b.Classes[0]
+}
+
+// relist tells a module of its workers, and wakes what waited for the first of them.
+func (c *Core) relist(s *service, config *catalog.Service) {
+	list, addresses := entries(config, c.workers, &c.config.Topology)
+	if slices.Equal(list, s.listed) && sameAddresses(s.addresses, addresses) {
+		return
+	}
+	were := s.ready
+	s.listed, s.addresses, s.ready = list, addresses, 0
+	for i := range list {
+		if list[i].State == ravendale.Ready {
+			s.ready++
+		}
+	}
+	c.feed(s, ravendale.Event{Kind: ravendale.WorkersListed, List: ravendale.Full, Entries: list})
+	if were == 0 && s.ready > 0 {
+		c.hurry(s)
+	}
+}
+
+func sameAddresses(a, b map[string]string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for name, address := range a {
+		if b[name] != address {
+			return false
+		}
+	}
+	return true
+}
+
+// hurry has a service's paused messages tried at once.
+func (c *Core) hurry(s *service) {
+	for _, m := range c.messages {
+		if m.phase != waiting || m.pauses == 0 {
+			continue
+		}
+		if _, found, _ := c.route(m); found == s {
+			m.pauses = 0
+			c.schedule(m, waiting, max(c.now, m.start))
+		}
+	}
+}
+
+// limit sets a service's share of its ceiling. A new share's bucket is empty.
+func (c *Core) limit(s *service, config *catalog.Service) {
+	if config.RatePerS <= 0 {
+		s.bucket = nil
+		for _, m := range s.throttled {
+			m.service = nil
+			c.schedule(m, waiting, c.now)
+		}
+		s.throttled = nil
+		return
+	}
+	ceiling := Ceiling{RatePerS: config.RatePerS, Window: c.config.Window, Overshoot: c.config.Overshoot}
+	share := ceiling.Divide(s.name, c.config.Topology.Edge, c.config.Topology.Edges)
+	if s.bucket == nil || s.bucket.share != share {
+		s.bucket = newBucket(share, c.now)
+	}
+	if share.Burst == 0 {
+		for _, m := range slices.Clone(s.throttled) {
+			c.release(m)
+		}
+	}
+}
+
+// List takes the platform's list of workers.
+func (c *Core) List(now time.Duration, workers *wire.Workers) []Action {
+	c.begin(now)
+	c.workers = workers
+	c.retuneAll()
+	return c.end()
+}
+
+// Place takes the edges that share the work.
+func (c *Core) Place(now time.Duration, edges []string) []Action {
+	c.begin(now)
+	c.config.Topology.Edges = edges
+	c.retuneAll()
+	return c.end()
+}
+
+func (c *Core) retuneAll() {
+	if c.index == nil {
+		return
+	}
+	for i := range c.index.Config().Services {
+		c.retune(&c.index.Config().Services[i])
+	}
+}
+
+// Connections says how many connections this edge may have to each worker, by name; 0 is no bound.
+func (c *Core) Connections() map[string]int {
+	limits := make(map[string]int)
+	if c.index == nil {
+		return limits
+	}
+	edges := len(c.config.Topology.Edges)
+	for _, s := range c.services {
+		config := c.index.Service(s.name)
+		if config == nil {
+			continue
+		}
+		for name := range s.addresses {
+			limits[name] = connectionShare(config.MaxConns, edges)
+		}
+	}
+	return limits
+}
