--- /dev/null
+++ b/standin/cluster/cluster.go
@@ -0,0 +1,139 @@
+package cluster
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"ravendale/standin/client"
+)
+
+// Cluster is the system on loopback.
+type Cluster struct {
+	spec     Spec
+	ports    ports
+	machines []machine
+	Controls []*Process
+	Edges    []*Process
+	Stores   []*Process
+}
+
+// New lays a cluster out. Nothing runs yet.
+func New(spec Spec) (*Cluster, error) {
+	spec.ControlsPerZone = max(spec.ControlsPerZone, 1)
+	if spec.ProviderRate == 0 {
+		spec.ProviderRate = defaultProviderRate
+	}
+	machines, err := spec.layout()
+	if err != nil {
+		return nil, err
+	}
+	drawn, err := freePorts(machines)
+	if err != nil {
+		return nil, err
+	}
+	c := &Cluster{spec: spec, ports: drawn, machines: machines}
+	controls := make(map[string]int)
+	for _, machine := range machines {
+		if machine.class == ClassStorage {
+			c.Stores = append(c.Stores, c.process(machine, ProgramStore))
+			continue
+		}
+		c.Edges = append(c.Edges, c.process(machine, ProgramEdge))
+		if controls[machine.zone] < spec.ControlsPerZone {
+			controls[machine.zone]++
+			c.Controls = append(c.Controls, c.process(machine, ProgramControl))
+		}
+	}
+	return c, nil
+}
+
+func (c *Cluster) process(machine machine, program string) *Process {
+	base := filepath.Join(c.spec.Folder, machine.name+"."+program)
+	return &Process{
+		cluster: c,
+		machine: machine,
+		program: program,
+		path:    base + ".conf",
+		data:    base + ".data",
+		log:     base + ".log",
+	}
+}
+
+// Processes lists all.
+func (c *Cluster) Processes() []*Process {
+	all := append([]*Process(nil), c.Controls...)
+	all = append(all, c.Edges...)
+	return append(all, c.Stores...)
+}
+
+// Start starts all processes for the first time.
+func (c *Cluster) Start() error {
+	if err := os.MkdirAll(c.spec.Folder, 0o755); err != nil {
+		return fmt.Errorf("cluster: %w", err)
+	}
+	return Each(c.Processes(), func(p *Process) error { return p.Start(true) })
+}
+
+// Kill ends all processes that run.
+func (c *Cluster) Kill() {
+	_ = Each(c.Processes(), func(p *Process) error {
+		if p.PID() == 0 {
+			return nil
+		}
+		return p.Kill()
+	})
+}
+
+// Each does something for processes at once, and joins the errors.
+func Each(processes []*Process, do func(*Process) error) error {
+	found := make([]error, len(processes))
+	var group sync.WaitGroup
+	for i, process := range processes {
+		group.Go(func() { found[i] = do(process) })
+	}
+	group.Wait()
+	return errors.Join(found...)
+}
+
+// Surprises tells which processes ended by themselves.
+func (c *Cluster) Surprises() []string {
+	var surprises []string
+	for _, process := range c.Processes() {
+		surprises = append(surprises, process.Surprises()...)
+	}
+	return surprises
+}
+
+// Admin lists the addresses of the operator's API.
+func (c *Cluster) Admin() []string {
+	var addresses []string
+	for _, control := range c.Controls {
+		addresses = append(addresses, address(control.machine.ip, c.ports.admin))
+	}
+	return addresses
+}
+
+const maxSeeds = 3
+
+func (c *Cluster) seeds() []string {
+	admin := c.Admin()
+	return admin[:min(len(admin), maxSeeds)]
+}
+
+// EdgeAddresses lists where clients connect.
+func (c *Cluster) EdgeAddresses() []client.Edge {
+	var edges []client.Edge
+	for _, edge := range c.Edges {
+		edges = append(edges, client.Edge{
+			HTTP:      address(edge.machine.ip, c.ports.http),
+			Readiness: address(edge.machine.ip, c.ports.ready),
+		})
+	}
+	return edges
+}
+
+// ControlRPC is where a control process listens for the other processes.
+func (c *Cluster) ControlRPC(p *Process) string { return address(p.machine.ip, c.ports.first) }
--- /dev/null
+++ b/standin/cluster/process.go
@@ -0,0 +1,172 @@
+package cluster
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"ravendale/settings"
+)
+
+// Process is one program on one machine, over all its lives.
+type Process struct {
+	cluster  *Cluster
+	machine  machine
+	program  string
+	path     string // of the settings file
+	data     string // of the data folder
+	log      string // of the log file
+	mutex    sync.Mutex
+	command  *exec.Cmd
+	ended    chan struct{} // closed when the life is over
+	exit     error
+	expected bool // the life was ended by a fault or a stop
+	surprise []string
+}
+
+// Name of the process: program and machine.
+func (p *Process) Name() string { return p.program + " on " + p.machine.name }
+
+// Node is the name of its machine.
+func (p *Process) Node() string { return p.machine.name }
+
+// IP of its machine.
+func (p *Process) IP() string { return p.machine.ip }
+
+// LogPath is where its standard error goes.
+func (p *Process) LogPath() string { return p.log }
+
+// PID is the id of the operating system's process, or 0.
+func (p *Process) PID() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.command == nil {
+		return 0
+	}
+	return p.command.Process.Pid
+}
+
+// Start begins a life with the settings that are current. Bootstrap is for the first start of the whole cluster.
+func (p *Process) Start(bootstrap bool) error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.command != nil {
+		return fmt.Errorf("cluster: %s runs already", p.Name())
+	}
+	if err := os.WriteFile(p.path, []byte(p.cluster.settings(p, bootstrap)), 0o644); err != nil {
+		return fmt.Errorf("cluster: %w", err)
+	}
+	if err := os.MkdirAll(p.data, 0o755); err != nil {
+		return fmt.Errorf("cluster: %w", err)
+	}
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return fmt.Errorf("cluster: %w", err)
+	}
+	defer func() { _ = log.Close() }()
+	command := exec.Command(filepath.Join(p.cluster.spec.Programs, p.program))
+	command.Env = []string{settings.PathVariable + "=" + p.path, "GOMAXPROCS=1", "PATH=" + os.Getenv("PATH")}
+	command.Stdout, command.Stderr = log, log
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		return fmt.Errorf("cluster: %s: %w", p.Name(), err)
+	}
+	p.command, p.ended, p.expected = command, make(chan struct{}), false
+	go p.wait(command, p.ended)
+	return nil
+}
+
+func (p *Process) wait(command *exec.Cmd, ended chan struct{}) {
+	err := command.Wait()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.command, p.exit = nil, err
+	if !p.expected {
+		p.surprise = append(p.surprise, fmt.Sprintf("%s ended by itself: %v", p.Name(), command.ProcessState))
+	}
+	close(ended)
+}
+
+// signal sends a signal to the life under way, and returns what is closed at its end.
+func (p *Process) signal(signal syscall.Signal, ends bool) (ended chan struct{}, err error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.command == nil {
+		return nil, fmt.Errorf("cluster: %s does not run", p.Name())
+	}
+	if ends {
+		p.expected = true
+	}
+	return p.ended, p.command.Process.Signal(signal)
+}
+
+// Kill ends the process by SIGKILL.
+func (p *Process) Kill() error {
+	ended, err := p.signal(syscall.SIGKILL, true)
+	if err != nil {
+		return err
+	}
+	<-ended
+	return nil
+}
+
+// Freeze stops the process without ending it.
+func (p *Process) Freeze() error {
+	_, err := p.signal(syscall.SIGSTOP, false)
+	return err
+}
+
+// Thaw lets a frozen process go on.
+func (p *Process) Thaw() error {
+	_, err := p.signal(syscall.SIGCONT, false)
+	return err
+}
+
+// Reload tells the process that its settings file has changed.
+func (p *Process) Reload() error {
+	_, err := p.signal(syscall.SIGHUP, false)
+	return err
+}
+
+// Stop asks the process to end by SIGTERM. One that has not ended within the grace is killed, which is an error, as is an exit that
+// tells of one.
+func (p *Process) Stop(grace time.Duration) error {
+	ended, err := p.signal(syscall.SIGTERM, true)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ended:
+	case <-time.After(grace):
+		_ = p.Kill()
+		return fmt.Errorf("cluster: %s did not end within %v", p.Name(), grace)
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.exit != nil {
+		return fmt.Errorf("cluster: %s: %w", p.Name(), p.exit)
+	}
+	return nil
+}
+
+// Wipe empties the data folder of a process that does not run.
+func (p *Process) Wipe() error {
+	if p.PID() != 0 {
+		return fmt.Errorf("cluster: %s runs, and can't lose its disk", p.Name())
+	}
+	if err := os.RemoveAll(p.data); err != nil {
+		return fmt.Errorf("cluster: %w", err)
+	}
+	return nil
+}
+
+// Surprises tells which lives ended by themselves.
+func (p *Process) Surprises() []string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return append([]string(nil), p.surprise...)
+}
--- /dev/null
+++ b/standin/cluster/spec.go
@@ -0,0 +1,178 @@
+// Package cluster runs the system's programs as processes on loopback: each simulated machine has an address of its own, settings
+// files and data folders, and can be killed, frozen, stopped, wiped and started again.
+package cluster
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sort"
+	"strconv"
+	"strings"
+)
+
+// Spec of a cluster.
+type Spec struct {
+	Programs        string   // folder with the programs
+	Folder          string   // settings, data and logs
+	Provider        string   // address of the platform
+	ProviderRate    float64  // calls a second that it accepts; 0: defaultProviderRate
+	Zones           []string // each has the machines below
+	EdgesPerZone    int
+	StoresPerZone   int
+	ControlsPerZone int // of the edges, from the first; 0: one
+	LostNodes       int // machines that may be lost at once
+	Settings        map[string]string
+}
+
+// Classes of machines.
+const (
+	ClassEdge    = "edge"
+	ClassStorage = "storage"
+)
+
+// Figures of a cluster.
+const (
+	defaultProviderRate = 20
+	portsInRange        = 16
+	portsBelow          = 3 // http, readiness and admin, before the range
+	firstPort           = 20000
+	lastPort            = 32000 // below the ports that connections take
+	attemptsAtPorts     = 50
+	maxMachines         = 200
+)
+
+// machine is one simulated machine.
+type machine struct {
+	name  string
+	class string
+	zone  string
+	ip    string
+}
+
+// ports are alike on all machines.
+type ports struct {
+	http, ready, admin, first, last int
+}
+
+// layout lists the machines of a spec.
+func (s Spec) layout() ([]machine, error) {
+	if len(s.Zones) == 0 || s.EdgesPerZone < 1 || s.StoresPerZone < 1 {
+		return nil, errors.New("cluster: a spec needs zones, and edges and stores in each")
+	}
+	var machines []machine
+	for _, zone := range s.Zones {
+		for i := range s.EdgesPerZone {
+			machines = append(machines, machine{name: fmt.Sprintf("edge-%s-%d", zone, i+1), class: ClassEdge, zone: zone})
+		}
+		for i := range s.StoresPerZone {
+			machines = append(machines, machine{name: fmt.Sprintf("storage-%s-%d", zone, i+1), class: ClassStorage, zone: zone})
+		}
+	}
+	if len(machines) > maxMachines {
+		return nil, fmt.Errorf("cluster: %d machines are more than %d", len(machines), maxMachines)
+	}
+	for i := range machines {
+		machines[i].ip = fmt.Sprintf("127.0.1.%d", i+1)
+	}
+	return machines, nil
+}
+
+// freePorts draws ports that are free on all machines.
+func freePorts(machines []machine) (ports, error) {
+	for range attemptsAtPorts {
+		first := firstPort + rand.IntN(lastPort-firstPort)
+		drawn := ports{http: first, ready: first + 1, admin: first + 2, first: first + portsBelow, last: first + portsBelow + portsInRange - 1}
+		if drawn.free(machines) {
+			return drawn, nil
+		}
+	}
+	return ports{}, errors.New("cluster: no free ports")
+}
+
+func (p ports) free(machines []machine) bool {
+	for _, machine := range machines {
+		for port := p.http; port <= p.last; port++ {
+			listener, err := net.Listen("tcp4", address(machine.ip, port))
+			if err != nil {
+				return false
+			}
+			_ = listener.Close()
+		}
+	}
+	return true
+}
+
+func address(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
+
+// settings of a process as the lines of its file.
+func (c *Cluster) settings(p *Process, bootstrap bool) string {
+	lines := map[string]string{
+		"nodeName":               p.machine.name,
+		"role":                   p.program,
+		"machineClass":           p.machine.class,
+		"ip":                     p.machine.ip,
+		"zone":                   p.machine.zone,
+		"region":                 "loopback",
+		"portRange":              fmt.Sprintf("%d,%d", c.ports.first, c.ports.last),
+		"seeds":                  strings.Join(c.seeds(), ","),
+		"bootstrap":              strconv.FormatBool(bootstrap),
+		"limits.cpuQuota":        "1",
+		"limits.cpus":            "1",
+		"limits.memoryMb":        "256",
+		"limits.maxFds":          "4096",
+		"limits.diskMb":          "64",
+		"discovery":              "provider",
+		"entrypoint":             "vip",
+		"heartbeatMs":            "1000",
+		"faultTolerance.nodes":   strconv.Itoa(c.spec.LostNodes),
+		"faultTolerance.zones":   "0",
+		"faultTolerance.regions": "0",
+		"provider.address":       c.spec.Provider,
+		"provider.ratePerS":      strconv.FormatFloat(c.spec.ProviderRate, 'f', -1, 64),
+		"provider.maxLagMs":      "800",
+	}
+	for _, zone := range c.spec.Zones {
+		lines["zones."+zone] = "loopback"
+	}
+	p.surface(lines, c.ports)
+	for key, value := range c.spec.Settings {
+		lines[key] = value
+	}
+	return encode(lines)
+}
+
+// surface adds what belongs to the program of a process.
+func (p *Process) surface(lines map[string]string, ports ports) {
+	ip := p.machine.ip
+	counts := p.program != ProgramEdge
+	lines["countsForQuorum"] = strconv.FormatBool(counts)
+	if counts {
+		lines["dataDir"] = p.data
+	}
+	switch p.program {
+	case ProgramControl:
+		lines["serves"] = "control_plane"
+		lines["listen.admin"] = address(ip, ports.admin)
+	case ProgramEdge:
+		lines["serves"] = "edge"
+		lines["listen.http"] = address(ip, ports.http)
+		lines["listen.readiness"] = address(ip, ports.ready)
+	case ProgramStore:
+		lines["serves"] = "storage"
+	}
+}
+
+func encode(lines map[string]string) string {
+	keys := make([]string, 0, len(lines))
+	for key := range lines {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	var out strings.Builder
+	for _, key := range keys {
+		out.WriteString(key + "=" + lines[key] + "\n")
+	}
+	return out.String()
+}
--- /dev/null
+++ b/standin/standin.go
@@ -0,0 +1,182 @@
+// Package standin puts the stand-ins for the outside world together: a platform's list and the workers on it, with one history.
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"ravendale/standin/history"
+	"ravendale/standin/platform"
+	"ravendale/standin/protocol"
+	"ravendale/standin/workers"
+)
+
+// Service is a service with its workers and the routes that lead to it.
+type Service struct {
+	workers.Service
+	Workers  int              // of each zone
+	Endpoint bool             // a single endpoint, on no list, in place of Workers
+	Routes   []protocol.Route // Service and Type are filled in
+}
+
+// Options of a world.
+type Options struct {
+	Address  string        // of the platform's list; empty: a free port of 127.0.0.1
+	Zones    []string      // of the workers
+	Lag      time.Duration // how far the list trails
+	RatePerS float64       // calls of the list accepted a second; 0: no limit
+	PageSize int           // entries a page; 0: the platform's default
+	Services []Service
+}
+
+// World is all that is outside of the system.
+type World struct {
+	Record   *history.Recorder
+	Platform *platform.Platform
+	Fleet    *workers.Fleet
+
+	options   Options
+	endpoints map[string]string // address by service
+}
+
+// Start starts the platform and all workers.
+func Start(options Options) (*World, error) {
+	if options.Address == "" {
+		options.Address = "127.0.0.1:0"
+	}
+	record := history.NewRecorder()
+	list, err := platform.Start(platform.Options{
+		Address:  options.Address,
+		PageSize: options.PageSize,
+		RatePerS: options.RatePerS,
+		Lag:      options.Lag,
+		Record:   record,
+	})
+	if err != nil {
+		return nil, err
+	}
+	w := &World{
+		Record:    record,
+		Platform:  list,
+		Fleet:     workers.NewFleet(record),
+		options:   options,
+		endpoints: make(map[string]string),
+	}
+	if err := w.startServices(); err != nil {
+		w.Close()
+		return nil, err
+	}
+	return w, nil
+}
+
+func (w *World) startServices() error {
+	for _, service := range w.options.Services {
+		w.Fleet.AddService(service.Service)
+		if err := w.startService(service); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *World) startService(service Service) error {
+	if service.Endpoint {
+		worker, err := w.Fleet.Start(workers.Listen{Service: service.Name, Unlisted: true})
+		if err == nil {
+			w.endpoints[service.Name] = worker.Address()
+		}
+		return err
+	}
+	for _, zone := range w.options.Zones {
+		for range service.Workers {
+			worker, err := w.Fleet.Start(workers.Listen{Service: service.Name, Zone: zone})
+			if err != nil {
+				return err
+			}
+			w.Platform.AddShown(worker.Instance())
+		}
+	}
+	return nil
+}
+
+// Add starts one more worker, which the list shows after its lag.
+func (w *World) Add(service, zone string) (*workers.Worker, error) {
+	worker, err := w.Fleet.Start(workers.Listen{Service: service, Zone: zone})
+	if err != nil {
+		return nil, err
+	}
+	w.Platform.Add(worker.Instance(), 0)
+	return worker, nil
+}
+
+// Crash ends a worker at once. The list shows it for some time yet.
+func (w *World) Crash(worker *workers.Worker, listed time.Duration) {
+	worker.Crash()
+	time.AfterFunc(listed, func() { w.Platform.Remove(worker.ID()) })
+}
+
+// Drain shows a worker as draining, lets it serve for a time from then on, and ends it.
+func (w *World) Drain(worker *workers.Worker, serves time.Duration) {
+	shown := w.Platform.Drain(worker.ID())
+	worker.Drain()
+	time.AfterFunc(shown+serves, func() {
+		worker.Crash()
+		w.Platform.Remove(worker.ID())
+	})
+}
+
+// Replace drains a worker and starts another in its zone.
+func (w *World) Replace(worker *workers.Worker, serves time.Duration) (*workers.Worker, error) {
+	instance := worker.Instance()
+	replacement, err := w.Add(instance.Service, instance.Zone)
+	if err != nil {
+		return nil, err
+	}
+	w.Drain(worker, serves)
+	return replacement, nil
+}
+
+// Config is the configuration that leads to the world's services.
+func (w *World) Config(version uint64, limits protocol.Limits) protocol.Config {
+	config := protocol.Config{Version: version, Limits: limits}
+	for _, service := range w.options.Services {
+		configured := service.Config()
+		if address, found := w.endpoints[service.Name]; found {
+			configured.Endpoint = &address
+		}
+		config.Services = append(config.Services, configured)
+		for _, route := range service.Routes {
+			route.Service = service.Name
+			route.Type = protocol.TypeDeferred
+			config.Routes = append(config.Routes, route)
+		}
+	}
+	return config
+}
+
+// Close ends all.
+func (w *World) Close() {
+	w.Fleet.Close()
+	_ = w.Platform.Close()
+}
+
+// errNoServices says that a world has nothing in it.
+var errNoServices = errors.New("no services")
+
+// Validate says what is wrong with the options.
+func (o Options) Validate() error {
+	var found []error
+	if len(o.Services) == 0 {
+		found = append(found, errNoServices)
+	}
+	for i, service := range o.Services {
+		if service.Name == "" {
+			found = append(found, fmt.Errorf("services[%d]: has no name", i))
+		}
+		if !service.Endpoint && service.Workers < 1 {
+			found = append(found, fmt.Errorf("services[%d] %s: has neither workers nor an endpoint", i, service.Name))
+		}
+	}
+	return errors.Join(found...)
+}
--- a/standin/workers/worker.go
+++ b/standin/workers/worker.go
@@ -278,7 +278,7 @@
 		return false
 	}
 	if reply.signature != "" {
-		return c.writeSuccess(id, reply, arrival)
+		return c.writeSuccess(ctx, reply, arrival)
 	}
 	return c.write(id, reply)
 }
@@ -389,12 +389,12 @@
 }
 
 // writeSuccess sends a success with the worker's troubles.
-func (c *conn) writeSuccess(id string, reply answer, arrival *history.Arrival) bool {
+func (c *conn) writeSuccess(ctx context.Context, reply answer, arrival *history.Arrival) bool {
 	troubles := c.worker.troubles.Load()
-	encoded := c.encode(id, reply)
+	encoded := c.encode(arrival.RequestID, reply)
 	switch {
 	case rand.Float64() < troubles.LoseShare:
-		c.silence()
+		<-ctx.Done()
 		return false
 	case rand.Float64() < troubles.CutShare:
 		_, _ = c.net.Write(encoded[:rand.IntN(len(encoded))])
