--- /dev/null
+++ b/control/placement/placement.go
@@ -0,0 +1,167 @@
+// Package placement decides on which stores the partitions of the queue lie. It is pure: the agreed view and the stores that
+// live go in, the next view comes out.
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"ravendale/wire"
+)
+
+// DefaultPartitions is how many partitions a system is founded with. The number never changes afterwards.
+const DefaultPartitions = 64
+
+// movesAtOnce bounds the partitions that are moved for balance alone at a time. Lost copies are made up for without a bound.
+const movesAtOnce = 8
+
+// Config says how copies must be spread.
+type Config struct {
+	Copies     int  // whole replicas of each partition
+	Partitions int  // of a new system
+	Zones      bool // zones may be lost: two copies in one zone count as one
+	Regions    bool // the same of regions
+}
+
+// Store is a store that lives.
+type Store struct {
+	Disk    string
+	Node    string
+	Address string
+	Zone    string
+	Region  string
+	Leaving bool // it is being stopped in order, and will come back
+	Epoch   uint64
+	Synced  []uint16 // partitions that it is joining and holds whole, as of Epoch
+}
+
+// Founding says whether the stores that live suffice for a first view.
+func Founding(live []Store, config Config) bool {
+	p := newPlan(nil, live, config)
+	domains := make(map[string]bool)
+	eligible := 0
+	for _, s := range p.stores {
+		if s.eligible() {
+			eligible++
+			domains[p.domain(s)] = true
+		}
+	}
+	enough := config.Copies
+	return eligible >= enough && (!p.strict() || len(domains) >= enough)
+}
+
+// Plan returns the view that should follow the current one, and whether it differs. Without a current view it founds one, which
+// takes enough stores: see Founding. The current view is not changed.
+func Plan(current *wire.StoreView, live []Store, config Config) (*wire.StoreView, bool) {
+	if current == nil || len(current.Partitions) == 0 {
+		return found(live, config)
+	}
+	p := newPlan(current, live, config)
+	p.dropGone()
+	p.promote(current.Epoch)
+	p.refill()
+	p.spread()
+	p.trim()
+	p.balance()
+	p.choosePrimaries()
+	next := p.view()
+	next.Epoch = current.Epoch
+	if same(current, next) {
+		return current, false
+	}
+	next.Epoch++
+	return next, true
+}
+
+func found(live []Store, config Config) (*wire.StoreView, bool) {
+	if !Founding(live, config) {
+		return nil, false
+	}
+	p := newPlan(nil, live, config)
+	p.partitions = make([]partition, config.Partitions)
+	for i := range p.partitions {
+		for range config.Copies {
+			if s := p.candidate(&p.partitions[i], p.strict()); s != nil {
+				p.partitions[i].replicas = append(p.partitions[i].replicas, s)
+				s.load++
+			}
+		}
+	}
+	p.choosePrimaries()
+	view := p.view()
+	view.Epoch = 1
+	return view, true
+}
+
+// Retire marks a node's store as one to be emptied. It says whether there is such a store, and whether enough others would
+// remain; without both the view is not changed, and nil is returned.
+func Retire(current *wire.StoreView, live []Store, config Config, node string) (next *wire.StoreView, known, enough bool) {
+	at := indexOfNode(current, node)
+	if at < 0 {
+		return nil, false, false
+	}
+	marked := *current
+	marked.Stores = slices.Clone(current.Stores)
+	marked.Stores[at].Retiring = true
+	if !remain(&marked, live, config) {
+		return nil, true, false
+	}
+	marked.Epoch++
+	return &marked, true, true
+}
+
+func indexOfNode(view *wire.StoreView, node string) int {
+	if view == nil {
+		return -1
+	}
+	return slices.IndexFunc(view.Stores, func(s wire.Store) bool { return s.Node == node })
+}
+
+// remain says whether the stores that live and are not to be emptied can hold all copies.
+func remain(view *wire.StoreView, live []Store, config Config) bool {
+	retiring := make(map[string]bool)
+	for _, s := range view.Stores {
+		if s.Retiring {
+			retiring[s.Disk] = true
+		}
+	}
+	var rest []Store
+	for _, s := range live {
+		if !retiring[s.Disk] {
+			rest = append(rest, s)
+		}
+	}
+	return Founding(rest, config)
+}
+
+// Retirement says how far the emptying of a node's store is.
+func Retirement(view *wire.StoreView, node string) (known, retiring, done bool) {
+	at := indexOfNode(view, node)
+	if at < 0 {
+		return false, false, false
+	}
+	return true, view.Stores[at].Retiring, view.Stores[at].Retiring && !Holds(view, at)
+}
+
+// Holds says whether a store of the view, by its index, has a part in any partition.
+func Holds(view *wire.StoreView, store int) bool {
+	index := uint16(store)
+	for _, p := range view.Partitions {
+		if slices.Contains(p.Replicas, index) || slices.Contains(p.Joining, index) {
+			return true
+		}
+	}
+	return false
+}
+
+func same(a, b *wire.StoreView) bool {
+	samePlace := func(a, b wire.Placement) bool {
+		return slices.Equal(a.Replicas, b.Replicas) && slices.Equal(a.Joining, b.Joining)
+	}
+	return a.Copies == b.Copies && slices.Equal(a.Stores, b.Stores) && slices.EqualFunc(a.Partitions, b.Partitions, samePlace)
+}
+
+// byPlace orders stores that nothing else tells apart.
+func byPlace(a, b Store) int {
+	return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Node, b.Node), cmp.Compare(a.Disk, b.Disk))
+}
--- /dev/null
+++ b/control/placement/plan.go
@@ -0,0 +1,413 @@
+package placement
+
+import (
+	"slices"
+
+	"ravendale/wire"
+)
+
+// store is one of the view or of those that live, or both.
+type store struct {
+	wire.Store
+	index   int
+	live    bool
+	gone    bool // its machine came back with another disk: what it held is lost
+	leaving bool
+	epoch   uint64
+	synced  []uint16
+	load    int // partitions in which it has, or is to have, a part
+}
+
+// eligible says whether new parts may be given to a store.
+func (s *store) eligible() bool { return s.live && !s.Retiring && !s.leaving }
+
+type partition struct {
+	replicas []*store
+	joining  []*store
+}
+
+func (p *partition) members() []*store { return slices.Concat(p.replicas, p.joining) }
+
+func (p *partition) has(s *store) bool {
+	return slices.Contains(p.replicas, s) || slices.Contains(p.joining, s)
+}
+
+// stuck says that no whole replica lives: there is nothing to be done but wait.
+func (p *partition) stuck() bool {
+	return !slices.ContainsFunc(p.replicas, func(s *store) bool { return s.live })
+}
+
+// plan is a view being changed.
+type plan struct {
+	config     Config
+	stores     []*store
+	partitions []partition
+}
+
+func newPlan(current *wire.StoreView, live []Store, config Config) *plan {
+	p := &plan{config: config}
+	if current != nil {
+		for _, s := range current.Stores {
+			p.stores = append(p.stores, &store{Store: s})
+		}
+		p.partitions = make([]partition, len(current.Partitions))
+		for i, place := range current.Partitions {
+			p.partitions[i] = partition{replicas: p.pick(place.Replicas), joining: p.pick(place.Joining)}
+		}
+	}
+	sorted := slices.Clone(live)
+	slices.SortStableFunc(sorted, byPlace)
+	for _, s := range sorted {
+		p.arrive(s)
+	}
+	p.count()
+	return p
+}
+
+func (p *plan) pick(indices []uint16) []*store {
+	var picked []*store
+	for _, i := range indices {
+		if int(i) < len(p.stores) {
+			picked = append(picked, p.stores[i])
+		}
+	}
+	return picked
+}
+
+// arrive takes note of a store that lives.
+func (p *plan) arrive(s Store) {
+	at := slices.IndexFunc(p.stores, func(known *store) bool { return known.Disk == s.Disk })
+	if at < 0 {
+		at = len(p.stores)
+		p.stores = append(p.stores, &store{Store: wire.Store{Disk: s.Disk}})
+	}
+	for i, known := range p.stores {
+		if i != at && !known.live && (known.Node == s.Node || known.Address == s.Address) {
+			known.gone = true
+		}
+	}
+	known := p.stores[at]
+	known.Node, known.Address, known.Zone, known.Region = s.Node, s.Address, s.Zone, s.Region
+	known.live, known.gone, known.leaving = true, false, s.Leaving
+	known.epoch, known.synced = s.Epoch, s.Synced
+}
+
+func (p *plan) count() {
+	for _, s := range p.stores {
+		s.load = 0
+	}
+	for i := range p.partitions {
+		for _, s := range p.partitions[i].members() {
+			s.load++
+		}
+	}
+}
+
+func (p *plan) strict() bool { return p.config.Zones || p.config.Regions }
+
+// domain names what a store may be lost together with.
+func (p *plan) domain(s *store) string {
+	if p.config.Regions {
+		return s.Region
+	}
+	return s.Zone
+}
+
+func (p *plan) domains(members []*store) int {
+	seen := make(map[string]bool, len(members))
+	for _, s := range members {
+		seen[p.domain(s)] = true
+	}
+	return len(seen)
+}
+
+// dropGone takes out the stores that are lost. A partition of which no whole replica lives waits for them, unless they are
+// gone for good.
+func (p *plan) dropGone() {
+	for i := range p.partitions {
+		part := &p.partitions[i]
+		part.replicas = without(part.replicas, func(s *store) bool { return s.gone })
+		part.joining = without(part.joining, func(s *store) bool { return s.gone })
+		if len(part.replicas) == 0 {
+			p.startAnew(part)
+		}
+		if part.stuck() {
+			continue
+		}
+		dead := func(s *store) bool { return !s.live }
+		part.replicas = without(part.replicas, dead)
+		part.joining = without(part.joining, dead)
+	}
+	p.count()
+}
+
+func without(list []*store, out func(*store) bool) []*store {
+	return slices.DeleteFunc(slices.Clone(list), out)
+}
+
+// startAnew is for a partition all whole replicas of which have lost their disks: what a joining one got is all there is.
+func (p *plan) startAnew(part *partition) {
+	for i, s := range part.joining {
+		if s.live {
+			part.replicas = []*store{s}
+			part.joining = slices.Delete(part.joining, i, i+1)
+			return
+		}
+	}
+	if s := p.candidate(part, false); s != nil {
+		part.replicas = []*store{s}
+	}
+}
+
+// promote makes whole replicas of those that are joining and say that they hold all.
+func (p *plan) promote(epoch uint64) {
+	for i := range p.partitions {
+		part := &p.partitions[i]
+		if part.stuck() {
+			continue
+		}
+		whole := func(s *store) bool {
+			return s.live && s.epoch == epoch && slices.Contains(s.synced, uint16(i))
+		}
+		for _, s := range part.joining {
+			if whole(s) {
+				part.replicas = append(part.replicas, s)
+			}
+		}
+		part.joining = without(part.joining, whole)
+	}
+}
+
+// keepers are the members of a partition that are not to be emptied.
+func keepers(part *partition) []*store {
+	return without(part.members(), func(s *store) bool { return s.Retiring })
+}
+
+// refill gives joining stores to the partitions that have too few members.
+func (p *plan) refill() {
+	for i := range p.partitions {
+		part := &p.partitions[i]
+		if part.stuck() {
+			continue
+		}
+		for len(keepers(part)) < p.config.Copies {
+			s := p.candidate(part, p.strict())
+			if s == nil {
+				break
+			}
+			part.joining = append(part.joining, s)
+			s.load++
+		}
+	}
+}
+
+// spread gives a joining store to the partitions whose members share a domain though another one could be had.
+func (p *plan) spread() {
+	for i := range p.partitions {
+		part := &p.partitions[i]
+		kept := keepers(part)
+		if part.stuck() || len(part.joining) > 0 || p.domains(kept) >= p.config.Copies {
+			continue
+		}
+		s := p.candidate(part, true)
+		if s != nil {
+			part.joining = append(part.joining, s)
+			s.load++
+		}
+	}
+}
+
+// candidate is the eligible store with the least load, of a domain that the partition does not have yet; or if there is none
+// and it need not be, of another.
+func (p *plan) candidate(part *partition, otherDomain bool) *store {
+	taken := make(map[string]bool)
+	for _, s := range part.members() {
+		if !s.Retiring {
+			taken[p.domain(s)] = true
+		}
+	}
+	var best *store
+	for _, s := range p.stores {
+		if !s.eligible() || part.has(s) || otherDomain && taken[p.domain(s)] {
+			continue
+		}
+		if best == nil || p.better(s, best, taken) {
+			best = s
+		}
+	}
+	return best
+}
+
+func (p *plan) better(a, b *store, taken map[string]bool) bool {
+	if ta, tb := taken[p.domain(a)], taken[p.domain(b)]; ta != tb {
+		return !ta
+	}
+	return a.load < b.load
+}
+
+// trim drops the replicas that are too many.
+func (p *plan) trim() {
+	for i := range p.partitions {
+		part := &p.partitions[i]
+		if part.stuck() {
+			continue
+		}
+		for {
+			s := p.excess(part)
+			if s == nil {
+				break
+			}
+			part.replicas = without(part.replicas, func(r *store) bool { return r == s })
+			s.load--
+		}
+	}
+}
+
+// excess is the whole replica that a partition can do without, if there is one.
+func (p *plan) excess(part *partition) *store {
+	if len(part.replicas) <= p.config.Copies {
+		return p.emptied(part)
+	}
+	var worst *store
+	for _, s := range part.replicas {
+		if worst == nil || p.worse(part.replicas, s, worst) {
+			worst = s
+		}
+	}
+	return worst
+}
+
+// emptied is a replica to be emptied in whose place enough others hold all. Fewer than Copies may be enough only if there are
+// no stores left to make up the number, which Retire rules out.
+func (p *plan) emptied(part *partition) *store {
+	others := without(part.replicas, func(s *store) bool { return s.Retiring })
+	if len(others) < p.config.Copies {
+		return nil
+	}
+	for _, s := range part.replicas {
+		if s.Retiring {
+			return s
+		}
+	}
+	return nil
+}
+
+// worse says whether a should be dropped rather than b.
+func (p *plan) worse(replicas []*store, a, b *store) bool {
+	if a.Retiring != b.Retiring {
+		return a.Retiring
+	}
+	if a.leaving != b.leaving {
+		return a.leaving
+	}
+	if da, db := p.shared(replicas, a), p.shared(replicas, b); da != db {
+		return da
+	}
+	if a.load != b.load {
+		return a.load > b.load
+	}
+	return b == replicas[0] // leave the primary where it is
+}
+
+// shared says whether another of the replicas is in a store's domain.
+func (p *plan) shared(replicas []*store, s *store) bool {
+	return slices.ContainsFunc(replicas, func(other *store) bool { return other != s && p.domain(other) == p.domain(s) })
+}
+
+// balance moves parts from the stores that have the most to those that have the least.
+func (p *plan) balance() {
+	moves := 0
+	for i := range p.partitions {
+		moves += len(p.partitions[i].joining)
+	}
+	p.settle()
+	for ; moves < movesAtOnce; moves++ {
+		if !p.move() {
+			break
+		}
+	}
+}
+
+// settle reckons the loads as they will be once all that are joining hold all, and the replicas too many are dropped.
+func (p *plan) settle() {
+	for i := range p.partitions {
+		part := &p.partitions[i]
+		members := part.members()
+		for range max(0, len(members)-p.config.Copies) {
+			settled := partition{replicas: members}
+			if s := p.excess(&settled); s != nil {
+				s.load--
+				members = without(members, func(m *store) bool { return m == s })
+			}
+		}
+	}
+}
+
+// move starts the one move that evens the loads most.
+func (p *plan) move() bool {
+	var from, to *store
+	var where *partition
+	for i := range p.partitions {
+		part := &p.partitions[i]
+		if part.stuck() || len(part.joining) > 0 || len(part.replicas) != p.config.Copies {
+			continue
+		}
+		for _, giver := range part.replicas {
+			taker := p.taker(part, giver)
+			if taker == nil || giver.load-taker.load < 2 {
+				continue
+			}
+			if where == nil || giver.load-taker.load > from.load-to.load {
+				from, to, where = giver, taker, part
+			}
+		}
+	}
+	if where == nil {
+		return false
+	}
+	where.joining = append(where.joining, to)
+	from.load--
+	to.load++
+	return true
+}
+
+// taker is the store with the least load that could take a replica's place without bringing the others closer together.
+func (p *plan) taker(part *partition, giver *store) *store {
+	rest := without(part.replicas, func(s *store) bool { return s == giver })
+	before := p.domains(part.replicas)
+	var best *store
+	for _, s := range p.stores {
+		if !s.eligible() || part.has(s) || best != nil && s.load >= best.load {
+			continue
+		}
+		if p.domains(append(slices.Clone(rest), s)) >= before {
+			best = s
+		}
+	}
+	return best
+}
+
+// view is the plan in the form that is agreed on. Stores that are gone are left out.
+func (p *plan) view() *wire.StoreView {
+	view := &wire.StoreView{Copies: uint16(p.config.Copies)}
+	for _, s := range p.stores {
+		if s.gone {
+			continue
+		}
+		s.index = len(view.Stores)
+		view.Stores = append(view.Stores, s.Store)
+	}
+	view.Partitions = make([]wire.Placement, len(p.partitions))
+	for i := range p.partitions {
+		view.Partitions[i] = wire.Placement{Replicas: indices(p.partitions[i].replicas), Joining: indices(p.partitions[i].joining)}
+	}
+	return view
+}
+
+func indices(stores []*store) []uint16 {
+	var list []uint16
+	for _, s := range stores {
+		list = append(list, uint16(s.index))
+	}
+	return list
+}
