Take clients' messages on the edge, and put its process together

The ingress keeps messages at the queue and answers what became of them; the process joins it with delivery and membership and stops in order.

--- /dev/null
+++ b/cmd/ravendale-edge/edge.go
@@ -0,0 +1,189 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"ravendale/dispatch"
+	"ravendale/ingress"
+	"ravendale/member"
+	"ravendale/program"
+	"ravendale/queueclient"
+	"ravendale/rpc"
+	"ravendale/settings"
+	"ravendale/wire"
+	"ravendale/worker"
+)
+
+// What a process takes for itself.
+const (
+	otherDescriptors = 500      // of files, of connections to workers, stores and other schedulers
+	leastConns       = 64       // of clients
+	mostBodies       = 24 << 20 // bytes of messages held
+	bodiesPart       = 8        // of the process's memory they take one in so many
+)
+
+// Times of a planned stop. The platform takes two misses, a second each, to send no more new connections.
+const (
+	acceptFor    = 2200 * time.Millisecond
+	acceptMargin = 1500 * time.Millisecond // before the grace is over, nothing more is accepted
+	answerMargin = 1200 * time.Millisecond // ... all is answered
+	reportMargin = time.Second             // ... all outcomes are reported
+	leaveTime    = 400 * time.Millisecond
+)
+
+// Listening is tried again for a while: the process before this one may still hold the address.
+const (
+	listenFor   = 3 * time.Second
+	listenPause = 50 * time.Millisecond
+)
+
+// edge is the process, put together.
+type edge struct {
+	env      program.Environment
+	mux      *rpc.Mux
+	agent    *member.Agent
+	workers  *worker.Client
+	plane    *dispatch.Plane
+	queue    *queueclient.Client
+	ingress  *ingress.Server
+	stopping atomic.Bool
+}
+
+func newEdge(env program.Environment) (*edge, error) {
+	s := env.Settings
+	e := &edge{env: env, mux: rpc.NewMux(), workers: worker.NewClient()}
+	id := strconv.FormatUint(rand.Uint64(), 36)
+	e.plane = dispatch.NewPlane(planeConfig(s, id), e.workers)
+	e.queue = queueclient.New(queueclient.Config{
+		Edge: id, Zone: s.Zone, Log: env.Log,
+		Kept: e.plane.Accept, Granted: e.plane.Grant, Acknowledged: e.plane.Acknowledged,
+		Unknown: e.plane.Unknown, Held: e.plane.IDs,
+	})
+	e.queue.Handle(e.mux)
+	e.plane.Start(e.queue)
+	e.agent = member.New(member.Config{
+		Settings: s, Mux: e.mux, Log: env.Log, Ready: e.usable,
+		Self: wire.Member{ID: id, Node: s.Node, Address: s.EdgeAddress(), Zone: s.Zone, Region: s.Region, Edge: true},
+	})
+	e.agent.OnChange(e.changed)
+	e.ingress = ingress.New(ingress.Config{
+		Queue: e.queue, Index: e.plane.Index, Ready: e.agent.Current, Takes: e.plane.Takes,
+		MaxConns: max(s.MaxFds-otherDescriptors, leastConns), Log: env.Log,
+	})
+	return e, nil
+}
+
+func planeConfig(s *settings.Settings, id string) dispatch.Config {
+	zones := make([]string, 0, len(s.Zones))
+	for zone := range s.Zones {
+		zones = append(zones, zone)
+	}
+	slices.Sort(zones)
+	const mb = 1 << 20
+	return dispatch.Config{
+		Topology:  dispatch.Topology{Edge: id, Zone: s.Zone, Zones: zones},
+		Window:    settings.Seconds(s.Bounds.CeilingWindowS),
+		Overshoot: s.Bounds.OriginOvershoot,
+		Converge:  settings.Milliseconds(s.Bounds.ConvergeMs),
+		MaxBodies: min(mostBodies, s.MemoryMb*mb/bodiesPart),
+	}
+}
+
+// changed hands a newer state of a topic to the parts that need it.
+func (e *edge) changed(topic wire.Topic, s *member.Snapshot) {
+	switch {
+	case topic == wire.TopicConfig && s.Catalog != nil:
+		e.ingress.Limit(s.Catalog.Config().Limits)
+		e.plane.Configure(s.Catalog)
+	case topic == wire.TopicWorkers && s.Workers != nil:
+		e.plane.List(s.Workers)
+	case topic == wire.TopicStores:
+		e.queue.SetView(s.Stores)
+	case topic == wire.TopicMembers && s.Members != nil:
+		e.plane.Place(edgeIDs(s.Members))
+	}
+}
+
+func edgeIDs(m *wire.Members) []string {
+	ids := make([]string, len(m.Edges))
+	for i := range m.Edges {
+		ids[i] = m.Edges[i].ID
+	}
+	return ids
+}
+
+func (e *edge) usable() bool { return !e.stopping.Load() && e.queue.Usable() }
+
+func (e *edge) ready() bool { return e.usable() && e.agent.Current() && e.plane.Index() != nil }
+
+// run serves until the context ends, and then stops in order.
+func (e *edge) run(ctx context.Context) error {
+	s := e.env.Settings
+	server, err := listen(func() (*rpc.Server, error) {
+		return rpc.Listen(s.EdgeAddress(), rpc.Options{Mux: e.mux}, nil)
+	})
+	if err != nil {
+		return err
+	}
+	readiness, err := listen(func() (*ingress.Readiness, error) { return ingress.ListenReady(s.ListenReady, e.ready) })
+	if err != nil {
+		return err
+	}
+	if _, err = listen(func() (struct{}, error) { return struct{}{}, e.ingress.Listen(s.ListenHTTP) }); err != nil {
+		return err
+	}
+	e.env.Log.Info("started", "http", s.ListenHTTP, "rpc", s.EdgeAddress())
+	alive, end := context.WithCancel(context.Background())
+	defer end()
+	go e.agent.Run(alive)
+	go e.env.WatchSettings(alive, e.agent.SetSettings)
+	<-ctx.Done()
+	e.stop(settings.Seconds(s.Bounds.GraceS))
+	readiness.Close()
+	server.Close()
+	return nil
+}
+
+func listen[T any](try func() (T, error)) (T, error) {
+	began := time.Now()
+	for {
+		listener, err := try()
+		if err == nil || time.Since(began) > listenFor {
+			return listener, err
+		}
+		time.Sleep(listenPause)
+	}
+}
+
+// stop ends the process's work within its grace: it asks for no more connections, still takes what comes for a while, gives
+// back what is not under way, ends what is, and sees that all outcomes are on record.
+func (e *edge) stop(grace time.Duration) {
+	began := time.Now()
+	left := func(margin time.Duration) time.Duration { return max(grace-margin-time.Since(began), 0) }
+	e.stopping.Store(true)
+	e.queue.Drain()
+	e.plane.Stop()
+	e.ingress.Leave()
+	time.Sleep(min(acceptFor, left(acceptMargin)))
+
+	answers, cancelAnswers := context.WithTimeout(context.Background(), left(answerMargin))
+	defer cancelAnswers()
+	e.ingress.Close(answers.Done())
+
+	reports, cancelReports := context.WithTimeout(context.Background(), left(reportMargin))
+	defer cancelReports()
+	if !e.plane.Drained(reports) {
+		e.env.Log.Warn("stopped with deliveries under way")
+	}
+	leaving, cancelLeaving := context.WithTimeout(context.Background(), leaveTime)
+	defer cancelLeaving()
+	e.agent.Leave(leaving)
+	e.plane.Close()
+	e.queue.Close()
+	e.workers.Close()
+}
--- /dev/null
+++ b/cmd/ravendale-edge/main.go
@@ -0,0 +1,23 @@
+// Command ravendale-edge is the scheduler of an edge machine: it takes clients' requests, has them kept by the stores, and
+// delivers them to workers.
+package main
+
+import (
+	"context"
+
+	"ravendale/program"
+)
+
+const garbagePercent = 60 // growth of the heap between collections: small heaps are cheap to collect
+
+func main() {
+	program.Run("ravendale-edge", "Takes messages from clients and delivers them to workers.",
+		func(ctx context.Context, env program.Environment) error {
+			program.Memory(garbagePercent, env.Settings.MemoryMb)
+			e, err := newEdge(env)
+			if err != nil {
+				return err
+			}
+			return e.run(ctx)
+		})
+}
--- /dev/null
+++ b/ingress/handler.go
@@ -0,0 +1,223 @@
+package ingress
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"ravendale/catalog"
+	"ravendale/dispatch"
+	"ravendale/queueclient"
+	"ravendale/wire"
+)
+
+// Paths of questions about a message; its name follows.
+const (
+	statePath = "/v1/message/"
+	bodyPath  = "/v1/message-body/"
+)
+
+// How long a message is tried to be kept.
+const (
+	targetsTried  = 5 // times the route's aim
+	leastPutTime  = 250 * time.Millisecond
+	mostPutTime   = 600 * time.Millisecond
+	longestPut    = 2 * time.Second // for clients that say that they wait longer
+	deadlinePart  = 0.7             // of what a client waits: the answer has to reach it, too
+	unknownTarget = 100 * time.Millisecond
+)
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	s.answer(ctx)
+	if s.leaving.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
+func (s *Server) answer(ctx *fasthttp.RequestCtx) {
+	header := &ctx.Request.Header
+	if !wellFramed(header) {
+		malformed(ctx)
+		return
+	}
+	if limit := s.limits.Load().MaxHeaderBytes; limit > 0 && len(header.RawHeaders())+len(header.RequestURI()) > limit {
+		ctx.SetStatusCode(fasthttp.StatusRequestHeaderFieldsTooLarge)
+		ctx.SetConnectionClose()
+		return
+	}
+	path, _, _ := bytes.Cut(header.RequestURI(), []byte("?"))
+	if header.IsGet() && bytes.HasPrefix(path, []byte(statePath)) {
+		s.tellState(ctx, string(path[len(statePath):]))
+		return
+	}
+	if header.IsGet() && bytes.HasPrefix(path, []byte(bodyPath)) {
+		s.tellBody(ctx, string(path[len(bodyPath):]))
+		return
+	}
+	s.take(ctx, string(path))
+}
+
+func malformed(ctx *fasthttp.RequestCtx) {
+	ctx.SetStatusCode(fasthttp.StatusBadRequest)
+	ctx.SetConnectionClose()
+}
+
+// take has a message kept.
+func (s *Server) take(ctx *fasthttp.RequestCtx, path string) {
+	index := s.config.Index()
+	if index == nil || !s.config.Ready() {
+		refuse(ctx)
+		return
+	}
+	route := index.Match(string(ctx.Request.Header.Host()), path)
+	if route == nil || route.Type != dispatch.DeferredType {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	m, limit, ok := read(&ctx.Request, route)
+	if !ok {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	body := ctx.Request.Body()
+	takes := s.config.Takes(route.Service, len(body))
+	if m.Body = body; takes {
+		m.Body = bytes.Clone(body)
+	}
+	switch s.config.Queue.Put(m, takes, limit) {
+	case queueclient.Kept:
+		ctx.Response.Header.Set("Msg-Id", m.ID)
+		ctx.SetStatusCode(fasthttp.StatusAccepted)
+	case queueclient.Refused:
+		refuse(ctx)
+	default: // no answer promises nothing
+		_ = ctx.Conn().Close()
+		ctx.SetConnectionClose()
+	}
+}
+
+// read makes a message of a request, without its body, and says how long it may be tried to be kept.
+func read(request *fasthttp.Request, route *catalog.Route) (m *wire.Message, limit time.Duration, ok bool) {
+	header := &request.Header
+	id, once := single(header, "Request-Id")
+	if !once || !isName(id) {
+		return nil, 0, false
+	}
+	key, once := single(header, "Order-Key")
+	if !once {
+		return nil, 0, false
+	}
+	delay, fine := figure(header, "Delay-Ms")
+	if !fine || delay > math.MaxUint32 {
+		return nil, 0, false
+	}
+	deadline, fine := figure(header, "Deadline-Ms")
+	if !fine {
+		deadline = 0 // it is only a hint
+	}
+	return &wire.Message{
+		RequestID: id, Route: route.Name, Method: string(header.Method()), Host: string(header.Host()),
+		Target: string(header.RequestURI()), ContentType: string(header.ContentType()), Key: key,
+		SentUnixMs: time.Now().UnixMilli(), DelayMs: uint32(math.Ceil(delay)), RetentionMs: retention(route),
+		Retries: uint16(min(max(route.Retries, 0), math.MaxUint16)), Ordered: route.Ordered && key != "",
+	}, putLimit(route, deadline), true
+}
+
+func retention(route *catalog.Route) uint32 {
+	const thousand = 1000
+	return uint32(min(route.RetentionS*thousand, math.MaxUint32))
+}
+
+func putLimit(route *catalog.Route, deadlineMs float64) time.Duration {
+	if deadlineMs > 0 {
+		return min(milliseconds(min(deadlineMs, math.MaxInt32)*deadlinePart), longestPut)
+	}
+	target := orElse(milliseconds(route.TargetMs), unknownTarget)
+	return min(max(targetsTried*target, leastPutTime), mostPutTime)
+}
+
+// isName says whether a text can be a request's id.
+func isName(text string) bool {
+	for i := range len(text) {
+		if text[i] < ' ' || text[i] == 0x7f {
+			return false
+		}
+	}
+	return text != ""
+}
+
+// figure reads a field that is a number of 0 or more; absent, it is 0.
+func figure(h *fasthttp.RequestHeader, name string) (float64, bool) {
+	text, once := single(h, name)
+	if text == "" || !once {
+		return 0, once && len(h.PeekAll(name)) == 0
+	}
+	value, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(value) || math.IsInf(value, 0) || value < 0 || strings.ContainsAny(text, "xX_pP") {
+		return 0, false
+	}
+	return value, true
+}
+
+type stateAnswer struct {
+	State     string `json:"state"`
+	Signature string `json:"signature,omitempty"`
+}
+
+var stateNames = map[wire.State]string{
+	wire.StatePending: "pending",
+	wire.StateDone:    "done",
+	wire.StateDead:    "dead_letter",
+	wire.StateDropped: "dead_letter",
+}
+
+func (s *Server) tellState(ctx *fasthttp.RequestCtx, id string) {
+	found := s.find(ctx, id, false)
+	if found == nil {
+		return
+	}
+	answer := stateAnswer{State: stateNames[found.State]}
+	if found.State == wire.StateDone {
+		answer.Signature = found.Signature
+	}
+	text, err := json.Marshal(answer)
+	if err != nil {
+		refuse(ctx)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(text)
+}
+
+func (s *Server) tellBody(ctx *fasthttp.RequestCtx, id string) {
+	found := s.find(ctx, id, true)
+	if found == nil {
+		return
+	}
+	if found.State == wire.StateDone {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	ctx.SetContentType("application/octet-stream")
+	ctx.SetBody(found.Body)
+}
+
+// find asks the queue for a message, and answers the client if it can't be told.
+func (s *Server) find(ctx *fasthttp.RequestCtx, id string, body bool) *wire.FindReply {
+	found, err := s.config.Queue.Find(id, body)
+	switch {
+	case err == nil:
+		return found
+	case errors.Is(err, queueclient.ErrNotFound):
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	default:
+		refuse(ctx)
+	}
+	return nil
+}
