Hand no connection to an engine that closes, and end its dials with it

Cause: nbio (v1.6.8) counts open connections in a sync.WaitGroup, and Shutdown waits for it. A dial's goroutine knows nothing of Close: one that came up meanwhile (a watch's, mostly) was added while Shutdown waited. Added from zero that is a misuse of the group which may panic; after Shutdown it goes to a poller whose descriptor is closed, and may be another's by then. Ruled out: the table of connections and the poller's own state: nbio keeps them out of the race detector's sight (go:norace), but an engine that closes is the only one that ends them.

Change: Engine.add alone hands connections to nbio, under the read side of a lock whose write side Close takes to say that it closes. From then on it closes what comes, with net.ErrClosed; what was accepted or adopted makes room at its gate. Close ends the dials under way by their context, and waits for none. They are told as failed.

A dial that does not come up ends with its engine: without the change after its 5 s.

--- a/transport/nbionet/nbionet.go
+++ b/transport/nbionet/nbionet.go
@@ -49,10 +49,13 @@
 	timeout time.Duration
 	started bool
 	echo    *echo // nil until it is wanted
+	gates   []*Gate
 
-	mu     sync.Mutex
+	dials    context.Context // of all dials
+	endDials func()
+
+	mu     sync.RWMutex // read-locked while a connection is handed to nb
 	closed bool
-	gates  []*Gate
 }
 
 // Options say how an Engine is to run.
@@ -67,6 +70,7 @@
 // New returns an engine that is not started yet.
 func New(o Options) *Engine {
 	e := &Engine{loop: o.Loop, timeout: o.ConnectTimeout}
+	e.dials, e.endDials = context.WithCancel(context.Background())
 	// nbio has one logger for the whole process, which its pollers read as it stands: the first engine's.
 	if o.Log != nil {
 		setLogger.Do(func() { logging.SetLogger(nbioLog{o.Log}) })
@@ -142,7 +146,7 @@
 		c, err := nbio.NBConn(std)
 		if err == nil {
 			hold(c, &conn{nb: c, open: true, handler: e.echo})
-			_, err = e.nb.AddConn(c)
+			err = e.add(c)
 		}
 		if err != nil {
 			return fmt.Errorf("echo: %w", err)
@@ -180,12 +184,27 @@
 	return nil
 }
 
-// Close ends the listeners and all connections. nbio panics if told to end what never started, or has ended.
+// add hands a connection to nbio, or closes it where the engine closes. nbio (v1.6.8) counts connections in a sync.WaitGroup, and
+// one that is added while Shutdown waits for the last is a data race, and may panic: 'WaitGroup is reused'.
+func (e *Engine) add(c *nbio.Conn) error {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	if e.closed {
+		_ = c.Close()
+		return net.ErrClosed
+	}
+	_, err := e.nb.AddConn(c)
+	return err
+}
+
+// Close ends the listeners, all connections and the dials under way; a connection that comes up later is closed. nbio panics if told
+// to end what never started, or has ended.
 func (e *Engine) Close() {
 	e.mu.Lock()
 	before := e.closed
 	e.closed = true
 	e.mu.Unlock()
+	e.endDials()
 	for _, g := range e.gates {
 		g.close()
 	}
@@ -330,8 +349,9 @@
 	// In one turn: nbio fails upon a write to a connection that it was not given yet, and what is read waits for the turn.
 	e.loop.Post(func() {
 		n.open = true
-		if _, err := e.nb.AddConn(c); err != nil {
-			n.gone = true // it is closed, and room for it made
+		if err := e.add(c); err != nil {
+			n.gone = true // it is closed
+			n.release()
 			return
 		}
 		if n.handler = accept(n); n.gone {
@@ -400,7 +420,7 @@
 	if strings.HasPrefix(addr, "/") {
 		return e.dialLocal(addr, h)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), e.timeout)
+	ctx, cancel := context.WithTimeout(e.dials, e.timeout)
 	n := &conn{e: e, handler: h, cancel: cancel}
 	go func() {
 		defer cancel()
@@ -449,7 +469,10 @@
 		return nil, err
 	}
 	hold(c, n)
-	return e.nb.AddConn(c)
+	if err := e.add(c); err != nil {
+		return nil, err
+	}
+	return c, nil
 }
 
 // hold has nbio's connection know ours. The lock orders that before the poller's first read: epoll's own order is one that
--- a/transport/nbionet/nbionet_test.go
+++ b/transport/nbionet/nbionet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -11,6 +12,7 @@
 	"path/filepath"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -114,6 +116,128 @@
 	}
 }
 
+// latch is an owner whose next post, once it is armed, waits for the test.
+type latch struct {
+	owner
+	armed       atomic.Bool
+	begun, goOn chan struct{}
+}
+
+func (l *latch) Post(f func()) {
+	if l.armed.CompareAndSwap(true, false) {
+		close(l.begun)
+		<-l.goOn
+	}
+	l.owner.Post(f)
+}
+
+// A dial that comes up while its engine closes is handed to nobody: its far end sees it closed, and the engine's end does not wait for
+// it. What nbio tells of the connection before holds up the engine's end until then.
+func TestADialThatComesUpWhileItsEngineClosesIsClosed(t *testing.T) {
+	far, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	l := &latch{owner: owner{scheduler.NewLoop(scheduler.SystemClock())}, begun: make(chan struct{}), goOn: make(chan struct{})}
+	e := New(Options{Loop: l, ConnectTimeout: 5 * time.Second})
+	if err := e.Start(); err != nil {
+		t.Fatal(err)
+	}
+	stop := make(chan struct{})
+	defer close(stop)
+	go l.Run(stop)
+	before := newEnd()
+	l.on(func() { before.net = e.Dial(far.Addr().String(), before) })
+	<-before.connected
+	if _, err := far.Accept(); err != nil {
+		t.Fatal(err)
+	}
+
+	l.armed.Store(true)
+	closed := make(chan struct{})
+	go func() { e.Close(); close(closed) }()
+	<-l.begun // nbio has begun to end, and waits for the connection before
+	late := &conn{e: e, handler: newEnd()}
+	if c, err := e.dial(context.Background(), far.Addr().String(), late); c != nil || !errors.Is(err, net.ErrClosed) {
+		t.Errorf("handed over: %v, %v", c != nil, err)
+	}
+	close(l.goOn)
+	<-closed
+	c, err := far.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Error("the far end sees: ", err)
+	}
+}
+
+// A dial under way is given up at once when its engine closes, and that is told. Without that it goes on until its time is over.
+func TestADialEndsWithItsEngine(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	if err == nil {
+		_ = raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) })
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	filler, err := net.Dial("tcp", ln.Addr().String()) // no other comes up
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer filler.Close()
+	e, o, _ := start(t)
+	n := newEnd()
+	o.on(func() { n.net = e.Dial(ln.Addr().String(), n) })
+	e.Close()
+	if err := <-n.closed; !errors.Is(err, context.Canceled) || len(n.connected) > 0 {
+		t.Errorf("error %v, connected %d times", err, len(n.connected))
+	}
+}
+
+// What was accepted for an engine that closes meanwhile is closed, and makes room.
+func TestWhatIsAcceptedForAnEngineThatClosesIsClosed(t *testing.T) {
+	e, o, _ := start(t)
+	far, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	client, err := net.Dial("tcp", far.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	late, err := far.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Close()
+	g := &Gate{}
+	g.cond.L = &g.mu
+	g.admit()
+	e.accepted(late, g, func(transport.Conn) transport.Handler {
+		t.Error("it was handed to the owner")
+		return newEnd()
+	})
+	o.on(func() {}) // after the turn of that one
+	_ = client.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := client.Read(make([]byte, 1)); err != io.EOF {
+		t.Error("the client sees: ", err)
+	}
+	if g.mu.Lock(); g.open != 0 {
+		t.Errorf("%d count as open", g.open)
+	}
+	g.mu.Unlock()
+}
+
 func TestAcceptedConnections(t *testing.T) {
 	e, o, accepted := start(t)
 	for range 10 { // more than may be open at once: a closed one makes room
--- a/transport/nbionet/unix.go
+++ b/transport/nbionet/unix.go
@@ -223,8 +223,9 @@
 	if hold(c, n); gate != nil {
 		gate.admit()
 	}
-	if _, err := e.nb.AddConn(c); err != nil {
+	if err := e.add(c); err != nil {
 		n.gone = true
+		n.release()
 		return fmt.Errorf("a connection that was given: %w", err)
 	}
 	if n.handler = accept(n); n.gone {
