--- /dev/null
+++ b/cmd/ravendale-standin/main.go
@@ -0,0 +1,94 @@
+// Ravendale-standin plays the world outside of the system on loopback: the platform's list, and the workers of some services.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"ravendale/standin"
+	"ravendale/standin/check"
+	"ravendale/standin/protocol"
+	"ravendale/standin/workers"
+)
+
+type arguments struct {
+	Address  string        `help:"Where the platform's list is served." default:"127.0.0.1:8040"`
+	Zones    []string      `help:"Zones of the workers." default:"east,west,north"`
+	Services int           `help:"Number of services." default:"2"`
+	Workers  int           `help:"Workers of each service in each zone." default:"2"`
+	Capacity int           `help:"Messages that a worker works on at once." default:"8"`
+	Work     time.Duration `help:"Mean time of a run." default:"20ms"`
+	Fail     float64       `help:"Share of runs that fail." default:"0"`
+	Lag      time.Duration `help:"How far the list trails." default:"500ms"`
+	Rate     float64       `help:"Calls of the list accepted a second; 0: no limit." default:"20"`
+}
+
+// limits of the configuration that is printed.
+var limits = protocol.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 262144, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000}
+
+func main() {
+	var a arguments
+	k := kong.Parse(&a, kong.Name("ravendale-standin"),
+		kong.Description("The platform's list and workers on loopback. Prints a configuration that leads to them, and plays until it is interrupted."))
+	k.FatalIfErrorf(run(a))
+}
+
+func run(a arguments) error {
+	options := a.options()
+	if err := options.Validate(); err != nil {
+		return err
+	}
+	world, err := standin.Start(options)
+	if err != nil {
+		return err
+	}
+	defer world.Close()
+	if err := json.NewEncoder(os.Stdout).Encode(world.Config(1, limits)); err != nil {
+		return err
+	}
+	fmt.Fprintf(os.Stderr, "the list is at http://%s/instances\n", world.Platform.Address())
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	<-ctx.Done()
+	report(world)
+	return nil
+}
+
+func (a arguments) options() standin.Options {
+	options := standin.Options{Address: a.Address, Zones: a.Zones, Lag: a.Lag, RatePerS: a.Rate}
+	for i := range a.Services {
+		name := fmt.Sprintf("service-%d", i+1)
+		options.Services = append(options.Services, standin.Service{
+			Service: workers.Service{Name: name, Capacity: a.Capacity, Queue: a.Capacity, WorkMean: a.Work, FailShare: a.Fail},
+			Workers: a.Workers,
+			Routes: []protocol.Route{{
+				Name: "route-" + name, Host: "messages.example", PathPrefix: "/" + name + "/",
+				TimeoutMs: 2000, TargetMs: 100, StartTargetMs: 1000, Retries: 5, RetentionS: 90,
+			}},
+		})
+	}
+	return options
+}
+
+// report tells what the workers ran, and how fast.
+func report(world *standin.World) {
+	ran := make(map[string]int)
+	var times []time.Duration
+	for _, arrival := range world.Record.History().Arrivals {
+		if arrival.Started() {
+			ran[arrival.Service]++
+			times = append(times, arrival.End-arrival.Start)
+		}
+	}
+	for _, service := range world.Config(1, limits).Services {
+		fmt.Fprintf(os.Stderr, "%s ran %d\n", service.Name, ran[service.Name])
+	}
+	fmt.Fprintf(os.Stderr, "runs took p50 %v, p99 %v\n", check.Quantile(times, 0.5), check.Quantile(times, 0.99))
+}
--- a/standin/check/check.go
+++ b/standin/check/check.go
@@ -46,8 +46,9 @@
 	Converge        time.Duration // from the acknowledgement of a configuration
 	Contact         time.Duration // a trouble counts so long
 	CeilingWindow   time.Duration
-	CeilingFactor   float64 // originOvershoot
-	Earliest        time.Duration
+	CeilingFactor   float64       // originOvershoot
+	Earliest        time.Duration // a run may begin so long before its delay is over
+	LossSlack       time.Duration // a connection may close so long after a request without an answer
 	SuccessMargin   time.Duration // a success counts if it was whole so long before the time-out
 	CeilingArrivals int           // allowed beyond rate x window x factor
 }
@@ -61,6 +62,7 @@
 		CeilingWindow:   5 * time.Second,
 		CeilingFactor:   1.1,
 		Earliest:        100 * time.Millisecond,
+		LossSlack:       200 * time.Millisecond,
 		SuccessMargin:   50 * time.Millisecond,
 		CeilingArrivals: 5,
 	}
@@ -71,6 +73,7 @@
 	v := newView(h)
 	var found []Finding
 	found = append(found, v.lost()...)
+	found = append(found, v.cutOff(bounds)...)
 	found = append(found, v.order()...)
 	found = append(found, v.twice(bounds)...)
 	found = append(found, v.ceiling(bounds)...)
@@ -87,6 +90,9 @@
 // Lost finds accepted messages that have not ended and can't be read back, or are told to have ended.
 func Lost(h *history.History) []Finding { return newView(h).lost() }
 
+// CutOff finds requests that got no answer although no unplanned trouble was near: they ran, or their connection closed late.
+func CutOff(h *history.History, bounds Bounds) []Finding { return newView(h).cutOff(bounds) }
+
 // Order finds runs on ordered routes that started before one accepted earlier had ended.
 func Order(h *history.History) []Finding { return newView(h).order() }
 
--- a/standin/check/check_test.go
+++ b/standin/check/check_test.go
@@ -264,6 +264,27 @@
 	})
 }
 
+func TestCutOffRequests(t *testing.T) {
+	h := kept()
+	cut := sent("cut", "plain", "", 9)
+	cut.Status, cut.Answered = 0, at(9.1)
+	h.Sends = append(h.Sends, cut)
+	assert.Empty(t, check.CutOff(h, check.DefaultBounds()), "a connection may close under a request that was not read")
+
+	h.Arrivals = append(h.Arrivals, done("cut", "plain", "", 9.05))
+	assert.Len(t, check.CutOff(h, check.DefaultBounds()), 1, "but not under one that runs")
+
+	h.Arrivals = h.Arrivals[:3]
+	h.Sends[3].Answered = at(9.3)
+	assert.Len(t, check.CutOff(h, check.DefaultBounds()), 1, "nor late")
+
+	h.Troubles = []history.Trouble{{What: "stop", At: at(8), Until: at(10), Planned: true}}
+	assert.Len(t, check.CutOff(h, check.DefaultBounds()), 1, "round planned work either")
+
+	h.Troubles[0].Planned = false
+	assert.Empty(t, check.CutOff(h, check.DefaultBounds()))
+}
+
 func TestRouteOfARun(t *testing.T) {
 	h := kept()
 	h.Arrivals[0].Service = "other"
--- a/standin/check/rules.go
+++ b/standin/check/rules.go
@@ -41,6 +41,21 @@
 	return found
 }
 
+func (v *view) cutOff(bounds Bounds) []Finding {
+	var found []Finding
+	for _, send := range v.Sends {
+		if send.Status != 0 || v.unplanned(send.Sent-bounds.Contact, send.Answered) {
+			continue
+		}
+		took := send.Answered - send.Sent
+		if runs := len(v.arrivals[send.RequestID]); runs > 0 || took > bounds.LossSlack {
+			reason := fmt.Sprintf("sent at %v to %s, ended without an answer after %v (%s), reached workers %d times", send.Sent, send.Edge, took, send.Problem, runs)
+			found = append(found, Finding{RuleLost, send.RequestID, reason})
+		}
+	}
+	return found
+}
+
 func (v *view) undelivered() []Finding {
 	var found []Finding
 	for _, send := range v.Sends {
