Serve the operator's HTTP interface of the control plane

The operator sets, patches and shows the configuration and retires machines of the queue. 503 is a promise that nothing was changed, an undecided order gets 504, and answers are bounded.

--- /dev/null
+++ b/control/api/answers.go
@@ -0,0 +1,53 @@
+package api
+
+import (
+	"errors"
+
+	"github.com/gofiber/fiber/v2"
+
+	"ravendale/catalog"
+	"ravendale/control/core"
+)
+
+// retryAfter is what callers that are to come again are told, in seconds.
+const retryAfter = "1"
+
+// takenAnswer acknowledges an order.
+type takenAnswer struct {
+	Version uint64 `json:"version"`
+}
+
+// errorAnswer says why there is no other answer.
+type errorAnswer struct {
+	Error    string           `json:"error"`
+	Version  *uint64          `json:"version,omitempty"` // the current one
+	Findings catalog.Findings `json:"findings,omitempty"`
+}
+
+// stateAnswer tells how far a machine has been emptied.
+type stateAnswer struct {
+	State string `json:"state"`
+}
+
+func answer(c *fiber.Ctx, status int, reason string) error {
+	return c.Status(status).JSON(errorAnswer{Error: reason})
+}
+
+// answerFailure answers what could not be decided here. Only 503 promises that nothing was done.
+func answerFailure(c *fiber.Ctx, err error) error {
+	if errors.Is(err, core.ErrUnavailable) {
+		c.Set(fiber.HeaderRetryAfter, retryAfter)
+		return answer(c, fiber.StatusServiceUnavailable, "unavailable: nothing was changed")
+	}
+	return answer(c, fiber.StatusGatewayTimeout, "not decided in time: it may or may not take effect")
+}
+
+// answerError answers requests that no handler took, as those to unknown paths.
+func answerError(c *fiber.Ctx, err error) error {
+	status := fiber.StatusInternalServerError
+	var known *fiber.Error
+	if errors.As(err, &known) {
+		status = known.Code
+	}
+	return answer(c, status, err.Error())
+}
--- /dev/null
+++ b/control/api/api.go
@@ -0,0 +1,109 @@
+// Package api is the operator's HTTP interface: the configuration is set, changed and shown, and machines of the queue are retired.
+package api
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+)
+
+// Submitter puts commands of package state in their order. After core.ErrUnavailable a command surely was not and will never be
+// applied; after any other error it may be.
+type Submitter interface {
+	Submit(ctx context.Context, command []byte) (result []byte, err error)
+}
+
+// Retirer empties machines of the queue. A start that is repeated is acknowledged again. Errors: ErrUnknownNode, ErrTooFew,
+// core.ErrUnavailable if surely nothing was begun; any other says nothing.
+type Retirer interface {
+	StartRetire(ctx context.Context, node string, deadline time.Duration) error
+	RetireState(ctx context.Context, node string) (string, error)
+}
+
+// The states of a machine that is being retired.
+const (
+	RetireRunning = "running"
+	RetireDone    = "done"
+)
+
+// Errors of a Retirer.
+var (
+	ErrUnknownNode = errors.New("api: no machine of the queue has this name")
+	ErrTooFew      = errors.New("api: too few machines would remain")
+)
+
+// Bounds of the server.
+const (
+	maxBody        = 64 << 20 // bytes
+	readBuffer     = 4096     // bytes; request line and headers have to fit in
+	writeBuffer    = 1024     // bytes
+	maxConnections = 1024
+	readTimeout    = 60 * time.Second // for a request whole, body included
+	writeTimeout   = 30 * time.Second
+	idleTimeout    = 60 * time.Second
+)
+
+// Bounds of an answer: callers move on after a second, and wait longer for large bodies.
+const (
+	answerWithin  = 850 * time.Millisecond
+	extraPerMega  = time.Second // for each MiB of the body
+	longestAnswer = 15 * time.Second
+)
+
+// Options of a Server. All are required.
+type Options struct {
+	Submitter Submitter
+	Retirer   Retirer
+	Log       *slog.Logger
+}
+
+// Server serves the interface.
+type Server struct {
+	options Options
+	app     *fiber.App
+}
+
+// New returns a server that does not listen yet.
+func New(options Options) *Server {
+	s := &Server{options: options}
+	s.app = fiber.New(fiber.Config{
+		DisableStartupMessage: true,
+		ReduceMemoryUsage:     true,
+		BodyLimit:             maxBody,
+		ReadBufferSize:        readBuffer,
+		WriteBufferSize:       writeBuffer,
+		Concurrency:           maxConnections,
+		ReadTimeout:           readTimeout,
+		WriteTimeout:          writeTimeout,
+		IdleTimeout:           idleTimeout,
+		ErrorHandler:          answerError,
+	})
+	s.app.Post("/v1/config/set", s.set)
+	s.app.Post("/v1/config/patch", s.patch)
+	s.app.Get("/v1/config/show", s.show)
+	s.app.Post("/v1/retire/:node/start", s.startRetire)
+	s.app.Get("/v1/retire/:node/show", s.showRetire)
+	s.app.Get("/v1/readyz", func(c *fiber.Ctx) error { return c.SendStatus(fiber.StatusOK) })
+	return s
+}
+
+// Serve answers on a listener until Shutdown, or until the listener fails.
+func (s *Server) Serve(listener net.Listener) error { return s.app.Listener(listener) }
+
+// Shutdown stops listening and waits for the answers under way, until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error { return s.app.ShutdownWithContext(ctx) }
+
+// bound is the context that an answer to a request with a body of so many bytes is worked out in.
+func bound(body int) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), timeFor(body))
+}
+
+func timeFor(body int) time.Duration {
+	const mega = 1 << 20
+	extra := time.Duration(float64(body) / mega * float64(extraPerMega))
+	return min(answerWithin+extra, longestAnswer)
+}
