--- /dev/null
+++ b/discovery/pace.go
@@ -0,0 +1,43 @@
+package discovery
+
+import "time"
+
+const (
+	longestInterval = 1200 * time.Millisecond
+	drainParts      = 3 // of the drain bound passes between two reads
+	rateShare       = 2 // one part in so many of the platform's rate is used
+	firstRetry      = 250 * time.Millisecond
+	longestRetry    = 2 * time.Second
+)
+
+// Pace decides when the list is read. It is pure.
+type Pace struct {
+	interval time.Duration // between the starts of reads
+	gap      time.Duration // between the starts of calls
+	failures int
+}
+
+// NewPace follows from the bound on drains, and from how many calls a second the platform allows.
+func NewPace(drain time.Duration, ratePerSecond float64) *Pace {
+	p := &Pace{interval: min(longestInterval, drain/drainParts)}
+	if ratePerSecond > 0 {
+		p.gap = time.Duration(float64(rateShare*time.Second) / ratePerSecond)
+	}
+	return p
+}
+
+// Gap is the time between the starts of two calls.
+func (p *Pace) Gap() time.Duration { return p.gap }
+
+// Done says when to read next after a read of so many pages that began at a time.
+func (p *Pace) Done(started time.Duration, pages int) time.Duration {
+	p.failures = 0
+	return started + max(p.interval, time.Duration(pages)*p.gap)
+}
+
+// Failed says when to try again after a read that failed at a time.
+func (p *Pace) Failed(now time.Duration) time.Duration {
+	pause := min(firstRetry<<min(p.failures, 8), longestRetry)
+	p.failures++
+	return now + max(pause, p.gap)
+}
--- /dev/null
+++ b/discovery/reader.go
@@ -0,0 +1,104 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"ravendale/wire"
+)
+
+// Limits of calls to the platform.
+const (
+	connectTimeout = 500 * time.Millisecond
+	callTimeout    = 700 * time.Millisecond
+	idleTimeout    = 30 * time.Second
+	maxPage        = 8 << 20 // bytes
+	maxPages       = 10_000
+)
+
+// ErrRate is returned when the platform says that there were too many calls.
+var ErrRate = errors.New("discovery: too many calls for the platform")
+
+// Reader reads the list over a connection that it keeps. It is for one goroutine.
+type Reader struct {
+	address string
+	client  *fasthttp.HostClient
+}
+
+// NewReader makes a reader of the list at the platform's address.
+func NewReader(address string) *Reader {
+	dial := func(address string) (net.Conn, error) { return net.DialTimeout("tcp4", address, connectTimeout) }
+	return &Reader{address: address, client: &fasthttp.HostClient{
+		Addr: address, Dial: dial, MaxConns: 1, NoDefaultUserAgentHeader: true,
+		ReadTimeout: callTimeout, WriteTimeout: callTimeout, MaxIdleConnDuration: idleTimeout,
+		MaxResponseBodySize: maxPage, MaxIdemponentCallAttempts: 2, MaxConnWaitTimeout: callTimeout,
+	}}
+}
+
+// Close ends the kept connection.
+func (r *Reader) Close() { r.client.CloseIdleConnections() }
+
+// Read returns the whole list, sorted, and how many pages it had. Gap is the time between the starts of two calls.
+func (r *Reader) Read(ctx context.Context, gap time.Duration) (*wire.Workers, int, error) {
+	var entries []wire.Worker
+	token := ""
+	for pages := 1; pages <= maxPages; pages++ {
+		started := time.Now()
+		workers, next, err := r.page(token)
+		if err != nil {
+			return nil, pages, err
+		}
+		entries = append(entries, workers...)
+		if next == "" {
+			return Sort(entries), pages, nil
+		}
+		token = next
+		if err := sleep(ctx, gap-time.Since(started)); err != nil {
+			return nil, pages, err
+		}
+	}
+	return nil, maxPages, fmt.Errorf("discovery: more than %d pages", maxPages)
+}
+
+func sleep(ctx context.Context, pause time.Duration) error {
+	if pause <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (r *Reader) page(token string) ([]wire.Worker, string, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	uri := request.URI()
+	uri.SetScheme("http")
+	uri.SetHost(r.address)
+	uri.SetPath("/instances")
+	if token != "" {
+		uri.QueryArgs().Set("pageToken", token)
+	}
+	if err := r.client.Do(request, response); err != nil {
+		return nil, "", fmt.Errorf("discovery: %s: %w", r.address, err)
+	}
+	switch status := response.StatusCode(); status {
+	case fasthttp.StatusOK:
+		return Parse(response.Body())
+	case fasthttp.StatusTooManyRequests:
+		return nil, "", ErrRate
+	default:
+		return nil, "", fmt.Errorf("discovery: %s answered %d", r.address, status)
+	}
+}
