--- /dev/null
+++ b/cmd/ravendale-store/main.go
@@ -0,0 +1,22 @@
+// Command ravendale-store is the durable queue of a storage machine: it keeps messages with other stores until they have ended.
+package main
+
+import (
+	"context"
+
+	"ravendale/program"
+)
+
+const garbagePercent = 50 // growth of the heap between collections: small heaps are cheap to collect
+
+func main() {
+	program.Run("ravendale-store", "Keeps messages until they have ended.",
+		func(ctx context.Context, env program.Environment) error {
+			program.Memory(garbagePercent, env.Settings.MemoryMb)
+			p, err := newProcess(env)
+			if err != nil {
+				return err
+			}
+			return p.run(ctx)
+		})
+}
--- /dev/null
+++ b/cmd/ravendale-store/process.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"ravendale/member"
+	"ravendale/program"
+	"ravendale/queue/store"
+	"ravendale/rpc"
+	"ravendale/settings"
+	"ravendale/wire"
+)
+
+// Times of a planned stop and of a start.
+const (
+	leaveTime   = 400 * time.Millisecond // to tell the leader
+	handOffTime = 1500 * time.Millisecond
+	handOffLook = 50 * time.Millisecond
+	graceMargin = 1500 * time.Millisecond // before the grace is over, the process has ended
+	listenFor   = 3 * time.Second         // the process before this one may still hold the address
+	listenPause = 50 * time.Millisecond
+)
+
+// process is the store, put together.
+type process struct {
+	env    program.Environment
+	mux    *rpc.Mux
+	store  *store.Store
+	agent  *member.Agent
+	failed chan error
+}
+
+func newProcess(env program.Environment) (*process, error) {
+	s := env.Settings
+	p := &process{env: env, mux: rpc.NewMux(), failed: make(chan error, 1)}
+	disk, err := store.Identity(s.DataDir)
+	if err != nil {
+		return nil, err
+	}
+	p.store, err = store.Open(store.Config{
+		Settings: s, Disk: disk, Mux: p.mux, Log: env.Log,
+		StatusChanged: func() { p.agent.RenewNow() }, Failed: p.fail,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.agent = member.New(member.Config{
+		Settings: s, Mux: p.mux, Log: env.Log, Status: p.store.Status,
+		Self: wire.Member{
+			ID: strconv.FormatUint(rand.Uint64(), 36), Node: s.Node, Address: s.StorageAddress(), Zone: s.Zone, Region: s.Region,
+			Storage: true, Disk: disk,
+		},
+	})
+	p.agent.OnChange(p.changed)
+	return p, nil
+}
+
+func (p *process) fail(err error) {
+	select {
+	case p.failed <- err:
+	default:
+	}
+}
+
+// changed takes a newer state. Before the agent has what the leader named first, an old placement could be taken for the newest.
+func (p *process) changed(_ wire.Topic, s *member.Snapshot) {
+	if p.agent.Current() {
+		p.take(s)
+	}
+}
+
+// awaitCurrent takes the state that the leader named first, should the word that it is the newest come after it.
+func (p *process) awaitCurrent(ctx context.Context) {
+	for !p.agent.Current() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(handOffLook):
+		}
+	}
+	p.take(p.agent.Snapshot())
+}
+
+func (p *process) take(s *member.Snapshot) {
+	p.store.SetEdges(s.Members)
+	p.store.SetView(s.Stores)
+}
+
+func (p *process) run(ctx context.Context) error {
+	server, err := p.listen(ctx)
+	if err != nil {
+		return err
+	}
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	go p.env.WatchSettings(running, func(s *settings.Settings) { p.agent.SetSettings(s) })
+	go p.agent.Run(running)
+	go p.awaitCurrent(running)
+	p.env.Log.Info("store is up", "address", server.Address())
+	select {
+	case err = <-p.failed:
+	case <-ctx.Done():
+		p.leave()
+	}
+	stop()
+	server.Close()
+	if err != nil {
+		return err
+	}
+	return p.store.Close()
+}
+
+func (p *process) listen(ctx context.Context) (*rpc.Server, error) {
+	options := rpc.Options{Mux: p.mux}
+	onConn := func(c *rpc.Conn) {
+		c.OnClose(func(error) { go p.store.Closed(c) })
+	}
+	deadline := time.Now().Add(listenFor)
+	for {
+		server, err := rpc.Listen(p.env.Settings.StorageAddress(), options, onConn)
+		if err == nil || time.Now().After(deadline) || ctx.Err() != nil {
+			return server, err
+		}
+		time.Sleep(listenPause)
+	}
+}
+
+// leave has the leader move what this store decides to others, and serves until then, or for as long as there is time.
+func (p *process) leave() {
+	grace := max(settings.Seconds(p.env.Settings.Bounds.GraceS)-graceMargin, 0)
+	deadline := time.Now().Add(min(handOffTime, grace))
+	told, cancel := context.WithTimeout(context.Background(), leaveTime)
+	p.agent.Leave(told)
+	cancel()
+	for p.store.Primary() && time.Now().Before(deadline) {
+		time.Sleep(handOffLook)
+	}
+}
--- /dev/null
+++ b/queue/fill.go
@@ -0,0 +1,223 @@
+package queue
+
+import (
+	"slices"
+	"sort"
+)
+
+// filling is a comparison of a partition with one member, and what comes of it.
+type filling struct {
+	p       *partition
+	to      *peer
+	round   uint64
+	merge   bool // what only the member knows is taken over; else it is dropped there
+	listed  bool // the member has listed all that differs
+	fetches int  // unanswered
+	sending bool
+	push    []*entry
+	drop    []string
+}
+
+// compare starts to make a member equal to the primary.
+func (c *Core) compare(p *partition, to *peer) {
+	if to.remote == nil {
+		return
+	}
+	p.syncs = slices.DeleteFunc(p.syncs, func(f *filling) bool { return f.to == to })
+	c.round++
+	f := &filling{p: p, to: to, round: c.round, merge: slices.Contains(p.unmerged, to)}
+	p.syncs = append(p.syncs, f)
+	to.flush(c.epoch())
+	_ = to.remote.Notify(MethodCompare, &Compare{
+		Epoch: c.epoch(), Partition: p.number, Round: f.round, Horizon: p.horizon, Sums: p.sums[:],
+	})
+}
+
+func (c *Core) filling(number uint16, from Remote, round uint64) *filling {
+	p := c.known(number)
+	if p == nil || !p.primary {
+		return nil
+	}
+	for _, f := range p.syncs {
+		if f.round == round && f.to.remote == from {
+			return f
+		}
+	}
+	return nil
+}
+
+// Differ takes a member's list of one bucket.
+func (c *Core) Differ(now Time, from Remote, m *Differ) {
+	c.now = now
+	f := c.filling(m.Partition, from, m.Round)
+	if f == nil {
+		return
+	}
+	if m.Bucket < bucketCount {
+		c.weigh(f, m)
+	}
+	f.listed = f.listed || m.Last
+	c.pump(f)
+	c.handOver()
+	c.finish()
+}
+
+// weigh decides what to do about each message of a bucket.
+func (c *Core) weigh(f *filling, m *Differ) {
+	theirs := make(map[string]*Digest, len(m.Entries))
+	for i := range m.Entries {
+		theirs[m.Entries[i].ID] = &m.Entries[i]
+	}
+	var fetch []string
+	for _, e := range f.p.bucket(int(m.Bucket)) {
+		digest := theirs[e.id]
+		delete(theirs, e.id)
+		switch {
+		case digest != nil && digest.Sum == e.sum(hashOf(e.id)):
+		case digest != nil && f.merge && digest.ahead(e):
+			fetch = append(fetch, e.id)
+		default:
+			f.push = append(f.push, e)
+		}
+	}
+	for id := range theirs {
+		if f.merge {
+			fetch = append(fetch, id)
+		} else {
+			f.drop = append(f.drop, id)
+		}
+	}
+	sort.Strings(fetch)
+	sort.Strings(f.drop)
+	for part := range slices.Chunk(fetch, fetchCount) {
+		f.fetches++
+		_ = f.to.remote.Notify(MethodFetch, &Fetch{Epoch: c.epoch(), Partition: f.p.number, Round: f.round, IDs: part})
+	}
+}
+
+// ahead says whether a member knows more of a message than this store.
+func (d *Digest) ahead(e *entry) bool {
+	if !e.pending() {
+		return false
+	}
+	return d.State != e.state || d.Failed > e.failed
+}
+
+// Fetched takes over what only a member knew.
+func (c *Core) Fetched(now Time, from Remote, m *Fetched) {
+	c.now = now
+	f := c.filling(m.Partition, from, m.Round)
+	if f == nil {
+		return
+	}
+	for _, payload := range m.Records {
+		r, err := decodeRecord(payload)
+		if err != nil {
+			c.config.Log.Error("a store sent a record that can't be read", "error", err)
+			return
+		}
+		c.takeOver(f.p, r)
+	}
+	if m.Last {
+		f.fetches--
+	}
+	c.pump(f)
+	c.handOver()
+	c.finish()
+}
+
+// takeOver applies a record of a member, unless it is known better by now, and gives it to all members.
+func (c *Core) takeOver(p *partition, r *Record) {
+	e, taken := p.find(r.ID)
+	digest := Digest{State: r.State, Failed: r.Failed}
+	if taken || e != nil && !digest.ahead(e) {
+		return
+	}
+	var holder *edge
+	var waiters []waiter
+	putting := false
+	if e != nil {
+		holder, putting = e.live.holder, e.live.putting
+		waiters = p.supersede(e)
+	}
+	payload, at, position := c.write(r)
+	c.apply(r, at, true)
+	e, _ = p.find(r.ID)
+	if e.live != nil {
+		e.live.putting = putting
+		if holder != nil {
+			c.lease(e, holder)
+		}
+	}
+	o := c.begin(p, e, position, payload)
+	o.put = putting
+	o.waiters = waiters
+}
+
+// pump sends a member what it lacks, a batch at a time, and ends the comparison once it has all on disk.
+func (c *Core) pump(f *filling) {
+	if f.sending {
+		return
+	}
+	if len(f.push) == 0 && len(f.drop) == 0 {
+		if f.listed && f.fetches == 0 {
+			c.filled(f)
+		}
+		return
+	}
+	f.to.flush(c.epoch())
+	var number uint64
+	size := 0
+	for size < fillBytes && len(f.drop) > 0 {
+		payload := (&Record{Kind: RecordDrop, Partition: f.p.number, ID: f.drop[0]}).encode()
+		f.drop = f.drop[1:]
+		number = c.post(f.to, payload, true)
+		size += len(payload)
+	}
+	for size < fillBytes && len(f.push) > 0 {
+		e := f.push[0]
+		f.push = f.push[1:]
+		if current, _ := f.p.find(e.id); current != e {
+			continue
+		}
+		payload := c.wholeBytes(f.p, e)
+		if payload == nil {
+			return
+		}
+		number = c.post(f.to, payload, true)
+		size += len(payload)
+	}
+	if number == 0 { // all of it was forgotten meanwhile
+		c.pump(f)
+		return
+	}
+	f.sending = true
+	f.to.waiting = append(f.to.waiting, peerWait{number: number, fill: f})
+}
+
+// filled ends a comparison: the member has what the primary has.
+func (c *Core) filled(f *filling) {
+	p := f.p
+	p.syncs = slices.DeleteFunc(p.syncs, func(other *filling) bool { return other == f })
+	if slices.Contains(p.fillers, f.to) {
+		f.to.flush(c.epoch())
+		_ = f.to.remote.Notify(MethodFilled, &Filled{Epoch: c.epoch(), Partition: p.number})
+	}
+	before := len(p.unmerged)
+	p.unmerged = slices.DeleteFunc(p.unmerged, func(other *peer) bool { return other == f.to })
+	if before > 0 && len(p.unmerged) == 0 {
+		c.open(p)
+	}
+}
+
+// supersede ends the changes of a message that is written anew, and returns who waits for them.
+func (p *partition) supersede(e *entry) []waiter {
+	var waiters []waiter
+	for _, o := range slices.Clone(p.ops) {
+		if o.e == e {
+			waiters = append(waiters, o.waiters...)
+			p.removeOp(o)
+		}
+	}
+	return waiters
+}
--- /dev/null
+++ b/queue/journal/journal_test.go
@@ -0,0 +1,204 @@
+package journal
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// open opens a journal and returns the records found in it, and a channel of synced positions.
+func open(t *testing.T, dir string, segmentBytes int) (*Journal, []string, chan uint64) {
+	t.Helper()
+	synced := make(chan uint64, 10_000)
+	var found []string
+	j, err := Open(dir, Options{
+		SegmentBytes: segmentBytes,
+		OnSync:       func(position uint64) { synced <- position },
+		OnError:      func(err error) { t.Error(err) },
+	}, func(at Location, payload []byte) error {
+		require.NotZero(t, at.Segment)
+		found = append(found, string(payload))
+		return nil
+	})
+	require.NoError(t, err)
+	return j, found, synced
+}
+
+func await(t *testing.T, synced chan uint64, position uint64) {
+	t.Helper()
+	for p := range synced {
+		if p >= position {
+			return
+		}
+	}
+}
+
+func TestRecordsComeBackInOrder(t *testing.T) {
+	dir := t.TempDir()
+	j, found, _ := open(t, dir, 200)
+	assert.Empty(t, found)
+	var want []string
+	var places []Location
+	for i := range 50 {
+		record := fmt.Sprintf("record %d %s", i, strings.Repeat("x", i))
+		want = append(want, record)
+		at, _ := j.Append([]byte(record))
+		places = append(places, at)
+	}
+	for i, at := range places { // written or not
+		payload, err := j.Read(at)
+		require.NoError(t, err)
+		assert.Equal(t, want[i], string(payload))
+	}
+	require.NoError(t, j.Close())
+
+	j, found, _ = open(t, dir, 200)
+	assert.Equal(t, want, found)
+	for i, at := range places {
+		payload, err := j.Read(at)
+		require.NoError(t, err)
+		assert.Equal(t, want[i], string(payload))
+	}
+	used := j.Used()
+	require.NoError(t, j.Close())
+	assert.Equal(t, sizeOf(t, dir), used)
+}
+
+func sizeOf(t *testing.T, dir string) int64 {
+	t.Helper()
+	var size int64
+	names, err := os.ReadDir(dir)
+	require.NoError(t, err)
+	for _, name := range names {
+		info, err := name.Info()
+		require.NoError(t, err)
+		size += info.Size()
+	}
+	return size
+}
+
+// TestPowerLoss plays losses of power: what was synced is there afterwards, and nothing that was never written.
+func TestPowerLoss(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	dir := t.TempDir()
+	kept := 0 // records that must be there
+	for round := range 60 {
+		j, found, synced := open(t, dir, 500)
+		require.GreaterOrEqual(t, len(found), kept, "round %d", round)
+		for i, record := range found {
+			require.True(t, strings.HasPrefix(record, fmt.Sprintf("%d:", i)), "round %d: %q", round, record)
+		}
+		kept = len(found)
+		var position uint64
+		for range random.IntN(20) {
+			_, position = j.Append(fmt.Appendf(nil, "%d:%s", kept, strings.Repeat("y", random.IntN(100))))
+			kept++
+		}
+		if position > 0 {
+			await(t, synced, position)
+		}
+		require.NoError(t, j.Close())
+		tear(t, dir, j.newest, random, kept)
+	}
+}
+
+// tear adds to the newest segment what a write that was never synced may leave: part of a record, zeros, or a good record
+// after a hole.
+func tear(t *testing.T, dir string, newest uint32, random *rand.Rand, next int) {
+	path := filepath.Join(dir, fmt.Sprintf("%010d%s", newest, suffix))
+	file, err := os.OpenFile(path, os.O_RDWR|os.O_APPEND, 0)
+	require.NoError(t, err)
+	defer func() { require.NoError(t, file.Close()) }()
+	var garbage []byte
+	switch random.IntN(5) {
+	case 0:
+		garbage = make([]byte, random.IntN(50))
+	case 1:
+		garbage = []byte{0, 0, 0, 9, 1, 2, 3, 4, 'a', 'b'}
+	case 2:
+		garbage = []byte{0xff, 0xff, 0xff, 0xff, 1}
+	case 3: // the next segment was made, and its header lost
+		require.NoError(t, os.WriteFile(filepath.Join(dir, fmt.Sprintf("%010d%s", newest+1, suffix)), []byte("rvn"), 0o644))
+	case 4:
+		garbage = append(make([]byte, 20), fmt.Sprintf("%d:no", next)...)
+	}
+	_, err = file.Write(garbage)
+	require.NoError(t, err)
+}
+
+func TestDamageInAnOldSegmentIsAnError(t *testing.T) {
+	dir := t.TempDir()
+	j, _, _ := open(t, dir, 50)
+	for range 5 {
+		j.Append([]byte(strings.Repeat("z", 60)))
+	}
+	require.NoError(t, j.Close())
+	path := filepath.Join(dir, fmt.Sprintf("%010d%s", 2, suffix))
+	data, err := os.ReadFile(path)
+	require.NoError(t, err)
+	data[len(data)-1] ^= 1
+	require.NoError(t, os.WriteFile(path, data, 0o644))
+	_, err = Open(dir, Options{}, func(Location, []byte) error { return nil })
+	assert.ErrorIs(t, err, ErrDamaged)
+	assert.ErrorContains(t, err, "segment 2")
+}
+
+func TestOldestSegmentsAreRemovedOnceAllBeforeIsOnDisk(t *testing.T) {
+	dir := t.TempDir()
+	j, _, _ := open(t, dir, 50)
+	var places []Location
+	for i := range 5 {
+		at, _ := j.Append(fmt.Appendf(nil, "%d%s", i, strings.Repeat("z", 60)))
+		places = append(places, at)
+	}
+	oldest, newest := j.Segments()
+	assert.EqualValues(t, 1, oldest)
+	assert.EqualValues(t, 5, newest)
+	j.Remove(2) // not the oldest: nothing happens
+	j.Remove(1)
+	j.Remove(2)
+	at, _ := j.Append([]byte("after"))
+	places = append(places, at)
+	require.NoError(t, j.Close())
+
+	j, found, _ := open(t, dir, 50)
+	assert.Len(t, found, 4)
+	assert.Equal(t, "after", found[3])
+	oldest, _ = j.Segments()
+	assert.EqualValues(t, 3, oldest)
+	_, err := j.Read(places[0])
+	assert.ErrorIs(t, err, ErrGone)
+	used := j.Used()
+	require.NoError(t, j.Close())
+	assert.Equal(t, sizeOf(t, dir), used)
+}
+
+func TestDiskErrorIsToldAndNothingIsSyncedAfterIt(t *testing.T) {
+	failed := make(chan error, 1)
+	j, err := Open(t.TempDir(), Options{
+		OnError: func(err error) { failed <- err },
+		OnSync:  func(uint64) { t.Error("synced") },
+	}, nil)
+	require.NoError(t, err)
+	require.NoError(t, j.files[1].Close())
+	j.Append([]byte("lost"))
+	require.Error(t, <-failed)
+	require.Error(t, j.Close())
+}
+
+func BenchmarkAppend(b *testing.B) {
+	j, err := Open(b.TempDir(), Options{}, nil)
+	require.NoError(b, err)
+	payload := make([]byte, 1000)
+	b.ReportAllocs()
+	for range b.N {
+		j.Append(payload)
+	}
+	require.NoError(b, j.Close())
+}
--- /dev/null
+++ b/queue/journal/scanner.go
@@ -0,0 +1,34 @@
+package journal
+
+import (
+	"bufio"
+	"io"
+)
+
+// scanner hands out pieces of a file in a buffer that is used again.
+type scanner struct {
+	reader *bufio.Reader
+	buffer []byte
+}
+
+func newScanner(r io.Reader) *scanner {
+	return &scanner{reader: bufio.NewReaderSize(r, scanBuffer)}
+}
+
+// next returns the next size bytes, which are valid until it is called again. At the file's end it fails with io.EOF; in the midst
+// of a piece, with io.ErrUnexpectedEOF. Room is made as bytes come, so that a torn length asks for no memory.
+func (s *scanner) next(size int) ([]byte, error) {
+	s.buffer = s.buffer[:0]
+	for len(s.buffer) < size {
+		part := min(size-len(s.buffer), scanBuffer)
+		at := len(s.buffer)
+		s.buffer = append(s.buffer, make([]byte, part)...)
+		if _, err := io.ReadFull(s.reader, s.buffer[at:]); err != nil {
+			if err == io.EOF && at > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+	}
+	return s.buffer, nil
+}
--- /dev/null
+++ b/queue/member.go
@@ -0,0 +1,160 @@
+package queue
+
+import "ravendale/wire"
+
+// The events of this file come from the primaries of partitions that the store is a member of.
+
+// raise refuses older epochs from now on.
+func (c *Core) raise(epoch uint64) {
+	if epoch <= c.fence {
+		return
+	}
+	c.fence = epoch
+	c.writeEpoch()
+}
+
+func (c *Core) writeEpoch() {
+	_, at, _ := c.write(&Record{Kind: RecordEpoch, Sequence: c.fence})
+	c.epochAt = at.Segment
+}
+
+// Replicate applies what a primary has changed, and acknowledges it once it is on disk.
+func (c *Core) Replicate(now Time, from Remote, m *Replicate) {
+	c.now = now
+	if m.Epoch < c.fence {
+		return
+	}
+	c.raise(m.Epoch)
+	for _, payload := range m.Records {
+		r, err := decodeRecord(payload)
+		if err != nil {
+			c.config.Log.Error("a primary sent a record that can't be read", "error", err)
+			return
+		}
+		if c.changes(r) {
+			at, _ := c.journal.Append(payload)
+			c.apply(r, at, m.Old)
+		}
+	}
+	c.acks = append(c.acks, ackWait{position: c.journal.Position(), remote: from, number: m.Number})
+	c.acknowledge()
+}
+
+// Compare answers what of a partition differs from the primary's.
+func (c *Core) Compare(now Time, from Remote, m *Compare) {
+	c.now = now
+	if m.Epoch < c.fence || len(m.Sums) != bucketCount {
+		return
+	}
+	c.raise(m.Epoch)
+	p := c.at(m.Partition)
+	c.forgetUpTo(p, m.Horizon)
+	last := -1
+	for bucket := range bucketCount {
+		if p.sums[bucket] != m.Sums[bucket] {
+			last = bucket
+		}
+	}
+	if last < 0 {
+		_ = from.Notify(MethodDiffer, &Differ{Partition: m.Partition, Round: m.Round, Bucket: bucketCount, Last: true})
+		return
+	}
+	for bucket := range last + 1 {
+		if p.sums[bucket] != m.Sums[bucket] {
+			_ = from.Notify(MethodDiffer, p.differ(m.Round, bucket, bucket == last))
+		}
+	}
+}
+
+// differ lists one bucket.
+func (p *partition) differ(round uint64, bucket int, last bool) *Differ {
+	answer := &Differ{Partition: p.number, Round: round, Bucket: uint16(bucket), Last: last}
+	for _, e := range p.bucket(bucket) {
+		answer.Entries = append(answer.Entries, Digest{ID: e.id, Sum: e.sum(hashOf(e.id)), State: e.state, Failed: e.failed})
+	}
+	return answer
+}
+
+func (p *partition) bucket(bucket int) []*entry {
+	return p.sorted(func(hash uint64, _ *entry) bool { return bucketOf(hash) == bucket })
+}
+
+// Fetch answers with all that is known of some messages.
+func (c *Core) Fetch(now Time, from Remote, m *Fetch) {
+	c.now = now
+	if m.Epoch < c.fence {
+		return
+	}
+	p := c.at(m.Partition)
+	answer := &Fetched{Partition: m.Partition, Round: m.Round}
+	size := 0
+	for _, id := range m.IDs {
+		e, _ := p.find(id)
+		if e == nil {
+			continue
+		}
+		payload := c.wholeBytes(p, e)
+		if payload == nil {
+			return
+		}
+		answer.Records = append(answer.Records, payload)
+		if size += len(payload); size >= fillBytes {
+			_ = from.Notify(MethodFetched, answer)
+			answer = &Fetched{Partition: m.Partition, Round: m.Round}
+			size = 0
+		}
+	}
+	answer.Last = true
+	_ = from.Notify(MethodFetched, answer)
+}
+
+// Filled notes that this store has a partition whole.
+func (c *Core) Filled(now Time, m *Filled) {
+	c.now = now
+	if m.Epoch < c.fence {
+		return
+	}
+	p := c.at(m.Partition)
+	p.filledFor = m.Epoch
+	if p.joining && m.Epoch == c.epoch() {
+		c.host.StatusChanged()
+	}
+}
+
+// Find answers a question about a message.
+func (c *Core) Find(now Time, m *wire.Find, reply Replier) {
+	c.now = now
+	answer, err := c.lookUp(m)
+	if err != nil {
+		c.host.Fail(err)
+		reply.Fail(err)
+		return
+	}
+	reply.Send(answer)
+}
+
+func (c *Core) lookUp(m *wire.Find) (*wire.FindReply, error) {
+	number, _ := wire.PartitionOf(m.ID)
+	p := c.known(number)
+	if p == nil || !p.primary && !p.replica {
+		return &wire.FindReply{}, nil
+	}
+	e, _ := p.find(m.ID)
+	if e == nil {
+		return &wire.FindReply{}, nil
+	}
+	answer := &wire.FindReply{Found: true, State: e.state}
+	kept := e.pending() || e.state == wire.StateDead
+	if e.state != wire.StateDone && !(m.Body && kept) {
+		return answer, nil
+	}
+	r, err := c.whole(p, e)
+	if err != nil {
+		return nil, err
+	}
+	answer.Signature = r.Signature
+	if m.Body && kept {
+		answer.Body = r.Message.Body
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/queue/record.go
@@ -0,0 +1,49 @@
+package queue
+
+import (
+	"fmt"
+
+	"ravendale/wire"
+)
+
+//msgp:tuple Record
+
+// RecordKind says what a Record changes.
+type RecordKind uint8
+
+// The kinds of records.
+const (
+	RecordWhole  RecordKind = iota // all that is known of a message; replaces what was known
+	RecordEnd                      // State, Sequence and Signature
+	RecordFailed                   // Failed
+	RecordDrop                     // the message was never kept
+	RecordWipe                     // the partition is held no more
+	RecordEpoch                    // Sequence is the newest epoch seen
+)
+
+// Record is one change, as it lies in the journal and goes to other stores.
+type Record struct {
+	Kind      RecordKind
+	Partition uint16
+	ID        string
+	Sequence  uint64 // order of acceptance; of an ended message, order of ends
+	State     wire.State
+	Failed    uint16
+	Signature string
+	Message   wire.Message // without ID; empty for ended messages but dead ones
+}
+
+// encode makes the bytes of a record.
+func (r *Record) encode() []byte {
+	payload, _ := r.MarshalMsg(make([]byte, 0, r.Msgsize()))
+	return payload
+}
+
+// decodeRecord reads a record, and gives its message the name.
+func decodeRecord(payload []byte) (*Record, error) {
+	r := new(Record)
+	if _, err := r.UnmarshalMsg(payload); err != nil {
+		return nil, fmt.Errorf("queue: record of %d bytes: %w", len(payload), err)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/queue/store/identity.go
@@ -0,0 +1,50 @@
+package store
+
+import (
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"ravendale/queue/journal"
+)
+
+const identityFile = "identity"
+
+// Identity reads the identity of the disk that holds a folder. At first use one is drawn, and lasts before it is returned.
+func Identity(dir string) (string, error) {
+	path := filepath.Join(dir, identityFile)
+	content, err := os.ReadFile(path)
+	if err == nil {
+		if id := strings.TrimSpace(string(content)); validIdentity(id) {
+			return id, nil
+		}
+	} else if !errors.Is(err, os.ErrNotExist) {
+		return "", fmt.Errorf("store: %w", err)
+	}
+	return drawIdentity(dir, path)
+}
+
+const identityLength = 26 // of rand.Text
+
+// validIdentity says whether a file's content is whole: it was not, if the power failed when it was written first.
+func validIdentity(id string) bool { return len(id) == identityLength }
+
+func drawIdentity(dir, path string) (string, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return "", fmt.Errorf("store: %w", err)
+	}
+	id := rand.Text()
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o644)
+	if err != nil {
+		return "", fmt.Errorf("store: %w", err)
+	}
+	_, err = file.WriteString(id + "\n")
+	err = errors.Join(err, file.Sync(), file.Close(), journal.SyncFolder(dir))
+	if err != nil {
+		return "", fmt.Errorf("store: identity of the disk: %w", err)
+	}
+	return id, nil
+}
--- /dev/null
+++ b/queue/store/store.go
@@ -0,0 +1,248 @@
+// Package store runs a queue.Core as a process: journal, clock, connections to edges and to other stores.
+package store
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+
+	"ravendale/queue"
+	"ravendale/queue/journal"
+	"ravendale/rpc"
+	"ravendale/settings"
+	"ravendale/wire"
+)
+
+// Figures of a store.
+const (
+	journalFolder   = "journal"
+	bytesPerMessage = 500 // of memory, with all that goes along with a message
+	memoryPart      = 2   // messages in memory may take one in so many bytes of the process's limit
+	leastSegment    = 1 << 20
+	segmentsOfDisk  = 45
+	remembered      = 5 * time.Second // beyond the bound of the rules
+	connectWithin   = 300 * time.Millisecond
+)
+
+// Config of a Store.
+type Config struct {
+	Settings      *settings.Settings
+	Disk          string // from Identity
+	Mux           *rpc.Mux
+	StatusChanged func()      // the control plane should be told Status soon
+	Failed        func(error) // the disk can't be trusted: the process must end
+	Log           *slog.Logger
+}
+
+// Store is the queue of one storage machine. Its methods may be called by any goroutine.
+type Store struct {
+	config  Config
+	started time.Time
+	journal *journal.Journal
+
+	mu       sync.Mutex // guards the core and all below
+	core     *queue.Core
+	timer    *time.Timer
+	links    map[string]*rpc.Link // by disk
+	notified bool                 // StatusChanged is to be called once the lock is free
+	failure  error
+	closed   bool
+}
+
+// Open reads the store's journal and registers its handlers. The store takes part in nothing before SetView.
+func Open(config Config) (*Store, error) {
+	s := &Store{config: config, started: time.Now(), links: make(map[string]*rpc.Link)}
+	if s.config.Log == nil {
+		s.config.Log = slog.Default()
+	}
+	s.core = queue.New(coreConfig(&s.config), host{s})
+	s.timer = time.AfterFunc(time.Hour, s.tick)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.recover(); err != nil {
+		return nil, err
+	}
+	s.core.Start(s.now(), s.journal)
+	s.register()
+	return s, nil
+}
+
+func coreConfig(config *Config) queue.Config {
+	s := config.Settings
+	return queue.Config{
+		Disk: config.Disk, Zone: s.Zone, Copies: s.Copies(),
+		Remember:    settings.Seconds(s.Bounds.StatusS) + remembered,
+		DiskBytes:   int64(s.DiskMb) << 20,
+		MaxMessages: s.MemoryMb << 20 / memoryPart / bytesPerMessage,
+		Log:         config.Log,
+	}
+}
+
+func (s *Store) recover() error {
+	options := journal.Options{OnSync: s.synced, OnError: s.fail}
+	if s.config.Settings.DiskMb > 0 {
+		options.SegmentBytes = min(max(s.config.Settings.DiskMb<<20/segmentsOfDisk, leastSegment), journal.DefaultSegmentBytes)
+	}
+	dir := filepath.Join(s.config.Settings.DataDir, journalFolder)
+	j, err := journal.Open(dir, options, func(at journal.Location, payload []byte) error {
+		return s.core.Recover(s.now(), at, payload)
+	})
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	if err := journal.SyncFolder(s.config.Settings.DataDir); err != nil {
+		return errors.Join(err, j.Close())
+	}
+	s.journal = j
+	return nil
+}
+
+func (s *Store) now() queue.Time {
+	return queue.Time{Steady: time.Since(s.started), UnixMs: time.Now().UnixMilli()}
+}
+
+// do runs f with the lock held.
+func (s *Store) do(f func(now queue.Time)) {
+	s.mu.Lock()
+	if s.closed || s.failure != nil {
+		s.mu.Unlock()
+		return
+	}
+	f(s.now())
+	notified, failure := s.notified, s.failure
+	s.notified = false
+	s.mu.Unlock()
+	if failure != nil {
+		s.config.Failed(failure)
+	}
+	if notified && s.config.StatusChanged != nil {
+		s.config.StatusChanged()
+	}
+}
+
+func (s *Store) synced(position uint64) {
+	s.do(func(now queue.Time) { s.core.Durable(now, position) })
+}
+
+func (s *Store) fail(err error) {
+	s.mu.Lock()
+	first := s.failure == nil && !s.closed
+	s.failure = errors.Join(s.failure, err)
+	s.mu.Unlock()
+	if first {
+		s.config.Failed(err)
+	}
+}
+
+func (s *Store) tick() { s.do(s.core.Tick) }
+
+// Status is what the control plane is told.
+func (s *Store) Status() wire.StoreStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Status()
+}
+
+// Primary says whether the store is the primary of any partition.
+func (s *Store) Primary() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Primary()
+}
+
+// SetView puts a newer placement into force.
+func (s *Store) SetView(view *wire.StoreView) {
+	if view == nil {
+		return
+	}
+	s.do(func(now queue.Time) {
+		s.core.View(now, view)
+		s.updateLinks()
+	})
+}
+
+// SetEdges tells which schedulers there are.
+func (s *Store) SetEdges(members *wire.Members) {
+	if members == nil {
+		return
+	}
+	s.do(func(now queue.Time) { s.core.Edges(now, members.Edges) })
+}
+
+// Close writes and syncs all that is queued.
+func (s *Store) Close() error {
+	s.mu.Lock()
+	s.timer.Stop()
+	links := s.links
+	s.links = nil
+	s.mu.Unlock()
+	for _, link := range links {
+		link.Close()
+	}
+	err := s.journal.Close()
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	return err
+}
+
+// updateLinks connects to all other stores of the view.
+func (s *Store) updateLinks() {
+	if s.links == nil {
+		return
+	}
+	wanted := s.core.Peers()
+	for disk, link := range s.links {
+		if !slices.ContainsFunc(wanted, func(w wire.Store) bool { return w.Disk == disk && w.Address == link.Address() }) {
+			go link.Close()
+			delete(s.links, disk)
+		}
+	}
+	for _, other := range wanted {
+		if s.links[other.Disk] == nil {
+			s.links[other.Disk] = s.link(other.Disk, other.Address)
+		}
+	}
+}
+
+func (s *Store) link(disk, address string) *rpc.Link {
+	options := rpc.Options{Mux: s.answers(), ConnectTimeout: connectWithin}
+	return rpc.NewLink(address, options, func(c *rpc.Conn) { s.greet(c, disk) }, nil)
+}
+
+// greet makes sure that the other end has the disk that is meant.
+func (s *Store) greet(c *rpc.Conn, disk string) {
+	c.OnClose(func(error) { go s.do(func(now queue.Time) { s.core.PeerDown(now, c) }) })
+	c.Start(queue.MethodHello, &queue.Hello{From: s.config.Disk, To: disk}, func(payload []byte, err error) {
+		reply := new(queue.HelloReply)
+		if err == nil {
+			_, err = reply.UnmarshalMsg(payload)
+		}
+		if err != nil || !reply.Accepted {
+			go c.Close()
+			return
+		}
+		s.do(func(now queue.Time) {
+			if c.Err() == nil {
+				s.core.PeerUp(now, disk, c)
+			}
+		})
+	})
+}
+
+// host is what the core sees of the store. Its methods are called with the lock held.
+type host struct{ store *Store }
+
+func (h host) WakeAt(steady time.Duration) {
+	h.store.timer.Reset(max(steady-time.Since(h.store.started), 0))
+}
+
+func (h host) StatusChanged() { h.store.notified = true }
+
+func (h host) Fail(err error) { h.store.failure = errors.Join(h.store.failure, err) }
+
