Test deliveries against scripted workers

Cut, garbled, late, second and foreign answers, resets, silence, idle connections, limits and cancels, on real sockets. Tested: go test -race ./worker.

--- /dev/null
+++ b/worker/client_test.go
@@ -0,0 +1,363 @@
+package worker
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// script plays a worker: it gets each connection and its number.
+func script(t *testing.T, play func(number int, conn net.Conn, reader *bufio.Reader)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for number := 0; ; number++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				play(number, conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func readRequest(reader *bufio.Reader) (*http.Request, []byte, error) {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := io.ReadAll(request.Body)
+	return request, body, err
+}
+
+// answering plays a worker that gives each request the same answer.
+func answering(t *testing.T, answer string) string {
+	return script(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		for {
+			if _, _, err := readRequest(reader); err != nil {
+				return
+			}
+			if _, err := io.WriteString(conn, answer); err != nil {
+				return
+			}
+		}
+	})
+}
+
+func delivery(address string) *Delivery {
+	return &Delivery{
+		Worker: "i-1", Address: address, Instance: "i-1", Method: "POST", Host: "a.example", Target: "/p//q/../r?x=%2f&&y",
+		RequestID: "id-1", Body: []byte("hello"), Limit: 300 * time.Millisecond,
+	}
+}
+
+func deliver(client *Client, d *Delivery) Result {
+	result := make(chan Result, 1)
+	client.Start(d, func(r Result) { result <- r })
+	return <-result
+}
+
+func TestOutcomes(t *testing.T) {
+	const (
+		whole = "Request-Id: id-1\r\nContent-Length: 2\r\n\r\nok"
+		mine  = "Request-Id: id-1\r\n"
+	)
+	cases := map[string]struct {
+		answer string
+		want   Outcome
+	}{
+		"done":                      {"HTTP/1.1 200 OK\r\nSignature: s\r\n" + whole, Done},
+		"done, no content":          {"HTTP/1.1 204 No Content\r\nSignature: s\r\n" + mine + "\r\n", Done},
+		"done, in chunks":           {"HTTP/1.1 200 OK\r\nSignature: s\r\n" + mine + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", Done},
+		"done, after an interim":    {"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nSignature: s\r\n" + whole, Done},
+		"no signature":              {"HTTP/1.1 200 OK\r\n" + whole, Broken},
+		"of another request":        {"HTTP/1.1 200 OK\r\nSignature: s\r\nRequest-Id: id-2\r\nContent-Length: 0\r\n\r\n", Broken},
+		"of no request":             {"HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 0\r\n\r\n", Broken},
+		"failed":                    {"HTTP/1.1 500 Failed\r\n" + whole, Failed},
+		"failed, another request":   {"HTTP/1.1 500 Failed\r\nRequest-Id: id-2\r\nContent-Length: 0\r\n\r\n", Broken},
+		"refused":                   {"HTTP/1.1 422 Never\r\n" + whole, Refused},
+		"refused, another request":  {"HTTP/1.1 422 Never\r\nRequest-Id: id-2\r\nContent-Length: 0\r\n\r\n", Broken},
+		"full":                      {"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n" + whole, Full},
+		"over the ceiling":          {"HTTP/1.1 429 Slow\r\nNot-Executed: 1\r\n" + whole, Full},
+		"running elsewhere":         {"HTTP/1.1 409 Runs\r\nNot-Executed: 1\r\n" + whole, Repeat},
+		"not run":                   {"HTTP/1.1 400 Bad\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", NotRun},
+		"another instance":          {"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n", WrongWorker},
+		"503 without the promise":   {"HTTP/1.1 503 Full\r\n" + whole, Broken},
+		"stopped at its deadline":   {"HTTP/1.1 504 Late\r\n" + whole, Broken},
+		"200 that says not run":     {"HTTP/1.1 200 OK\r\nNot-Executed: 1\r\nSignature: s\r\n" + whole, Done},
+		"garbled":                   {"HTTP/1.1 2x0 OK\r\n\r\n", Broken},
+		"garbled chunks":            {"HTTP/1.1 200 OK\r\nSignature: s\r\n" + mine + "Transfer-Encoding: chunked\r\n\r\nzz\r\nok\r\n0\r\n\r\n", Broken},
+		"chunk longer than told":    {"HTTP/1.1 200 OK\r\nSignature: s\r\n" + mine + "Transfer-Encoding: chunked\r\n\r\n2\r\nokay\r\n0\r\n\r\n", Broken},
+		"cut within the body":       {"HTTP/1.1 200 OK\r\nSignature: s\r\n" + mine + "Content-Length: 9\r\n\r\nok", Silent},
+		"cut before the last chunk": {"HTTP/1.1 200 OK\r\nSignature: s\r\n" + mine + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", Silent},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			client := NewClient()
+			defer client.Close()
+			d := delivery(answering(t, c.answer))
+			d.Limit = 100 * time.Millisecond
+			result := deliver(client, d)
+			assert.Equal(t, c.want, result.Outcome)
+			if c.want == Done {
+				assert.Equal(t, "s", result.Signature)
+			}
+		})
+	}
+}
+
+const doneAnswer = "HTTP/1.1 200 OK\r\nSignature: s\r\nRequest-Id: id-1\r\nContent-Length: 0\r\n"
+
+func TestAnswersThatEndTooSoon(t *testing.T) {
+	for _, part := range []string{"", "HTTP/1.1 200", doneAnswer, "HTTP/1.1 200 OK\r\nSignature: s\r\nRequest-Id: id-1\r\nContent-Length: 5\r\n\r\nhe",
+		"HTTP/1.1 200 OK\r\nSignature: s\r\nRequest-Id: id-1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"} {
+		t.Run(fmt.Sprintf("%d bytes", len(part)), func(t *testing.T) {
+			client := NewClient()
+			defer client.Close()
+			address := script(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+				_, _, _ = readRequest(reader)
+				_, _ = io.WriteString(conn, part)
+			})
+			assert.Equal(t, Broken, deliver(client, delivery(address)).Outcome)
+			assert.Zero(t, client.pools["i-1"].open)
+		})
+	}
+}
+
+func TestRequestGoesOutUnchanged(t *testing.T) {
+	seen := make(chan string, 1)
+	address := script(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		head := ""
+		for line := ""; line != "\r\n"; head += line {
+			line, _ = reader.ReadString('\n')
+		}
+		body := make([]byte, 5)
+		_, _ = io.ReadFull(reader, body)
+		seen <- head + string(body)
+		_, _ = io.WriteString(conn, doneAnswer+"\r\n")
+	})
+	client := NewClient()
+	defer client.Close()
+	d := delivery(address)
+	d.OrderKey, d.ContentType = "k", "text/x"
+	require.Equal(t, Done, deliver(client, d).Outcome)
+	assert.Equal(t, "POST /p//q/../r?x=%2f&&y HTTP/1.1\r\nHost: a.example\r\nRequest-Id: id-1\r\nOrder-Key: k\r\n"+
+		"Content-Type: text/x\r\nExpect-Instance: i-1\r\nDeadline-Ms: 300\r\nContent-Length: 5\r\n\r\nhello", <-seen)
+}
+
+func TestLargeBodyGoesOutWhole(t *testing.T) {
+	size := make(chan int, 1)
+	address := script(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		_, body, _ := readRequest(reader)
+		size <- len(body)
+		_, _ = io.WriteString(conn, doneAnswer+"\r\n")
+	})
+	client := NewClient()
+	defer client.Close()
+	d := delivery(address)
+	d.Body = make([]byte, 200<<10)
+	require.Equal(t, Done, deliver(client, d).Outcome)
+	assert.Equal(t, 200<<10, <-size)
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	var conns atomic.Int32
+	address := script(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		conns.Add(1)
+		for {
+			if _, _, err := readRequest(reader); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, doneAnswer+"\r\n")
+		}
+	})
+	client := NewClient()
+	defer client.Close()
+	for range 5 {
+		require.Equal(t, Done, deliver(client, delivery(address)).Outcome)
+	}
+	assert.EqualValues(t, 1, conns.Load())
+}
+
+// What comes after an answer belongs to no request: the connection is given up, not read on.
+func TestSecondAnswerIsNotTakenForTheNext(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"at once": 0, "later": 30 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			var requests atomic.Int32
+			address := script(t, func(number int, conn net.Conn, reader *bufio.Reader) {
+				for {
+					if _, _, err := readRequest(reader); err != nil {
+						return
+					}
+					requests.Add(1)
+					answer := doneAnswer + "\r\n"
+					if number == 0 {
+						_, _ = io.WriteString(conn, answer)
+						time.Sleep(pause)
+						answer = "HTTP/1.1 422 Never\r\nRequest-Id: id-1\r\nContent-Length: 0\r\n\r\n"
+					}
+					_, _ = io.WriteString(conn, answer)
+				}
+			})
+			client := NewClient()
+			defer client.Close()
+			require.Equal(t, Done, deliver(client, delivery(address)).Outcome)
+			time.Sleep(pause + 20*time.Millisecond)
+			assert.Equal(t, Done, deliver(client, delivery(address)).Outcome)
+			assert.EqualValues(t, 2, requests.Load())
+		})
+	}
+}
+
+func TestIdleConnectionThatWasClosedIsNotUsed(t *testing.T) {
+	address := script(t, func(number int, conn net.Conn, reader *bufio.Reader) {
+		if _, _, err := readRequest(reader); err == nil {
+			_, _ = io.WriteString(conn, doneAnswer+"\r\n")
+		}
+	})
+	client := NewClient()
+	defer client.Close()
+	for range 3 {
+		require.Equal(t, Done, deliver(client, delivery(address)).Outcome)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func TestIdleConnectionIsClosedBeforeTheWorkerDoes(t *testing.T) {
+	closed := make(chan struct{})
+	address := script(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		_, _, _ = readRequest(reader)
+		_, _ = io.WriteString(conn, doneAnswer+"Keep-Alive: timeout=0.2\r\n\r\n")
+		_ = conn.SetReadDeadline(time.Now().Add(190 * time.Millisecond))
+		if _, err := reader.ReadByte(); err == io.EOF {
+			close(closed)
+		}
+	})
+	client := NewClient()
+	defer client.Close()
+	require.Equal(t, Done, deliver(client, delivery(address)).Outcome)
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		t.Fatal("the worker had to close the idle connection")
+	}
+}
+
+func TestKeepAliveField(t *testing.T) {
+	assert.Equal(t, 3*time.Second, keepAlive(""))
+	assert.Equal(t, 9*time.Second, keepAlive("max=5, timeout=10"))
+	assert.Equal(t, 750*time.Millisecond, keepAlive("Timeout=1"))
+	assert.Equal(t, time.Duration(0), keepAlive("timeout=0"))
+	assert.Equal(t, 3*time.Second, keepAlive("timeout=-4"))
+	assert.Equal(t, 3*time.Second, keepAlive("timeout=x"))
+}
+
+func TestSilentWorkerIsWaitedForToTheLimit(t *testing.T) {
+	address := script(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		_, _, _ = readRequest(reader)
+		_, _ = reader.ReadByte()
+	})
+	client := NewClient()
+	defer client.Close()
+	d := delivery(address)
+	d.Limit = 150 * time.Millisecond
+	result := deliver(client, d)
+	assert.Equal(t, Silent, result.Outcome)
+	assert.GreaterOrEqual(t, result.Took, d.Limit)
+	assert.Less(t, result.Took, d.Limit+answerSlack+200*time.Millisecond)
+}
+
+func TestResetIsUnknown(t *testing.T) {
+	address := script(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		_, _, _ = readRequest(reader)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	})
+	client := NewClient()
+	defer client.Close()
+	assert.Equal(t, Broken, deliver(client, delivery(address)).Outcome)
+}
+
+func TestDeadPortIsUnreachable(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	client := NewClient()
+	defer client.Close()
+	assert.Equal(t, Unreachable, deliver(client, delivery(address)).Outcome)
+	assert.Zero(t, client.pools["i-1"].open)
+}
+
+func TestCancelClosesTheConnection(t *testing.T) {
+	began, closed := make(chan struct{}), make(chan struct{})
+	address := script(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		_, _, _ = readRequest(reader)
+		close(began)
+		_, _ = reader.ReadByte()
+		close(closed)
+	})
+	client := NewClient()
+	defer client.Close()
+	result := make(chan Result, 1)
+	d := delivery(address)
+	d.Limit = 5 * time.Second
+	call := client.Start(d, func(r Result) { result <- r })
+	<-began
+	call.Cancel()
+	assert.Equal(t, Cancelled, (<-result).Outcome)
+	<-closed
+}
+
+func TestPoolHasNoMoreThanItsLimit(t *testing.T) {
+	hold := make(chan struct{})
+	address := script(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		_, _, _ = readRequest(reader)
+		<-hold
+		_, _ = io.WriteString(conn, doneAnswer+"\r\n")
+	})
+	client := NewClient()
+	defer client.Close()
+	client.Limit(map[string]int{"i-1": 2})
+	results := make(chan Result, 3)
+	for range 3 {
+		d := delivery(address)
+		d.Limit = 5 * time.Second
+		client.Start(d, func(r Result) { results <- r })
+	}
+	assert.Equal(t, NoRoom, (<-results).Outcome)
+	close(hold)
+	assert.Equal(t, Done, (<-results).Outcome)
+	assert.Equal(t, Done, (<-results).Outcome)
+}
+
+func TestConnectionsToWorkersThatAreGoneAreClosed(t *testing.T) {
+	closed := make(chan struct{})
+	address := script(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		_, _, _ = readRequest(reader)
+		_, _ = io.WriteString(conn, doneAnswer+"\r\n")
+		_, _ = reader.ReadByte()
+		close(closed)
+	})
+	client := NewClient()
+	defer client.Close()
+	client.Limit(map[string]int{"i-1": 0})
+	require.Equal(t, Done, deliver(client, delivery(address)).Outcome)
+	client.Limit(map[string]int{"i-2": 0})
+	<-closed
+	assert.Nil(t, client.pools["i-1"])
+}
