Test delivery decisions, and let granted messages wait for a route that may be new

A granted message looked for its route before its patience was set and was dropped: found by the test, mended. Tested: go test -race -count=3 ./dispatch.

--- /dev/null
+++ b/dispatch/ceiling_test.go
@@ -0,0 +1,175 @@
+package dispatch
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"ravendale/worker"
+)
+
+func edgeNames(count int) []string {
+	names := make([]string, count)
+	for i := range names {
+		names[i] = fmt.Sprintf("edge-%d", i)
+	}
+	return names
+}
+
+// Whatever the edges are sent and whenever, no window sees more than the bound.
+func TestCeilingHoldsInEachWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := Ceiling{
+			RatePerS:  rapid.Float64Range(0.5, 200).Draw(t, "rate"),
+			Window:    time.Duration(rapid.Float64Range(1, 10).Draw(t, "window") * float64(time.Second)),
+			Overshoot: rapid.Float64Range(1, 1.5).Draw(t, "overshoot"),
+		}
+		edges := edgeNames(rapid.IntRange(1, 60).Draw(t, "edges"))
+		var sends []time.Duration
+		for _, edge := range edges {
+			sends = append(sends, greedy(t, c, edge, edges)...)
+		}
+		sort.Slice(sends, func(i, j int) bool { return sends[i] < sends[j] })
+		first := 0
+		for i, at := range sends {
+			for sends[first] <= at-c.Window {
+				first++
+			}
+			if count := i - first + 1; float64(count) > c.budget() {
+				t.Fatalf("%d sends in the window that ends at %v, of %.1f", count, at, c.budget())
+			}
+		}
+	})
+}
+
+// greedy sends whenever there is a token, from a drawn time on, with pauses.
+func greedy(t *rapid.T, c Ceiling, edge string, edges []string) (sends []time.Duration) {
+	share := c.Divide("s", edge, edges)
+	if share.Burst == 0 {
+		return nil
+	}
+	b := newBucket(share, 0)
+	now := time.Duration(rapid.IntRange(0, 5000).Draw(t, "start")) * ms
+	for end := now + 3*c.Window; now < end; {
+		if b.take(now) {
+			sends = append(sends, now)
+			continue
+		}
+		if next := b.next(now); next > now {
+			now = next
+		} else {
+			now += ms
+		}
+	}
+	return sends
+}
+
+func TestCeilingIsUsed(t *testing.T) {
+	c := Ceiling{RatePerS: 39, Window: 5 * time.Second, Overshoot: 1.1}
+	for _, count := range []int{1, 4, 12, 58} {
+		edges := edgeNames(count)
+		sum := 0.0
+		for _, edge := range edges {
+			sum += c.Divide("s", edge, edges).Rate
+		}
+		assert.Greater(t, sum, 0.7*c.RatePerS, "%d edges", count)
+	}
+}
+
+func TestSmallCeilingGoesToAFewEdges(t *testing.T) {
+	c := Ceiling{RatePerS: 1, Window: 5 * time.Second, Overshoot: 1.1}
+	edges := edgeNames(50)
+	senders := 0
+	for _, edge := range edges {
+		if c.Divide("s", edge, edges).Burst > 0 {
+			senders++
+		}
+	}
+	assert.Equal(t, c.senders(50), senders)
+	assert.Less(t, senders, 8)
+	assert.Zero(t, c.Divide("s", "stranger", edges))
+}
+
+func TestBucketBeginsEmptyAfterAChange(t *testing.T) {
+	w := newWorld(t)
+	w.pass(10 * time.Second)
+	w.take(w.core.Place(w.now, []string{"e1", "e2"}))
+	w.accept("/l/", "1")
+	w.unsent()
+	w.pass(2 * time.Second)
+	w.sent()
+}
+
+// Through the core: each attempt takes a token, those that follow a full or broken one as well.
+func TestEachAttemptTakesAToken(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		w := newWorld(t)
+		ceiling := Ceiling{RatePerS: 4, Window: 5 * time.Second, Overshoot: 1.1}
+		var sends []time.Duration
+		next := 0
+		outcomes := []worker.Outcome{worker.Done, worker.Full, worker.Broken, worker.Failed, worker.Silent, worker.Repeat}
+		for end := w.now + 15*time.Second; w.now < end; {
+			for range rapid.IntRange(0, 4).Draw(r, "arrivals") {
+				next++
+				w.accept("/l/", fmt.Sprint(next))
+			}
+			for len(w.out) > 0 {
+				d := w.out[0]
+				w.out = w.out[1:]
+				sends = append(sends, w.now)
+				w.end(d, rapid.SampledFrom(outcomes).Draw(r, "outcome"))
+			}
+			w.pass(time.Duration(rapid.IntRange(1, 400).Draw(r, "pause")) * ms)
+		}
+		for i, at := range sends {
+			count := 0
+			for _, earlier := range sends[:i+1] {
+				if earlier > at-ceiling.Window {
+					count++
+				}
+			}
+			if float64(count) > ceiling.budget() {
+				r.Fatalf("%d sends in a window, of %.1f", count, ceiling.budget())
+			}
+		}
+		assert.NotEmpty(t, sends)
+	})
+}
+
+func TestTokenIsKeptWhereNothingWasSent(t *testing.T) {
+	w := newWorld(t)
+	w.pass(10 * time.Second)
+	w.accept("/l/", "1")
+	d := w.sent()
+	s := w.core.services["limited"]
+	before := s.bucket.tokens
+	w.end(d, worker.NoRoom)
+	assert.Greater(t, s.bucket.tokens, before)
+}
+
+func TestMessagesWaitInLineForTokens(t *testing.T) {
+	w := newWorld(t)
+	for i := range 6 {
+		w.accept("/l/", fmt.Sprint(i))
+	}
+	w.pass(4 * time.Second)
+	for i, d := range w.out {
+		assert.Equal(t, fmt.Sprint(i), d.Delivery.RequestID)
+	}
+	assert.NotEmpty(t, w.out)
+}
+
+func TestCeilingThatIsLiftedLetsAllGo(t *testing.T) {
+	w := newWorld(t)
+	for i := range 6 {
+		w.accept("/l/", fmt.Sprint(i))
+	}
+	w.config.Services[2].RatePerS = 0
+	w.configure()
+	w.pass(100 * ms)
+	assert.Len(t, w.out, 6)
+}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -120,7 +120,7 @@
 func (c *Core) Accept(now time.Duration, m *wire.Message, granted bool) []Action {
 	c.begin(now)
 	if c.messages[m.ID] == nil {
-		c.hold(m, 0, granted, 0)
+		c.hold(m, arrival{granted: granted})
 	}
 	return c.end()
 }
@@ -147,8 +147,7 @@
 	}
 	whole := g.Message
 	whole.ID = g.ID
-	m := c.hold(&whole, age, true, g.Failed)
-	m.dropAt = c.now + c.config.Converge
+	c.hold(&whole, arrival{age: age, granted: true, failed: g.Failed, patience: c.config.Converge})
 }
 
 func (c *Core) grant(m *message, failed uint16) {
@@ -162,14 +161,22 @@
 	}
 }
 
-func (c *Core) hold(whole *wire.Message, age time.Duration, granted bool, failed uint16) *message {
-	m := &message{Message: *whole, granted: granted, failed: failed, position: -1}
+// arrival says how a message came.
+type arrival struct {
+	age      time.Duration // since it was sent
+	granted  bool
+	failed   uint16
+	patience time.Duration // for a route that is not known here yet
+}
+
+func (c *Core) hold(whole *wire.Message, from arrival) {
+	m := &message{Message: *whole, granted: from.granted, failed: from.failed, dropAt: c.now + from.patience, position: -1}
 	m.size = len(m.Body) + messageOverhead
 	c.held += m.size
-	m.start = c.now + time.Duration(m.DelayMs)*time.Millisecond - age
+	m.start = c.now + time.Duration(m.DelayMs)*time.Millisecond - from.age
 	m.expires = c.now + forever
 	if m.RetentionMs > 0 {
-		m.expires = c.now + time.Duration(m.RetentionMs)*time.Millisecond - age + expirySlack
+		m.expires = c.now + time.Duration(m.RetentionMs)*time.Millisecond - from.age + expirySlack
 	}
 	c.messages[m.ID] = m
 	switch {
@@ -180,7 +187,6 @@
 	default:
 		c.schedule(m, ungranted, m.expires)
 	}
-	return m
 }
 
 // schedule has a message looked at at a time.
