Test the queue's client against stores that refuse, stay silent, and answer late

Puts that move on or keep their name, claims at each epoch, reports in turn and repeated, grants that overtake answers, questions that nobody answers. Tested: go test -race -count=3 ./queueclient.

--- /dev/null
+++ b/queueclient/queueclient_test.go
@@ -0,0 +1,614 @@
+package queueclient
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/tinylib/msgp/msgp"
+
+	"ravendale/rpc"
+	"ravendale/wire"
+)
+
+const soon = 3 * time.Second
+
+// fakeStore is a store that answers as it is told to.
+type fakeStore struct {
+	server *rpc.Server
+
+	mu       sync.Mutex
+	attaches []wire.Attach
+	claims   []wire.Claim
+	puts     []wire.Put
+	reports  []wire.Report
+	conns    []*rpc.Conn
+
+	put    func(p *wire.Put, number int) *wire.PutReply // nil, or a nil answer: none
+	report func(r *wire.Report, number int) wire.PutCode
+	claim  func(c *wire.Claim) *wire.ClaimReply
+	find   func(f *wire.Find) *wire.FindReply
+}
+
+func newFakeStore(t *testing.T) *fakeStore {
+	s := &fakeStore{}
+	mux := rpc.NewMux()
+	rpc.Handle(mux, wire.MethodAttach, func(c *rpc.Conn, m *wire.Attach, reply rpc.Reply) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.attaches = append(s.attaches, *m)
+		s.conns = append(s.conns, c)
+		reply.Send(&wire.AttachReply{})
+	})
+	rpc.Handle(mux, wire.MethodClaim, func(_ *rpc.Conn, m *wire.Claim, reply rpc.Reply) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.claims = append(s.claims, *m)
+		answer := &wire.ClaimReply{Code: wire.PutKept}
+		if s.claim != nil {
+			answer = s.claim(m)
+		}
+		reply.Send(answer)
+	})
+	rpc.Handle(mux, wire.MethodPut, func(c *rpc.Conn, m *wire.Put, reply rpc.Reply) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.puts = append(s.puts, *m)
+		answer := &wire.PutReply{Code: wire.PutKept}
+		if s.put != nil {
+			answer = s.put(m, len(s.puts))
+		}
+		send(reply, answer)
+	})
+	rpc.Handle(mux, wire.MethodReport, func(_ *rpc.Conn, m *wire.Report, reply rpc.Reply) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.reports = append(s.reports, *m)
+		code := wire.PutKept
+		if s.report != nil {
+			code = s.report(m, len(s.reports))
+		}
+		reply.Send(&wire.ReportReply{Code: code})
+	})
+	rpc.Handle(mux, wire.MethodFind, func(_ *rpc.Conn, m *wire.Find, reply rpc.Reply) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		answer := &wire.FindReply{}
+		if s.find != nil {
+			answer = s.find(m)
+		}
+		if answer != nil {
+			reply.Send(answer)
+		}
+	})
+	server, err := rpc.Listen("127.0.0.1:0", rpc.Options{Mux: mux}, nil)
+	require.NoError(t, err)
+	s.server = server
+	t.Cleanup(server.Close)
+	return s
+}
+
+func send[T any, P interface {
+	*T
+	msgp.Marshaler
+}](reply rpc.Reply, answer P) {
+	if answer != nil {
+		reply.Send(answer)
+	}
+}
+
+func (s *fakeStore) with(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+func (s *fakeStore) countPuts() (count int) {
+	s.with(func() { count = len(s.puts) })
+	return count
+}
+
+func (s *fakeStore) countReports() (count int) {
+	s.with(func() { count = len(s.reports) })
+	return count
+}
+
+func (s *fakeStore) countClaims() (count int) {
+	s.with(func() { count = len(s.claims) })
+	return count
+}
+
+// heard is what a client told its edge.
+type heard struct {
+	mu           sync.Mutex
+	kept         map[string]bool // by message: granted
+	granted      []string
+	acknowledged []string
+	unknown      []string
+	held         []string
+}
+
+func (h *heard) with(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f()
+}
+
+func newClient(t *testing.T) (*Client, *heard) {
+	h := &heard{kept: make(map[string]bool)}
+	c := New(Config{
+		Edge: "edge-1", Zone: "z1",
+		Kept:         func(m *wire.Message, granted bool) { h.with(func() { h.kept[m.ID] = granted }) },
+		Granted:      func(g *wire.Grant) { h.with(func() { h.granted = append(h.granted, g.ID) }) },
+		Acknowledged: func(id string) { h.with(func() { h.acknowledged = append(h.acknowledged, id) }) },
+		Unknown:      func(id string) { h.with(func() { h.unknown = append(h.unknown, id) }) },
+		Held: func() (ids []string) {
+			h.with(func() { ids = append(ids, h.held...) })
+			return ids
+		},
+	})
+	t.Cleanup(c.Close)
+	return c, h
+}
+
+// placement has a partition for each list of stores, the primary first. The first store is in zone z1, the rest in z2.
+func placement(epoch uint64, stores []*fakeStore, partitions ...[]uint16) *wire.StoreView {
+	v := &wire.StoreView{Epoch: epoch, Copies: 1}
+	for i, s := range stores {
+		zone := "z2"
+		if i == 0 {
+			zone = "z1"
+		}
+		address := s.server.Address()
+		v.Stores = append(v.Stores, wire.Store{Disk: address, Address: address, Zone: zone})
+	}
+	for _, replicas := range partitions {
+		v.Partitions = append(v.Partitions, wire.Placement{Replicas: replicas})
+	}
+	return v
+}
+
+func connected(t *testing.T, c *Client) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		for _, s := range c.view.Load().stores {
+			if s.conn() == nil {
+				return false
+			}
+		}
+		return true
+	}, soon, time.Millisecond)
+}
+
+func plain() *wire.Message { return &wire.Message{RequestID: "r", Body: []byte("b")} }
+
+func ordered() *wire.Message { return &wire.Message{RequestID: "r", Key: "k", Ordered: true} }
+
+func TestPutGoesToAPartitionOfTheOwnZone(t *testing.T) {
+	one, two := newFakeStore(t), newFakeStore(t)
+	c, h := newClient(t)
+	assert.False(t, c.Usable())
+	c.SetView(placement(1, []*fakeStore{one, two}, []uint16{1, 0}, []uint16{0, 1}, []uint16{1, 0}))
+	connected(t, c)
+	assert.True(t, c.Usable())
+	for range 10 {
+		m := plain()
+		require.Equal(t, Kept, c.Put(m, true, time.Second))
+		partition, ok := wire.PartitionOf(m.ID)
+		assert.True(t, ok)
+		assert.EqualValues(t, 1, partition)
+		h.with(func() { assert.Contains(t, h.kept, m.ID) })
+	}
+	one.with(func() {
+		assert.Len(t, one.puts, 10)
+		assert.EqualValues(t, 1, one.puts[0].Epoch)
+		assert.True(t, one.puts[0].Dispatch)
+		assert.Equal(t, []byte("b"), one.puts[0].Message.Body)
+		assert.Equal(t, wire.Attach{Edge: "edge-1", Zone: "z1"}, one.attaches[0])
+	})
+	assert.Zero(t, two.countPuts())
+}
+
+func TestPutThatIsNotForThisEdgeIsNotTold(t *testing.T) {
+	one := newFakeStore(t)
+	c, h := newClient(t)
+	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+	connected(t, c)
+	require.Equal(t, Kept, c.Put(plain(), false, time.Second))
+	h.with(func() { assert.Empty(t, h.kept) })
+}
+
+func TestRefusedPutGoesElsewhereUnderAnotherName(t *testing.T) {
+	one, two := newFakeStore(t), newFakeStore(t)
+	one.put = func(*wire.Put, int) *wire.PutReply { return &wire.PutReply{Code: wire.PutRefused} }
+	c, h := newClient(t)
+	c.SetView(placement(1, []*fakeStore{one, two}, []uint16{0}, []uint16{1}))
+	connected(t, c)
+	m := plain()
+	require.Equal(t, Kept, c.Put(m, true, time.Second))
+	partition, _ := wire.PartitionOf(m.ID)
+	assert.EqualValues(t, 1, partition)
+	h.with(func() { assert.Len(t, h.kept, 1) })
+	one.with(func() { assert.NotEqual(t, one.puts[0].Message.ID, m.ID) })
+}
+
+func TestPutThatAllRefuseIsRefused(t *testing.T) {
+	for _, code := range []wire.PutCode{wire.PutStale, wire.PutNotPrimary, wire.PutRefused} {
+		one := newFakeStore(t)
+		one.put = func(*wire.Put, int) *wire.PutReply { return &wire.PutReply{Code: code} }
+		c, _ := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+		connected(t, c)
+		assert.Equal(t, Refused, c.Put(plain(), true, 100*time.Millisecond))
+		assert.Equal(t, Refused, c.Put(ordered(), true, 100*time.Millisecond))
+		assert.Less(t, one.countPuts(), 40, "without a pause")
+	}
+}
+
+func TestPutWithoutStoresIsRefused(t *testing.T) {
+	c, _ := newClient(t)
+	assert.Equal(t, Refused, c.Put(plain(), true, 60*time.Millisecond))
+	one := newFakeStore(t)
+	one.server.Close()
+	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+	assert.Equal(t, Refused, c.Put(plain(), true, 60*time.Millisecond))
+}
+
+func TestPutWithoutAClearAnswerIsUnsure(t *testing.T) {
+	answers := map[string]func(*wire.Put, int) *wire.PutReply{
+		"none":    func(*wire.Put, int) *wire.PutReply { return nil },
+		"unknown": func(*wire.Put, int) *wire.PutReply { return &wire.PutReply{Code: wire.PutUnknown} },
+		"unknown, then refused": func(_ *wire.Put, number int) *wire.PutReply {
+			if number == 1 {
+				return &wire.PutReply{Code: wire.PutUnknown}
+			}
+			return &wire.PutReply{Code: wire.PutRefused}
+		},
+	}
+	for name, answer := range answers {
+		for _, m := range []*wire.Message{plain(), ordered()} {
+			t.Run(name, func(t *testing.T) {
+				one := newFakeStore(t)
+				one.put = answer
+				c, _ := newClient(t)
+				c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+				connected(t, c)
+				assert.Equal(t, Unsure, c.Put(m, true, 100*time.Millisecond))
+			})
+		}
+	}
+}
+
+func TestPutLeavesASilentStore(t *testing.T) {
+	one, two := newFakeStore(t), newFakeStore(t)
+	one.put = func(*wire.Put, int) *wire.PutReply { return nil }
+	c, _ := newClient(t)
+	c.SetView(placement(1, []*fakeStore{one, two}, []uint16{0}, []uint16{1}))
+	connected(t, c)
+	began := time.Now()
+	require.Equal(t, Kept, c.Put(plain(), true, time.Second))
+	assert.GreaterOrEqual(t, time.Since(began), putPatience)
+	for range 5 {
+		began = time.Now()
+		require.Equal(t, Kept, c.Put(plain(), true, time.Second))
+		assert.Less(t, time.Since(began), putPatience, "the silent store is passed over")
+	}
+	assert.Equal(t, 1, one.countPuts())
+}
+
+// A replica that does not sync keeps its primary from answering: the partition's stores are all passed over.
+func TestPutPassesOverTheStoresOfASilentPartition(t *testing.T) {
+	one, two, three := newFakeStore(t), newFakeStore(t), newFakeStore(t)
+	one.put = func(p *wire.Put, _ int) *wire.PutReply {
+		if p.Partition == 0 {
+			return nil
+		}
+		return &wire.PutReply{Code: wire.PutKept}
+	}
+	c, _ := newClient(t)
+	c.SetView(placement(1, []*fakeStore{one, two, three}, []uint16{0, 1}, []uint16{2}))
+	connected(t, c)
+	require.Equal(t, Kept, c.Put(plain(), true, time.Second))
+	assert.True(t, c.view.Load().stores[1].suspect(c.now()))
+	assert.Equal(t, 1, three.countPuts())
+}
+
+func TestLateKeptIsDropped(t *testing.T) {
+	one, two := newFakeStore(t), newFakeStore(t)
+	var late rpc.Reply
+	mux := rpc.NewMux()
+	arrived := make(chan wire.Put, 1)
+	rpc.Handle(mux, wire.MethodPut, func(_ *rpc.Conn, m *wire.Put, reply rpc.Reply) {
+		late = reply
+		arrived <- *m
+	})
+	dropped := make(chan wire.Report, 1)
+	rpc.Handle(mux, wire.MethodReport, func(_ *rpc.Conn, m *wire.Report, reply rpc.Reply) {
+		dropped <- *m
+		reply.Send(&wire.ReportReply{Code: wire.PutKept})
+	})
+	slow, err := rpc.Listen("127.0.0.1:0", rpc.Options{Mux: mux}, nil)
+	require.NoError(t, err)
+	defer slow.Close()
+	one.server.Close()
+	one.server = slow
+	c, h := newClient(t)
+	c.SetView(placement(1, []*fakeStore{one, two}, []uint16{0}, []uint16{1}))
+	connected(t, c)
+	m := plain()
+	require.Equal(t, Kept, c.Put(m, true, time.Second))
+	first := <-arrived
+	late.Send(&wire.PutReply{Code: wire.PutKept})
+	report := <-dropped
+	assert.Equal(t, first.Message.ID, report.ID)
+	assert.Equal(t, wire.ReportDropped, report.Kind)
+	h.with(func() { assert.Len(t, h.kept, 1); assert.Contains(t, h.kept, m.ID) })
+}
+
+func TestOrderedPutKeepsItsNameAndFollowsThePrimary(t *testing.T) {
+	one, two := newFakeStore(t), newFakeStore(t)
+	one.put = func(*wire.Put, int) *wire.PutReply { return &wire.PutReply{Code: wire.PutNotPrimary} }
+	two.put = func(*wire.Put, int) *wire.PutReply { return &wire.PutReply{Code: wire.PutKept, Granted: true} }
+	c, h := newClient(t)
+	stores := []*fakeStore{one, two}
+	c.SetView(placement(1, stores, []uint16{0, 1}))
+	connected(t, c)
+	time.AfterFunc(60*time.Millisecond, func() { c.SetView(placement(2, stores, []uint16{1, 0})) })
+	m := ordered()
+	require.Equal(t, Kept, c.Put(m, true, time.Second))
+	one.with(func() {
+		for _, p := range one.puts {
+			assert.Equal(t, m.ID, p.Message.ID)
+		}
+		assert.NotEmpty(t, one.puts)
+	})
+	two.with(func() {
+		require.Len(t, two.puts, 1)
+		assert.Equal(t, m.ID, two.puts[0].Message.ID)
+		assert.EqualValues(t, 2, two.puts[0].Epoch)
+	})
+	h.with(func() { assert.Equal(t, map[string]bool{m.ID: true}, h.kept) })
+}
+
+// The answer to a put is lost with the connection; the repeat's comes after the grant.
+func TestGrantThatOvertakesTheAnswer(t *testing.T) {
+	one := newFakeStore(t)
+	c, h := newClient(t)
+	one.put = func(p *wire.Put, _ int) *wire.PutReply {
+		_ = one.conns[len(one.conns)-1].Notify(wire.MethodGrant, &wire.Grant{ID: p.Message.ID})
+		return &wire.PutReply{Code: wire.PutKept}
+	}
+	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+	connected(t, c)
+	m := ordered()
+	require.Equal(t, Kept, c.Put(m, true, time.Second))
+	h.with(func() {
+		assert.Equal(t, map[string]bool{m.ID: true}, h.kept)
+		assert.Empty(t, h.granted)
+	})
+}
+
+func TestGrantsReachTheEdge(t *testing.T) {
+	one := newFakeStore(t)
+	c, h := newClient(t)
+	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+	require.Eventually(t, func() bool {
+		one.mu.Lock()
+		defer one.mu.Unlock()
+		return len(one.conns) == 1
+	}, soon, time.Millisecond)
+	one.with(func() { _ = one.conns[0].Notify(wire.MethodGrant, &wire.Grant{ID: "0.x", Whole: true}) })
+	require.Eventually(t, func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return len(h.granted) == 1
+	}, soon, time.Millisecond)
+}
+
+func TestReportIsRepeatedUntilAcknowledged(t *testing.T) {
+	one := newFakeStore(t)
+	codes := []wire.PutCode{wire.PutStale, wire.PutUnknown, wire.PutNotPrimary, wire.PutKept}
+	one.report = func(_ *wire.Report, number int) wire.PutCode { return codes[number-1] }
+	c, h := newClient(t)
+	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+	connected(t, c)
+	c.Report(wire.Report{ID: "0.x", Kind: wire.ReportDone, Signature: "s"})
+	assert.Equal(t, 1, c.Pending())
+	require.Eventually(t, func() bool { return c.Pending() == 0 }, soon, time.Millisecond)
+	assert.Equal(t, 4, one.countReports())
+	require.Eventually(t, func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return len(h.acknowledged) == 1
+	}, soon, time.Millisecond)
+}
+
+func TestReportFollowsThePrimary(t *testing.T) {
+	one, two := newFakeStore(t), newFakeStore(t)
+	one.report = func(*wire.Report, int) wire.PutCode { return wire.PutUnknown }
+	c, _ := newClient(t)
+	stores := []*fakeStore{one, two}
+	c.SetView(placement(1, stores, []uint16{0, 1}))
+	connected(t, c)
+	c.Report(wire.Report{ID: "0.x", Kind: wire.ReportDone, Signature: "s"})
+	require.Eventually(t, func() bool { return one.countReports() > 0 }, soon, time.Millisecond)
+	c.SetView(placement(2, stores, []uint16{1, 0}))
+	require.Eventually(t, func() bool { return c.Pending() == 0 }, soon, time.Millisecond)
+	two.with(func() {
+		assert.EqualValues(t, 2, two.reports[0].Epoch)
+		assert.Equal(t, "s", two.reports[0].Signature)
+	})
+}
+
+func TestReportsOfAMessageGoInTurn(t *testing.T) {
+	one := newFakeStore(t)
+	one.report = func(_ *wire.Report, number int) wire.PutCode {
+		if number == 1 {
+			return wire.PutUnknown
+		}
+		return wire.PutKept
+	}
+	c, h := newClient(t)
+	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+	connected(t, c)
+	c.Report(wire.Report{ID: "0.x", Kind: wire.ReportFailed, Failed: 1})
+	c.Report(wire.Report{ID: "0.x", Kind: wire.ReportDone, Failed: 1, Signature: "s"})
+	require.Eventually(t, func() bool { return c.Pending() == 0 }, soon, time.Millisecond)
+	var kinds []wire.ReportKind
+	one.with(func() {
+		for _, r := range one.reports {
+			kinds = append(kinds, r.Kind)
+		}
+	})
+	assert.Equal(t, []wire.ReportKind{wire.ReportFailed, wire.ReportFailed, wire.ReportDone}, kinds)
+	require.Eventually(t, func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return len(h.acknowledged) == 1
+	}, soon, time.Millisecond)
+}
+
+func TestReportSurvivesALostConnection(t *testing.T) {
+	one := newFakeStore(t)
+	one.report = func(_ *wire.Report, number int) wire.PutCode {
+		if number == 1 {
+			one.conns[0].Close()
+		}
+		return wire.PutKept
+	}
+	c, _ := newClient(t)
+	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+	connected(t, c)
+	require.Eventually(t, func() bool { return one.countClaims() > 0 }, soon, time.Millisecond)
+	c.Report(wire.Report{ID: "0.x", Kind: wire.ReportDone})
+	require.Eventually(t, func() bool { return c.Pending() == 0 }, soon, time.Millisecond)
+	assert.GreaterOrEqual(t, one.countReports(), 2)
+}
+
+func TestClaimsNameWhatThePrimaryShouldKnow(t *testing.T) {
+	one, two := newFakeStore(t), newFakeStore(t)
+	c, h := newClient(t)
+	h.held = []string{"0.a", "1.b", "1.c"}
+	two.claim = func(m *wire.Claim) *wire.ClaimReply {
+		if len(m.IDs) == 0 {
+			return &wire.ClaimReply{}
+		}
+		return &wire.ClaimReply{Unknown: []string{"1.c", "1.stranger"}}
+	}
+	stores := []*fakeStore{one, two}
+	c.SetView(placement(1, stores, []uint16{0, 1}, []uint16{1, 0}))
+	require.Eventually(t, func() bool { return one.countClaims() > 0 && two.countClaims() > 0 }, soon, time.Millisecond)
+	one.with(func() { assert.Equal(t, wire.Claim{Epoch: 1, IDs: []string{"0.a"}}, one.claims[0]) })
+	two.with(func() { assert.Equal(t, wire.Claim{Epoch: 1, IDs: []string{"1.b", "1.c"}}, two.claims[0]) })
+	require.Eventually(t, func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return len(h.unknown) > 0
+	}, soon, time.Millisecond)
+	h.with(func() { assert.Equal(t, []string{"1.c"}, h.unknown) })
+	claims := one.countClaims()
+	c.SetView(placement(2, stores, []uint16{0, 1}, []uint16{0, 1}))
+	require.Eventually(t, func() bool { return one.countClaims() > claims }, soon, time.Millisecond)
+	one.with(func() {
+		last := one.claims[len(one.claims)-1]
+		assert.EqualValues(t, 2, last.Epoch)
+		assert.ElementsMatch(t, []string{"0.a", "1.b", "1.c"}, last.IDs)
+	})
+}
+
+func TestClaimIsRepeatedToAStoreThatIsBehind(t *testing.T) {
+	one := newFakeStore(t)
+	calls := 0
+	one.claim = func(*wire.Claim) *wire.ClaimReply {
+		if calls++; calls < 3 {
+			return &wire.ClaimReply{Code: wire.PutStale}
+		}
+		return &wire.ClaimReply{}
+	}
+	c, _ := newClient(t)
+	c.SetView(placement(4, []*fakeStore{one}, []uint16{0}))
+	require.Eventually(t, func() bool { return one.countClaims() >= 3 }, soon, time.Millisecond)
+}
+
+func TestOlderViewsAreNotTaken(t *testing.T) {
+	one := newFakeStore(t)
+	c, _ := newClient(t)
+	c.SetView(placement(4, []*fakeStore{one}, []uint16{0}))
+	c.SetView(placement(3, []*fakeStore{one}, []uint16{0}, []uint16{0}))
+	assert.EqualValues(t, 4, c.view.Load().Epoch)
+}
+
+func TestStoreWithAnotherDiskIsAnother(t *testing.T) {
+	one := newFakeStore(t)
+	c, _ := newClient(t)
+	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+	connected(t, c)
+	before := c.view.Load().stores[0]
+	next := placement(2, []*fakeStore{one}, []uint16{0})
+	next.Stores[0].Disk = "other"
+	c.SetView(next)
+	connected(t, c)
+	assert.NotSame(t, before, c.view.Load().stores[0])
+	assert.Equal(t, Kept, c.Put(plain(), true, time.Second))
+}
+
+func TestDrainTellsTheStores(t *testing.T) {
+	one := newFakeStore(t)
+	c, _ := newClient(t)
+	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+	connected(t, c)
+	c.Drain()
+	require.Eventually(t, func() bool {
+		one.mu.Lock()
+		defer one.mu.Unlock()
+		return len(one.attaches) > 0 && one.attaches[len(one.attaches)-1].Draining
+	}, soon, time.Millisecond)
+}
+
+func TestFind(t *testing.T) {
+	one, two, three := newFakeStore(t), newFakeStore(t), newFakeStore(t)
+	c, _ := newClient(t)
+	_, err := c.Find("0.x", false)
+	assert.ErrorIs(t, err, ErrNoAnswer)
+	c.SetView(placement(1, []*fakeStore{one, two, three}, []uint16{0, 1}))
+	connected(t, c)
+
+	for _, id := range []string{"x", "", "0.", "zzzz.x", "7.x"} {
+		_, err = c.Find(id, false)
+		assert.ErrorIs(t, err, ErrNotFound, id)
+	}
+	_, err = c.Find("0.x", false)
+	assert.ErrorIs(t, err, ErrNotFound, "all said so")
+
+	found := &wire.FindReply{Found: true, State: wire.StateDone, Signature: "s"}
+	three.with(func() { three.find = func(*wire.Find) *wire.FindReply { return found } })
+	reply, err := c.Find("0.x", false)
+	require.NoError(t, err)
+	assert.Equal(t, found, reply)
+
+	one.with(func() { one.find = func(*wire.Find) *wire.FindReply { return nil } }) // silent
+	two.with(func() {
+		two.find = func(f *wire.Find) *wire.FindReply {
+			return &wire.FindReply{Found: true, Body: []byte("b"), State: wire.StatePending}
+		}
+	})
+	began := time.Now()
+	reply, err = c.Find("0.x", true)
+	require.NoError(t, err)
+	assert.Equal(t, []byte("b"), reply.Body)
+	assert.Less(t, time.Since(began), 2*findPatience)
+}
+
+func TestFindWithoutTheWordOfAllIsNoAnswer(t *testing.T) {
+	one, two := newFakeStore(t), newFakeStore(t)
+	one.find = func(*wire.Find) *wire.FindReply { return nil }
+	c, _ := newClient(t)
+	c.SetView(placement(1, []*fakeStore{one, two}, []uint16{0, 1}))
+	connected(t, c)
+	began := time.Now()
+	_, err := c.Find("0.x", false)
+	assert.ErrorIs(t, err, ErrNoAnswer)
+	assert.Less(t, time.Since(began), 2*time.Second, "askers wait two seconds")
+}
