--- /dev/null
+++ b/cmd/ravendale-control/main.go
@@ -0,0 +1,28 @@
+// Command ravendale-control is a process of the control plane: the operator's interface, the replicated control state, and, on
+// the one that holds the leader lease, membership, discovery and the placement of the queue.
+package main
+
+import (
+	"context"
+
+	"ravendale/program"
+)
+
+// Garbage collection: a small state, so that a smaller goal costs little.
+const (
+	gcPercent   = 50
+	memoryPart  = 2 // the process aims to stay under its limit divided by this
+	name        = "ravendale-control"
+	description = "The control plane of ravendale: configuration, membership, discovery and placement."
+)
+
+func main() {
+	program.Run(name, description, func(ctx context.Context, env program.Environment) error {
+		program.Memory(gcPercent, env.Settings.MemoryMb/memoryPart)
+		c, err := newControl(env)
+		if err != nil {
+			return err
+		}
+		return c.run(ctx)
+	})
+}
