Lead: lease members, read the list, place the queue and feed the tree

A new leader takes a term, adopts what members know of the last one so that nobody seems missing, and takes no store for lost before it could be heard. The agent no longer sends a renewal to who answered the one before.

--- /dev/null
+++ b/control/leader/leader.go
@@ -0,0 +1,224 @@
+// Package leader is what the holder of the leader lease does: it grants leases of membership, reads the platform's list, places the
+// queue, and feeds the relay tree. Of each process there is one Service, which leads in one term after another.
+package leader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"ravendale/control/placement"
+	"ravendale/control/state"
+	"ravendale/discovery"
+	"ravendale/relay"
+	"ravendale/rpc"
+	"ravendale/settings"
+	"ravendale/wire"
+)
+
+// Errors of the operator's orders.
+var (
+	ErrNotLeading  = errors.New("leader: another process leads")
+	ErrUnknownNode = errors.New("leader: no such store")
+	ErrTooFew      = errors.New("leader: too few stores would be left")
+	ErrUndecided   = errors.New("leader: the order may or may not be taken")
+)
+
+// Times of a Service.
+const (
+	submitTimeout = 2 * time.Second
+	retryPause    = 100 * time.Millisecond
+	statePoll     = 10 * time.Millisecond // until this process has applied what it submitted
+)
+
+// Config of a Service.
+type Config struct {
+	Settings *settings.Settings
+	Mux      *rpc.Mux // gets the handlers; the main program listens with it
+	Submit   func(ctx context.Context, command []byte) ([]byte, error)
+	State    func() *state.Snapshot // as this process has it
+	Leader   func() (address string, ok bool)
+	Core     func() []string // rpc addresses of the control processes
+	Log      *slog.Logger    // nil: the default
+	// Read reads the platform's list; nil: from the address in the settings.
+	Read func(ctx context.Context, gap time.Duration) (*wire.Workers, int, error)
+}
+
+// Service answers members, and leads when it is told to. Its methods may be called by any goroutine.
+type Service struct {
+	config   Config
+	log      *slog.Logger
+	settings atomic.Pointer[settings.Settings]
+	current  atomic.Pointer[term] // nil while this process does not lead
+}
+
+// NewService makes a service and registers its handlers on the Mux.
+func NewService(config Config) *Service {
+	s := &Service{config: config, log: config.Log}
+	if s.log == nil {
+		s.log = slog.Default()
+	}
+	s.settings.Store(config.Settings)
+	rpc.Handle(config.Mux, wire.MethodRenew, s.renew)
+	relay.Register(config.Mux, s.node)
+	return s
+}
+
+// SetSettings gives the service settings that were read again.
+func (s *Service) SetSettings(settings *settings.Settings) { s.settings.Store(settings) }
+
+// leading is the term in which this process leads now, if it does.
+func (s *Service) leading() *term {
+	t := s.current.Load()
+	if t == nil || !t.valid() {
+		return nil
+	}
+	return t
+}
+
+func (s *Service) node() *relay.Node {
+	if t := s.leading(); t != nil {
+		return t.node
+	}
+	return nil
+}
+
+func (s *Service) renew(c *rpc.Conn, renew *wire.Renew, reply rpc.Reply) {
+	t := s.leading()
+	if t != nil && t.box.Post(func() { t.renew(c, renew, reply) }) {
+		return
+	}
+	address, _ := s.config.Leader()
+	reply.Send(&wire.RenewReply{Leader: address, Core: s.config.Core()})
+}
+
+// Lead leads until the context ends. Valid says whether the leader lease holds; nothing is done once it does not.
+func (s *Service) Lead(ctx context.Context, valid func() bool) {
+	number, err := s.takeTerm(ctx, valid)
+	if err != nil {
+		return
+	}
+	s.log.Info("leading", "term", number)
+	t := newTerm(s, number, valid)
+	s.current.Store(t)
+	t.run(ctx)
+	s.current.CompareAndSwap(t, nil)
+	s.log.Info("not leading any more", "term", number)
+}
+
+// takeTerm has the state machine name a term for this leader, and waits until this process has applied all that came before.
+func (s *Service) takeTerm(ctx context.Context, valid func() bool) (uint64, error) {
+	for {
+		if !valid() {
+			if err := sleep(ctx, retryPause); err != nil {
+				return 0, err
+			}
+			continue
+		}
+		address := s.settings.Load().ControlAddress(s.settings.Load().IP)
+		result, err := s.submit(ctx, &state.TakeTerm{Candidate: address})
+		if err == nil && result.Taken() {
+			return result.Term, s.applied(ctx, func(now *state.Snapshot) bool { return now.Term >= result.Term })
+		}
+		if err := sleep(ctx, retryPause); err != nil {
+			return 0, err
+		}
+	}
+}
+
+func (s *Service) applied(ctx context.Context, reached func(*state.Snapshot) bool) error {
+	for !reached(s.config.State()) {
+		if err := sleep(ctx, statePoll); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+func (s *Service) submit(ctx context.Context, command state.Command) (*state.Result, error) {
+	encoded, err := state.Encode(command)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	answer, err := s.config.Submit(ctx, encoded)
+	if err != nil {
+		return nil, err
+	}
+	return state.DecodeResult(answer)
+}
+
+func sleep(ctx context.Context, pause time.Duration) error {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Changed tells that this process's state machine has applied commands. It does not wait.
+func (s *Service) Changed() {
+	if t := s.current.Load(); t != nil {
+		t.box.Post(func() {}) // after each event the term looks at the state
+	}
+}
+
+// StartRetire has a node's store emptied. The order may be repeated. After ErrUndecided it should be.
+func (s *Service) StartRetire(ctx context.Context, node string) error {
+	t := s.leading()
+	if t == nil {
+		return ErrNotLeading
+	}
+	answer := make(chan error, 1)
+	if !t.box.Post(func() { t.retire(ctx, node, answer) }) {
+		return ErrNotLeading
+	}
+	select {
+	case err := <-answer:
+		return err
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", ErrUndecided, ctx.Err())
+	case <-t.done:
+		return ErrUndecided
+	}
+}
+
+// RetireState says whether a node's store that was asked to retire is empty. It goes by what this process has applied.
+func (s *Service) RetireState(node string) (done bool, err error) {
+	known, retiring, done := placement.Retirement(s.config.State().Placement, node)
+	if !known || !retiring {
+		return false, fmt.Errorf("%w: %q", ErrUnknownNode, node)
+	}
+	return done, nil
+}
+
+// placementConfig follows from what may be lost.
+func placementConfig(s *settings.Settings) placement.Config {
+	return placement.Config{
+		Copies:     1 + max(s.LostNodes, s.LostZones, s.LostRegions),
+		Partitions: placement.DefaultPartitions,
+		Zones:      s.LostZones > 0,
+		Regions:    s.LostRegions > 0,
+	}
+}
+
+// reader is how the platform's list is read.
+func (s *Service) reader() (read func(context.Context, time.Duration) (*wire.Workers, int, error), done func()) {
+	if s.config.Read != nil {
+		return s.config.Read, func() {}
+	}
+	address := s.settings.Load().ProviderAddress
+	if address == "" {
+		none := func(context.Context, time.Duration) (*wire.Workers, int, error) { return &wire.Workers{}, 1, nil }
+		return none, func() {}
+	}
+	reader := discovery.NewReader(address)
+	return reader.Read, reader.Close
+}
--- a/control/placement/plan.go
+++ b/control/placement/plan.go
@@ -55,6 +55,7 @@
 			p.partitions[i] = partition{replicas: p.pick(place.Replicas), joining: p.pick(place.Joining)}
 		}
 	}
+	p.count()
 	sorted := slices.Clone(live)
 	slices.SortStableFunc(sorted, byPlace)
 	for _, s := range sorted {
@@ -84,6 +85,7 @@
 	for i, known := range p.stores {
 		if i != at && !known.live && (known.Node == s.Node || known.Address == s.Address) {
 			known.gone = true
+			p.stores[at].Retiring = p.stores[at].Retiring || known.Retiring && known.load > 0
 		}
 	}
 	known := p.stores[at]
--- a/member/agent.go
+++ b/member/agent.go
@@ -127,7 +127,8 @@
 func (a *Agent) now() time.Duration { return time.Since(a.started) }
 
 func (a *Agent) tick() time.Duration {
-	if a.session.tick(a.now(), a.conn != nil) {
+	a.connect()
+	if a.session.tick(a.now(), a.conn != nil && a.link.Address() == a.session.target) {
 		a.renew()
 	}
 	a.connect()
