--- /dev/null
+++ b/control/core/kinds.go
@@ -0,0 +1,73 @@
+package core
+
+import (
+	"fmt"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"ravendale/control/chain"
+	"ravendale/control/lease"
+	"ravendale/control/view"
+	"ravendale/wire"
+)
+
+// kind is one of the notifications among members.
+type kind struct {
+	method wire.Method
+	empty  func() msgp.Unmarshaler
+}
+
+var kinds = []kind{
+	{methodBeat, func() msgp.Unmarshaler { return new(beat) }},
+	{methodPrepare, func() msgp.Unmarshaler { return new(view.Prepare) }},
+	{methodPromise, func() msgp.Unmarshaler { return new(view.Promise) }},
+	{methodAccept, func() msgp.Unmarshaler { return new(view.Accept) }},
+	{methodAcceptReply, func() msgp.Unmarshaler { return new(view.AcceptReply) }},
+	{methodDecided, func() msgp.Unmarshaler { return new(decided) }},
+	{methodAttach, func() msgp.Unmarshaler { return new(chain.Attach) }},
+	{methodFill, func() msgp.Unmarshaler { return new(chain.Fill) }},
+	{methodAppend, func() msgp.Unmarshaler { return new(chain.Append) }},
+	{methodAck, func() msgp.Unmarshaler { return new(chain.Ack) }},
+	{methodGap, func() msgp.Unmarshaler { return new(chain.Gap) }},
+	{methodPropose, func() msgp.Unmarshaler { return new(propose) }},
+	{methodLeaseRequest, func() msgp.Unmarshaler { return new(lease.Request) }},
+	{methodLeaseReply, func() msgp.Unmarshaler { return new(lease.Reply) }},
+	{methodLeaseRelease, func() msgp.Unmarshaler { return new(lease.Release) }},
+}
+
+// methodOf tells the method of a message.
+func methodOf(message msgp.Marshaler) wire.Method {
+	switch message.(type) {
+	case *beat:
+		return methodBeat
+	case *view.Prepare:
+		return methodPrepare
+	case *view.Promise:
+		return methodPromise
+	case *view.Accept:
+		return methodAccept
+	case *view.AcceptReply:
+		return methodAcceptReply
+	case *decided:
+		return methodDecided
+	case *chain.Attach:
+		return methodAttach
+	case *chain.Fill:
+		return methodFill
+	case *chain.Append:
+		return methodAppend
+	case *chain.Ack:
+		return methodAck
+	case *chain.Gap:
+		return methodGap
+	case *propose:
+		return methodPropose
+	case *lease.Request:
+		return methodLeaseRequest
+	case *lease.Reply:
+		return methodLeaseReply
+	case *lease.Release:
+		return methodLeaseRelease
+	}
+	panic(fmt.Sprintf("core: %T has no method", message))
+}
--- /dev/null
+++ b/control/core/messages.go
@@ -0,0 +1,95 @@
+package core
+
+import (
+	"ravendale/control/chain"
+	"ravendale/control/view"
+	"ravendale/wire"
+)
+
+//go:generate go run github.com/tinylib/msgp -file messages.go -o messages_gen.go -tests=false
+//msgp:tuple beat decided propose forward forwardReply record image
+
+// Methods of the core's messages, all of them notifications but the last.
+const (
+	methodBeat wire.Method = wire.MethodCorePrivate + iota
+	methodPrepare
+	methodPromise
+	methodAccept
+	methodAcceptReply
+	methodDecided
+	methodAttach
+	methodFill
+	methodAppend
+	methodAck
+	methodGap
+	methodPropose
+	methodLeaseRequest
+	methodLeaseReply
+	methodLeaseRelease
+	methodForward // forward, forwardReply
+)
+
+// beat is what a process tells all others of the core now and then.
+type beat struct {
+	Member    view.Member // its ID is zero if the process has no disk
+	Epoch     uint64      // zero: it knows no view
+	Founder   bool        // it may found the core together with the other seeds
+	Idle      bool        // it is the head and can't order in this epoch
+	Whole     bool
+	Attached  bool
+	Synced    uint64
+	Committed uint64
+	Missing   []view.ID // members that it does not hear
+	Leading   bool      // it holds the leader lease
+	Leader    string    // rpc address of the holder as it knows, empty if it knows none
+}
+
+// decided tells of a view that is decided.
+type decided struct {
+	View view.View
+}
+
+// propose asks the head to order a command.
+type propose struct {
+	Epoch   uint64
+	Origin  uint64
+	Number  uint64
+	Low     uint64 // all its commands below have ended
+	Command []byte
+}
+
+// forward asks a member to submit a command for a process without a disk.
+type forward struct {
+	WaitMillis uint32
+	Command    []byte
+}
+
+type outcome uint8
+
+const (
+	outcomeDone outcome = iota
+	outcomeUnavailable
+	outcomeUnknown
+)
+
+type forwardReply struct {
+	Outcome outcome
+	Result  []byte
+}
+
+// record is one change of the image on disk. One of its parts is set.
+type record struct {
+	View  *view.View
+	Vote  *view.Vote
+	Write *chain.Write
+}
+
+// image is all that a member keeps on disk.
+type image struct {
+	ID       view.ID
+	Founders []string // rpc addresses of the seeds, if it may found the core
+	View     view.View
+	Vote     view.Vote
+	Chain    chain.State
+	Machine  []byte
+}
--- /dev/null
+++ b/control/core/node.go
@@ -0,0 +1,549 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"ravendale/control/chain"
+	"ravendale/control/lease"
+	"ravendale/control/view"
+)
+
+// Times by which a member judges others.
+const (
+	beatEvery    = 200 * time.Millisecond
+	silentAfter  = 700 * time.Millisecond // then a member counts as down
+	joinAfter    = 300 * time.Millisecond // so long a member is heard of before it is taken in
+	settleAfter  = 500 * time.Millisecond // after a start, so long is waited for others before the chain is changed
+	rankPause    = 150 * time.Millisecond // by which each further proposer waits longer
+	leaderPause  = 400 * time.Millisecond // by which each further candidate waits longer
+	askAgain     = 250 * time.Millisecond // between rounds of a candidate
+	proposeAgain = 200 * time.Millisecond // after which a command that was sent to the head is sent again
+	stuckAfter   = time.Second            // a member whose disk takes longer falls silent
+	absentGap    = 400 * time.Millisecond // a member that was not run for so long judges nobody at first
+	forgetAfter  = 10 * time.Second       // a stranger that is silent for longer is forgotten
+	leastLog     = 64 << 10               // bytes of log before a snapshot is taken
+)
+
+// nodeConfig is what a node must know from the start.
+type nodeConfig struct {
+	Address    string
+	Zone       string
+	Seeds      []string // rpc addresses
+	Bootstrap  bool
+	Disk       bool
+	Candidate  bool
+	Durability view.Durability
+	GoneAfter  time.Duration // a voter that is down for longer may be given up
+	Terms      lease.Terms
+	Machine    Machine
+	Random     func() uint64
+	faults     faults
+}
+
+// faults are mistakes that tests make on purpose, to see that they would be caught.
+type faults struct {
+	minority   bool // a view is decided by a single voter
+	unsyncedOK bool // what waits for the disk does not
+}
+
+// post is a message to send. Its type tells the method.
+type post struct {
+	To      string
+	Message msgp.Marshaler
+}
+
+// diskWrite is a change on disk: records to append, or a whole new image. The node hears OnDisk with its batch when it is lasting.
+type diskWrite struct {
+	Batch   uint64
+	Records [][]byte
+	Image   []byte
+}
+
+// ended is the end of a command submitted here.
+type ended struct {
+	Number uint64
+	Result []byte
+	Err    error
+}
+
+// output is what a node wants done, in any order but that of the writes.
+type output struct {
+	Writes  []diskWrite
+	Posts   []post
+	Ended   []ended
+	Applied bool
+}
+
+// node is a member of the core without clock, sockets or disk: each method takes the steady time and returns what is to be done.
+type node struct {
+	config  nodeConfig
+	self    view.Member
+	founder []string
+	origin  uint64 // of commands submitted in this life
+	started time.Duration
+	grace   time.Duration // until then nobody is judged silent
+	ticked  time.Duration
+
+	view  view.View
+	vote  view.Vote
+	chain *chain.Chain
+	voter *lease.Voter
+	idle  bool // the head, but started in this epoch
+
+	unborn bool // its identity is not on disk yet
+
+	peers    map[string]*peer // by address
+	beatAt   time.Duration
+	missing  []view.ID
+	proposer *view.Proposer
+	round    uint64
+	wanted   time.Duration // since when another view is wanted, negative if none is
+	retryAt  time.Duration
+
+	holder     *lease.Holder
+	askAt      time.Duration
+	leader     string
+	leaderTill time.Duration
+	leaderLost time.Duration
+
+	pending map[uint64]*command
+	number  uint64
+
+	out       output
+	inbox     []letter // from itself
+	held      []heldPost
+	marks     []batchMark
+	batch     uint64 // newest given to the disk
+	lasting   uint64 // newest known to be on disk
+	records   [][]byte
+	whole     bool // the next write is the whole image
+	logBytes  int
+	imageSize int
+	busySince time.Duration // since when a write is under way
+}
+
+type peer struct {
+	member    view.Member
+	beat      beat
+	heard     time.Duration
+	since     time.Duration // heard without a pause since
+	refused   bool
+	contacted bool // was heard at least once
+}
+
+type command struct {
+	number  uint64
+	command []byte
+	epoch   uint64 // in which it was sent to the head; zero: it surely is not on its way
+	sentAt  time.Duration
+}
+
+type letter struct {
+	from    view.Member
+	message any
+}
+
+type heldPost struct {
+	batch uint64
+	post  post
+}
+
+type batchMark struct {
+	batch uint64
+	mark  chain.Mark
+}
+
+// newNode makes a node from what is on its disk, nil if nothing is; then the first output has a write, and the node is silent until
+// that is on disk.
+func newNode(now time.Duration, config nodeConfig, snapshot []byte, records [][]byte) (*node, error) {
+	n := &node{
+		config: config, started: now, ticked: now, grace: now + silentAfter, wanted: -1,
+		peers: make(map[string]*peer), pending: make(map[uint64]*command), leaderLost: now,
+		origin: config.Random() | 1, beatAt: now,
+	}
+	n.self = view.Member{Address: config.Address, Zone: config.Zone}
+	if !config.Disk {
+		n.chain = chain.New(0, chain.State{}, config.Machine.Snapshot)
+		n.voter = lease.NewVoter(now, config.Terms, false)
+		n.holder = lease.NewHolder(config.Terms, 0)
+		return n, nil
+	}
+	kept, err := n.load(snapshot, records)
+	if err != nil {
+		return nil, err
+	}
+	n.self.ID, n.founder, n.view, n.vote = kept.ID, kept.Founders, kept.View, kept.Vote
+	n.chain = chain.New(n.self.ID, kept.Chain, config.Machine.Snapshot)
+	n.voter = lease.NewVoter(now, config.Terms, n.view.Epoch == 0)
+	n.holder = lease.NewHolder(config.Terms, n.self.ID)
+	if n.view.Epoch > 0 {
+		n.follow(now, true)
+	}
+	if snapshot == nil {
+		n.whole, n.unborn = true, true
+	}
+	n.finish(now)
+	return n, nil
+}
+
+func (n *node) load(snapshot []byte, records [][]byte) (*image, error) {
+	kept := &image{}
+	if snapshot == nil {
+		kept.ID = view.ID(n.config.Random() | 1)
+		if n.config.Bootstrap && slices.Contains(n.config.Seeds, n.config.Address) {
+			kept.Founders = n.config.Seeds
+		}
+		return kept, nil
+	}
+	if _, err := kept.UnmarshalMsg(snapshot); err != nil {
+		return nil, fmt.Errorf("core: snapshot on disk: %w", err)
+	}
+	for i, data := range records {
+		var change record
+		if _, err := change.UnmarshalMsg(data); err != nil {
+			return nil, fmt.Errorf("core: record %d on disk: %w", i, err)
+		}
+		kept.replay(&change)
+	}
+	n.imageSize = len(snapshot)
+	if len(kept.Machine) > 0 {
+		if err := n.config.Machine.Restore(kept.Machine); err != nil {
+			return nil, fmt.Errorf("core: machine's snapshot on disk: %w", err)
+		}
+	}
+	return kept, nil
+}
+
+func (i *image) replay(change *record) {
+	switch {
+	case change.View != nil:
+		i.View = *change.View
+		i.Chain.Follow(i.ID, &i.View)
+	case change.Vote != nil:
+		i.Vote = *change.Vote
+	case change.Write != nil:
+		i.Chain.Replay(change.Write)
+	}
+}
+
+// ready says whether the node's identity is on disk, so that it may speak.
+func (n *node) ready() bool { return !n.unborn }
+
+// Take returns what is to be done.
+func (n *node) Take() output {
+	out := n.out
+	n.out = output{}
+	return out
+}
+
+// finish ends each step: it delivers what the node sent to itself, and gives the changes to the disk.
+func (n *node) finish(now time.Duration) {
+	n.drain(now)
+	for len(n.inbox) > 0 {
+		letter := n.inbox[0]
+		n.inbox = n.inbox[1:]
+		n.dispatch(now, letter.from, letter.message)
+		n.drain(now)
+	}
+	n.flush(now)
+}
+
+// drain turns the chain's actions into the node's.
+func (n *node) drain(now time.Duration) {
+	for {
+		actions := n.chain.Take()
+		if actions.Install == nil && len(actions.Writes)+len(actions.Commits)+len(actions.Sends) == 0 {
+			return
+		}
+		if actions.Install != nil {
+			n.install(actions.Install)
+		}
+		for i := range actions.Writes {
+			n.log(&record{Write: &actions.Writes[i]})
+		}
+		for i := range actions.Commits {
+			n.apply(now, &actions.Commits[i])
+		}
+		for _, send := range actions.Sends {
+			n.send(send.To, send.Message.(msgp.Marshaler))
+		}
+	}
+}
+
+func (n *node) install(fill *chain.Fill) {
+	if err := n.config.Machine.Restore(fill.Snapshot); err != nil {
+		panic(fmt.Sprintf("core: snapshot of another member: %v", err)) // its state can't be trusted any more
+	}
+	n.whole, n.records = true, nil
+	n.out.Applied = true
+	for _, pending := range n.pending {
+		if pending.epoch != 0 {
+			n.end(pending, nil, ErrUnknown)
+		}
+	}
+}
+
+func (n *node) apply(now time.Duration, entry *chain.Entry) {
+	for _, pending := range n.pending {
+		if pending.epoch != 0 && pending.epoch < entry.Epoch {
+			pending.epoch = 0 // what was ordered in that epoch has been applied, and this was not in it
+		}
+	}
+	if entry.Origin == 0 {
+		return
+	}
+	result := n.config.Machine.Apply(entry.Command)
+	n.out.Applied = true
+	if entry.Origin != n.origin {
+		return
+	}
+	if pending := n.pending[entry.Number]; pending != nil {
+		n.end(pending, result, nil)
+	}
+}
+
+func (n *node) end(pending *command, result []byte, err error) {
+	delete(n.pending, pending.number)
+	n.out.Ended = append(n.out.Ended, ended{Number: pending.number, Result: result, Err: err})
+}
+
+func (n *node) log(change *record) {
+	if n.whole {
+		return // the image will have it
+	}
+	data, err := change.MarshalMsg(nil)
+	if err != nil {
+		panic(err) // the generated code only fails on types that a record has not
+	}
+	n.records = append(n.records, data)
+	n.logBytes += len(data)
+}
+
+// flush gives the changes of this step to the disk.
+func (n *node) flush(now time.Duration) {
+	if !n.whole && len(n.records) == 0 {
+		return
+	}
+	if n.logBytes > max(leastLog, 2*n.imageSize) {
+		n.whole = true
+	}
+	if n.batch == n.lasting {
+		n.busySince = now
+	}
+	n.batch++
+	write := diskWrite{Batch: n.batch, Records: n.records}
+	if n.whole {
+		write.Records, write.Image = nil, n.image()
+		n.imageSize, n.logBytes = len(write.Image), 0
+	}
+	n.whole, n.records = false, nil
+	n.out.Writes = append(n.out.Writes, write)
+	n.marks = append(n.marks, batchMark{n.batch, n.chain.Mark()})
+}
+
+func (n *node) image() []byte {
+	kept := image{
+		ID: n.self.ID, Founders: n.founder, View: n.view, Vote: n.vote,
+		Chain: n.chain.State(), Machine: n.config.Machine.Snapshot(),
+	}
+	data, err := kept.MarshalMsg(nil)
+	if err != nil {
+		panic(err) // as for a record
+	}
+	return data
+}
+
+// OnDisk tells that a write, and all before it, is lasting.
+func (n *node) OnDisk(now time.Duration, batch uint64) {
+	n.lasting = max(n.lasting, batch)
+	n.unborn = false
+	n.busySince = now
+	for len(n.marks) > 0 && n.marks[0].batch <= batch {
+		n.chain.OnDisk(now, n.marks[0].mark)
+		n.drain(now)
+		n.marks = n.marks[1:]
+	}
+	for len(n.held) > 0 && n.held[0].batch <= batch {
+		n.deliver(n.held[0].post)
+		n.held = n.held[1:]
+	}
+	n.submitAll(now)
+	n.finish(now)
+}
+
+// send posts a message to a member.
+func (n *node) send(to view.ID, message msgp.Marshaler) {
+	if to == n.self.ID {
+		n.deliver(post{n.self.Address, message})
+		return
+	}
+	if member, ok := n.view.Voter(to); ok {
+		n.deliver(post{member.Address, message})
+	}
+}
+
+// sendLasting posts a message once all that was written so far is on disk.
+func (n *node) sendLasting(to string, message msgp.Marshaler) {
+	pending := n.batch
+	if n.whole || len(n.records) > 0 {
+		pending++
+	}
+	if pending == n.lasting || n.config.faults.unsyncedOK {
+		n.deliver(post{to, message})
+		return
+	}
+	n.held = append(n.held, heldPost{pending, post{to, message}})
+}
+
+func (n *node) deliver(p post) {
+	if p.To == n.self.Address {
+		n.inbox = append(n.inbox, letter{n.self, p.Message})
+		return
+	}
+	n.out.Posts = append(n.out.Posts, p)
+}
+
+func (n *node) sendVoters(message msgp.Marshaler) {
+	for _, member := range n.view.Voters {
+		n.deliver(post{member.Address, message})
+	}
+}
+
+// Receive takes a message of another member, or of a process without a disk.
+func (n *node) Receive(now time.Duration, from view.Member, message any) {
+	if !n.ready() {
+		return
+	}
+	n.dispatch(now, from, message)
+	n.finish(now)
+}
+
+func (n *node) dispatch(now time.Duration, from view.Member, message any) {
+	if !n.config.Disk {
+		n.overhear(now, from, message)
+		return
+	}
+	switch m := message.(type) {
+	case *beat:
+		n.onBeat(now, m)
+	case *decided:
+		n.adopt(now, &m.View)
+	case *view.Prepare:
+		n.onPrepare(now, from, m)
+	case *view.Promise:
+		n.onPromise(now, from, m)
+	case *view.Accept:
+		n.onAccept(now, from, m)
+	case *view.AcceptReply:
+		n.onAcceptReply(now, from, m)
+	case *chain.Attach:
+		n.chain.OnAttach(now, from.ID, m)
+	case *chain.Fill:
+		n.chain.OnFill(now, from.ID, m)
+	case *chain.Append:
+		n.chain.OnAppend(now, from.ID, m)
+	case *chain.Ack:
+		n.chain.OnAck(m)
+	case *chain.Gap:
+		n.chain.OnGap(now, from.ID, m)
+	case *propose:
+		if m.Epoch == n.view.Epoch {
+			n.chain.Order(now, m.Origin, m.Number, m.Low, m.Command)
+		}
+	case *lease.Request:
+		n.onLeaseRequest(now, from, m)
+	case *lease.Reply:
+		n.onLeaseReply(now, from, m)
+	case *lease.Release:
+		n.voter.Release(from.ID, m.Round)
+	}
+}
+
+// overhear is all that a process without a disk takes in.
+func (n *node) overhear(now time.Duration, from view.Member, message any) {
+	switch m := message.(type) {
+	case *beat:
+		n.hear(now, m)
+	case *decided:
+		if m.View.Epoch > n.view.Epoch {
+			n.view = m.View
+		}
+	}
+}
+
+// follow makes the chain follow the node's view.
+func (n *node) follow(now time.Duration, restarted bool) {
+	n.chain.Adopt(now, &n.view, n.config.Durability.Met(&n.view), restarted)
+	n.idle = restarted && n.chain.Position() == 0
+	if n.vote.Sealed(n.view.Epoch) {
+		n.chain.Seal()
+	}
+	n.proposer, n.wanted = nil, -1
+}
+
+// adopt moves to a view that is decided.
+func (n *node) adopt(now time.Duration, next *view.View) {
+	if next.Epoch <= n.view.Epoch {
+		return
+	}
+	n.voter.Adopt(now, &n.view, next)
+	n.view = *next
+	n.log(&record{View: next})
+	n.follow(now, false)
+	n.drain(now)
+	if n.chain.Position() < 0 && n.holder.Valid(now) {
+		n.sendVoters(n.holder.Drop())
+	}
+	n.beatAt = now
+}
+
+// Tick does what is due, and returns when to call it again at the latest.
+func (n *node) Tick(now time.Duration) time.Duration {
+	if now-n.ticked > absentGap {
+		n.grace = now + silentAfter
+	}
+	n.ticked = now
+	if n.ready() && (n.batch == n.lasting || now-n.busySince < stuckAfter) {
+		n.work(now)
+	}
+	n.finish(now)
+	return n.next(now)
+}
+
+func (n *node) work(now time.Duration) {
+	n.watch(now)
+	if now >= n.beatAt {
+		n.sendBeats(now)
+	}
+	if !n.config.Disk {
+		return
+	}
+	n.found(now)
+	n.chain.Tick(now)
+	n.seekView(now)
+	n.seekLease(now)
+	n.submitAll(now)
+}
+
+// next is when something is due: often while something is under way, else with the next beat.
+func (n *node) next(now time.Duration) time.Duration {
+	const brisk = 20 * time.Millisecond
+	at := max(n.beatAt, now+brisk)
+	busy := n.proposer != nil || n.wanted >= 0 || n.seeking(now) || n.chain.Position() >= 0 && !n.chain.Attached()
+	if busy {
+		return now + brisk
+	}
+	if n.holder.Valid(now) {
+		asked, granted := n.holder.Asked()
+		wait := askAgain
+		if granted {
+			wait = n.config.Terms.Renew
+		}
+		at = min(at, max(asked+wait, now+brisk))
+	}
+	return at
+}
--- /dev/null
+++ b/control/core/peers.go
@@ -0,0 +1,244 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"ravendale/control/chain"
+	"ravendale/control/view"
+)
+
+func (n *node) onBeat(now time.Duration, m *beat) {
+	known := n.hear(now, m)
+	if m.Epoch < n.view.Epoch {
+		n.sendLasting(m.Member.Address, &decided{View: n.view})
+	}
+	if !known {
+		n.deliver(post{m.Member.Address, n.beat(now)})
+	}
+	if m.Member.ID != 0 {
+		n.chain.OnBeat(now, m.Member.ID, chain.Beat{Epoch: m.Epoch, Attached: m.Attached, Synced: m.Synced, Committed: m.Committed})
+	}
+}
+
+// hear notes a beat, and says whether its sender was known.
+func (n *node) hear(now time.Duration, m *beat) (known bool) {
+	p := n.peers[m.Member.Address]
+	known = p != nil && p.contacted && p.member.ID == m.Member.ID
+	if !known {
+		p = &peer{since: now, contacted: true}
+		n.peers[m.Member.Address] = p
+	} else if now-p.heard > silentAfter || p.refused {
+		p.since = now
+	}
+	p.member, p.beat, p.heard, p.refused = m.Member, *m, now, false
+	n.noteLeader(now, m)
+	return known
+}
+
+func (n *node) noteLeader(now time.Duration, m *beat) {
+	switch {
+	case m.Leading:
+		n.leader, n.leaderTill = m.Member.Address, now+silentAfter
+	case !n.config.Disk && m.Leader != "" && now >= n.leaderTill:
+		n.leader, n.leaderTill = m.Leader, now+silentAfter // by hearsay, which is not passed on
+	case m.Member.Address == n.leader:
+		n.leaderTill = min(n.leaderTill, now) // it holds the lease no more
+	}
+}
+
+// Refused tells that an address was found to have nobody listening.
+func (n *node) Refused(now time.Duration, address string) {
+	p := n.peers[address]
+	if p == nil {
+		p = &peer{heard: now}
+		n.peers[address] = p
+	}
+	p.refused = now-n.started >= settleAfter // before, it may not have started yet
+	n.watch(now)
+	n.finish(now)
+}
+
+// find returns the peer with an identity.
+func (n *node) find(id view.ID) *peer {
+	for _, p := range n.peers {
+		if p.member.ID == id && p.contacted {
+			return p
+		}
+	}
+	return nil
+}
+
+// hears says whether this node hears a member itself, given the benefit of the doubt while it can't know yet.
+func (n *node) hears(now time.Duration, id view.ID) bool {
+	if id == n.self.ID {
+		return true
+	}
+	p := n.find(id)
+	if p == nil {
+		member, _ := n.view.Voter(id)
+		refused := n.peers[member.Address] != nil && (n.peers[member.Address].refused || n.peers[member.Address].contacted)
+		return now < n.grace && !refused
+	}
+	return !p.refused && (now-p.heard < silentAfter || now < n.grace)
+}
+
+// lives says whether a member is heard by this node, or by another that this node hears.
+func (n *node) lives(now time.Duration, id view.ID) bool {
+	if n.hears(now, id) {
+		return true
+	}
+	if member, ok := n.view.Voter(id); ok {
+		if p := n.peers[member.Address]; p != nil && (p.refused || p.contacted && p.member.ID != id) {
+			return false // its process has ended
+		}
+	}
+	for _, p := range n.peers {
+		if p.beat.Epoch == n.view.Epoch && p.member.ID != 0 && p.member.ID != id && n.hears(now, p.member.ID) &&
+			n.view.Position(p.member.ID) >= 0 && !slices.Contains(p.beat.Missing, id) {
+			return true
+		}
+	}
+	return false
+}
+
+// touch says whether messages pass between two members, as far as is known.
+func (n *node) touch(now time.Duration, a, b view.ID) bool {
+	return n.reaches(now, a, b) && n.reaches(now, b, a)
+}
+
+func (n *node) reaches(now time.Duration, from, to view.ID) bool {
+	if to == n.self.ID {
+		return n.hears(now, from)
+	}
+	p := n.find(to)
+	return p == nil || !n.hears(now, to) || !slices.Contains(p.beat.Missing, from)
+}
+
+func (n *node) joinable(now time.Duration, id view.ID) bool {
+	if id == n.self.ID {
+		return true
+	}
+	p := n.find(id)
+	return id != 0 && p != nil && !p.refused && now-p.heard < silentAfter && now-p.since >= joinAfter
+}
+
+func (n *node) gone(now time.Duration, id view.ID) bool {
+	if id == n.self.ID || n.lives(now, id) {
+		return false
+	}
+	last := n.started
+	if p := n.find(id); p != nil {
+		last = max(last, p.heard)
+	}
+	return now-max(last, n.grace-silentAfter) >= n.config.GoneAfter
+}
+
+// watch notes whom the node does not hear, and tells the others at once if that changes.
+func (n *node) watch(now time.Duration) {
+	var missing []view.ID
+	for _, member := range n.view.Voters {
+		if !n.hears(now, member.ID) {
+			missing = append(missing, member.ID)
+		}
+	}
+	if !slices.Equal(missing, n.missing) {
+		n.missing = missing
+		n.beatAt = now
+	}
+	for address, p := range n.peers {
+		if now-p.heard > forgetAfter && !n.isVoter(p.member.ID) {
+			delete(n.peers, address)
+		}
+	}
+	if n.leader != "" && now >= n.leaderTill && !n.leads(now) {
+		n.leader, n.leaderLost = "", now
+	}
+}
+
+func (n *node) isVoter(id view.ID) bool {
+	_, ok := n.view.Voter(id)
+	return ok
+}
+
+func (n *node) beat(now time.Duration) *beat {
+	return &beat{
+		Member: n.self, Epoch: n.view.Epoch, Founder: len(n.founder) > 0, Idle: n.idle, Whole: n.chain.Whole(),
+		Attached: n.chain.Attached(), Synced: n.chain.Synced(), Committed: n.chain.Committed(),
+		Missing: n.missing, Leading: n.leads(now), Leader: n.leaderAddress(now),
+	}
+}
+
+func (n *node) sendBeats(now time.Duration) {
+	n.beatAt = now + beatEvery
+	message := n.beat(now)
+	for _, address := range n.Addresses() {
+		if address != n.self.Address {
+			n.deliver(post{address, message})
+		}
+	}
+}
+
+// Addresses are those of all core processes that are known; the seeds count as long as nobody better is.
+func (n *node) Addresses() []string {
+	var addresses []string
+	add := func(address string) {
+		if address != "" && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	for _, member := range n.view.Voters {
+		add(member.Address)
+	}
+	for _, p := range n.peers {
+		if p.contacted {
+			add(p.member.Address)
+		}
+	}
+	if n.view.Epoch == 0 || !n.chain.Attached() {
+		for _, seed := range n.config.Seeds {
+			add(seed)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// found proposes the first view, once all seeds are there, at the one with the lowest address. Since only that one ever proposes
+// it, and has it on disk before it tells, it is decided.
+func (n *node) found(now time.Duration) {
+	if n.view.Epoch != 0 || len(n.founder) == 0 {
+		return
+	}
+	members := []view.Member{n.self}
+	for _, address := range n.founder {
+		if address == n.self.Address {
+			continue
+		}
+		p := n.peers[address]
+		if p == nil || !p.contacted || now-p.heard > silentAfter || p.refused {
+			return
+		}
+		if p.member.ID == 0 {
+			continue // without a disk
+		}
+		if !p.beat.Founder || p.beat.Epoch != 0 || address < n.self.Address {
+			return
+		}
+		members = append(members, p.member)
+	}
+	slices.SortFunc(members[1:], func(a, b view.Member) int {
+		if a.Address < b.Address {
+			return -1
+		}
+		return 1
+	})
+	first := view.View{Epoch: 1, Voters: members, Whole: len(members)}
+	for _, member := range members {
+		first.Chain = append(first.Chain, member.ID)
+	}
+	n.adopt(now, &first)
+	for _, member := range members[1:] {
+		n.sendLasting(member.Address, &decided{View: first})
+	}
+}
--- /dev/null
+++ b/control/core/simulation_test.go
@@ -0,0 +1,709 @@
+package core
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/tinylib/msgp/msgp"
+
+	"ravendale/control/lease"
+	"ravendale/control/view"
+	"ravendale/storage/slots"
+	"ravendale/storage/slots/slotstest"
+)
+
+// mutant is a mistake that the simulation must catch.
+type mutant int
+
+const (
+	sound mutant = iota
+	unsyncedAck
+	minorityView
+	noMargin
+	keptIdentity
+)
+
+// register is a machine that holds one number and changes it by compare-and-set.
+type register struct{ value int }
+
+func (r *register) Apply(command []byte) []byte {
+	operation, from, to := parseCommand(command)
+	switch operation {
+	case "read":
+		return []byte(strconv.Itoa(r.value))
+	default:
+		if r.value != from {
+			return []byte("refused")
+		}
+		r.value = to
+		return []byte("taken")
+	}
+}
+
+func parseCommand(command []byte) (operation string, from, to int) {
+	parts := strings.Split(string(command), " ")
+	if len(parts) == 3 {
+		from, _ = strconv.Atoi(parts[1])
+		to, _ = strconv.Atoi(parts[2])
+	}
+	return parts[0], from, to
+}
+
+func (r *register) Snapshot() []byte { return []byte(strconv.Itoa(r.value)) }
+
+func (r *register) Restore(snapshot []byte) (err error) {
+	r.value, err = strconv.Atoi(string(snapshot))
+	return err
+}
+
+// simulation is a whole core in simulated time.
+type simulation struct {
+	random  *rand.Rand
+	mutant  mutant
+	now     time.Duration
+	queue   []event // heap by time, then by order of making
+	made    uint64
+	members []*simulated
+	byAddr  map[string]*simulated
+	cut     map[[2]string]bool // from, to
+	loss    float64
+	lossy   bool
+	lost    int // LostNodes
+
+	operations []porcupine.Operation
+	unknown    int
+	submits    int
+	client     int
+	value      int // a guess of the register's value
+	broken     string
+	leaderAt   time.Duration
+	answered   int
+	newest     time.Duration // when an operation was last answered
+}
+
+type event struct {
+	at    time.Duration
+	order uint64
+	run   func()
+}
+
+// simulated is one machine.
+type simulated struct {
+	s       *simulation
+	address string
+	zone    string
+	folder  *slotstest.Folder
+	store   *slots.Store
+	node    *node
+	machine *register
+	life    int
+	running bool
+	frozen  bool
+	thawed  []func()
+	rate    float64 // of its steady clock
+	offset  time.Duration
+	fresh   bool // bootstrap
+	tickAt  time.Duration
+	ids     *rand.Rand
+	idSeed  uint64
+	writes  []diskWrite
+	writing bool
+	calls   map[uint64]*call
+}
+
+type call struct {
+	input  string
+	at     time.Duration
+	client int
+}
+
+func newSimulation(seed uint64, members, lost int, m mutant) *simulation {
+	s := &simulation{
+		random: rand.New(rand.NewPCG(seed, 7)), mutant: m, byAddr: make(map[string]*simulated),
+		cut: make(map[[2]string]bool), lost: lost,
+	}
+	for i := range members {
+		member := &simulated{
+			s: s, address: fmt.Sprintf("10.0.0.%d:1", i+1), zone: fmt.Sprint("zone-", i%3), folder: slotstest.New(),
+			rate: 0.965 + 0.07*s.random.Float64(), offset: time.Duration(s.random.Int64N(int64(time.Hour))), fresh: true,
+			idSeed: seed*100 + uint64(i),
+		}
+		s.members = append(s.members, member)
+		s.byAddr[member.address] = member
+		s.after(time.Duration(s.random.Int64N(int64(300*time.Millisecond))), func() { member.start() })
+	}
+	return s
+}
+
+func (s *simulation) seeds() []string {
+	var seeds []string
+	for _, member := range s.members[:min(3, len(s.members))] {
+		seeds = append(seeds, member.address)
+	}
+	return seeds
+}
+
+func (s *simulation) after(wait time.Duration, run func()) {
+	s.made++
+	s.queue = append(s.queue, event{s.now + wait, s.made, run})
+	for i := len(s.queue) - 1; i > 0; {
+		parent := (i - 1) / 2
+		if !s.before(i, parent) {
+			break
+		}
+		s.queue[i], s.queue[parent] = s.queue[parent], s.queue[i]
+		i = parent
+	}
+}
+
+func (s *simulation) before(i, j int) bool {
+	a, b := &s.queue[i], &s.queue[j]
+	return a.at < b.at || a.at == b.at && a.order < b.order
+}
+
+func (s *simulation) pop() event {
+	first := s.queue[0]
+	last := len(s.queue) - 1
+	s.queue[0] = s.queue[last]
+	s.queue = s.queue[:last]
+	for i := 0; ; {
+		child := 2*i + 1
+		if child >= last {
+			break
+		}
+		if child+1 < last && s.before(child+1, child) {
+			child++
+		}
+		if !s.before(child, i) {
+			break
+		}
+		s.queue[i], s.queue[child] = s.queue[child], s.queue[i]
+		i = child
+	}
+	return first
+}
+
+// run plays until a time, or until a rule is broken.
+func (s *simulation) run(until time.Duration) {
+	for len(s.queue) > 0 && s.queue[0].at <= until && s.broken == "" {
+		event := s.pop()
+		s.now = event.at
+		event.run()
+	}
+	s.now = until
+}
+
+func (s *simulation) fail(format string, arguments ...any) {
+	if s.broken == "" {
+		s.broken = fmt.Sprintf("at %v: ", s.now) + fmt.Sprintf(format, arguments...)
+	}
+}
+
+func (m *simulated) clock() time.Duration {
+	return m.offset + time.Duration(float64(m.s.now)*m.rate)
+}
+
+// guard runs f unless the machine has been started anew since; a frozen machine does it when it thaws.
+func (m *simulated) guard(f func()) func() {
+	life := m.life
+	var guarded func()
+	guarded = func() {
+		if m.life != life || !m.running {
+			return
+		}
+		if m.frozen {
+			m.thawed = append(m.thawed, guarded)
+			return
+		}
+		f()
+	}
+	return guarded
+}
+
+func (m *simulated) start() {
+	if m.running {
+		return
+	}
+	store, snapshot, records, err := slots.OpenFolder(m.folder)
+	if err != nil {
+		m.s.fail("%s: %v", m.address, err)
+		return
+	}
+	m.life++
+	m.running, m.frozen, m.thawed = true, false, nil
+	m.store, m.writes, m.writing = store, nil, false
+	m.machine, m.calls = &register{}, make(map[uint64]*call)
+	drawn := 0
+	random := rand.New(rand.NewPCG(m.idSeed, uint64(m.life)))
+	terms := lease.DefaultTerms
+	if m.s.mutant == noMargin {
+		terms.Margin = 0
+	}
+	config := nodeConfig{
+		Address: m.address, Zone: m.zone, Seeds: m.s.seeds(), Bootstrap: m.fresh && snapshot == nil, Disk: true, Candidate: true,
+		Durability: view.Durability{Copies: m.s.lost + 1}, GoneAfter: 10 * time.Second, Terms: terms, Machine: m.machine,
+		Random: func() uint64 {
+			drawn++
+			if drawn == 2 && m.s.mutant == keptIdentity { // the first draw names the life, the second the disk
+				return m.idSeed*2 + 1
+			}
+			return random.Uint64()
+		},
+		faults: faults{minority: m.s.mutant == minorityView, unsyncedOK: m.s.mutant == unsyncedAck},
+	}
+	node, err := newNode(m.clock(), config, snapshot, records)
+	if err != nil {
+		m.s.fail("%s: %v", m.address, err)
+		return
+	}
+	m.node = node
+	m.carryOut()
+	m.schedule(m.clock())
+}
+
+func (m *simulated) schedule(at time.Duration) {
+	wait := max(0, time.Duration(float64(at-m.clock())/m.rate)) + time.Duration(m.s.random.Int64N(int64(2*time.Millisecond)))
+	m.s.after(wait, m.guard(func() {
+		next := m.node.Tick(m.clock())
+		m.carryOut()
+		m.schedule(next)
+	}))
+}
+
+// carryOut does what the node wants.
+func (m *simulated) carryOut() {
+	out := m.node.Take()
+	for _, write := range out.Writes {
+		m.writes = append(m.writes, write)
+	}
+	for _, post := range out.Posts {
+		m.post(post)
+	}
+	for _, end := range out.Ended {
+		m.ended(end)
+	}
+	m.write()
+	m.s.checkLease()
+}
+
+func (m *simulated) write() {
+	if m.writing || len(m.writes) == 0 {
+		return
+	}
+	m.writing = true
+	if m.s.mutant == unsyncedAck { // the disk says so before it has done it
+		batch := m.writes[len(m.writes)-1].Batch
+		m.s.after(0, m.guard(func() { m.node.OnDisk(m.clock(), batch); m.carryOut() }))
+	}
+	wait := 500*time.Microsecond + time.Duration(m.s.random.Int64N(int64(time.Millisecond)))
+	if m.s.random.IntN(100) == 0 {
+		wait += time.Duration(m.s.random.Int64N(int64(30 * time.Millisecond)))
+	}
+	m.s.after(wait, m.guard(m.written))
+}
+
+func (m *simulated) written() {
+	last, err := m.store1()
+	if err != nil {
+		m.s.fail("%s: %v", m.address, err)
+		return
+	}
+	m.writing = false
+	if m.s.mutant != unsyncedAck {
+		m.node.OnDisk(m.clock(), last)
+		m.carryOut()
+	}
+	m.write()
+}
+
+// store1 puts all that waits on the disk.
+func (m *simulated) store1() (last uint64, err error) {
+	for _, write := range m.writes {
+		if write.Image != nil {
+			err = m.store.Snapshot(write.Image)
+		} else {
+			err = m.store.Append(write.Records...)
+		}
+		if err != nil {
+			return 0, err
+		}
+		last = write.Batch
+	}
+	m.writes = nil
+	return last, nil
+}
+
+// post carries a message, encoded and decoded as on a real connection.
+func (m *simulated) post(p post) {
+	target, s := m.s.byAddr[p.To], m.s
+	if target == nil || s.cut[[2]string{m.address, p.To}] {
+		return
+	}
+	if s.lossy && s.random.Float64() < s.loss {
+		return
+	}
+	if !target.running {
+		s.after(2*time.Millisecond, m.guard(func() { m.node.Refused(m.clock(), p.To); m.carryOut() }))
+		return
+	}
+	data, err := p.Message.MarshalMsg(nil)
+	if err != nil {
+		s.fail("%T: %v", p.Message, err)
+		return
+	}
+	message := emptyLike(p.Message)
+	from := m.node.self
+	wait := time.Millisecond + time.Duration(s.random.Int64N(int64(9*time.Millisecond)))
+	if s.lossy && s.random.IntN(20) == 0 {
+		wait += time.Duration(s.random.Int64N(int64(400 * time.Millisecond)))
+	}
+	s.after(wait, target.guard(func() {
+		if s.cut[[2]string{m.address, p.To}] {
+			return
+		}
+		if _, err := message.UnmarshalMsg(data); err != nil {
+			s.fail("%T: %v", message, err)
+			return
+		}
+		target.node.Receive(target.clock(), from, message)
+		target.carryOut()
+	}))
+}
+
+func emptyLike(message msgp.Marshaler) msgp.Unmarshaler {
+	for _, kind := range kinds {
+		if empty := kind.empty(); fmt.Sprintf("%T", empty) == fmt.Sprintf("%T", message) {
+			return empty
+		}
+	}
+	panic(fmt.Sprintf("%T has no method", message))
+}
+
+func (m *simulated) kill() {
+	if !m.running {
+		return
+	}
+	m.running = false
+	for number := range m.calls {
+		m.lose(number)
+	}
+	if len(m.writes) > 0 && m.s.random.IntN(2) == 0 {
+		m.folder.Break(m.s.random.IntN(6))
+		_, _ = m.store1()
+		m.folder.Break(-1)
+	}
+}
+
+// powerLoss may catch the disk in the middle of a write.
+func (m *simulated) powerLoss() {
+	m.running = false
+	for number := range m.calls {
+		m.lose(number)
+	}
+	if len(m.writes) > 0 && m.store != nil {
+		m.folder.Break(m.s.random.IntN(6))
+		_, _ = m.store1()
+	}
+	m.folder.PowerLoss(m.s.random)
+}
+
+func (m *simulated) wipe() {
+	m.powerLoss()
+	m.folder = slotstest.New()
+	m.fresh = false
+}
+
+func (m *simulated) thaw() {
+	if !m.frozen {
+		return
+	}
+	m.frozen = false
+	held := m.thawed
+	m.thawed = nil
+	for _, f := range held {
+		f()
+	}
+}
+
+// submit plays one client's call at this member.
+func (m *simulated) submit() {
+	if !m.running || m.frozen {
+		return
+	}
+	s := m.s
+	s.client++
+	s.value++
+	input := "read"
+	if s.random.IntN(3) > 0 {
+		input = fmt.Sprintf("set %d %d", m.machine.value, s.client)
+	}
+	number := m.node.Submit(m.clock(), []byte(input))
+	m.calls[number] = &call{input: input, at: s.now, client: s.client}
+	s.submits++
+	m.carryOut()
+	s.after(3*time.Second, m.guard(func() {
+		if m.calls[number] == nil {
+			return
+		}
+		err, done := m.node.Cancel(number)
+		if !done {
+			m.ended(ended{Number: number, Err: err})
+		}
+	}))
+}
+
+func (m *simulated) ended(end ended) {
+	if m.calls[end.Number] == nil {
+		return
+	}
+	switch end.Err {
+	case nil:
+		m.s.answered++
+		m.s.newest = m.s.now
+		m.record(end.Number, string(end.Result), m.s.now)
+	case ErrUnavailable:
+		m.record(end.Number, "never", m.s.now)
+	default:
+		m.lose(end.Number)
+	}
+}
+
+// lose notes a call whose outcome nobody knows: it may take effect at any time later.
+func (m *simulated) lose(number uint64) {
+	m.s.unknown++
+	m.record(number, "", time.Hour)
+}
+
+func (m *simulated) record(number uint64, output string, at time.Duration) {
+	c := m.calls[number]
+	delete(m.calls, number)
+	if output == "" && c.input == "read" {
+		return
+	}
+	m.s.operations = append(m.s.operations, porcupine.Operation{
+		ClientId: c.client, Input: c.input, Call: int64(c.at), Output: output, Return: int64(at),
+	})
+}
+
+// model is the register as porcupine sees it.
+var model = porcupine.Model{
+	Init: func() any { return 0 },
+	Step: func(state, input, output any) (bool, any) {
+		value := state.(int)
+		operation, from, to := parseCommand([]byte(input.(string)))
+		switch output.(string) {
+		case "never":
+			return true, value
+		case "refused":
+			return operation == "set" && value != from, value
+		case "taken":
+			return operation == "set" && value == from, to
+		case "":
+			if value == from {
+				return true, to
+			}
+			return true, value
+		}
+		return output.(string) == strconv.Itoa(value), value
+	},
+}
+
+func (s *simulation) checkHistory() {
+	for _, member := range s.members {
+		for number := range member.calls {
+			member.lose(number)
+		}
+	}
+	if porcupine.CheckOperationsTimeout(model, s.operations, 10*time.Second) == porcupine.Illegal {
+		s.fail("the history of %d operations is not linearizable", len(s.operations))
+	}
+}
+
+// checkLease looks for two valid holders at once. A frozen one counts: it may be thawed and act.
+func (s *simulation) checkLease() {
+	var holders []string
+	for _, member := range s.members {
+		if member.running && member.node != nil && member.node.holder.Valid(member.clock()) {
+			holders = append(holders, member.address)
+		}
+	}
+	if len(holders) > 1 {
+		s.fail("%v hold the leader lease at once", holders)
+	}
+}
+
+func (s *simulation) pick() *simulated { return s.members[s.random.IntN(len(s.members))] }
+
+// trouble makes one thing go wrong.
+func (s *simulation) trouble() {
+	back := time.Duration(s.random.Int64N(int64(1500 * time.Millisecond)))
+	member := s.pick()
+	which := s.random.IntN(9)
+	if debugHook != nil { debugHook(s, fmt.Sprintln("trouble", which, member.address, back)+s.describe()) }
+	switch which {
+	case 0, 1:
+		member.kill()
+		s.after(back, member.start)
+	case 2:
+		if !member.running {
+			return
+		}
+		member.powerLoss()
+		s.after(back, member.start)
+	case 3:
+		member.frozen = member.running
+		s.after(back*2, member.thaw)
+	case 4: // one way
+		other := s.pick()
+		s.cut[[2]string{member.address, other.address}] = true
+		s.after(2*back, func() { delete(s.cut, [2]string{member.address, other.address}) })
+	case 5: // a side is cut off
+		side := s.members[:s.random.IntN(len(s.members))]
+		s.separate(side, true)
+		s.after(2*back, func() { s.separate(side, false) })
+	case 6:
+		s.lossy, s.loss = true, 0.1*s.random.Float64()
+		s.after(back, func() { s.lossy = false })
+	case 7: // the whole core
+		for _, member := range s.members {
+			if s.random.IntN(2) == 0 {
+				member.kill()
+			} else if member.running {
+				member.powerLoss()
+			}
+			s.after(time.Duration(s.random.Int64N(int64(time.Second))), member.start)
+		}
+	case 8: // the holder of the lease alone is cut off
+		for _, member := range s.members {
+			if member.running && member.node.holder.Valid(member.clock()) {
+				s.separate([]*simulated{member}, true)
+				s.after(2*back, func() { s.separate([]*simulated{member}, false) })
+			}
+		}
+	}
+}
+
+func (s *simulation) separate(side []*simulated, cut bool) {
+	for _, a := range side {
+		for _, b := range s.members {
+			if slices.Contains(side, b) {
+				continue
+			}
+			if cut {
+				s.cut[[2]string{a.address, b.address}], s.cut[[2]string{b.address, a.address}] = true, true
+			} else {
+				delete(s.cut, [2]string{a.address, b.address})
+				delete(s.cut, [2]string{b.address, a.address})
+			}
+		}
+	}
+}
+
+// calm ends all troubles.
+func (s *simulation) calm() {
+	s.cut, s.lossy = make(map[[2]string]bool), false
+	for _, member := range s.members {
+		member.thaw()
+		member.start()
+	}
+}
+
+// load has clients submit for as long as the simulation runs.
+func (s *simulation) load(every time.Duration) {
+	s.pick().submit()
+	s.after(time.Duration(s.random.Int64N(int64(2*every))), func() { s.load(every) })
+}
+
+// disaster is the final fault: right after an answer as many machines as may be lost lose their disks, the others power.
+func (s *simulation) disaster() {
+	wiped := s.random.Perm(len(s.members))[:s.random.IntN(s.lost+1)]
+	for i, member := range s.members {
+		if slices.Contains(wiped, i) {
+			member.wipe()
+		} else if s.random.IntN(3) > 0 {
+			member.powerLoss()
+		} else {
+			member.kill()
+		}
+	}
+	for _, member := range s.members {
+		s.after(time.Duration(s.random.Int64N(int64(time.Second))), member.start)
+	}
+}
+
+var debugHook func(*simulation, string)
+
+// play is one whole history: founding, troubles, calm, the disaster, calm. It returns what was broken.
+func play(seed uint64, members, lost int, m mutant) string {
+	s := newSimulation(seed, members, lost, m)
+	s.run(1500 * time.Millisecond)
+	s.load(60 * time.Millisecond)
+	for range 2 + s.random.IntN(6) {
+		s.run(s.now + time.Duration(s.random.Int64N(int64(1200*time.Millisecond))))
+		if s.broken != "" {
+			return s.broken
+		}
+		s.trouble()
+	}
+	s.run(s.now + 2*time.Second)
+	s.calm()
+	s.run(s.now + 6*time.Second)
+	s.expectService("after calm", 500*time.Millisecond)
+	answered := s.answered
+	for range 50 {
+		s.run(s.now + 10*time.Millisecond)
+		if s.answered > answered {
+			break
+		}
+	}
+	s.disaster()
+	if debugHook != nil { debugHook(s, "disaster\n"+s.describe())
+	for range 11 { s.run(s.now+500*time.Millisecond);debugHook(s, "after\n"+s.describe()) }
+	}
+	s.run(s.now + 6*time.Second)
+	s.expectService("after the disaster", 500*time.Millisecond)
+	if s.broken == "" {
+		s.checkHistory()
+	}
+	return s.broken
+}
+
+func (s *simulation) expectService(when string, within time.Duration) {
+	if s.broken != "" {
+		return
+	}
+	if s.now-s.newest > within {
+		s.fail("%s: nothing was answered for %v\n%s", when, s.now-s.newest, s.describe())
+	}
+	holders := 0
+	for _, member := range s.members {
+		if member.running && member.node.holder.Valid(member.clock()) {
+			holders++
+		}
+		if member.running && !member.node.chain.Attached() {
+			s.fail("%s: %s is not in the chain\n%s", when, member.address, s.describe())
+		}
+	}
+	if holders != 1 {
+		s.fail("%s: %d members hold the leader lease\n%s", when, holders, s.describe())
+	}
+}
+
+func (s *simulation) describe() string {
+	var text strings.Builder
+	for _, member := range s.members {
+		n := member.node
+		if n == nil {
+			continue
+		}
+		fmt.Fprintf(&text, "%s id %v running %v epoch %d chain %v voters %d position %d whole %v attached %v sealed %v idle %v last %d synced %d committed %d missing %v wanted %v proposer %v leader %q\n",
+			member.address, n.self.ID, member.running, n.view.Epoch, n.view.Chain, len(n.view.Voters), n.chain.Position(), n.chain.Whole(), n.chain.Attached(),
+			n.vote.Sealed(n.view.Epoch), n.idle, n.chain.Last(), n.chain.Synced(), n.chain.Committed(), n.missing, n.wanted, n.proposer != nil, n.leaderAddress(member.clock()))
+	}
+	return text.String()
+}
--- /dev/null
+++ b/control/core/views.go
@@ -0,0 +1,206 @@
+package core
+
+import (
+	"time"
+
+	"ravendale/control/view"
+)
+
+func (n *node) onPrepare(now time.Duration, from view.Member, m *view.Prepare) {
+	n.adopt(now, &m.View)
+	if m.View.Epoch < n.view.Epoch {
+		n.sendLasting(from.Address, &decided{View: n.view})
+		return
+	}
+	if !n.isVoter(n.self.ID) {
+		return
+	}
+	whole := n.chain.Whole()
+	reply, changed := n.vote.Prepare(n.view.Epoch, m.Ballot)
+	if changed {
+		n.seal()
+	}
+	reply.Whole = whole
+	reply.Holder, reply.Quiet = n.voter.Holder(now)
+	n.sendLasting(from.Address, &reply)
+}
+
+func (n *node) seal() {
+	n.chain.Seal()
+	vote := n.vote
+	n.log(&record{Vote: &vote})
+}
+
+func (n *node) onAccept(now time.Duration, from view.Member, m *view.Accept) {
+	if m.Epoch < n.view.Epoch {
+		n.sendLasting(from.Address, &decided{View: n.view})
+		return
+	}
+	if m.Epoch > n.view.Epoch || !n.isVoter(n.self.ID) {
+		return
+	}
+	reply, changed := n.vote.Accept(m)
+	if changed {
+		n.seal()
+	}
+	n.sendLasting(from.Address, &reply)
+}
+
+func (n *node) onPromise(now time.Duration, from view.Member, m *view.Promise) {
+	if n.proposer == nil || m.Epoch != n.view.Epoch {
+		return
+	}
+	n.proposer.Promised(from.ID, m)
+	n.pursue(now)
+}
+
+func (n *node) onAcceptReply(now time.Duration, from view.Member, m *view.AcceptReply) {
+	if n.proposer == nil || m.Epoch != n.view.Epoch {
+		return
+	}
+	next := n.proposer.Accepted(from.ID, m)
+	if next == nil {
+		return
+	}
+	old := n.view.Voters
+	n.adopt(now, next)
+	message := &decided{View: *next}
+	for _, member := range append(old, next.Voters...) {
+		if member.ID != n.self.ID {
+			n.deliver(post{member.Address, message})
+		}
+	}
+}
+
+// knowledge is what the node knows of others, as view.Plan asks for it.
+func (n *node) knowledge(now time.Duration, promised func(view.ID) bool) view.Knowledge {
+	know := view.Knowledge{
+		Lives:    func(id view.ID) bool { return promised(id) || n.lives(now, id) },
+		Joinable: func(id view.ID) bool { return n.joinable(now, id) },
+		Touch:    func(a, b view.ID) bool { return n.touch(now, a, b) },
+		Gone:     func(id view.ID) bool { return n.gone(now, id) },
+	}
+	for _, p := range n.peers {
+		if p.contacted && p.member.ID != 0 {
+			know.Others = append(know.Others, p.member)
+		}
+	}
+	return know
+}
+
+// seemsWhole guesses whether a member of the chain is whole, from its last beat.
+func (n *node) seemsWhole(id view.ID) bool {
+	if n.view.Position(id) < n.view.Whole || id == n.self.ID && n.chain.Whole() {
+		return true
+	}
+	p := n.find(id)
+	return p != nil && p.beat.Epoch == n.view.Epoch && p.beat.Whole
+}
+
+func nobody(view.ID) bool { return false }
+
+// wantsView says whether another view would be better than this one.
+func (n *node) wantsView(now time.Duration) bool {
+	planned, ok := view.Plan(&n.view, n.knowledge(now, nobody), n.seemsWhole)
+	if !ok {
+		return false
+	}
+	if n.vote.Sealed(n.view.Epoch) || !view.Same(&n.view, &planned) {
+		return true
+	}
+	return n.headIdle() && (now-n.started >= settleAfter || n.allHeard())
+}
+
+func (n *node) headIdle() bool {
+	if n.chain.Position() == 0 {
+		return n.idle
+	}
+	p := n.find(n.view.Head())
+	return p != nil && p.beat.Epoch == n.view.Epoch && p.beat.Idle
+}
+
+func (n *node) allHeard() bool {
+	for _, member := range n.view.Voters {
+		if member.ID != n.self.ID && n.find(member.ID) == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// rank is how many members that live come before this one as proposers.
+func (n *node) rank(now time.Duration) int {
+	rank := 0
+	for _, id := range n.order() {
+		if id == n.self.ID {
+			return rank
+		}
+		if n.hears(now, id) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// order lists the voters, those of the chain first.
+func (n *node) order() []view.ID {
+	order := append([]view.ID(nil), n.view.Chain...)
+	for _, member := range n.view.Voters {
+		if n.view.Position(member.ID) < 0 {
+			order = append(order, member.ID)
+		}
+	}
+	return order
+}
+
+// seekView proposes another view when one has been wanted for long enough.
+func (n *node) seekView(now time.Duration) {
+	if n.view.Epoch == 0 || !n.isVoter(n.self.ID) {
+		return
+	}
+	if n.proposer != nil {
+		n.pursue(now)
+		return
+	}
+	if !n.wantsView(now) {
+		n.wanted = -1
+		return
+	}
+	if n.wanted < 0 {
+		n.wanted = now
+	}
+	if now < n.wanted+time.Duration(n.rank(now))*rankPause || now < n.retryAt {
+		return
+	}
+	n.propose(now)
+}
+
+func (n *node) propose(now time.Duration) {
+	n.round = max(n.round, n.vote.Promised.Round) + 1
+	if n.vote.Epoch != n.view.Epoch {
+		n.round = 1
+	}
+	n.proposer = view.NewProposer(now, n.view, view.Ballot{Round: n.round, Proposer: n.self.ID, Life: n.origin}, n.config.faults.minority)
+	n.sendVoters(n.proposer.Prepare())
+}
+
+// pursue goes on with an attempt, or gives it up for a while.
+func (n *node) pursue(now time.Duration) {
+	p := n.proposer
+	if p.Failed(now) {
+		n.round = max(n.round, p.Highest().Round)
+		n.proposer = nil
+		pause := rankPause + time.Duration(n.config.Random()%uint64(2*rankPause))
+		n.retryAt = now + pause + time.Duration(n.rank(now))*rankPause
+		return
+	}
+	if !p.Gathered(now, func(id view.ID) bool { return n.lives(now, id) }) {
+		return
+	}
+	accept := p.Choose(func(whole func(view.ID) bool) (view.View, bool) {
+		return view.Plan(&n.view, n.knowledge(now, whole), whole)
+	})
+	if accept != nil {
+		n.sendVoters(accept)
+	}
+}
--- /dev/null
+++ b/control/view/proposer.go
@@ -0,0 +1,158 @@
+package view
+
+import "time"
+
+// Time limits of a proposal.
+const (
+	GatherTime  = 120 * time.Millisecond // a majority having promised, so long is waited for the others that live
+	AttemptTime = 500 * time.Millisecond // then an attempt is given up
+)
+
+// Proposer runs one attempt at deciding the successor of a view.
+type Proposer struct {
+	view     View
+	ballot   Ballot
+	started  time.Duration
+	promises map[ID]*Promise
+	accepts  map[ID]bool
+	value    *View // once the second phase has begun
+	highest  Ballot
+	minority bool
+}
+
+// NewProposer starts an attempt. The caller sends Prepare to all voters. With minority, which only tests of tests may ask for, a single
+// voter decides.
+func NewProposer(now time.Duration, current View, ballot Ballot, minority bool) *Proposer {
+	return &Proposer{
+		view: current, ballot: ballot, started: now,
+		promises: make(map[ID]*Promise), accepts: make(map[ID]bool), highest: ballot,
+		minority: minority,
+	}
+}
+
+// Prepare is the message of the first phase.
+func (p *Proposer) Prepare() *Prepare { return &Prepare{View: p.view, Ballot: p.ballot} }
+
+// Epoch is that of the view whose successor is sought.
+func (p *Proposer) Epoch() uint64 { return p.view.Epoch }
+
+// Failed says whether the attempt is lost: another ballot is in the way, or it took too long.
+func (p *Proposer) Failed(now time.Duration) bool {
+	return p.ballot.Less(p.highest) || now-p.started >= AttemptTime
+}
+
+func (p *Proposer) quorum() int {
+	if p.minority {
+		return 1
+	}
+	return p.view.Majority()
+}
+
+// Highest is the latest ballot that it has heard of.
+func (p *Proposer) Highest() Ballot { return p.highest }
+
+// Promised takes an answer of the first phase.
+func (p *Proposer) Promised(from ID, promise *Promise) {
+	if promise.Epoch != p.view.Epoch || promise.Ballot != p.ballot {
+		return
+	}
+	if _, ok := p.view.Voter(from); !ok {
+		return
+	}
+	if !promise.Granted {
+		p.hear(promise.Promised)
+		return
+	}
+	p.promises[from] = promise
+}
+
+func (p *Proposer) hear(ballot Ballot) {
+	if p.highest.Less(ballot) {
+		p.highest = ballot
+	}
+}
+
+// Gathered says whether the second phase may begin: a majority has promised, and either everybody that lives, or time is up.
+func (p *Proposer) Gathered(now time.Duration, lives func(ID) bool) bool {
+	if p.value != nil || len(p.promises) < p.quorum() {
+		return false
+	}
+	if now-p.started >= GatherTime {
+		return true
+	}
+	for _, member := range p.view.Voters {
+		if p.promises[member.ID] == nil && lives(member.ID) {
+			return false
+		}
+	}
+	return true
+}
+
+// Choose begins the second phase: with the view that a promise has shown to be accepted, else with one that plan makes out of those
+// whole members of the chain that promised. It returns nil if there is none to propose. The caller sends it to all voters.
+func (p *Proposer) Choose(plan func(whole func(ID) bool) (View, bool)) *Accept {
+	value := p.accepted()
+	if value == nil {
+		planned, ok := plan(p.whole)
+		if !ok {
+			return nil
+		}
+		planned.Epoch = p.view.Epoch + 1
+		planned.Holder = p.holder()
+		value = &planned
+	}
+	p.value = value
+	return &Accept{Epoch: p.view.Epoch, Ballot: p.ballot, View: *value}
+}
+
+func (p *Proposer) accepted() *View {
+	var newest *Promise
+	for _, promise := range p.promises {
+		if promise.Accepted.Epoch != 0 && (newest == nil || newest.AcceptedAt.Less(promise.AcceptedAt)) {
+			newest = promise
+		}
+	}
+	if newest == nil {
+		return nil
+	}
+	value := newest.Accepted
+	return &value
+}
+
+func (p *Proposer) whole(id ID) bool {
+	promise := p.promises[id]
+	return promise != nil && promise.Whole && p.view.Position(id) >= 0
+}
+
+// holder is whom all promises that know of a lease name. Since any holder has leases of a majority, nobody else can be one.
+func (p *Proposer) holder() ID {
+	var holder ID
+	for _, promise := range p.promises {
+		if promise.Quiet || holder != 0 && promise.Holder != 0 && promise.Holder != holder {
+			return 0
+		}
+		if promise.Holder != 0 {
+			holder = promise.Holder
+		}
+	}
+	return holder
+}
+
+// Accepted takes an answer of the second phase. It returns the view once that is decided, and nil before.
+func (p *Proposer) Accepted(from ID, reply *AcceptReply) *View {
+	if p.value == nil || reply.Epoch != p.view.Epoch || reply.Ballot != p.ballot {
+		return nil
+	}
+	if _, ok := p.view.Voter(from); !ok {
+		return nil
+	}
+	if !reply.Granted {
+		p.hear(reply.Promised)
+		return nil
+	}
+	p.accepts[from] = true
+	if len(p.accepts) < p.quorum() {
+		return nil
+	}
+	return p.value
+}
--- a/control/view/view.go
+++ b/control/view/view.go
@@ -73,6 +73,7 @@
 type Ballot struct {
 	Round    uint64
 	Proposer ID
+	Life     uint64 // of the proposer: one that has forgotten its ballots in a restart makes others
 }
 
 // Less says whether b comes before other.
@@ -80,7 +81,10 @@
 	if b.Round != other.Round {
 		return b.Round < other.Round
 	}
-	return b.Proposer < other.Proposer
+	if b.Proposer != other.Proposer {
+		return b.Proposer < other.Proposer
+	}
+	return b.Life < other.Life
 }
 
 // Prepare asks a voter of View to promise a ballot for the view that follows. It carries the view, for voters that have not heard of it.
--- a/control/view/view_gen.go
+++ b/control/view/view_gen.go
@@ -29,8 +29,8 @@
 		err = msgp.WrapError(err, "Ballot")
 		return
 	}
-	if zb0002 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0002}
+	if zb0002 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0002}
 		return
 	}
 	z.Ballot.Round, err = dc.ReadUint64()
@@ -47,6 +47,11 @@
 		}
 		z.Ballot.Proposer = ID(zb0003)
 	}
+	z.Ballot.Life, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Ballot", "Life")
+		return
+	}
 	err = z.View.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "View")
@@ -67,8 +72,8 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
-	// array header, size 2
-	err = en.Append(0x92)
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
 		return
 	}
@@ -82,6 +87,11 @@
 		err = msgp.WrapError(err, "Ballot", "Proposer")
 		return
 	}
+	err = en.WriteUint64(z.Ballot.Life)
+	if err != nil {
+		err = msgp.WrapError(err, "Ballot", "Life")
+		return
+	}
 	err = z.View.EncodeMsg(en)
 	if err != nil {
 		err = msgp.WrapError(err, "View")
@@ -96,10 +106,11 @@
 	// array header, size 3
 	o = append(o, 0x93)
 	o = msgp.AppendUint64(o, z.Epoch)
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendUint64(o, z.Ballot.Round)
 	o = msgp.AppendUint64(o, uint64(z.Ballot.Proposer))
+	o = msgp.AppendUint64(o, z.Ballot.Life)
 	o, err = z.View.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "View")
@@ -131,8 +142,8 @@
 		err = msgp.WrapError(err, "Ballot")
 		return
 	}
-	if zb0002 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0002}
+	if zb0002 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0002}
 		return
 	}
 	z.Ballot.Round, bts, err = msgp.ReadUint64Bytes(bts)
@@ -149,6 +160,11 @@
 		}
 		z.Ballot.Proposer = ID(zb0003)
 	}
+	z.Ballot.Life, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Ballot", "Life")
+		return
+	}
 	bts, err = z.View.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "View")
@@ -160,7 +176,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Accept) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + 1 + msgp.Uint64Size + msgp.Uint64Size + z.View.Msgsize()
+	s = 1 + msgp.Uint64Size + 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + z.View.Msgsize()
 	return
 }
 
@@ -181,59 +197,21 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
-	var zb0002 uint32
-	zb0002, err = dc.ReadArrayHeader()
+	err = z.Ballot.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "Ballot")
 		return
 	}
-	if zb0002 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0002}
-		return
-	}
-	z.Ballot.Round, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "Ballot", "Round")
-		return
-	}
-	{
-		var zb0003 uint64
-		zb0003, err = dc.ReadUint64()
-		if err != nil {
-			err = msgp.WrapError(err, "Ballot", "Proposer")
-			return
-		}
-		z.Ballot.Proposer = ID(zb0003)
-	}
 	z.Granted, err = dc.ReadBool()
 	if err != nil {
 		err = msgp.WrapError(err, "Granted")
 		return
 	}
-	var zb0004 uint32
-	zb0004, err = dc.ReadArrayHeader()
+	err = z.Promised.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "Promised")
 		return
 	}
-	if zb0004 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0004}
-		return
-	}
-	z.Promised.Round, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "Promised", "Round")
-		return
-	}
-	{
-		var zb0005 uint64
-		zb0005, err = dc.ReadUint64()
-		if err != nil {
-			err = msgp.WrapError(err, "Promised", "Proposer")
-			return
-		}
-		z.Promised.Proposer = ID(zb0005)
-	}
 	return
 }
 
@@ -249,19 +227,9 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
-	// array header, size 2
-	err = en.Append(0x92)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Ballot.Round)
+	err = z.Ballot.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "Ballot", "Round")
-		return
-	}
-	err = en.WriteUint64(uint64(z.Ballot.Proposer))
-	if err != nil {
-		err = msgp.WrapError(err, "Ballot", "Proposer")
+		err = msgp.WrapError(err, "Ballot")
 		return
 	}
 	err = en.WriteBool(z.Granted)
@@ -269,19 +237,9 @@
 		err = msgp.WrapError(err, "Granted")
 		return
 	}
-	// array header, size 2
-	err = en.Append(0x92)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Promised.Round)
+	err = z.Promised.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "Promised", "Round")
-		return
-	}
-	err = en.WriteUint64(uint64(z.Promised.Proposer))
-	if err != nil {
-		err = msgp.WrapError(err, "Promised", "Proposer")
+		err = msgp.WrapError(err, "Promised")
 		return
 	}
 	return
@@ -293,15 +251,17 @@
 	// array header, size 4
 	o = append(o, 0x94)
 	o = msgp.AppendUint64(o, z.Epoch)
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendUint64(o, z.Ballot.Round)
-	o = msgp.AppendUint64(o, uint64(z.Ballot.Proposer))
+	o, err = z.Ballot.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Ballot")
+		return
+	}
 	o = msgp.AppendBool(o, z.Granted)
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendUint64(o, z.Promised.Round)
-	o = msgp.AppendUint64(o, uint64(z.Promised.Proposer))
+	o, err = z.Promised.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Promised")
+		return
+	}
 	return
 }
 
@@ -322,66 +282,28 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	bts, err = z.Ballot.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Ballot")
 		return
 	}
-	if zb0002 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0002}
-		return
-	}
-	z.Ballot.Round, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Ballot", "Round")
-		return
-	}
-	{
-		var zb0003 uint64
-		zb0003, bts, err = msgp.ReadUint64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Ballot", "Proposer")
-			return
-		}
-		z.Ballot.Proposer = ID(zb0003)
-	}
 	z.Granted, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Granted")
 		return
 	}
-	var zb0004 uint32
-	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	bts, err = z.Promised.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Promised")
 		return
 	}
-	if zb0004 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0004}
-		return
-	}
-	z.Promised.Round, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Promised", "Round")
-		return
-	}
-	{
-		var zb0005 uint64
-		zb0005, bts, err = msgp.ReadUint64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Promised", "Proposer")
-			return
-		}
-		z.Promised.Proposer = ID(zb0005)
-	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *AcceptReply) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + 1 + msgp.Uint64Size + msgp.Uint64Size
+	s = 1 + msgp.Uint64Size + z.Ballot.Msgsize() + msgp.BoolSize + z.Promised.Msgsize()
 	return
 }
 
@@ -393,8 +315,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Round, err = dc.ReadUint64()
@@ -411,13 +333,18 @@
 		}
 		z.Proposer = ID(zb0002)
 	}
+	z.Life, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Life")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z Ballot) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
 		return
 	}
@@ -431,16 +358,22 @@
 		err = msgp.WrapError(err, "Proposer")
 		return
 	}
+	err = en.WriteUint64(z.Life)
+	if err != nil {
+		err = msgp.WrapError(err, "Life")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z Ballot) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendUint64(o, z.Round)
 	o = msgp.AppendUint64(o, uint64(z.Proposer))
+	o = msgp.AppendUint64(o, z.Life)
 	return
 }
 
@@ -452,8 +385,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Round, bts, err = msgp.ReadUint64Bytes(bts)
@@ -470,13 +403,18 @@
 		}
 		z.Proposer = ID(zb0002)
 	}
+	z.Life, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Life")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Ballot) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size
 	return
 }
 
@@ -666,8 +604,8 @@
 		err = msgp.WrapError(err, "Ballot")
 		return
 	}
-	if zb0002 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0002}
+	if zb0002 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0002}
 		return
 	}
 	z.Ballot.Round, err = dc.ReadUint64()
@@ -684,6 +622,11 @@
 		}
 		z.Ballot.Proposer = ID(zb0003)
 	}
+	z.Ballot.Life, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Ballot", "Life")
+		return
+	}
 	return
 }
 
@@ -699,8 +642,8 @@
 		err = msgp.WrapError(err, "View")
 		return
 	}
-	// array header, size 2
-	err = en.Append(0x92)
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
 		return
 	}
@@ -714,6 +657,11 @@
 		err = msgp.WrapError(err, "Ballot", "Proposer")
 		return
 	}
+	err = en.WriteUint64(z.Ballot.Life)
+	if err != nil {
+		err = msgp.WrapError(err, "Ballot", "Life")
+		return
+	}
 	return
 }
 
@@ -727,10 +675,11 @@
 		err = msgp.WrapError(err, "View")
 		return
 	}
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendUint64(o, z.Ballot.Round)
 	o = msgp.AppendUint64(o, uint64(z.Ballot.Proposer))
+	o = msgp.AppendUint64(o, z.Ballot.Life)
 	return
 }
 
@@ -757,8 +706,8 @@
 		err = msgp.WrapError(err, "Ballot")
 		return
 	}
-	if zb0002 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0002}
+	if zb0002 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0002}
 		return
 	}
 	z.Ballot.Round, bts, err = msgp.ReadUint64Bytes(bts)
@@ -775,13 +724,18 @@
 		}
 		z.Ballot.Proposer = ID(zb0003)
 	}
+	z.Ballot.Life, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Ballot", "Life")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Prepare) Msgsize() (s int) {
-	s = 1 + z.View.Msgsize() + 1 + msgp.Uint64Size + msgp.Uint64Size
+	s = 1 + z.View.Msgsize() + 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size
 	return
 }
 
@@ -802,83 +756,26 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
-	var zb0002 uint32
-	zb0002, err = dc.ReadArrayHeader()
+	err = z.Ballot.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "Ballot")
 		return
 	}
-	if zb0002 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0002}
-		return
-	}
-	z.Ballot.Round, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "Ballot", "Round")
-		return
-	}
-	{
-		var zb0003 uint64
-		zb0003, err = dc.ReadUint64()
-		if err != nil {
-			err = msgp.WrapError(err, "Ballot", "Proposer")
-			return
-		}
-		z.Ballot.Proposer = ID(zb0003)
-	}
 	z.Granted, err = dc.ReadBool()
 	if err != nil {
 		err = msgp.WrapError(err, "Granted")
 		return
 	}
-	var zb0004 uint32
-	zb0004, err = dc.ReadArrayHeader()
+	err = z.Promised.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "Promised")
 		return
 	}
-	if zb0004 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0004}
-		return
-	}
-	z.Promised.Round, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "Promised", "Round")
-		return
-	}
-	{
-		var zb0005 uint64
-		zb0005, err = dc.ReadUint64()
-		if err != nil {
-			err = msgp.WrapError(err, "Promised", "Proposer")
-			return
-		}
-		z.Promised.Proposer = ID(zb0005)
-	}
-	var zb0006 uint32
-	zb0006, err = dc.ReadArrayHeader()
+	err = z.AcceptedAt.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "AcceptedAt")
 		return
 	}
-	if zb0006 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0006}
-		return
-	}
-	z.AcceptedAt.Round, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "AcceptedAt", "Round")
-		return
-	}
-	{
-		var zb0007 uint64
-		zb0007, err = dc.ReadUint64()
-		if err != nil {
-			err = msgp.WrapError(err, "AcceptedAt", "Proposer")
-			return
-		}
-		z.AcceptedAt.Proposer = ID(zb0007)
-	}
 	err = z.Accepted.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "Accepted")
@@ -890,13 +787,13 @@
 		return
 	}
 	{
-		var zb0008 uint64
-		zb0008, err = dc.ReadUint64()
+		var zb0002 uint64
+		zb0002, err = dc.ReadUint64()
 		if err != nil {
 			err = msgp.WrapError(err, "Holder")
 			return
 		}
-		z.Holder = ID(zb0008)
+		z.Holder = ID(zb0002)
 	}
 	z.Quiet, err = dc.ReadBool()
 	if err != nil {
@@ -918,19 +815,9 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
-	// array header, size 2
-	err = en.Append(0x92)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Ballot.Round)
-	if err != nil {
-		err = msgp.WrapError(err, "Ballot", "Round")
-		return
-	}
-	err = en.WriteUint64(uint64(z.Ballot.Proposer))
+	err = z.Ballot.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "Ballot", "Proposer")
+		err = msgp.WrapError(err, "Ballot")
 		return
 	}
 	err = en.WriteBool(z.Granted)
@@ -938,34 +825,14 @@
 		err = msgp.WrapError(err, "Granted")
 		return
 	}
-	// array header, size 2
-	err = en.Append(0x92)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Promised.Round)
-	if err != nil {
-		err = msgp.WrapError(err, "Promised", "Round")
-		return
-	}
-	err = en.WriteUint64(uint64(z.Promised.Proposer))
+	err = z.Promised.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "Promised", "Proposer")
-		return
-	}
-	// array header, size 2
-	err = en.Append(0x92)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.AcceptedAt.Round)
-	if err != nil {
-		err = msgp.WrapError(err, "AcceptedAt", "Round")
+		err = msgp.WrapError(err, "Promised")
 		return
 	}
-	err = en.WriteUint64(uint64(z.AcceptedAt.Proposer))
+	err = z.AcceptedAt.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "AcceptedAt", "Proposer")
+		err = msgp.WrapError(err, "AcceptedAt")
 		return
 	}
 	err = z.Accepted.EncodeMsg(en)
@@ -997,19 +864,22 @@
 	// array header, size 9
 	o = append(o, 0x99)
 	o = msgp.AppendUint64(o, z.Epoch)
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendUint64(o, z.Ballot.Round)
-	o = msgp.AppendUint64(o, uint64(z.Ballot.Proposer))
+	o, err = z.Ballot.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Ballot")
+		return
+	}
 	o = msgp.AppendBool(o, z.Granted)
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendUint64(o, z.Promised.Round)
-	o = msgp.AppendUint64(o, uint64(z.Promised.Proposer))
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendUint64(o, z.AcceptedAt.Round)
-	o = msgp.AppendUint64(o, uint64(z.AcceptedAt.Proposer))
+	o, err = z.Promised.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Promised")
+		return
+	}
+	o, err = z.AcceptedAt.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "AcceptedAt")
+		return
+	}
 	o, err = z.Accepted.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Accepted")
@@ -1038,83 +908,26 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	bts, err = z.Ballot.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Ballot")
 		return
 	}
-	if zb0002 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0002}
-		return
-	}
-	z.Ballot.Round, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Ballot", "Round")
-		return
-	}
-	{
-		var zb0003 uint64
-		zb0003, bts, err = msgp.ReadUint64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Ballot", "Proposer")
-			return
-		}
-		z.Ballot.Proposer = ID(zb0003)
-	}
 	z.Granted, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Granted")
 		return
 	}
-	var zb0004 uint32
-	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	bts, err = z.Promised.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Promised")
 		return
 	}
-	if zb0004 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0004}
-		return
-	}
-	z.Promised.Round, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Promised", "Round")
-		return
-	}
-	{
-		var zb0005 uint64
-		zb0005, bts, err = msgp.ReadUint64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Promised", "Proposer")
-			return
-		}
-		z.Promised.Proposer = ID(zb0005)
-	}
-	var zb0006 uint32
-	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	bts, err = z.AcceptedAt.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "AcceptedAt")
 		return
 	}
-	if zb0006 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0006}
-		return
-	}
-	z.AcceptedAt.Round, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "AcceptedAt", "Round")
-		return
-	}
-	{
-		var zb0007 uint64
-		zb0007, bts, err = msgp.ReadUint64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "AcceptedAt", "Proposer")
-			return
-		}
-		z.AcceptedAt.Proposer = ID(zb0007)
-	}
 	bts, err = z.Accepted.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Accepted")
@@ -1126,13 +939,13 @@
 		return
 	}
 	{
-		var zb0008 uint64
-		zb0008, bts, err = msgp.ReadUint64Bytes(bts)
+		var zb0002 uint64
+		zb0002, bts, err = msgp.ReadUint64Bytes(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Holder")
 			return
 		}
-		z.Holder = ID(zb0008)
+		z.Holder = ID(zb0002)
 	}
 	z.Quiet, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
@@ -1145,7 +958,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Promise) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + 1 + msgp.Uint64Size + msgp.Uint64Size + 1 + msgp.Uint64Size + msgp.Uint64Size + z.Accepted.Msgsize() + msgp.BoolSize + msgp.Uint64Size + msgp.BoolSize
+	s = 1 + msgp.Uint64Size + z.Ballot.Msgsize() + msgp.BoolSize + z.Promised.Msgsize() + z.AcceptedAt.Msgsize() + z.Accepted.Msgsize() + msgp.BoolSize + msgp.Uint64Size + msgp.BoolSize
 	return
 }
 
@@ -1397,54 +1210,16 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
-	var zb0002 uint32
-	zb0002, err = dc.ReadArrayHeader()
+	err = z.Promised.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "Promised")
 		return
 	}
-	if zb0002 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0002}
-		return
-	}
-	z.Promised.Round, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "Promised", "Round")
-		return
-	}
-	{
-		var zb0003 uint64
-		zb0003, err = dc.ReadUint64()
-		if err != nil {
-			err = msgp.WrapError(err, "Promised", "Proposer")
-			return
-		}
-		z.Promised.Proposer = ID(zb0003)
-	}
-	var zb0004 uint32
-	zb0004, err = dc.ReadArrayHeader()
+	err = z.AcceptedAt.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "AcceptedAt")
 		return
 	}
-	if zb0004 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0004}
-		return
-	}
-	z.AcceptedAt.Round, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "AcceptedAt", "Round")
-		return
-	}
-	{
-		var zb0005 uint64
-		zb0005, err = dc.ReadUint64()
-		if err != nil {
-			err = msgp.WrapError(err, "AcceptedAt", "Proposer")
-			return
-		}
-		z.AcceptedAt.Proposer = ID(zb0005)
-	}
 	err = z.Accepted.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "Accepted")
@@ -1465,34 +1240,14 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
-	// array header, size 2
-	err = en.Append(0x92)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Promised.Round)
+	err = z.Promised.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "Promised", "Round")
-		return
-	}
-	err = en.WriteUint64(uint64(z.Promised.Proposer))
-	if err != nil {
-		err = msgp.WrapError(err, "Promised", "Proposer")
-		return
-	}
-	// array header, size 2
-	err = en.Append(0x92)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.AcceptedAt.Round)
-	if err != nil {
-		err = msgp.WrapError(err, "AcceptedAt", "Round")
+		err = msgp.WrapError(err, "Promised")
 		return
 	}
-	err = en.WriteUint64(uint64(z.AcceptedAt.Proposer))
+	err = z.AcceptedAt.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "AcceptedAt", "Proposer")
+		err = msgp.WrapError(err, "AcceptedAt")
 		return
 	}
 	err = z.Accepted.EncodeMsg(en)
@@ -1509,14 +1264,16 @@
 	// array header, size 4
 	o = append(o, 0x94)
 	o = msgp.AppendUint64(o, z.Epoch)
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendUint64(o, z.Promised.Round)
-	o = msgp.AppendUint64(o, uint64(z.Promised.Proposer))
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendUint64(o, z.AcceptedAt.Round)
-	o = msgp.AppendUint64(o, uint64(z.AcceptedAt.Proposer))
+	o, err = z.Promised.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Promised")
+		return
+	}
+	o, err = z.AcceptedAt.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "AcceptedAt")
+		return
+	}
 	o, err = z.Accepted.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Accepted")
@@ -1542,54 +1299,16 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	bts, err = z.Promised.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Promised")
 		return
 	}
-	if zb0002 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0002}
-		return
-	}
-	z.Promised.Round, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Promised", "Round")
-		return
-	}
-	{
-		var zb0003 uint64
-		zb0003, bts, err = msgp.ReadUint64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Promised", "Proposer")
-			return
-		}
-		z.Promised.Proposer = ID(zb0003)
-	}
-	var zb0004 uint32
-	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	bts, err = z.AcceptedAt.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "AcceptedAt")
 		return
 	}
-	if zb0004 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0004}
-		return
-	}
-	z.AcceptedAt.Round, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "AcceptedAt", "Round")
-		return
-	}
-	{
-		var zb0005 uint64
-		zb0005, bts, err = msgp.ReadUint64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "AcceptedAt", "Proposer")
-			return
-		}
-		z.AcceptedAt.Proposer = ID(zb0005)
-	}
 	bts, err = z.Accepted.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Accepted")
@@ -1601,6 +1320,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Vote) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + 1 + msgp.Uint64Size + msgp.Uint64Size + 1 + msgp.Uint64Size + msgp.Uint64Size + z.Accepted.Msgsize()
+	s = 1 + msgp.Uint64Size + z.Promised.Msgsize() + z.AcceptedAt.Msgsize() + z.Accepted.Msgsize()
 	return
 }
