--- /dev/null
+++ b/member/session_test.go
@@ -0,0 +1,166 @@
+package member
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravendale/wire"
+)
+
+const ms = time.Millisecond
+
+func testSession(seeds ...string) *session {
+	return newSession(rand.New(rand.NewPCG(1, 2)), 1000*ms, seeds)
+}
+
+func grant(lease time.Duration, core ...string) *wire.RenewReply {
+	return &wire.RenewReply{Granted: true, LeaseMillis: uint32(lease / ms), Core: core}
+}
+
+func TestTheFirstRenewalGoesOutAtOnceWhenConnected(t *testing.T) {
+	s := testSession("a")
+	require.Equal(t, "a", s.target)
+	require.False(t, s.tick(0, false), "not before the connection is up")
+	require.True(t, s.tick(5*ms, true))
+	require.False(t, s.tick(6*ms, true), "once")
+	require.False(t, s.leased(6*ms))
+}
+
+func TestRenewalsAreDueThriceInALease(t *testing.T) {
+	s := testSession("a")
+	require.True(t, s.tick(0, true))
+	s.replied(20*ms, 0, "a", grant(600*ms))
+	require.True(t, s.leased(599*ms))
+	require.False(t, s.leased(600*ms), "counted from when it was sent")
+	require.Equal(t, 200*ms, s.next())
+	require.False(t, s.tick(199*ms, true))
+	require.True(t, s.tick(200*ms, true))
+	s.replied(201*ms, 200*ms, "a", grant(9000*ms))
+	require.Equal(t, 1200*ms, s.next(), "or at the heartbeat")
+}
+
+func TestTheLeaderThatIsNamedIsAskedAtOnce(t *testing.T) {
+	s := testSession("a")
+	s.tick(0, true)
+	s.replied(10*ms, 0, "a", &wire.RenewReply{Leader: "b", Core: []string{"a", "b", "c"}})
+	require.Equal(t, "b", s.target)
+	require.True(t, s.tick(20*ms, true))
+	s.replied(30*ms, 20*ms, "b", grant(600*ms))
+	require.Equal(t, "b", s.leader)
+}
+
+func TestControlProcessesThatNameOneAnotherAreNotAskedForEver(t *testing.T) {
+	s := testSession("a", "b")
+	now := time.Duration(0)
+	for hop := 0; s.tick(now, true); hop++ {
+		require.LessOrEqual(t, hop, hopsAllowed)
+		from := s.target
+		other := map[string]string{"a": "b", "b": "a"}[from]
+		s.replied(now, now, from, &wire.RenewReply{Leader: other})
+	}
+	require.Greater(t, s.next(), now, "a pause")
+	require.LessOrEqual(t, s.next(), now+2*retryPause)
+}
+
+func TestWhoDoesNotKnowIsLeftForAnother(t *testing.T) {
+	s := testSession("a", "b")
+	first := s.target
+	s.tick(0, true)
+	s.replied(1*ms, 0, first, &wire.RenewReply{})
+	require.NotEqual(t, first, s.target)
+	require.False(t, s.tick(1*ms, true))
+	require.True(t, s.tick(s.next(), true))
+}
+
+func TestASilentControlProcessIsLeft(t *testing.T) {
+	s := testSession("a", "b")
+	first := s.target
+	require.True(t, s.tick(0, true))
+	require.False(t, s.tick(answerWithin-1, true))
+	require.Equal(t, first, s.target)
+	s.tick(answerWithin, true)
+	require.NotEqual(t, first, s.target)
+	require.LessOrEqual(t, s.next(), answerWithin+2*retryPause)
+}
+
+func TestAConnectThatHangsIsLeft(t *testing.T) {
+	s := testSession("a", "b")
+	first := s.target
+	s.tick(0, false)
+	s.tick(answerWithin, false)
+	require.NotEqual(t, first, s.target)
+}
+
+func TestALostConnectionIsMadeAgainAndTheLeaseRenewed(t *testing.T) {
+	s := testSession("a", "b")
+	first := s.target
+	s.tick(0, true)
+	s.replied(1*ms, 0, first, grant(600*ms))
+	s.disconnected(50*ms, first)
+	require.Equal(t, first, s.target, "the leader may live")
+	require.False(t, s.tick(50*ms, false))
+	require.True(t, s.tick(60*ms, true))
+	s.disconnected(70*ms, first)
+	require.NotEqual(t, first, s.target, "a renewal was under way")
+}
+
+func TestOldConnectionsSayNothing(t *testing.T) {
+	s := testSession("a", "b")
+	first := s.target
+	s.failed(0, "elsewhere")
+	s.disconnected(0, "elsewhere")
+	require.Equal(t, first, s.target)
+}
+
+func TestALateGrantCountsFromWhenItWasAskedFor(t *testing.T) {
+	s := testSession("a", "b")
+	first := s.target
+	s.tick(0, true)
+	s.tick(answerWithin, true) // given up
+	s.replied(400*ms, 0, first, grant(600*ms))
+	require.True(t, s.leased(500*ms))
+	require.False(t, s.leased(600*ms))
+}
+
+func TestAnOlderGrantDoesNotShortenTheLease(t *testing.T) {
+	s := testSession("a")
+	s.tick(0, true)
+	s.replied(300*ms, 200*ms, "a", grant(600*ms))
+	s.replied(310*ms, 100*ms, "a", grant(600*ms))
+	require.True(t, s.leased(799*ms))
+}
+
+func TestWhatChangedDuringARenewalIsSentAfterIt(t *testing.T) {
+	s := testSession("a")
+	s.tick(0, true)
+	s.hurry(1 * ms)
+	s.replied(2*ms, 0, "a", grant(600*ms))
+	require.True(t, s.tick(2*ms, true))
+	s.replied(3*ms, 2*ms, "a", grant(600*ms))
+	require.False(t, s.tick(4*ms, true))
+	s.hurry(5 * ms)
+	require.True(t, s.tick(5*ms, true))
+}
+
+func TestWithoutSeedsItWaitsForThem(t *testing.T) {
+	s := testSession()
+	require.False(t, s.tick(0, false))
+	s.setSeeds([]string{"a"})
+	for now := time.Duration(0); s.target == ""; now = s.next() {
+		require.Less(t, now, 5*time.Second)
+		s.tick(now, false)
+	}
+	require.Equal(t, "a", s.target)
+}
+
+func TestProcessesOfTheCoreAreTriedBesideTheSeeds(t *testing.T) {
+	s := testSession("a")
+	s.tick(0, true)
+	s.replied(1*ms, 0, "a", grant(600*ms, "a", "b"))
+	s.tick(s.next(), true)
+	s.failed(s.next(), "a")
+	require.Equal(t, "b", s.target)
+}
