Give messages back after a pause, claim what is kept meanwhile, and test with drawn events

A store hands what is given back to the next edge at once: without a pause a message that no edge may send would go round and round. A put that was kept between two looks was claimed by neither. A property plays drawn events against the core: nothing is sent early, after its end or to workers that leave, nothing is left behind.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -141,13 +141,14 @@
 }
 
 func (c *Core) take(g *wire.Grant, age time.Duration) {
-	if c.stopping || c.config.MaxBodies > 0 && c.held+len(g.Message.Body) > c.config.MaxBodies {
-		c.report(wire.Report{ID: g.ID, Kind: wire.ReportReleased, Failed: g.Failed})
-		return
-	}
 	whole := g.Message
 	whole.ID = g.ID
-	c.hold(&whole, arrival{age: age, granted: true, failed: g.Failed, patience: c.config.Converge})
+	from := arrival{age: age, granted: true, failed: g.Failed, patience: c.config.Converge}
+	from.excess = c.config.MaxBodies > 0 && c.held+len(whole.Body) > c.config.MaxBodies
+	if from.excess {
+		whole.Body = nil
+	}
+	c.hold(&whole, from)
 }
 
 func (c *Core) grant(m *message, failed uint16) {
@@ -167,6 +168,7 @@
 	granted  bool
 	failed   uint16
 	patience time.Duration // for a route that is not known here yet
+	excess   bool          // there is no room for it
 }
 
 func (c *Core) hold(whole *wire.Message, from arrival) {
@@ -182,6 +184,8 @@
 	switch {
 	case c.stopping:
 		c.release(m)
+	case from.excess:
+		c.schedule(m, returning, c.now+returnPause)
 	case m.ready():
 		c.wait(m, max(m.start, c.now))
 	default:
@@ -247,7 +251,7 @@
 	case s.bucket == nil:
 		c.handOver(m, s, false)
 	case s.bucket.share.Burst == 0:
-		c.release(m)
+		c.schedule(m, returning, c.now+returnPause)
 	case len(s.throttled) == 0 && s.bucket.take(c.now):
 		c.handOver(m, s, true)
 	default:
@@ -372,6 +376,8 @@
 	switch {
 	case m.phase == waiting:
 		c.try(m)
+	case m.phase == returning:
+		c.release(m)
 	case m.phase == handed && m.job.live():
 		c.schedule(m, handed, c.now+giveBack)
 	case m.phase == handed:
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -317,6 +317,8 @@
 	w.config.Services[2].RatePerS = 4
 	w.take(w.core.Place(w.now, []string{"other"})) // this edge has no share of any ceiling
 	w.accept("/l/", "1")
+	assert.Empty(t, w.reports, "it may come again at once: not too fast")
+	w.pass(returnPause)
 	assert.Equal(t, wire.ReportReleased, w.told().Kind)
 	w.take(w.core.Place(w.now, []string{"e1"}))
 	w.take(w.core.Grant(w.now, &wire.Grant{ID: "0.1", Whole: true, Message: *messageTo("/l/", "1")}, 0))
@@ -504,7 +506,7 @@
 	assert.Equal(t, wire.Report{ID: "0.4", Kind: wire.ReportReleased}, w.told())
 	w.take(w.core.Grant(w.now, &wire.Grant{ID: "0.5", Whole: true, Message: *messageTo("/p/", "5")}, 0))
 	assert.Equal(t, wire.Report{ID: "0.5", Kind: wire.ReportReleased}, w.told())
-	for _, id := range []string{"1", "2", "3", "4"} {
+	for _, id := range []string{"1", "2", "3", "4", "5"} {
 		w.take(w.core.Acknowledged(w.now, "0."+id))
 	}
 	assert.True(t, w.core.Idle())
@@ -533,6 +535,7 @@
 	other := messageTo("/p/", "2")
 	other.Body = make([]byte, 1500)
 	w.take(w.core.Grant(w.now, &wire.Grant{ID: other.ID, Whole: true, Message: *other}, 0))
+	w.pass(returnPause)
 	assert.Equal(t, wire.ReportReleased, w.told().Kind)
 	w.unsent()
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -51,6 +51,7 @@
 	longestPause  = time.Second
 	failedPause   = 150 * time.Millisecond // after the second failed attempt, doubling
 	longestFailed = 2 * time.Second
+	returnPause   = 15 * time.Millisecond  // before a message is given back that may come again at once
 	repeatPause   = 120 * time.Millisecond // while another attempt of the message is running
 	expirySlack   = 500 * time.Millisecond // clocks of day differ, and no message may end early
 	forever       = 1000 * time.Hour
--- a/dispatch/message.go
+++ b/dispatch/message.go
@@ -14,6 +14,7 @@
 	waiting                // until due
 	throttled              // for a token of its service's ceiling
 	handed                 // its service's module has it
+	returning              // given back when it is due, for another edge to deliver
 	reported               // its end is told to the queue, and not yet acknowledged
 )
 
--- /dev/null
+++ b/dispatch/property_test.go
@@ -0,0 +1,195 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ravendale/wire"
+	"ravendale/worker"
+)
+
+// journey is what a message went through.
+type journey struct {
+	message  *wire.Message
+	accepted time.Duration
+	granted  bool
+	failures int
+	ended    bool // a last report is out
+	out      int
+}
+
+// chaos plays drawn events against a core and checks each action.
+type chaos struct {
+	*world
+	r        *rapid.T
+	journeys map[string]*journey
+	attempts map[string]string // message by job and attempt
+	running  []Deliver
+	refused  string // the message that a worker refuses for good just now
+	next     int
+}
+
+func key(job JobID, attempt int) string { return fmt.Sprintf("%d/%d", job, attempt) }
+
+func (c *chaos) check() {
+	for _, d := range c.out {
+		id := "0." + d.Delivery.RequestID
+		j := c.journeys[id]
+		switch {
+		case j.ended:
+			c.r.Fatalf("%s is sent after its end", id)
+		case j.message.Ordered && !j.granted:
+			c.r.Fatalf("%s is sent before its turn", id)
+		case c.now < j.accepted+time.Duration(j.message.DelayMs)*ms:
+			c.r.Fatalf("%s is sent before its delay is over", id)
+		case j.out > 0 && !isIdempotent(j.message):
+			c.r.Fatalf("%s is sent twice at once", id)
+		}
+		if c.isOut(d.Delivery.Worker) {
+			c.r.Fatalf("%s is sent to %s, which drains or is gone", id, d.Delivery.Worker)
+		}
+		j.out++
+		c.attempts[key(d.Job, d.Attempt)] = id
+		c.running = append(c.running, d)
+	}
+	c.out = nil
+	for _, r := range c.reports {
+		j := c.journeys[r.ID]
+		if j.ended {
+			c.r.Fatalf("%s is reported after its end", r.ID)
+		}
+		if r.Kind == wire.ReportDead && j.failures < int(j.message.Retries) && c.refused != r.ID {
+			c.r.Fatalf("%s is dead after %d failures", r.ID, j.failures)
+		}
+		j.ended = r.Kind != wire.ReportFailed
+	}
+	c.reports = nil
+}
+
+func isIdempotent(m *wire.Message) bool { return m.Target[1] == 's' }
+
+func (c *chaos) isOut(name string) bool {
+	return !slices.ContainsFunc(c.workers.Entries, func(w wire.Worker) bool { return w.ID == name && !w.Draining }) && name != "10.0.0.9:80"
+}
+
+func (c *chaos) arrive() {
+	c.next++
+	m := messageTo(rapid.SampledFrom([]string{"/p/", "/s/", "/l/"}).Draw(c.r, "path"), fmt.Sprint(c.next))
+	m.DelayMs = uint32(rapid.SampledFrom([]int{0, 0, 700}).Draw(c.r, "delay"))
+	m.Ordered = rapid.Bool().Draw(c.r, "ordered")
+	j := &journey{message: m, accepted: c.now, granted: rapid.Bool().Draw(c.r, "granted")}
+	c.journeys[m.ID] = j
+	c.take(c.core.Accept(c.now, m, j.granted))
+}
+
+func (c *chaos) grant() {
+	for _, id := range c.core.IDs() {
+		if j := c.journeys[id]; j.message.Ordered {
+			j.granted = true
+			c.take(c.core.Grant(c.now, &wire.Grant{ID: id}, 0))
+			return
+		}
+	}
+}
+
+func (c *chaos) finish(outcome worker.Outcome) {
+	if len(c.running) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(c.running)-1).Draw(c.r, "which")
+	d := c.running[i]
+	c.running = slices.Delete(c.running, i, i+1)
+	id := c.attempts[key(d.Job, d.Attempt)]
+	j := c.journeys[id]
+	j.out--
+	if outcome == worker.Failed {
+		j.failures++
+	}
+	if outcome == worker.Refused {
+		c.refused = id
+	}
+	c.end(d, outcome)
+	c.check()
+	c.refused = ""
+}
+
+func (c *chaos) relist() {
+	for i := range c.workers.Entries {
+		c.workers.Entries[i].Draining = rapid.IntRange(0, 3).Draw(c.r, "draining") == 0
+	}
+	c.list()
+}
+
+var someOutcomes = []worker.Outcome{
+	worker.Done, worker.Failed, worker.Refused, worker.Full, worker.NotRun, worker.WrongWorker, worker.Repeat,
+	worker.Unreachable, worker.NoRoom, worker.Broken, worker.Silent,
+}
+
+func (c *chaos) step() {
+	switch rapid.IntRange(0, 7).Draw(c.r, "step") {
+	case 0, 1:
+		c.arrive()
+	case 2:
+		c.grant()
+	case 3, 4:
+		c.finish(rapid.SampledFrom(someOutcomes).Draw(c.r, "outcome"))
+	case 5:
+		c.relist()
+	default:
+		until := c.now + time.Duration(rapid.IntRange(1, 900).Draw(c.r, "pause"))*ms
+		for c.core.Next() <= until {
+			c.now = max(c.now, c.core.Next())
+			c.take(c.core.Tick(c.now))
+			c.check()
+		}
+		c.now = until
+	}
+	c.check()
+}
+
+// Whatever happens, nothing is sent too early, after its end or to workers that leave; and once workers do their work, each message
+// ends and nothing is left behind.
+func TestNothingIsLostWhateverHappens(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		c := &chaos{world: newWorld(t), r: r, journeys: make(map[string]*journey), attempts: make(map[string]string)}
+		for range rapid.IntRange(1, 60).Draw(r, "steps") {
+			c.step()
+		}
+		for i := range c.workers.Entries {
+			c.workers.Entries[i].Draining = false
+		}
+		c.list()
+		c.check()
+		for deadline := c.now + 60*time.Second; c.now < deadline; c.now += 50 * ms {
+			c.grant()
+			c.check()
+			for len(c.running) > 0 {
+				c.finish(worker.Done)
+			}
+			for c.core.Next() <= c.now {
+				c.take(c.core.Tick(c.now))
+				c.check()
+			}
+			for _, id := range c.core.IDs() {
+				if j := c.journeys[id]; j.message.Ordered && !j.granted {
+					j.granted = true
+					c.take(c.core.Grant(c.now, &wire.Grant{ID: id}, 0))
+					c.check()
+				}
+			}
+		}
+		for id, j := range c.journeys {
+			if !j.ended {
+				r.Fatalf("%s has not ended", id)
+			}
+			c.take(c.core.Acknowledged(c.now, id))
+		}
+		if !c.core.Idle() || len(c.core.jobs) > 0 || c.core.Held() != 0 || len(c.core.agenda) > 0 {
+			r.Fatalf("left behind: %d messages, %d jobs, %d bytes", len(c.core.messages), len(c.core.jobs), c.core.Held())
+		}
+	})
+}
--- a/queueclient/store.go
+++ b/queueclient/store.go
@@ -50,6 +50,7 @@
 	if conn == nil || v == nil {
 		return
 	}
+	putting := s.client.putting() // first: what is kept meanwhile is among the held
 	held := s.client.config.Held()
 	claim := &wire.Claim{Epoch: v.Epoch}
 	kept := make(map[string]bool)
@@ -59,7 +60,7 @@
 			kept[id] = true
 		}
 	}
-	for _, id := range s.client.putting() {
+	for _, id := range putting {
 		if v.leads(s, id) && !kept[id] {
 			claim.IDs = append(claim.IDs, id)
 		}
