Trust the store for a granted message's delay and end, not the time of day

A clock that is off could have ended an accepted message early, or held it up. Tested: go test -race -count=2 ./dispatch.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -125,25 +125,27 @@
 	return c.end()
 }
 
-// Grant takes a store's grant; age is how long ago the message was sent.
-func (c *Core) Grant(now time.Duration, g *wire.Grant, age time.Duration) []Action {
+// Grant takes a store's grant. A whole message is due: the store, whose steady clock has counted since it was sent, keeps its
+// delay, and its end too. The time of day says nothing reliable of either.
+func (c *Core) Grant(now time.Duration, g *wire.Grant) []Action {
 	c.begin(now)
 	m := c.messages[g.ID]
 	switch {
 	case m != nil && m.phase != reported:
 		c.grant(m, g.Failed)
 	case g.Whole && (m == nil || m.released):
-		c.take(g, age)
+		c.take(g)
 	case m == nil:
 		c.report(wire.Report{ID: g.ID, Kind: wire.ReportReleased, Failed: g.Failed})
 	}
 	return c.end()
 }
 
-func (c *Core) take(g *wire.Grant, age time.Duration) {
+func (c *Core) take(g *wire.Grant) {
 	whole := g.Message
 	whole.ID = g.ID
-	from := arrival{age: age, granted: true, failed: g.Failed, patience: c.config.Converge}
+	whole.DelayMs = 0
+	from := arrival{granted: true, failed: g.Failed, patience: c.config.Converge}
 	from.excess = c.config.MaxBodies > 0 && c.held+len(whole.Body) > c.config.MaxBodies
 	if from.excess {
 		whole.Body = nil
@@ -164,7 +166,6 @@
 
 // arrival says how a message came.
 type arrival struct {
-	age      time.Duration // since it was sent
 	granted  bool
 	failed   uint16
 	patience time.Duration // for a route that is not known here yet
@@ -175,10 +176,10 @@
 	m := &message{Message: *whole, granted: from.granted, failed: from.failed, dropAt: c.now + from.patience, position: -1}
 	m.size = len(m.Body) + messageOverhead
 	c.held += m.size
-	m.start = c.now + time.Duration(m.DelayMs)*time.Millisecond - from.age
+	m.start = c.now + time.Duration(m.DelayMs)*time.Millisecond
 	m.expires = c.now + forever
 	if m.RetentionMs > 0 {
-		m.expires = c.now + time.Duration(m.RetentionMs)*time.Millisecond - from.age + expirySlack
+		m.expires = c.now + time.Duration(m.RetentionMs)*time.Millisecond + expirySlack
 	}
 	c.messages[m.ID] = m
 	switch {
--- a/dispatch/plane.go
+++ b/dispatch/plane.go
@@ -120,13 +120,9 @@
 	p.handle(func(core *Core, now time.Duration) []Action { return core.Accept(now, m, granted) })
 }
 
-// Grant takes a store's grant. The age of a whole message is told by the time of day: it was received elsewhere.
+// Grant takes a store's grant.
 func (p *Plane) Grant(g *wire.Grant) {
-	age := time.Duration(0)
-	if g.Whole {
-		age = max(0, time.Duration(time.Now().UnixMilli()-g.Message.SentUnixMs)*time.Millisecond)
-	}
-	p.handle(func(core *Core, now time.Duration) []Action { return core.Grant(now, g, age) })
+	p.handle(func(core *Core, now time.Duration) []Action { return core.Grant(now, g) })
 }
 
 // Acknowledged hears that the queue has a message's last report.
