Go by Member.Disk, and repair past a parent that is behind

A store's disk is named by its Member already, so the second name goes. A topic that the parent lacks too is fetched from the leader first; a new leader always tells its first list, so that no version is waited for that nobody has; whether a store is empty is answered also by processes that lag.

--- a/control/leader/leader.go
+++ b/control/leader/leader.go
@@ -190,10 +190,15 @@
 	}
 }
 
-// RetireState says whether a node's store that was asked to retire is empty. It goes by what this process has applied.
+// RetireState says whether a node's store that was asked to retire is empty. It goes by what this process has applied, which may
+// lag: a store that is not known to retire is not empty yet.
 func (s *Service) RetireState(node string) (done bool, err error) {
-	known, retiring, done := placement.Retirement(s.config.State().Placement, node)
-	if !known || !retiring {
+	view := s.config.State().Placement
+	if view == nil {
+		return false, ErrUndecided
+	}
+	known, _, done := placement.Retirement(view, node)
+	if !known {
 		return false, fmt.Errorf("%w: %q", ErrUnknownNode, node)
 	}
 	return done, nil
--- a/control/leader/term.go
+++ b/control/leader/term.go
@@ -232,8 +232,8 @@
 		t.edges[renew.Member.ID] = true
 		t.lastEdge = now
 	}
-	if renew.Member.Storage && !t.disks[renew.Store.Disk] {
-		t.disks[renew.Store.Disk] = true
+	if renew.Member.Storage && !t.disks[renew.Member.Disk] {
+		t.disks[renew.Member.Disk] = true
 		t.lastStore = now
 	}
 }
@@ -335,34 +335,36 @@
 	s := t.service.settings.Load()
 	pace := discovery.NewPace(settings.Milliseconds(s.Bounds.DrainMs), s.ProviderRate)
 	read, done := t.service.reader()
+	defer func() { done() }()
+	failed := false
 	for ctx.Err() == nil {
 		if now := t.service.settings.Load(); now.ProviderAddress != s.ProviderAddress {
 			done()
 			read, done = t.service.reader()
 			s = now
 		}
-		next := t.readList(ctx, read, pace)
+		next, err := t.readList(ctx, read, pace)
+		if err != nil && !failed && ctx.Err() == nil {
+			t.service.log.Warn("the platform's list can't be read", "error", err)
+		}
+		failed = err != nil
 		if sleep(ctx, max(next-t.now(), time.Millisecond)) != nil {
-			break
+			return
 		}
 	}
-	done()
 }
 
-func (t *term) readList(ctx context.Context, read func(context.Context, time.Duration) (*wire.Workers, int, error), pace *discovery.Pace) time.Duration {
+func (t *term) readList(ctx context.Context, read func(context.Context, time.Duration) (*wire.Workers, int, error), pace *discovery.Pace) (time.Duration, error) {
 	if !t.valid() {
-		return t.now() + invalidPause
+		return t.now() + invalidPause, nil
 	}
 	started := t.now()
 	workers, pages, err := read(ctx, pace.Gap())
 	if err != nil {
-		if ctx.Err() == nil {
-			t.service.log.Warn("the platform's list can't be read", "error", err)
-		}
-		return pace.Failed(t.now())
+		return pace.Failed(t.now()), err
 	}
 	t.box.Post(func() { t.listed(workers) })
-	return pace.Done(started, pages)
+	return pace.Done(started, pages), nil
 }
 
 func (t *term) listed(workers *wire.Workers) {
@@ -371,7 +373,8 @@
 	}
 	merged, changed := discovery.Merge(t.workers, workers)
 	t.workers = merged
-	if changed {
+	// The first list of a term is told in any case: an earlier leader may have named a version that nobody has.
+	if changed || t.sequences[wire.TopicWorkers] == 0 {
 		t.announce(wire.TopicWorkers, merged)
 	}
 }
@@ -381,8 +384,11 @@
 func (t *term) live(now time.Duration, view *wire.StoreView) []placement.Store {
 	var live []placement.Store
 	for _, s := range t.registry.Stores() {
+		if s.Member.Disk == "" {
+			continue
+		}
 		live = append(live, placement.Store{
-			Disk: s.Status.Disk, Node: s.Member.Node, Address: s.Member.Address, Zone: s.Member.Zone, Region: s.Member.Region,
+			Disk: s.Member.Disk, Node: s.Member.Node, Address: s.Member.Address, Zone: s.Member.Zone, Region: s.Member.Region,
 			Leaving: s.Member.Leaving, Epoch: s.Status.Epoch, Synced: s.Status.Synced,
 		})
 	}
--- a/control/registry/registry.go
+++ b/control/registry/registry.go
@@ -161,7 +161,7 @@
 
 // sameStatus compares what the placement goes by.
 func sameStatus(a, b wire.StoreStatus) bool {
-	return a.Disk == b.Disk && a.Epoch == b.Epoch && slices.Equal(a.Synced, b.Synced)
+	return a.Epoch == b.Epoch && slices.Equal(a.Synced, b.Synced)
 }
 
 // Broken tells that a connection ended. A member whose last renewal came over it must renew soon.
--- a/member/agent.go
+++ b/member/agent.go
@@ -16,9 +16,11 @@
 	"ravendale/wire"
 )
 
+// Times of the connection to a control process. Renewals tell soon enough when it is silent, so that pings are hardly needed.
 const (
 	connectWithin = 300 * time.Millisecond
-	silentAfter   = 1200 * time.Millisecond
+	pingAfter     = 2 * time.Second
+	silentAfter   = 5 * time.Second
 )
 
 // Config of an Agent.
@@ -148,7 +150,7 @@
 	if target == "" {
 		return
 	}
-	options := rpc.Options{Mux: a.config.Mux, ConnectTimeout: connectWithin, SilentAfter: silentAfter}
+	options := rpc.Options{Mux: a.config.Mux, ConnectTimeout: connectWithin, PingAfter: pingAfter, SilentAfter: silentAfter}
 	up := func(c *rpc.Conn) { a.box.Post(func() { a.connected(c, target) }) }
 	down := func(error) { a.box.Post(func() { a.disconnected(target) }) }
 	a.link = rpc.NewLink(target, options, up, down)
--- a/relay/node.go
+++ b/relay/node.go
@@ -15,8 +15,11 @@
 // BeatEvery is how often a parent tells its children that it lives.
 const BeatEvery = 500 * time.Millisecond
 
-// uplinkPingAfter is longer than a beat, so that few pings are needed.
-const uplinkPingAfter = 600 * time.Millisecond
+// Beats say that a parent lives, and the uplink gives it up: pings are hardly needed.
+const (
+	pingAfter   = 2 * time.Second
+	closedAfter = 5 * time.Second
+)
 
 // NodeConfig says what a Node is and whom it tells.
 type NodeConfig struct {
@@ -39,6 +42,7 @@
 	uplink   *Uplink
 	link     *rpc.Link
 	beat     time.Duration
+	above    Versions // what the parent said that it has
 	stopped  bool
 }
 
@@ -215,7 +219,7 @@
 	if target == "" || n.stopped {
 		return
 	}
-	options := rpc.Options{Mux: n.parentMux(target), ConnectTimeout: joinWithin, PingAfter: uplinkPingAfter, SilentAfter: silentAfter}
+	options := rpc.Options{Mux: n.parentMux(target), ConnectTimeout: joinWithin, PingAfter: pingAfter, SilentAfter: closedAfter}
 	up := func(c *rpc.Conn) { n.box.Post(func() { n.join(c, target) }) }
 	down := func(error) { n.box.Post(func() { n.uplink.Lost(n.now(), target) }) }
 	n.link = rpc.NewLink(target, options, up, down)
@@ -232,6 +236,7 @@
 	rpc.Handle(mux, wire.MethodBeat, func(_ *rpc.Conn, beat *wire.Beat, _ rpc.Reply) {
 		n.box.Post(func() {
 			n.uplink.Heard(n.now(), address)
+			n.above = VersionsOf(beat.Heads)
 			n.topics.Named(n.now(), beat.Heads)
 		})
 	})
@@ -257,12 +262,14 @@
 		n.uplink.Lost(n.now(), address)
 		return
 	}
+	n.above = Versions{}
 	n.uplink.Accepted(n.now(), address)
 }
 
-// fetch asks the parent for a topic, and the leader every other time, or if there is no parent.
+// fetch asks the parent for a topic, and the leader every other time, or if there is no parent. If the parent itself is behind, the
+// leader is asked first.
 func (n *Node) fetch(repair Repair) {
-	conn := n.fetchFrom(repair.Tried)
+	conn := n.fetchFrom(repair)
 	if conn == nil {
 		return
 	}
@@ -278,7 +285,7 @@
 	})
 }
 
-func (n *Node) fetchFrom(tried int) *rpc.Conn {
+func (n *Node) fetchFrom(repair Repair) *rpc.Conn {
 	var parent, leader *rpc.Conn
 	if n.link != nil && n.uplink.Joined() {
 		parent = n.link.Conn()
@@ -286,7 +293,8 @@
 	if n.config.Leader != nil {
 		leader = n.config.Leader()
 	}
-	if parent == nil || tried%2 == 1 && leader != nil {
+	behind := n.above[repair.Topic].Less(repair.Head)
+	if parent == nil || leader != nil && (repair.Tried%2 == 1) != behind {
 		return leader
 	}
 	return parent
--- a/relay/topics.go
+++ b/relay/topics.go
@@ -170,7 +170,8 @@
 type Repair struct {
 	Topic wire.Topic
 	Have  wire.Version
-	Tried int // fetches of it before
+	Head  wire.Version // that was named
+	Tried int          // fetches of it before
 }
 
 // Repairs lists what has been missing for too long, each again after a while.
@@ -181,7 +182,7 @@
 		if !topic.version.Less(topic.head) || now < topic.next {
 			continue
 		}
-		repair := Repair{Topic: wire.Topic(i), Tried: topic.tried}
+		repair := Repair{Topic: wire.Topic(i), Head: topic.head, Tried: topic.tried}
 		if !topic.broken {
 			repair.Have = topic.version
 		}
--- a/wire/membership.go
+++ b/wire/membership.go
@@ -45,7 +45,6 @@
 
 // StoreStatus is what a store tells with each renewal.
 type StoreStatus struct {
-	Disk     string   // identity of the store's disk, as Store.Disk
 	Epoch    uint64   // of the StoreView that it acts under
 	Synced   []uint16 // partitions that it is joining and holds whole
 	Pending  uint64   // messages that have not ended
--- a/wire/membership_gen.go
+++ b/wire/membership_gen.go
@@ -1591,13 +1591,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
-		return
-	}
-	z.Disk, err = dc.ReadString()
-	if err != nil {
-		err = msgp.WrapError(err, "Disk")
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Epoch, err = dc.ReadUint64()
@@ -1638,14 +1633,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *StoreStatus) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 5
-	err = en.Append(0x95)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Disk)
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
-		err = msgp.WrapError(err, "Disk")
 		return
 	}
 	err = en.WriteUint64(z.Epoch)
@@ -1681,9 +1671,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *StoreStatus) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
-	o = msgp.AppendString(o, z.Disk)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendUint64(o, z.Epoch)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Synced)))
 	for za0001 := range z.Synced {
@@ -1702,13 +1691,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
-		return
-	}
-	z.Disk, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Disk")
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
@@ -1750,7 +1734,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *StoreStatus) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Disk) + msgp.Uint64Size + msgp.ArrayHeaderSize + (len(z.Synced) * (msgp.Uint16Size)) + msgp.Uint64Size + msgp.Uint64Size
+	s = 1 + msgp.Uint64Size + msgp.ArrayHeaderSize + (len(z.Synced) * (msgp.Uint16Size)) + msgp.Uint64Size + msgp.Uint64Size
 	return
 }
 
