Pass the operator's order to retire a store on to the leader

Any control process may get the order, and only the leader knows which stores live. Tested with two control processes: an unknown node, too few stores, and no leader.

--- a/control/leader/leader.go
+++ b/control/leader/leader.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -63,6 +62,7 @@
 	}
 	s.settings.Store(config.Settings)
 	rpc.Handle(config.Mux, wire.MethodRenew, s.renew)
+	rpc.Handle(config.Mux, wire.MethodRetire, s.serveRetire)
 	relay.Register(config.Mux, s.node)
 	return s
 }
@@ -170,40 +170,6 @@
 	}
 }
 
-// StartRetire has a node's store emptied. The order may be repeated. After ErrUndecided it should be.
-func (s *Service) StartRetire(ctx context.Context, node string) error {
-	t := s.leading()
-	if t == nil {
-		return ErrNotLeading
-	}
-	answer := make(chan error, 1)
-	if !t.box.Post(func() { t.retire(ctx, node, answer) }) {
-		return ErrNotLeading
-	}
-	select {
-	case err := <-answer:
-		return err
-	case <-ctx.Done():
-		return fmt.Errorf("%w: %w", ErrUndecided, ctx.Err())
-	case <-t.done:
-		return ErrUndecided
-	}
-}
-
-// RetireState says whether a node's store that was asked to retire is empty. It goes by what this process has applied, which may
-// lag: a store that is not known to retire is not empty yet.
-func (s *Service) RetireState(node string) (done bool, err error) {
-	view := s.config.State().Placement
-	if view == nil {
-		return false, ErrUndecided
-	}
-	known, _, done := placement.Retirement(view, node)
-	if !known {
-		return false, fmt.Errorf("%w: %q", ErrUnknownNode, node)
-	}
-	return done, nil
-}
-
 // placementConfig follows from what may be lost.
 func placementConfig(s *settings.Settings) placement.Config {
 	return placement.Config{
--- a/control/leader/leader_test.go
+++ b/control/leader/leader_test.go
@@ -414,6 +414,20 @@
 	require.ErrorIs(t, service.StartRetire(t.Context(), "s-1"), ErrTooFew)
 }
 
+func TestAnOrderToRetireIsPassedOnToTheLeader(t *testing.T) {
+	f := newFleet(t, 2)
+	f.lead(f.controls[0])
+	f.stores(3)
+	f.eventually("it is placed", func() bool { return whole(f.view(), "") })
+	other := f.controls[1].service
+	require.ErrorIs(t, other.StartRetire(t.Context(), "nobody"), ErrUnknownNode)
+	require.NoError(t, other.StartRetire(t.Context(), "s-1"))
+	require.True(t, f.view().Stores[1].Retiring)
+	require.ErrorIs(t, other.StartRetire(t.Context(), "s-2"), ErrTooFew)
+	f.controls[0].depose()
+	require.ErrorIs(t, other.StartRetire(t.Context(), "s-1"), ErrNotLeading)
+}
+
 func TestALeavingStoreHandsItsPrimariesOver(t *testing.T) {
 	f := newFleet(t, 1)
 	f.lead(f.controls[0])
--- /dev/null
+++ b/control/leader/retire.go
@@ -0,0 +1,162 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"ravendale/control/placement"
+	"ravendale/rpc"
+	"ravendale/wire"
+)
+
+//go:generate go run github.com/tinylib/msgp -file retire.go -o retire_gen.go -tests=false
+//msgp:tuple Retire RetireReply
+
+// Retire passes the operator's order on to the process that leads.
+type Retire struct {
+	Node string
+}
+
+// RetireCode says what became of an order.
+type RetireCode uint8
+
+// The answers to Retire.
+const (
+	RetireStarted RetireCode = iota
+	RetireUnknownNode
+	RetireTooFew
+	RetireNotLeading
+	RetireUndecided
+)
+
+// RetireReply answers Retire.
+type RetireReply struct {
+	Code   RetireCode
+	Reason string
+}
+
+var retireErrors = map[RetireCode]error{
+	RetireUnknownNode: ErrUnknownNode,
+	RetireTooFew:      ErrTooFew,
+	RetireNotLeading:  ErrNotLeading,
+	RetireUndecided:   ErrUndecided,
+}
+
+// StartRetire has a node's store emptied, by the leader if that is another process. The order may be repeated. After ErrNotLeading
+// nothing was begun; after ErrUndecided it may be.
+func (s *Service) StartRetire(ctx context.Context, node string) error {
+	if t := s.leading(); t != nil {
+		return t.startRetire(ctx, node)
+	}
+	address, known := s.config.Leader()
+	own := s.settings.Load()
+	if !known || address == own.ControlAddress(own.IP) {
+		return ErrNotLeading
+	}
+	return forwardRetire(ctx, address, node)
+}
+
+func forwardRetire(ctx context.Context, address, node string) error {
+	conn, err := rpc.Dial(ctx, address, rpc.Options{})
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNotLeading, err)
+	}
+	defer conn.Close()
+	var reply RetireReply
+	if err := conn.Call(ctx, wire.MethodRetire, &Retire{Node: node}, &reply); err != nil {
+		return fmt.Errorf("%w: %w", ErrUndecided, err)
+	}
+	if reply.Code == RetireStarted {
+		return nil
+	}
+	if known := retireErrors[reply.Code]; known != nil {
+		return fmt.Errorf("%w: %s", known, reply.Reason)
+	}
+	return ErrUndecided
+}
+
+// serveRetire answers another control process. It does not forward any further.
+func (s *Service) serveRetire(_ *rpc.Conn, order *Retire, reply rpc.Reply) {
+	t := s.leading()
+	if t == nil {
+		reply.Send(&RetireReply{Code: RetireNotLeading})
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+		defer cancel()
+		reply.Send(replyOf(t.startRetire(ctx, order.Node)))
+	}()
+}
+
+func replyOf(err error) *RetireReply {
+	if err == nil {
+		return &RetireReply{Code: RetireStarted}
+	}
+	reply := &RetireReply{Code: RetireUndecided, Reason: err.Error()}
+	for code, known := range retireErrors {
+		if errors.Is(err, known) {
+			reply.Code = code
+		}
+	}
+	return reply
+}
+
+// RetireState says whether a node's store that was asked to retire is empty. It goes by what this process has applied, which may
+// lag: a store that is not known to retire is not empty yet.
+func (s *Service) RetireState(node string) (done bool, err error) {
+	view := s.config.State().Placement
+	if view == nil {
+		return false, ErrUndecided
+	}
+	known, _, done := placement.Retirement(view, node)
+	if !known {
+		return false, fmt.Errorf("%w: %q", ErrUnknownNode, node)
+	}
+	return done, nil
+}
+
+func (t *term) startRetire(ctx context.Context, node string) error {
+	answer := make(chan error, 1)
+	if !t.box.Post(func() { t.retire(ctx, node, answer) }) {
+		return ErrNotLeading
+	}
+	select {
+	case err := <-answer:
+		return err
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", ErrUndecided, ctx.Err())
+	case <-t.done:
+		return ErrUndecided
+	}
+}
+
+// retire marks a node's store as one to be emptied. While another placement is on its way it waits.
+func (t *term) retire(ctx context.Context, node string, answer chan<- error) {
+	if ctx.Err() != nil {
+		answer <- fmt.Errorf("%w: %w", ErrUndecided, ctx.Err())
+		return
+	}
+	view := t.service.config.State().Placement
+	if t.submitting || view != nil && view.Epoch < t.epoch {
+		t.work.Go(func() {
+			_ = sleep(t.ctx, statePoll)
+			t.box.Post(func() { t.retire(ctx, node, answer) })
+		})
+		return
+	}
+	if _, retiring, _ := placement.Retirement(view, node); retiring {
+		answer <- nil
+		return
+	}
+	next, known, enough := placement.Retire(view, t.live(t.now(), view), placementConfig(t.service.settings.Load()), node)
+	switch {
+	case !known:
+		answer <- fmt.Errorf("%w: %q", ErrUnknownNode, node)
+	case !enough:
+		answer <- fmt.Errorf("%w: without %q", ErrTooFew, node)
+	default:
+		t.propose(next, answer)
+	}
+}
--- a/control/leader/term.go
+++ b/control/leader/term.go
@@ -463,32 +463,3 @@
 	}
 	return nil
 }
-
-// retire marks a node's store as one to be emptied.
-func (t *term) retire(ctx context.Context, node string, answer chan<- error) {
-	view := t.service.config.State().Placement
-	if ctx.Err() != nil {
-		answer <- ctx.Err()
-		return
-	}
-	if t.submitting || view != nil && view.Epoch < t.epoch {
-		t.work.Go(func() {
-			_ = sleep(t.ctx, statePoll)
-			t.box.Post(func() { t.retire(ctx, node, answer) })
-		})
-		return
-	}
-	if _, retiring, _ := placement.Retirement(view, node); retiring {
-		answer <- nil
-		return
-	}
-	next, known, enough := placement.Retire(view, t.live(t.now(), view), placementConfig(t.service.settings.Load()), node)
-	switch {
-	case !known:
-		answer <- fmt.Errorf("%w: %q", ErrUnknownNode, node)
-	case !enough:
-		answer <- fmt.Errorf("%w: without %q", ErrTooFew, node)
-	default:
-		t.propose(next, answer)
-	}
-}
--- a/wire/methods.go
+++ b/wire/methods.go
@@ -10,6 +10,7 @@
 	MethodUpdate                      // Update, notification: a parent to its children
 	MethodBeat                        // Beat, notification: a parent to its children
 	MethodFetch                       // Fetch, Update: a topic asked for outside of the tree
+	MethodRetire                      // an order of the operator: a control process to the one that leads
 )
 
 // Methods of the queue: an edge is the caller unless said otherwise.
