Send retire orders to the leader, and tell the state of the system

A control process that does not lead could only fail a retire order; it now answers 307 to the leader's admin address, or 503 when none is known. GET /v1/status tells core, configuration, placement and, on the leader, members by zone. Tested: redirects and refusals through the server, the counts by hand; under -race.

--- a/cmd/ravendale-control/control.go
+++ b/cmd/ravendale-control/control.go
@@ -47,7 +47,9 @@
 		Settings: env.Settings, Mux: c.mux, Log: env.Log,
 		Submit: opened.Submit, State: c.machine.Current, Leader: opened.Leader, Core: opened.Addresses,
 	})
-	c.api = api.New(api.Options{Submitter: opened, Retirer: retirer{c.leader}, Log: env.Log})
+	c.api = api.New(api.Options{
+		Submitter: opened, Retirer: retirer{c.leader}, Log: env.Log, Redirect: c.leaderAdmin, Status: c.status,
+	})
 	return c, nil
 }
 
--- a/cmd/ravendale-control/retire.go
+++ b/cmd/ravendale-control/retire.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ravendale/control/api"
+	"ravendale/control/core"
 	"ravendale/control/leader"
 )
 
@@ -36,6 +37,8 @@
 		return fmt.Errorf("%w: %w", api.ErrUnknownNode, err)
 	case errors.Is(err, leader.ErrTooFew):
 		return fmt.Errorf("%w: %w", api.ErrTooFew, err)
+	case errors.Is(err, leader.ErrNotLeading):
+		return fmt.Errorf("%w: %w", core.ErrUnavailable, err)
 	}
 	return err
 }
--- /dev/null
+++ b/cmd/ravendale-control/status_test.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ravendale/control/api"
+	"ravendale/control/core"
+	"ravendale/control/leader"
+	"ravendale/settings"
+)
+
+func TestTheLeadersAdminAddressFollowsFromItsRPCAddress(t *testing.T) {
+	s := &settings.Settings{IP: "10.0.0.1", PortRange: []int{7200, 7210}, ListenAdmin: "10.0.0.1:8046"}
+	host, ok := adminOf(s, "10.0.0.2:7200")
+	require.True(t, ok)
+	require.Equal(t, "10.0.0.2:8046", host)
+
+	host, ok = adminOf(s, "10.0.0.1:7200")
+	require.True(t, ok)
+	require.Empty(t, host, "this one leads")
+
+	_, ok = adminOf(s, "nowhere")
+	require.False(t, ok)
+	s.ListenAdmin = ""
+	_, ok = adminOf(s, "10.0.0.2:7200")
+	require.False(t, ok)
+}
+
+func TestOnlyAProcessThatDoesNotLeadPromisesThatNothingWasBegun(t *testing.T) {
+	require.ErrorIs(t, translate(leader.ErrNotLeading), core.ErrUnavailable)
+	require.NotErrorIs(t, translate(leader.ErrUndecided), core.ErrUnavailable)
+	require.ErrorIs(t, translate(leader.ErrUnknownNode), api.ErrUnknownNode)
+	require.ErrorIs(t, translate(leader.ErrTooFew), api.ErrTooFew)
+	require.NoError(t, translate(nil))
+}
--- a/control/api/api.go
+++ b/control/api/api.go
@@ -1,4 +1,5 @@
-// Package api is the operator's HTTP interface: the configuration is set, changed and shown, and machines of the queue are retired.
+// Package api is the operator's HTTP interface: the configuration is set, changed and shown, machines of the queue are retired, and
+// the state of the system is told.
 package api
 
 import (
@@ -9,6 +10,8 @@
 	"time"
 
 	"github.com/gofiber/fiber/v2"
+
+	"ravendale/control/status"
 )
 
 // Submitter puts commands of package state in their order. After core.ErrUnavailable a command surely was not and will never be
@@ -54,11 +57,16 @@
 	longestAnswer = 15 * time.Second
 )
 
-// Options of a Server. All are required.
+// Options of a Server.
 type Options struct {
 	Submitter Submitter
 	Retirer   Retirer
 	Log       *slog.Logger
+	// Redirect is the admin address of the process that leads, empty if this one does; false: none is known. May be nil: then this
+	// process answers all that it is asked.
+	Redirect func() (host string, ok bool)
+	// Status tells how this process sees the system, but for who leads. May be nil: then there is no status.
+	Status func(ctx context.Context) status.Status
 }
 
 // Server serves the interface.
@@ -85,8 +93,9 @@
 	s.app.Post("/v1/config/set", s.set)
 	s.app.Post("/v1/config/patch", s.patch)
 	s.app.Get("/v1/config/show", s.show)
-	s.app.Post("/v1/retire/:node/start", s.startRetire)
-	s.app.Get("/v1/retire/:node/show", s.showRetire)
+	s.app.Post("/v1/retire/:node/start", s.toLeader, s.startRetire)
+	s.app.Get("/v1/retire/:node/show", s.toLeader, s.showRetire)
+	s.app.Get("/v1/status", s.showStatus)
 	s.app.Get("/v1/readyz", func(c *fiber.Ctx) error { return c.SendStatus(fiber.StatusOK) })
 	return s
 }
