Run the core's node on sockets, a disk and the steady clock

Open, Run, Submit, Leader, Addresses, Status and Lead work; processes without a disk forward to members.

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -1,25 +1,36 @@
 // Package core is the replicated core of the control plane: it orders commands for a state machine so that none that was acknowledged
-// is lost, and grants one process at a time the leader lease.
+// is lost, and grants one process at a time the leader lease. The node does all thinking, without clock, sockets or disk; Core runs it.
 package core
 
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"ravendale/control/lease"
 	"ravendale/control/view"
 	"ravendale/rpc"
 	"ravendale/settings"
+	"ravendale/storage/slots"
 )
 
-// Errors of Submit.
+// Errors of Submit and Run.
 var (
 	ErrUnavailable = errors.New("core: unavailable, the command was not and will not be applied")
 	ErrUnknown     = errors.New("core: the command may or may not be applied")
+	ErrDisk        = errors.New("core: disk failed")
 )
 
-// Machine is the state that is kept alike at all members. Its methods are called one at a time, and must depend on nothing but
-// what they are given.
+const leastGoneAfter = 10 * time.Second // a member down for less keeps its vote
+
+// Machine is the state that is kept alike at all members. Its methods are called one at a time, on goroutines of the core's, and must depend on
+// nothing but what they are given; they must not call the Core.
 type Machine interface {
 	// Apply executes a committed command. The result goes to whoever submitted it.
 	Apply(command []byte) (result []byte)
@@ -33,21 +44,15 @@
 type Config struct {
 	Settings *settings.Settings
 	Machine  Machine
-	Mux      *rpc.Mux // Open registers the core's handlers here: call rpc.Listen on settings.ControlAddress(settings.IP) after Open, before Run
+	Mux      *rpc.Mux // Open registers the core's handlers here: call rpc.Listen on settings.ControlAddress(settings.IP) after Open
 	Log      *slog.Logger
-	// Lead is called on a goroutine of its own when this process gets the leader lease. Its context ends when the lease is lost;
-	// before each act it asks lease.Valid. May be nil: then this process never seeks the lease.
+	// Lead is called on a goroutine of its own when this process gets the leader lease, once an earlier call has returned. Its context
+	// ends when the lease is lost, which may be noticed late: before each act it asks lease.Valid. Nil: the lease is never sought.
 	Lead func(ctx context.Context, lease *Lease)
 	// Applied is called after commands were applied to the local machine, on the goroutine that did it: it must not wait. May be nil.
 	Applied func()
 }
 
-// Lease is the leader lease while this process holds it.
-type Lease struct{}
-
-// Valid says whether the holder may act now.
-func (l *Lease) Valid() bool { return false }
-
 // Status is what an operator may want to know of the core.
 type Status struct {
 	ID        view.ID // of this process's disk; zero if it has none
@@ -62,28 +67,195 @@
 }
 
 // Core is this process's part of the core.
-type Core struct{ config Config }
+type Core struct {
+	config  Config
+	address string
+	started time.Time
+	ended   chan error
+
+	mu      sync.Mutex
+	node    *node
+	running bool
+	waiting map[uint64]chan ended
+	timer   *time.Timer
+	due     time.Duration // when the timer fires
+	leading leading
+	links   links
+
+	store *slots.Store
+	disk  diskQueue
+}
 
 // Open reads the disk and restores the machine. A process without a disk only forwards what is submitted.
-func Open(config Config) (*Core, error) { return &Core{config: config}, nil }
+func Open(config Config) (*Core, error) {
+	if config.Log == nil {
+		config.Log = slog.New(slog.DiscardHandler)
+	}
+	c := &Core{
+		config: config, address: config.Settings.ControlAddress(config.Settings.IP), started: time.Now(), ended: make(chan error, 1),
+		waiting: make(map[uint64]chan ended), disk: diskQueue{wake: make(chan struct{}, 1)},
+	}
+	c.links.init(c)
+	if err := c.load(); err != nil {
+		return nil, err
+	}
+	c.register()
+	return c, nil
+}
+
+func (c *Core) load() error {
+	settings := c.config.Settings
+	config := nodeConfig{
+		Address: c.address, Zone: settings.Zone, Seeds: settings.SeedAddresses(), Bootstrap: settings.Bootstrap,
+		Disk: settings.DataDir != "", Candidate: c.config.Lead != nil, Durability: durability(settings),
+		GoneAfter: max(leastGoneAfter, 2*durationOf(settings.Bounds.CatchupS)), Terms: lease.DefaultTerms,
+		Machine: c.config.Machine, Random: c.random,
+	}
+	var snapshot []byte
+	var records [][]byte
+	var err error
+	if config.Disk {
+		c.store, snapshot, records, err = slots.Open(settings.DataDir)
+		if errors.Is(err, slots.ErrDamaged) {
+			c.config.Log.Error("the core's disk is damaged: this process joins anew", "folder", settings.DataDir, "error", err)
+			config.Bootstrap = false
+			c.store, snapshot, records, err = slotsAnew(settings.DataDir)
+		}
+		if err != nil {
+			return fmt.Errorf("core: %w", err)
+		}
+	}
+	c.node, err = newNode(c.now(), config, snapshot, records)
+	return err
+}
+
+func slotsAnew(folder string) (*slots.Store, []byte, [][]byte, error) {
+	if err := slots.Erase(slots.OSFolder(folder)); err != nil {
+		return nil, nil, nil, err
+	}
+	return slots.Open(folder)
+}
+
+func durability(s *settings.Settings) view.Durability {
+	return view.Durability{
+		Copies: s.Copies(), LostZones: s.LostZones, LostRegions: s.LostRegions,
+		RegionOf: func(zone string) string { return s.Zones[zone] },
+	}
+}
 
-// Run takes part in the core until ctx ends or the disk fails.
+func durationOf(seconds float64) time.Duration { return settings.Seconds(seconds) }
+
+// random draws numbers that no other process draws, even where sources of chance are alike.
+func (c *Core) random() uint64 {
+	return rand.Uint64() ^ xxhash.Sum64String(fmt.Sprint(c.address, time.Now().UnixNano()))
+}
+
+func (c *Core) now() time.Duration { return time.Since(c.started) }
+
+// Run takes part in the core until ctx ends, or the disk fails: then nothing was acknowledged that it does not hold, and the process
+// should end.
 func (c *Core) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return ctx.Err()
+	diskDone := make(chan struct{})
+	go func() {
+		defer close(diskDone)
+		c.writeDisk(ctx)
+	}()
+	c.mu.Lock()
+	c.running = true
+	c.due = c.now()
+	c.timer = time.AfterFunc(0, c.tick)
+	c.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		c.step(func(now time.Duration) { c.node.Release(now) })
+		time.Sleep(releasePause)
+		c.stop()
+		<-diskDone
+		return nil
+	case err := <-c.ended:
+		c.stop()
+		return err
+	}
+}
+
+const releasePause = 20 * time.Millisecond // in which word of the lease that is given back may leave
+
+func (c *Core) stop() {
+	c.mu.Lock()
+	c.running = false
+	c.timer.Stop()
+	c.leading.end()
+	for number, done := range c.waiting {
+		done <- ended{Err: ErrUnknown}
+		delete(c.waiting, number)
+	}
+	c.mu.Unlock()
+	c.links.close()
 }
 
-// Submit has a command ordered, committed and applied, and returns what Machine.Apply returned for it. After ErrUnavailable
-// it surely was not and never will be applied; after any other error it may be.
-func (c *Core) Submit(ctx context.Context, command []byte) ([]byte, error) {
-	return nil, ErrUnavailable
+func (c *Core) tick() {
+	c.step(func(now time.Duration) { c.node.Tick(now) })
+}
+
+// step has the node do something, and does what it wants done.
+func (c *Core) step(do func(now time.Duration)) {
+	c.mu.Lock()
+	if !c.running {
+		c.mu.Unlock()
+		return
+	}
+	now := c.now()
+	do(now)
+	out := c.node.Take()
+	c.disk.add(out.Writes)
+	c.links.post(out.Posts)
+	for _, end := range out.Ended {
+		if done := c.waiting[end.Number]; done != nil {
+			done <- end
+			delete(c.waiting, end.Number)
+		}
+	}
+	c.leading.follow(c, now)
+	c.schedule(now)
+	c.mu.Unlock()
+	if out.Applied && c.config.Applied != nil {
+		c.config.Applied()
+	}
+}
+
+// schedule sets the timer for when the node has something to do. It is only moved when it would fire too late, or has fired.
+func (c *Core) schedule(now time.Duration) {
+	next := c.node.next(now)
+	if c.due > now && c.due <= next {
+		return
+	}
+	c.due = next
+	c.timer.Reset(next - now)
 }
 
 // Leader is the rpc address of the process that holds the leader lease, as far as this process knows.
-func (c *Core) Leader() (address string, ok bool) { return "", false }
+func (c *Core) Leader() (address string, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	address = c.node.leaderAddress(c.now())
+	return address, address != ""
+}
 
 // Addresses are the rpc addresses of all processes of the core that this one knows.
-func (c *Core) Addresses() []string { return nil }
+func (c *Core) Addresses() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.node.Addresses()
+}
 
 // Status tells how this process sees the core.
-func (c *Core) Status() Status { return Status{} }
+func (c *Core) Status() Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.node
+	return Status{
+		ID: n.self.ID, Epoch: n.view.Epoch, Voters: append([]view.Member(nil), n.view.Voters...),
+		Chain: append([]view.ID(nil), n.view.Chain...), Attached: n.chain.Attached(), Durable: n.config.Durability.Met(&n.view),
+		Last: n.chain.Last(), Committed: n.chain.Committed(), Leader: n.leaderAddress(c.now()),
+	}
+}
--- /dev/null
+++ b/control/core/disk.go
@@ -0,0 +1,80 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+)
+
+// diskQueue holds what waits for the disk, in order.
+type diskQueue struct {
+	mu     sync.Mutex
+	writes []diskWrite
+	wake   chan struct{}
+}
+
+func (q *diskQueue) add(writes []diskWrite) {
+	if len(writes) == 0 {
+		return
+	}
+	q.mu.Lock()
+	q.writes = append(q.writes, writes...)
+	q.mu.Unlock()
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (q *diskQueue) take() []diskWrite {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	writes := q.writes
+	q.writes = nil
+	return writes
+}
+
+// writeDisk puts what the node gives to the disk there, all that has gathered by one sync, and tells the node.
+func (c *Core) writeDisk(ctx context.Context) {
+	if c.store == nil {
+		return
+	}
+	defer func() { _ = c.store.Close() }()
+	for {
+		select {
+		case <-c.disk.wake:
+		case <-ctx.Done():
+			return
+		}
+		writes := c.disk.take()
+		if len(writes) == 0 {
+			continue
+		}
+		if err := c.put(writes); err != nil {
+			c.config.Log.Error("the core's disk failed", "error", err)
+			c.ended <- fmt.Errorf("%w: %w", ErrDisk, err)
+			return
+		}
+		last := writes[len(writes)-1].Batch
+		c.step(func(now time.Duration) { c.node.OnDisk(now, last) })
+	}
+}
+
+func (c *Core) put(writes []diskWrite) error {
+	var records [][]byte
+	for i := range writes {
+		if writes[i].Image == nil {
+			records = append(records, writes[i].Records...)
+			continue
+		}
+		records = nil // the image has them
+		if err := c.store.Snapshot(writes[i].Image); err != nil {
+			return err
+		}
+	}
+	if len(records) == 0 {
+		return nil
+	}
+	return c.store.Append(records...)
+}
--- /dev/null
+++ b/control/core/submit.go
@@ -0,0 +1,131 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"ravendale/rpc"
+)
+
+// How long Submit waits at most, whatever its context allows.
+const (
+	unsentWait  = 4 * time.Second  // for a chain that takes the command
+	outcomeWait = 10 * time.Second // for the outcome
+	forwardPace = 100 * time.Millisecond
+)
+
+// Submit has a command ordered, committed and applied, and returns what Machine.Apply returned for it. It waits for a
+// chain that is being changed. After ErrUnavailable the command surely was not and never will be applied; after any other error it may be.
+func (c *Core) Submit(ctx context.Context, command []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, outcomeWait)
+	defer cancel()
+	if c.store == nil {
+		return c.forward(ctx, command)
+	}
+	done := make(chan ended, 1)
+	var number uint64
+	c.step(func(now time.Duration) {
+		number = c.node.Submit(now, command)
+		c.waiting[number] = done
+	})
+	if number == 0 {
+		return nil, ErrUnavailable // it does not run
+	}
+	unsent := time.NewTimer(unsentWait)
+	defer unsent.Stop()
+	for {
+		select {
+		case end := <-done:
+			return end.Result, end.Err
+		case <-unsent.C:
+			if c.unsent(number) {
+				return c.cancel(number, done)
+			}
+		case <-ctx.Done():
+			return c.cancel(number, done)
+		}
+	}
+}
+
+func (c *Core) unsent(number uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	pending := c.node.pending[number]
+	return pending != nil && pending.epoch == 0
+}
+
+func (c *Core) cancel(number uint64, done chan ended) ([]byte, error) {
+	c.mu.Lock()
+	err, already := c.node.Cancel(number)
+	delete(c.waiting, number)
+	c.mu.Unlock()
+	if already {
+		end := <-done
+		return end.Result, end.Err
+	}
+	return nil, err
+}
+
+// forward has a member submit the command. Only while that surely did not, another is asked.
+func (c *Core) forward(ctx context.Context, command []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, unsentWait)
+	defer cancel()
+	for {
+		c.mu.Lock()
+		leader, addresses := c.node.leaderAddress(c.now()), c.node.Addresses()
+		c.mu.Unlock()
+		for _, conn := range c.links.any(leader, addresses) {
+			result, err := c.ask(ctx, conn, command)
+			if !errors.Is(err, ErrUnavailable) {
+				return result, err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ErrUnavailable
+		case <-time.After(forwardPace):
+		}
+	}
+}
+
+func (c *Core) ask(ctx context.Context, conn *rpc.Conn, command []byte) ([]byte, error) {
+	deadline, _ := ctx.Deadline()
+	left := time.Until(deadline)
+	if left <= 0 || conn.Err() != nil {
+		return nil, ErrUnavailable
+	}
+	left -= left / 8 // for the way back
+	request := &forward{WaitMillis: uint32(left / time.Millisecond), Command: command}
+	var reply forwardReply
+	if err := conn.Call(ctx, methodForward, request, &reply); err != nil {
+		return nil, errors.Join(ErrUnknown, err)
+	}
+	switch reply.Outcome {
+	case outcomeDone:
+		return reply.Result, nil
+	case outcomeUnavailable:
+		return nil, ErrUnavailable
+	}
+	return nil, ErrUnknown
+}
+
+func (c *Core) onForward(_ *rpc.Conn, message *forward, reply rpc.Reply) {
+	if c.store == nil {
+		reply.Send(&forwardReply{Outcome: outcomeUnavailable})
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(message.WaitMillis)*time.Millisecond)
+		defer cancel()
+		result, err := c.Submit(ctx, message.Command)
+		switch {
+		case err == nil:
+			reply.Send(&forwardReply{Outcome: outcomeDone, Result: result})
+		case errors.Is(err, ErrUnavailable):
+			reply.Send(&forwardReply{Outcome: outcomeUnavailable})
+		default:
+			reply.Send(&forwardReply{Outcome: outcomeUnknown})
+		}
+	}()
+}
