Take state only once it is the newest, and play edges with real stores

An edge that starts must not act on an old placement or list. A rig of real edges and stores on loopback, with the test as the control plane: order over failures and edges, a planned stop, an edge and a store that die; nothing is lost or run twice. Tested: go test -race -count=4 ./cmd/ravendale-edge.

--- a/cmd/ravendale-edge/edge.go
+++ b/cmd/ravendale-edge/edge.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,8 @@
 	"ravendale/worker"
 )
 
+const currentLook = 50 * time.Millisecond // pause between looks for the first newest state
+
 // What a process takes for itself.
 const (
 	otherDescriptors = 500      // of files, of connections to workers, stores and other schedulers
@@ -45,19 +48,24 @@
 // edge is the process, put together.
 type edge struct {
 	env      program.Environment
+	id       string // Member.ID
 	mux      *rpc.Mux
 	agent    *member.Agent
 	workers  *worker.Client
 	plane    *dispatch.Plane
 	queue    *queueclient.Client
 	ingress  *ingress.Server
+	current  func() bool // the state is as new as the leader named first
 	stopping atomic.Bool
+
+	mu    sync.Mutex // guards what is taken of snapshots
+	taken [wire.TopicCount]wire.Version
 }
 
 func newEdge(env program.Environment) (*edge, error) {
 	s := env.Settings
-	e := &edge{env: env, mux: rpc.NewMux(), workers: worker.NewClient()}
-	id := strconv.FormatUint(rand.Uint64(), 36)
+	e := &edge{env: env, id: strconv.FormatUint(rand.Uint64(), 36), mux: rpc.NewMux(), workers: worker.NewClient()}
+	id := e.id
 	e.plane = dispatch.NewPlane(planeConfig(s, id), e.workers)
 	e.queue = queueclient.New(queueclient.Config{
 		Edge: id, Zone: s.Zone, Log: env.Log,
@@ -71,8 +79,9 @@
 		Self: wire.Member{ID: id, Node: s.Node, Address: s.EdgeAddress(), Zone: s.Zone, Region: s.Region, Edge: true},
 	})
 	e.agent.OnChange(e.changed)
+	e.current = e.agent.Current
 	e.ingress = ingress.New(ingress.Config{
-		Queue: e.queue, Index: e.plane.Index, Ready: e.agent.Current, Takes: e.plane.Takes,
+		Queue: e.queue, Index: e.plane.Index, Ready: e.isCurrent, Takes: e.plane.Takes,
 		MaxConns: max(s.MaxFds-otherDescriptors, leastConns), Log: env.Log,
 	})
 	return e, nil
@@ -94,21 +103,53 @@
 	}
 }
 
-// changed hands a newer state of a topic to the parts that need it.
-func (e *edge) changed(topic wire.Topic, s *member.Snapshot) {
-	switch {
-	case topic == wire.TopicConfig && s.Catalog != nil:
+// changed takes a newer state. Before the agent has what the leader named first, an old one could be taken for the newest.
+func (e *edge) changed(wire.Topic, *member.Snapshot) {
+	if e.current() {
+		e.take(e.agent.Snapshot())
+	}
+}
+
+// awaitCurrent takes the state that the leader named first, should the word that it is the newest come after it.
+func (e *edge) awaitCurrent(ctx context.Context) {
+	for !e.current() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(currentLook):
+		}
+	}
+	e.take(e.agent.Snapshot())
+}
+
+// take hands what is newer in a snapshot to the parts that need it.
+func (e *edge) take(s *member.Snapshot) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isNewer(s, wire.TopicMembers) && s.Members != nil {
+		e.plane.Place(edgeIDs(s.Members))
+	}
+	if e.isNewer(s, wire.TopicWorkers) && s.Workers != nil {
+		e.plane.List(s.Workers)
+	}
+	if e.isNewer(s, wire.TopicConfig) && s.Catalog != nil {
 		e.ingress.Limit(s.Catalog.Config().Limits)
 		e.plane.Configure(s.Catalog)
-	case topic == wire.TopicWorkers && s.Workers != nil:
-		e.plane.List(s.Workers)
-	case topic == wire.TopicStores:
+	}
+	if e.isNewer(s, wire.TopicStores) {
 		e.queue.SetView(s.Stores)
-	case topic == wire.TopicMembers && s.Members != nil:
-		e.plane.Place(edgeIDs(s.Members))
 	}
 }
 
+// isNewer says whether a topic has a newer version than the one taken, and notes it.
+func (e *edge) isNewer(s *member.Snapshot, topic wire.Topic) bool {
+	if !e.taken[topic].Less(s.Versions[topic]) {
+		return false
+	}
+	e.taken[topic] = s.Versions[topic]
+	return true
+}
+
 func edgeIDs(m *wire.Members) []string {
 	ids := make([]string, len(m.Edges))
 	for i := range m.Edges {
@@ -119,7 +160,9 @@
 
 func (e *edge) usable() bool { return !e.stopping.Load() && e.queue.Usable() }
 
-func (e *edge) ready() bool { return e.usable() && e.agent.Current() && e.plane.Index() != nil }
+func (e *edge) isCurrent() bool { return e.current() }
+
+func (e *edge) ready() bool { return e.usable() && e.current() && e.plane.Index() != nil }
 
 // run serves until the context ends, and then stops in order.
 func (e *edge) run(ctx context.Context) error {
@@ -141,6 +184,7 @@
 	alive, end := context.WithCancel(context.Background())
 	defer end()
 	go e.agent.Run(alive)
+	go e.awaitCurrent(alive)
 	go e.env.WatchSettings(alive, e.agent.SetSettings)
 	<-ctx.Done()
 	e.stop(settings.Seconds(s.Bounds.GraceS))
--- /dev/null
+++ b/cmd/ravendale-edge/edge_test.go
@@ -0,0 +1,396 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ravendale/catalog"
+	"ravendale/dispatch"
+	"ravendale/member"
+	"ravendale/program"
+	"ravendale/queue/store"
+	"ravendale/rpc"
+	"ravendale/settings"
+	"ravendale/wire"
+)
+
+const patience = 8 * time.Second
+
+// rig is a small system without a control plane: the test says what the leader would. Stores and edges are real.
+type rig struct {
+	t       *testing.T
+	log     *slog.Logger
+	stores  []*rigStore
+	edges   []*rigEdge
+	worker  *rigWorker
+	version uint64
+	view    *wire.StoreView
+}
+
+type rigStore struct {
+	store  *store.Store
+	server *rpc.Server
+	disk   string
+}
+
+type rigEdge struct {
+	*edge
+	stop context.CancelFunc
+	done chan error
+}
+
+// rigWorker answers as it is told, and remembers the runs.
+type rigWorker struct {
+	mu      sync.Mutex
+	runs    []string
+	bodies  map[string]string
+	running map[string]int // by order key
+	overlap bool
+	answer  func(w http.ResponseWriter, r *http.Request, run int) bool // true: it has answered
+	address string
+}
+
+func (w *rigWorker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	id, key := r.Header.Get("Request-Id"), r.Header.Get("Order-Key")
+	w.mu.Lock()
+	w.runs = append(w.runs, id)
+	w.bodies[id] = string(body)
+	run := len(w.runs)
+	w.running[key]++
+	w.overlap = w.overlap || key != "" && w.running[key] > 1
+	answer := w.answer
+	w.mu.Unlock()
+	defer func() {
+		w.mu.Lock()
+		w.running[key]--
+		w.mu.Unlock()
+	}()
+	out.Header().Set("Request-Id", id)
+	if answer != nil && answer(out, r, run) {
+		return
+	}
+	out.Header().Set("Signature", "sig-"+id)
+}
+
+func (w *rigWorker) list() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.runs...)
+}
+
+func newRig(t *testing.T, stores, edges int) *rig {
+	r := &rig{t: t, log: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	r.worker = &rigWorker{bodies: make(map[string]string), running: make(map[string]int)}
+	server := httptest.NewServer(r.worker)
+	t.Cleanup(server.Close)
+	r.worker.address = server.Listener.Addr().String()
+	for range stores {
+		r.addStore()
+	}
+	for range edges {
+		r.addEdge()
+	}
+	r.place(1, []uint16{0, 1}, []uint16{1, 2}, []uint16{2, 0}, []uint16{0, 2})
+	r.tell()
+	return r
+}
+
+func (r *rig) settings(role string) *settings.Settings {
+	return &settings.Settings{
+		Node: role, IP: "127.0.0.1", Zone: "z1", Zones: map[string]string{"z1": "r1"}, DataDir: r.t.TempDir(),
+		MaxFds: 1024, MemoryMb: 256, LostNodes: 1, DiskMb: 64, HeartbeatMs: 1000, PortRange: []int{1, 10},
+		Bounds: settings.Bounds{GraceS: 6, CeilingWindowS: 5, OriginOvershoot: 1.1, ConvergeMs: 3000, StatusS: 120},
+	}
+}
+
+func (r *rig) addStore() {
+	s := r.settings("store")
+	disk, err := store.Identity(s.DataDir)
+	require.NoError(r.t, err)
+	mux := rpc.NewMux()
+	opened, err := store.Open(store.Config{Settings: s, Disk: disk, Mux: mux, Failed: func(error) {}, Log: r.log})
+	require.NoError(r.t, err)
+	server, err := rpc.Listen("127.0.0.1:0", rpc.Options{Mux: mux}, func(c *rpc.Conn) {
+		c.OnClose(func(error) { go opened.Closed(c) })
+	})
+	require.NoError(r.t, err)
+	added := &rigStore{store: opened, server: server, disk: disk}
+	r.stores = append(r.stores, added)
+	r.t.Cleanup(added.end)
+}
+
+func (s *rigStore) end() {
+	s.server.Close()
+	_ = s.store.Close()
+}
+
+// freePort finds a port that nobody listens on.
+func freePort(t *testing.T) int {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().(*net.TCPAddr).Port
+}
+
+func (r *rig) addEdge() {
+	s := r.settings("edge")
+	port := freePort(r.t)
+	s.PortRange = []int{port - 1, port + 1}
+	s.ListenHTTP = fmt.Sprintf("127.0.0.1:%d", freePort(r.t))
+	s.ListenReady = fmt.Sprintf("127.0.0.1:%d", freePort(r.t))
+	e, err := newEdge(program.Environment{Settings: s, Log: r.log, Path: "none"})
+	require.NoError(r.t, err)
+	e.current = func() bool { return true }
+	ctx, cancel := context.WithCancel(context.Background())
+	added := &rigEdge{edge: e, stop: cancel, done: make(chan error, 1)}
+	go func() { added.done <- e.run(ctx) }()
+	r.edges = append(r.edges, added)
+	r.t.Cleanup(func() {
+		e.queue.Close()
+		e.plane.Close()
+	})
+}
+
+func (r *rig) place(epoch uint64, partitions ...[]uint16) {
+	r.view = &wire.StoreView{Epoch: epoch, Copies: 2}
+	for _, s := range r.stores {
+		r.view.Stores = append(r.view.Stores, wire.Store{Disk: s.disk, Address: s.server.Address(), Zone: "z1"})
+	}
+	for _, replicas := range partitions {
+		r.view.Partitions = append(r.view.Partitions, wire.Placement{Replicas: replicas})
+	}
+}
+
+// tell gives all processes the newest state.
+func (r *rig) tell() {
+	r.version++
+	members := &wire.Members{}
+	for _, e := range r.edges {
+		members.Edges = append(members.Edges, wire.Edge{ID: e.agentID(), Zone: "z1", Ready: true})
+	}
+	route := catalog.Route{Host: "a.example", Type: dispatch.DeferredType, Service: "s", TimeoutMs: 2000, TargetMs: 80, Retries: 3, RetentionS: 60}
+	plain, fifo := route, route
+	plain.Name, plain.PathPrefix = "plain", "/p/"
+	fifo.Name, fifo.PathPrefix, fifo.Ordered = "fifo", "/f/", true
+	snapshot := &member.Snapshot{
+		Members: members, Stores: r.view,
+		Workers: &wire.Workers{Entries: []wire.Worker{{ID: "i-1", Service: "s", Address: r.worker.address, Zone: "z1", Capacity: 8}}},
+		Catalog: catalog.NewIndex(&catalog.Config{
+			Version: 1, Routes: []catalog.Route{plain, fifo}, Services: []catalog.Service{{Name: "s", MaxConns: 100, Idempotent: true}},
+		}),
+	}
+	for topic := range snapshot.Versions {
+		snapshot.Versions[topic] = wire.Version{Term: 1, Sequence: r.version}
+	}
+	for _, s := range r.stores {
+		s.store.SetEdges(members)
+		s.store.SetView(r.view)
+	}
+	for _, e := range r.edges {
+		e.take(snapshot)
+	}
+}
+
+func (e *rigEdge) agentID() string { return e.id }
+
+func (r *rig) awaitReady(e *rigEdge) {
+	r.t.Helper()
+	require.Eventually(r.t, func() bool {
+		response, err := http.Get("http://" + e.env.Settings.ListenReady + "/v1/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	}, patience, 5*time.Millisecond)
+}
+
+// put sends a message until it is taken, and returns its name.
+func (r *rig) put(e *rigEdge, path, id, key string, delay int) string {
+	r.t.Helper()
+	name := ""
+	require.Eventually(r.t, func() bool {
+		request, err := http.NewRequest(http.MethodPost, "http://"+e.env.Settings.ListenHTTP+path, bytes.NewReader([]byte("body of "+id)))
+		require.NoError(r.t, err)
+		request.Host = "a.example"
+		request.Header.Set("Request-Id", id)
+		if key != "" {
+			request.Header.Set("Order-Key", key)
+		}
+		if delay > 0 {
+			request.Header.Set("Delay-Ms", fmt.Sprint(delay))
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		name = response.Header.Get("Msg-Id")
+		return response.StatusCode == http.StatusAccepted
+	}, patience, 10*time.Millisecond)
+	return name
+}
+
+func (r *rig) ask(e *rigEdge, path string) (int, []byte) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+e.env.Settings.ListenHTTP+path, nil)
+	require.NoError(r.t, err)
+	request.Host = "a.example"
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, _ := io.ReadAll(response.Body)
+	return response.StatusCode, body
+}
+
+// awaitState waits until a message's state, asked at an edge, is as wanted.
+func (r *rig) awaitState(e *rigEdge, name, want string) (signature string) {
+	r.t.Helper()
+	require.Eventually(r.t, func() bool {
+		status, body := r.ask(e, "/v1/message/"+name)
+		var answer struct{ State, Signature string }
+		if status != http.StatusOK || json.Unmarshal(body, &answer) != nil {
+			return false
+		}
+		signature = answer.Signature
+		return answer.State == want
+	}, patience, 5*time.Millisecond)
+	return signature
+}
+
+func TestMessagesAreKeptRunAndTold(t *testing.T) {
+	r := newRig(t, 3, 2)
+	one, two := r.edges[0], r.edges[1]
+	r.awaitReady(one)
+	r.awaitReady(two)
+	names := make(map[string]string)
+	for i := range 20 {
+		id := fmt.Sprintf("m%d", i)
+		names[id] = r.put(r.edges[i%2], "/p/x?"+id, id, "", 0)
+	}
+	for id, name := range names {
+		assert.Equal(t, "sig-"+id, r.awaitState(two, name, "done"))
+		assert.Equal(t, "body of "+id, r.worker.bodies[id])
+	}
+	assert.Len(t, r.worker.list(), 20)
+	status, _ := r.ask(one, "/v1/message/0.none")
+	assert.Equal(t, http.StatusNotFound, status)
+	late := r.put(one, "/p/x", "late", "", 60000)
+	r.awaitState(two, late, "pending")
+	status, body := r.ask(two, "/v1/message-body/"+late)
+	assert.Equal(t, http.StatusOK, status)
+	assert.Equal(t, "body of late", string(body))
+}
+
+func TestOrderIsKeptAcrossEdgesAndFailures(t *testing.T) {
+	r := newRig(t, 3, 2)
+	r.worker.answer = func(w http.ResponseWriter, _ *http.Request, run int) bool {
+		time.Sleep(2 * time.Millisecond)
+		switch run % 5 {
+		case 1:
+			w.WriteHeader(http.StatusInternalServerError)
+		case 3:
+			w.Header().Set("Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		default:
+			return false
+		}
+		return true
+	}
+	r.awaitReady(r.edges[0])
+	r.awaitReady(r.edges[1])
+	var names, ids []string
+	for i := range 10 {
+		ids = append(ids, fmt.Sprintf("m%d", i))
+		names = append(names, r.put(r.edges[i%2], "/f/x", ids[i], "key", 0))
+	}
+	for i := range names {
+		r.awaitState(r.edges[0], names[i], "done")
+	}
+	assert.False(t, r.worker.overlap)
+	seen := map[string]bool{}
+	var firsts []string
+	for _, id := range r.worker.list() {
+		if !seen[id] {
+			firsts = append(firsts, id)
+		}
+		seen[id] = true
+	}
+	assert.Equal(t, ids, firsts)
+}
+
+func TestPlannedStopHandsOver(t *testing.T) {
+	r := newRig(t, 3, 2)
+	one, two := r.edges[0], r.edges[1]
+	r.awaitReady(one)
+	r.awaitReady(two)
+	hold := make(chan struct{})
+	r.worker.answer = func(http.ResponseWriter, *http.Request, int) bool {
+		<-hold
+		return false
+	}
+	running := r.put(one, "/p/x", "running", "", 0)
+	require.Eventually(t, func() bool { return len(r.worker.list()) == 1 }, patience, time.Millisecond)
+	delayed := r.put(one, "/p/x", "delayed", "", 1500)
+	began := time.Now()
+	one.stop()
+	time.Sleep(100 * time.Millisecond)
+	taken := r.put(one, "/p/x", "taken while leaving", "", 0)
+	close(hold)
+	require.NoError(t, <-one.done)
+	assert.Less(t, time.Since(began), 6*time.Second)
+	for _, name := range []string{running, delayed, taken} {
+		r.awaitState(two, name, "done")
+	}
+	assert.Len(t, r.worker.list(), 3, "nothing ran twice")
+}
+
+func TestMessagesOfAnEdgeThatDiesAreRunByOthers(t *testing.T) {
+	r := newRig(t, 3, 2)
+	one, two := r.edges[0], r.edges[1]
+	r.awaitReady(one)
+	r.awaitReady(two)
+	name := r.put(one, "/p/x", "orphan", "", 300)
+	one.plane.Close()
+	one.queue.Close()
+	r.edges = r.edges[1:]
+	r.tell()
+	assert.Equal(t, "sig-orphan", r.awaitState(two, name, "done"))
+}
+
+func TestStoreThatDiesLosesNothing(t *testing.T) {
+	r := newRig(t, 3, 1)
+	one := r.edges[0]
+	r.awaitReady(one)
+	names := make(map[string]string)
+	for i := range 8 {
+		id := fmt.Sprintf("m%d", i)
+		names[id] = r.put(one, "/f/x", id, fmt.Sprint("key", i), 700)
+	}
+	r.stores[0].end()
+	r.place(2, []uint16{1, 2}, []uint16{1, 2}, []uint16{2, 1}, []uint16{2, 1})
+	r.tell()
+	for i := range 4 {
+		id := fmt.Sprintf("after%d", i)
+		names[id] = r.put(one, "/p/x", id, "", 0)
+	}
+	for id, name := range names {
+		assert.Equal(t, "sig-"+id, r.awaitState(one, name, "done"))
+	}
+	assert.Len(t, r.worker.list(), len(names))
+}
