Call the control plane and the edges as an operator does

The command line needs orders that survive lost answers: the same bytes go to one address after another, redirections are followed twice, and a failure tells a promise from an unclear end.

--- /dev/null
+++ b/operatorclient/call.go
@@ -0,0 +1,147 @@
+package operatorclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"ravendale/catalog"
+)
+
+// call is one request, which may be sent several times.
+type call struct {
+	method string
+	path   string
+	host   string // Host header; empty: the address
+	header map[string]string
+	body   []byte
+	within time.Duration
+	// accept reads the answer. One that it can't read is no clear answer.
+	accept func(body []byte) error
+}
+
+// answer is what came back.
+type answer struct {
+	status int
+	body   []byte
+	header http.Header
+}
+
+// do sends a call to one address after another until an answer is clear, or time is over.
+func (c *Client) do(ctx context.Context, call *call) error {
+	ctx, cancel := context.WithTimeout(ctx, call.within)
+	defer cancel()
+	failure := &Error{Kind: KindUnavailable, Reason: "no try was made"}
+	refusals := 0
+	for {
+		address := c.options.Addresses[failure.Tries%len(c.options.Addresses)]
+		got, err := c.try(ctx, address, call)
+		failure.Tries++
+		if err == nil && got.status >= 400 && got.status < 500 {
+			refusals++
+		}
+		decided := decide(got, err, refusals, call)
+		failure.note(address, got, err)
+		switch decided {
+		case verdictDone:
+			return nil
+		case verdictFinal:
+			failure.Kind = kindOf(got.status)
+			return failure
+		case verdictUnclear:
+			failure.Kind = KindUndecided
+		}
+		if c.options.Sleep(ctx, pauseAfter(failure.Tries, got.retryAfter())) != nil {
+			return failure
+		}
+	}
+}
+
+func decide(got *answer, err error, refusals int, call *call) verdict {
+	if err != nil {
+		return judgeError(err)
+	}
+	decided := judge(got.status, refusals)
+	if decided == verdictDone && call.accept(got.body) != nil {
+		return verdictUnclear
+	}
+	return decided
+}
+
+// note keeps what the newest try came to.
+func (e *Error) note(address string, got *answer, err error) {
+	e.Status, e.Version, e.Findings = 0, 0, nil
+	if err != nil {
+		e.Reason = fmt.Sprintf("%s: %v", address, err)
+		return
+	}
+	e.Status = got.status
+	e.Reason = http.StatusText(got.status)
+	var told struct {
+		Error    string           `json:"error"`
+		Version  uint64           `json:"version"`
+		Findings catalog.Findings `json:"findings"`
+	}
+	if json.Unmarshal(got.body, &told) == nil && told.Error != "" {
+		e.Reason, e.Version, e.Findings = told.Error, told.Version, told.Findings
+	}
+}
+
+func (a *answer) retryAfter() time.Duration {
+	if a == nil {
+		return 0
+	}
+	seconds, err := strconv.Atoi(a.header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(min(seconds, 60)) * time.Second
+}
+
+// try sends a call once, and follows redirections.
+func (c *Client) try(ctx context.Context, address string, call *call) (*answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeFor(len(call.body)))
+	defer cancel()
+	target := "http://" + address + call.path
+	for redirects := 0; ; redirects++ {
+		got, err := c.send(ctx, target, call)
+		if err != nil || got.status != http.StatusTemporaryRedirect || redirects == maxRedirects {
+			return got, err
+		}
+		next, err := url.Parse(got.header.Get("Location"))
+		if err != nil || next.Scheme != "http" || next.Host == "" {
+			return got, nil
+		}
+		target = next.String()
+	}
+}
+
+func (c *Client) send(ctx context.Context, target string, call *call) (*answer, error) {
+	request, err := http.NewRequestWithContext(ctx, call.method, target, bytes.NewReader(call.body))
+	if err != nil {
+		return nil, err
+	}
+	request.Host = call.host
+	if len(call.body) > 0 {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	for name, value := range call.header {
+		request.Header.Set(name, value)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err := errors.Join(err, response.Body.Close()); err != nil {
+		return nil, err
+	}
+	return &answer{status: response.StatusCode, body: body, header: response.Header}, nil
+}
--- /dev/null
+++ b/operatorclient/verdict.go
@@ -0,0 +1,94 @@
+package operatorclient
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"time"
+)
+
+// verdict is what one try means for a call.
+type verdict uint8
+
+const (
+	verdictDone verdict = iota
+	verdictFinal
+	verdictLater   // a promise that nothing was done: try another address
+	verdictUnclear // it may have been done: try another address
+)
+
+// lastClientError is at which of its repeats a client error that is not final by itself becomes so.
+const lastClientError = 3
+
+// judge decides by the status of an answer. Refusals counts the client errors so far, this one included.
+func judge(status, refusals int) verdict {
+	switch status {
+	case http.StatusBadRequest, http.StatusConflict, http.StatusPreconditionFailed,
+		http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return verdictFinal
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusMisdirectedRequest, http.StatusServiceUnavailable:
+		return verdictLater
+	}
+	switch {
+	case status >= 200 && status < 300:
+		return verdictDone
+	case status >= 300 && status < 400: // one redirection too many
+		return verdictLater
+	case status >= 400 && status < 500:
+		if refusals >= lastClientError {
+			return verdictFinal
+		}
+		return verdictLater
+	}
+	return verdictUnclear
+}
+
+// judgeError decides by the failure of a try that had no answer: only what was never connected was never asked.
+func judgeError(err error) verdict {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return verdictLater
+	}
+	return verdictUnclear
+}
+
+// kindOf is what a final answer means.
+func kindOf(status int) Kind {
+	switch status {
+	case http.StatusBadRequest, http.StatusUnprocessableEntity, http.StatusRequestEntityTooLarge:
+		return KindInvalid
+	case http.StatusConflict, http.StatusPreconditionFailed:
+		return KindConflict
+	case http.StatusNotFound:
+		return KindUnknown
+	}
+	return KindRefused
+}
+
+// Pauses between tries.
+const (
+	firstPause   = 50 * time.Millisecond
+	longestPause = 2 * time.Second
+)
+
+// pauseAfter is how long to wait after so many tries, or as long as the answer asks for within reason.
+func pauseAfter(tries int, asked time.Duration) time.Duration {
+	pause := longestPause
+	if doublings := tries - 1; doublings < 6 {
+		pause = min(firstPause<<doublings, longestPause)
+	}
+	return max(pause, min(asked, longestPause))
+}
+
+// Times of one try.
+const (
+	answerWithin = time.Second
+	perMega      = time.Second // more for each MiB of the body
+	longestTry   = 16 * time.Second
+)
+
+func timeFor(body int) time.Duration {
+	const mega = 1 << 20
+	extra := time.Duration(float64(body) / mega * float64(perMega))
+	return min(answerWithin+extra, longestTry)
+}
