Let schedulers keep their lease to its end, and place the queue less often

A broken connection alone takes no scheduler out of the list, since it may act by its lease. New placements follow one another at 200 ms unless a store was lost, as each disturbs the stores.

--- a/control/leader/term.go
+++ b/control/leader/term.go
@@ -30,7 +30,8 @@
 	membersFirst  = 600 * time.Millisecond  // before that the first list is not made
 	workersGrace  = 2 * time.Second         // for a list of workers, before members are told that there is none
 	invalidPause  = 50 * time.Millisecond
-	coreEvery     = 2 * time.Second // the list of control processes is looked at
+	placeEvery    = 200 * time.Millisecond // each new placement disturbs: only losses are acted on at once
+	coreEvery     = 2 * time.Second        // the list of control processes is looked at
 )
 
 // errStale is returned when the state machine refused the placement.
@@ -70,6 +71,8 @@
 	lastStore  time.Duration
 	unplaced   bool            // something that the placement goes by has changed since it was looked at
 	placed     time.Duration   // when it was looked at last
+	urgent     bool            // a store was lost since
+	proposed   time.Duration   // when one was submitted last
 	view       *wire.StoreView // the newest that this process has applied
 	submitting bool
 	retryAt    time.Duration
@@ -117,6 +120,7 @@
 func (t *term) note(changes registry.Changes) {
 	t.unlisted = t.unlisted || changes.Members
 	t.unplaced = t.unplaced || changes.Stores
+	t.urgent = t.urgent || changes.Lost
 }
 
 // next is how long nothing is due.
@@ -422,9 +426,16 @@
 		return
 	}
 	next, changed := placement.Plan(view, t.live(now, view), placementConfig(t.service.settings.Load()))
-	if changed {
-		t.propose(next, nil)
+	if !changed {
+		t.urgent = false
+		return
+	}
+	if wait := t.proposed + placeEvery; !t.urgent && t.proposed > 0 && now < wait {
+		t.retryAt = wait
+		return
 	}
+	t.urgent = false
+	t.propose(next, nil)
 }
 
 // passed says whether a time has come since the placement was looked at.
@@ -432,7 +443,7 @@
 
 // propose submits a placement. Answer, unless it is nil, gets the outcome.
 func (t *term) propose(view *wire.StoreView, answer chan<- error) {
-	t.submitting = true
+	t.submitting, t.proposed = true, t.now()
 	t.work.Go(func() {
 		err := t.decide(view)
 		if answer != nil {
--- a/control/registry/registry.go
+++ b/control/registry/registry.go
@@ -21,7 +21,7 @@
 type Config struct {
 	EdgeLease  time.Duration
 	StoreLease time.Duration
-	Reconnect  time.Duration // after the connection broke, if that is sooner
+	Reconnect  time.Duration // of a store whose connection broke, if that is sooner
 }
 
 // Leases that the leader grants: a store is suspected before its clients' patience ends, an edge after two heartbeats.
@@ -57,11 +57,13 @@
 type Changes struct {
 	Members bool // the topic of members
 	Stores  bool // which stores live, or what they say
+	Lost    bool // a store is lost, or is leaving
 }
 
 func (c *Changes) add(other Changes) {
 	c.Members = c.Members || other.Members
 	c.Stores = c.Stores || other.Stores
+	c.Lost = c.Lost || other.Lost
 }
 
 // Registry is the table.
@@ -155,6 +157,7 @@
 	}
 	if renew.Member.Storage {
 		changes.Stores = known.member != renew.Member || !sameStatus(known.status, renew.Store)
+		changes.Lost = renew.Member.Leaving && !known.member.Leaving
 	}
 	return changes
 }
@@ -164,7 +167,8 @@
 	return a.Epoch == b.Epoch && slices.Equal(a.Synced, b.Synced)
 }
 
-// Broken tells that a connection ended. A member whose last renewal came over it must renew soon.
+// Broken tells that a connection ended. A store whose last renewal came over it must renew soon. A scheduler has its lease, by which
+// it may act, to the end.
 func (r *Registry) Broken(now time.Duration, link uint64) Changes {
 	changes := r.forgive(now)
 	for id, known := range r.entries {
@@ -176,7 +180,9 @@
 			changes.add(r.drop(id))
 			continue
 		}
-		known.deadline = min(known.deadline, now+r.config.Reconnect)
+		if known.member.Storage {
+			known.deadline = min(known.deadline, now+r.config.Reconnect)
+		}
 	}
 	r.schedule()
 	return changes
@@ -197,7 +203,7 @@
 func (r *Registry) drop(id string) Changes {
 	member := r.entries[id].member
 	delete(r.entries, id)
-	return Changes{Members: member.Edge, Stores: member.Storage}
+	return Changes{Members: member.Edge, Stores: member.Storage, Lost: member.Storage}
 }
 
 // forgive gives all the time back during which the leader itself stood still: renewals may lie unread.
--- a/control/registry/registry_test.go
+++ b/control/registry/registry_test.go
@@ -67,11 +67,19 @@
 	r := New(testConfig())
 	require.Equal(t, Changes{Stores: true}, renew(r, 0, 1, store("a", "n")))
 	require.Equal(t, Changes{}, run(r, 699*ms))
-	require.Equal(t, Changes{Stores: true}, run(r, 700*ms))
+	require.Equal(t, Changes{Stores: true, Lost: true}, run(r, 700*ms))
 	renew(r, 1000*ms, 1, store("a", "n"))
 	require.Equal(t, Changes{}, r.Broken(1010*ms, 1))
 	require.Len(t, r.Stores(), 1, "it may connect again")
-	require.Equal(t, Changes{Stores: true}, run(r, 1160*ms))
+	require.Equal(t, Changes{Stores: true, Lost: true}, run(r, 1160*ms))
+}
+
+func TestAnEdgeWhoseConnectionBrokeKeepsItsLease(t *testing.T) {
+	r := New(testConfig())
+	renew(r, 0, 1, edge("a", "n", "z"))
+	r.Broken(10*ms, 1)
+	require.Equal(t, Changes{}, run(r, 1999*ms), "it may act by it")
+	require.Equal(t, Changes{Members: true}, run(r, 2000*ms))
 }
 
 func TestABrokenConnectionThatIsMadeAgainMeansNothing(t *testing.T) {
@@ -88,9 +96,9 @@
 	renew(r, 0, 1, store("a", "n"))
 	leaving := store("a", "n")
 	leaving.Member.Leaving = true
-	require.Equal(t, Changes{Stores: true}, renew(r, 10*ms, 1, leaving))
+	require.Equal(t, Changes{Stores: true, Lost: true}, renew(r, 10*ms, 1, leaving))
 	require.True(t, r.Stores()[0].Member.Leaving)
-	require.Equal(t, Changes{Stores: true}, r.Broken(20*ms, 1))
+	require.Equal(t, Changes{Stores: true, Lost: true}, r.Broken(20*ms, 1))
 	require.Empty(t, r.Stores())
 }
 
@@ -154,7 +162,7 @@
 	require.Equal(t, Changes{}, r.Tick(5000*ms), "frozen for five seconds")
 	require.Len(t, r.Edges(), 1)
 	require.Len(t, r.Stores(), 1)
-	require.Equal(t, Changes{Stores: true, Members: true}, run(r, 10000*ms), "they had their time again")
+	require.Equal(t, Changes{Stores: true, Members: true, Lost: true}, run(r, 10000*ms), "they had their time again")
 }
 
 func TestNamelessMembersGetNothing(t *testing.T) {
--- a/member/agent.go
+++ b/member/agent.go
@@ -257,7 +257,7 @@
 		return
 	}
 	a.snapshot.Store(snapshot)
-	if topic == wire.TopicMembers {
+	if topic == wire.TopicMembers && len(snapshot.Members.Core) > 0 {
 		a.session.setCore(snapshot.Members.Core)
 	}
 	a.placeInTree()
--- a/member/session_test.go
+++ b/member/session_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"ravendale/wire"
 )
@@ -164,3 +165,46 @@
 	s.failed(s.next(), "a")
 	require.Equal(t, "b", s.target)
 }
+
+// TestALeaderIsFoundAfterWhateverCameBefore plays any events, and then a core that works.
+func TestALeaderIsFoundAfterWhateverCameBefore(t *testing.T) {
+	addresses := []string{"a", "b", "c"}
+	rapid.Check(t, func(t *rapid.T) {
+		s := testSession(addresses...)
+		now, sentAt := time.Duration(0), time.Duration(0)
+		for range rapid.IntRange(0, 60).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * ms
+			from := rapid.SampledFrom(append(addresses, s.target)).Draw(t, "from")
+			switch rapid.SampledFrom([]string{"tick", "failed", "disconnected", "refused", "granted", "hurry"}).Draw(t, "event") {
+			case "tick":
+				if s.tick(now, rapid.Bool().Draw(t, "connected")) {
+					sentAt = now
+				}
+			case "failed":
+				s.failed(now, from)
+			case "disconnected":
+				s.disconnected(now, from)
+			case "refused":
+				s.replied(now, sentAt, from, &wire.RenewReply{Leader: rapid.SampledFrom(append(addresses, "")).Draw(t, "named")})
+			case "granted":
+				s.replied(now, sentAt, from, grant(600*ms))
+			case "hurry":
+				s.hurry(now)
+			}
+			require.False(t, s.leased(now) && now >= s.renewed+600*ms)
+		}
+		s.renewed, s.lease = 0, 0 // whatever was granted
+		for start := now; !s.leased(now); now += ms { // it is called after each event, and when it asked to be
+			require.Less(t, now-start, 3*time.Second)
+			if !s.tick(now, true) {
+				now = max(now, s.next()-ms)
+				continue
+			}
+			if s.target == "b" {
+				s.replied(now, now, "b", grant(600*ms))
+			} else {
+				s.replied(now, now, s.target, &wire.RenewReply{Leader: "b"})
+			}
+		}
+	})
+}
