--- /dev/null
+++ b/cmd/ravendalectl/internal/disks/core.go
@@ -0,0 +1,273 @@
+package disks
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"ravendale/control/state"
+	"ravendale/storage/slots"
+)
+
+// Core is what a control process keeps.
+type Core struct {
+	Disk      string   `json:"disk"`
+	Founders  []string `json:"founders,omitempty"` // seeds, if this disk may found the system
+	Epoch     uint64   `json:"epoch"`
+	Voters    []string `json:"voters"` // disk@address
+	Chain     []string `json:"chain"`
+	Sealed    bool     `json:"sealed"`    // it has promised a successor of the epoch
+	Base      uint64   `json:"base"`      // sequence of the newest command that the state covers
+	Last      uint64   `json:"last"`      // sequence of the newest command on disk
+	Version   uint64   `json:"version"`   // of the configuration at Base
+	Term      uint64   `json:"term"`      // of the leader at Base
+	Placement uint64   `json:"placement"` // epoch of the queue's placement at Base
+	Uncovered []string `json:"uncovered"` // kinds of the commands after Base, oldest first: committed or not, the chain decides
+	Document  []byte   `json:"-"`         // the configuration at Base
+	Older     bool     `json:"older"`     // the newest state is lost, and this is the one before
+}
+
+// pairs are the files of the two generations that are kept in turn: a state, and the records that follow it.
+var pairs = [2]struct{ slot, log string }{{"slot-0", "log-0"}, {"slot-1", "log-1"}}
+
+func coreFile(name string) bool {
+	return name == pairs[0].slot || name == pairs[1].slot || name == pairs[0].log || name == pairs[1].log
+}
+
+// frozen is a folder of which some files are seen, and none is changed. It notes where a store would go on writing.
+type frozen struct {
+	dir    string
+	hidden map[string]bool
+	opened map[string]int64 // size by name
+}
+
+func freeze(dir string, hidden ...string) *frozen {
+	f := &frozen{dir: dir, hidden: make(map[string]bool), opened: make(map[string]int64)}
+	for _, name := range hidden {
+		f.hidden[name] = true
+	}
+	return f
+}
+
+// Read implements slots.Folder.
+func (f *frozen) Read(name string) ([]byte, error) {
+	if f.hidden[name] {
+		return nil, fs.ErrNotExist
+	}
+	return os.ReadFile(filepath.Join(f.dir, name))
+}
+
+// Open implements slots.Folder.
+func (f *frozen) Open(name string, size int64) (slots.File, error) {
+	f.opened[name] = size
+	return nowhere{}, nil
+}
+
+// Remove implements slots.Folder.
+func (f *frozen) Remove(string) error { return nil }
+
+// Sync implements slots.Folder.
+func (f *frozen) Sync() error { return nil }
+
+type nowhere struct{}
+
+func (nowhere) Write(data []byte) (int, error) { return len(data), nil }
+func (nowhere) Sync() error                    { return nil }
+func (nowhere) Close() error                   { return nil }
+
+// found is what a slots.Store finds.
+type found struct {
+	folder   *frozen
+	snapshot []byte
+	records  [][]byte
+	err      error
+}
+
+func open(folder *frozen) found {
+	_, snapshot, records, err := slots.OpenFolder(folder)
+	return found{folder, snapshot, records, err}
+}
+
+func (f *found) uses(name string) bool {
+	_, used := f.folder.opened[name]
+	return used
+}
+
+func inspectCore(dir string) (*Report, error) {
+	report := &Report{Folder: dir}
+	whole := open(freeze(dir))
+	if whole.err != nil && !errors.Is(whole.err, slots.ErrDamaged) {
+		return nil, whole.err
+	}
+	for i, pair := range pairs {
+		other := pairs[1-i]
+		if err := report.addPair(i, &whole, open(freeze(dir, other.slot, other.log, pair.log)), open(freeze(dir, other.slot, other.log))); err != nil {
+			return nil, err
+		}
+	}
+	best := &whole
+	if whole.err != nil {
+		report.damage("%v: the process would erase this disk and join the core as a new member", whole.err)
+		best = survivor(dir)
+	}
+	report.readCore(best, whole.err != nil)
+	return report, nil
+}
+
+// survivor is the older state of a disk that lost its newest.
+func survivor(dir string) *found {
+	for i := range pairs {
+		only := open(freeze(dir, pairs[1-i].slot, pairs[1-i].log))
+		if only.err == nil && only.snapshot != nil {
+			return &only
+		}
+	}
+	return &found{}
+}
+
+// addPair reports a slot and its log: alone is what a store finds in the slot only, both with the log.
+func (r *Report) addPair(i int, whole *found, alone, both found) error {
+	slot, log := pairs[i].slot, pairs[i].log
+	size, exists, err := sizeOf(r.Folder, slot)
+	if err != nil {
+		return err
+	}
+	if exists {
+		r.Files = append(r.Files, slotFile(slot, size, whole, alone, both))
+	}
+	size, exists, err = sizeOf(r.Folder, log)
+	if err != nil || !exists {
+		return err
+	}
+	file := File{Name: log, Bytes: size, Good: both.folder.opened[log], Records: len(both.records), Fate: FateWhole}
+	switch {
+	case !whole.uses(log):
+		file.Fate = FateOlder
+		if file.Good == 0 {
+			file.Fate = FateUnneeded
+		}
+	case file.Good < file.Bytes:
+		file.Fate = FateTorn
+		r.remark("%s: the last %d bytes were torn, or are left of an earlier log", log, file.Bytes-file.Good)
+	}
+	r.Files = append(r.Files, file)
+	return nil
+}
+
+func slotFile(name string, size int64, whole *found, alone, both found) File {
+	file := File{Name: name, Bytes: size}
+	switch {
+	case errors.Is(both.err, slots.ErrDamaged):
+		file.Fate = FateLost // its log shows that it was there
+		if !errors.Is(whole.err, slots.ErrDamaged) {
+			file.Fate = FateUnneeded
+		}
+		return file
+	case alone.snapshot == nil:
+		file.Fate = FateUnneeded
+		return file
+	}
+	file.Good, file.Records, file.Fate = size, 1, FateOlder
+	if whole.uses(name) {
+		file.Fate = FateWhole
+	}
+	return file
+}
+
+func sizeOf(dir, name string) (size int64, exists bool, err error) {
+	info, err := os.Stat(filepath.Join(dir, name))
+	if errors.Is(err, fs.ErrNotExist) {
+		return 0, false, nil
+	}
+	if err != nil {
+		return 0, false, fmt.Errorf("disks: %w", err)
+	}
+	return info.Size(), true, nil
+}
+
+// readCore decodes what survives.
+func (r *Report) readCore(from *found, older bool) {
+	if from.snapshot == nil {
+		r.remark("nothing was ever kept here, or nothing of it can be read")
+		return
+	}
+	kept := &coreImage{}
+	if _, err := kept.UnmarshalMsg(from.snapshot); err != nil {
+		r.damage("the state has a content that is not known here: %v", err)
+		return
+	}
+	for i, record := range from.records {
+		var change coreRecord
+		if _, err := change.UnmarshalMsg(record); err != nil {
+			r.damage("record %d has a content that is not known here: %v", i, err)
+			return
+		}
+		kept.replay(&change)
+	}
+	r.Core = kept.render()
+	r.Core.Older = older
+	machine := state.NewMachine()
+	if len(kept.Machine) > 0 {
+		if err := machine.Restore(kept.Machine); err != nil {
+			r.damage("the state machine's snapshot: %v", err)
+			return
+		}
+	}
+	now := machine.Current()
+	r.Core.Version, r.Core.Term, r.Core.Placement, r.Core.Document = now.Version, now.Term, now.Epoch(), now.Document
+}
+
+func (i *coreImage) replay(change *coreRecord) {
+	switch {
+	case change.View != nil:
+		i.View = *change.View
+		i.Chain.Follow(i.ID, &i.View)
+	case change.Vote != nil:
+		i.Vote = *change.Vote
+	case change.Write != nil:
+		i.Chain.Replay(change.Write)
+	}
+}
+
+func (i *coreImage) render() *Core {
+	c := &Core{
+		Disk: i.ID.String(), Founders: i.Founders, Epoch: i.View.Epoch, Sealed: i.Vote.Sealed(i.View.Epoch),
+		Base: i.Chain.Base, Last: i.Chain.Base, Voters: []string{}, Chain: []string{}, Uncovered: []string{},
+	}
+	for _, member := range i.View.Voters {
+		c.Voters = append(c.Voters, member.ID.String()+"@"+member.Address)
+	}
+	for _, id := range i.View.Chain {
+		c.Chain = append(c.Chain, id.String())
+	}
+	for n := range i.Chain.Entries {
+		entry := &i.Chain.Entries[n]
+		c.Last = entry.Sequence
+		if entry.Origin != 0 {
+			c.Uncovered = append(c.Uncovered, kindOf(entry.Command))
+		}
+	}
+	return c
+}
+
+func kindOf(encoded []byte) string {
+	command, err := state.Decode(encoded)
+	if err != nil {
+		return "unreadable"
+	}
+	switch command := command.(type) {
+	case *state.Set:
+		return fmt.Sprintf("set on %d", command.Base)
+	case *state.Patch:
+		return fmt.Sprintf("patch on %d", command.Base)
+	case *state.Show:
+		return "show"
+	case *state.TakeTerm:
+		return "term of " + command.Candidate
+	case *state.PutPlacement:
+		return fmt.Sprintf("placement %d", command.View.Epoch)
+	}
+	return "barrier"
+}
--- /dev/null
+++ b/cmd/ravendalectl/internal/disks/disks_test.go
@@ -0,0 +1,292 @@
+package disks
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ravendale/control/core"
+	"ravendale/control/state"
+	"ravendale/queue"
+	"ravendale/queue/journal"
+	"ravendale/queue/store"
+	"ravendale/rpc"
+	"ravendale/settings"
+	"ravendale/storage/slots"
+	"ravendale/wire"
+)
+
+// content is all that is in a folder.
+func content(t *testing.T, dir string) map[string]string {
+	t.Helper()
+	files := make(map[string]string)
+	require.NoError(t, filepath.WalkDir(dir, func(path string, entry os.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		files[path] = string(data)
+		return err
+	}))
+	return files
+}
+
+// inspect reads a disk and makes sure that nothing on it changed.
+func inspect(t *testing.T, dir string) *Report {
+	t.Helper()
+	before := content(t, dir)
+	reports, err := Inspect(dir)
+	require.NoError(t, err)
+	require.Equal(t, before, content(t, dir), "reading changes nothing")
+	require.Len(t, reports, 1)
+	return reports[0]
+}
+
+func (r *Report) file(name string) File {
+	for _, file := range r.Files {
+		if file.Name == name {
+			return file
+		}
+	}
+	return File{}
+}
+
+func change(t *testing.T, path string, how func(data []byte) []byte) {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(path, how(data), 0o600))
+}
+
+// runCore has a real core of one process take commands, and returns its folder and identity.
+func runCore(t *testing.T, versions int) (folder, disk string) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	port := listener.Addr().(*net.TCPAddr).Port
+	require.NoError(t, listener.Close())
+	folder = filepath.Join(t.TempDir(), "core")
+	s := &settings.Settings{
+		Node: "n", IP: "127.0.0.1", Zone: "z", PortRange: []int{port, port + 2}, Seeds: []string{"127.0.0.1:1"}, Bootstrap: true,
+		DataDir: folder, Bounds: settings.Bounds{CatchupS: 5},
+	}
+	mux := rpc.NewMux()
+	running, err := core.Open(core.Config{Settings: s, Machine: state.NewMachine(), Mux: mux})
+	require.NoError(t, err)
+	server, err := rpc.Listen(s.ControlAddress(s.IP), rpc.Options{Mux: mux}, nil)
+	require.NoError(t, err)
+	defer server.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- running.Run(ctx) }()
+	for version := 1; version <= versions; {
+		command, err := state.Encode(&state.Set{Base: uint64(version - 1), Body: document(version)})
+		require.NoError(t, err)
+		answer, err := running.Submit(t.Context(), command)
+		if errors.Is(err, core.ErrUnavailable) {
+			continue
+		}
+		require.NoError(t, err)
+		result, err := state.DecodeResult(answer)
+		require.NoError(t, err)
+		require.Equal(t, state.OutcomeTaken, result.Outcome)
+		version++
+	}
+	disk = running.Status().ID.String()
+	cancel()
+	require.NoError(t, <-ended)
+	return folder, disk
+}
+
+func document(version int) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"routes":[],"backends":[],"limits":{}}`, version)
+}
+
+func TestADiskOfARealCoreIsRead(t *testing.T) {
+	folder, disk := runCore(t, 3)
+	for _, dir := range []string{folder, filepath.Dir(folder)} {
+		report := inspect(t, dir)
+		require.Empty(t, report.Damage)
+		require.Equal(t, disk, report.Core.Disk)
+		require.Equal(t, []string{disk}, report.Core.Chain)
+		require.Len(t, report.Core.Voters, 1)
+		require.NotZero(t, report.Core.Epoch)
+		require.EqualValues(t, 3, int(report.Core.Version)+len(report.Core.Uncovered), "%+v", report.Core)
+		require.Equal(t, "set on 2", report.Core.Uncovered[len(report.Core.Uncovered)-1])
+		require.GreaterOrEqual(t, report.Core.Last, report.Core.Base+3)
+	}
+}
+
+// writeSlots makes a core's disk by hand: a state with a configuration, a newer one, and a record.
+func writeSlots(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	kept, _, _, err := slots.Open(dir)
+	require.NoError(t, err)
+	machine := state.NewMachine()
+	for version := 1; version <= 2; version++ {
+		command, err := state.Encode(&state.Set{Base: uint64(version - 1), Body: document(version)})
+		require.NoError(t, err)
+		machine.Apply(command)
+		image := coreImage{ID: 0x1f, Machine: machine.Snapshot()}
+		encoded, err := image.MarshalMsg(nil)
+		require.NoError(t, err)
+		require.NoError(t, kept.Snapshot(encoded))
+	}
+	record, err := (&coreRecord{}).MarshalMsg(nil)
+	require.NoError(t, err)
+	require.NoError(t, kept.Append(record))
+	require.NoError(t, kept.Close())
+	return dir
+}
+
+func TestAWholeDiskHasItsNewestState(t *testing.T) {
+	report := inspect(t, writeSlots(t))
+	require.Empty(t, report.Damage)
+	require.EqualValues(t, 2, report.Core.Version)
+	require.Equal(t, document(2), report.Core.Document)
+	require.Equal(t, FateWhole, report.file("slot-0").Fate)
+	require.Equal(t, FateOlder, report.file("slot-1").Fate)
+	require.Equal(t, FateOlder, report.file("log-1").Fate)
+	log := report.file("log-0")
+	require.Equal(t, File{Name: "log-0", Bytes: log.Bytes, Good: log.Bytes, Records: 1, Fate: FateWhole}, log)
+}
+
+func TestATornLogIsNoDamage(t *testing.T) {
+	dir := writeSlots(t)
+	change(t, filepath.Join(dir, "log-0"), func(data []byte) []byte { return data[:len(data)-1] })
+	report := inspect(t, dir)
+	require.Empty(t, report.Damage)
+	require.Equal(t, FateTorn, report.file("log-0").Fate)
+	require.Zero(t, report.file("log-0").Records)
+	require.Contains(t, report.Remarks[0], "torn")
+}
+
+func TestASlotThatWasBeingWrittenIsUnneeded(t *testing.T) {
+	dir := writeSlots(t)
+	change(t, filepath.Join(dir, "slot-1"), func(data []byte) []byte { return data[:5] })
+	require.NoError(t, os.Remove(filepath.Join(dir, "log-1")))
+	report := inspect(t, dir)
+	require.Empty(t, report.Damage)
+	require.Equal(t, FateUnneeded, report.file("slot-1").Fate)
+	require.EqualValues(t, 2, report.Core.Version)
+}
+
+func TestALostSlotIsDamageAndTheOlderStateIsShown(t *testing.T) {
+	dir := writeSlots(t)
+	change(t, filepath.Join(dir, "slot-0"), func(data []byte) []byte { data[len(data)-1] ^= 1; return data })
+	report := inspect(t, dir)
+	require.True(t, report.Damaged())
+	require.Contains(t, report.Damage[0], "generation 2")
+	require.Equal(t, FateLost, report.file("slot-0").Fate)
+	require.True(t, report.Core.Older)
+	require.EqualValues(t, 1, report.Core.Version)
+}
+
+func TestContentOfAnotherKindIsTold(t *testing.T) {
+	dir := t.TempDir()
+	kept, _, _, err := slots.Open(dir)
+	require.NoError(t, err)
+	require.NoError(t, kept.Snapshot([]byte("something else")))
+	require.NoError(t, kept.Close())
+	report := inspect(t, dir)
+	require.Contains(t, report.Damage[0], "not known here")
+	require.Nil(t, report.Core)
+}
+
+// writeStore makes a store's disk of three segments.
+func writeStore(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	_, err := store.Identity(dir)
+	require.NoError(t, err)
+	kept, err := journal.Open(filepath.Join(dir, journalFolder), journal.Options{SegmentBytes: 240}, func(journal.Location, []byte) error { return nil })
+	require.NoError(t, err)
+	body := bytes.Repeat([]byte("x"), 200)
+	for _, record := range []queue.Record{
+		{Kind: queue.RecordEpoch, Sequence: 7},
+		{Partition: 1, ID: "1.a", Message: wire.Message{Body: body}},
+		{Partition: 1, ID: "1.b", Message: wire.Message{Body: body}},
+		{Kind: queue.RecordEnd, Partition: 1, ID: "1.a", State: wire.StateDone},
+		{Partition: 2, ID: "2.a"}, {Partition: 2, ID: "2.b", State: wire.StateDead}, {Partition: 3, ID: "3.a"},
+		{Kind: queue.RecordDrop, Partition: 2, ID: "2.a"},
+		{Kind: queue.RecordWipe, Partition: 3},
+		{Partition: 4, ID: "4.a"},
+	} {
+		payload, err := record.MarshalMsg(nil)
+		require.NoError(t, err)
+		kept.Append(payload)
+	}
+	require.NoError(t, kept.Close())
+	return dir
+}
+
+func segment(dir string, number int) string {
+	return filepath.Join(dir, journalFolder, fmt.Sprintf("%010d%s", number, segmentSuffix))
+}
+
+func TestADiskOfAStoreIsRead(t *testing.T) {
+	dir := writeStore(t)
+	report := inspect(t, dir)
+	require.Empty(t, report.Damage)
+	require.Len(t, report.Files, 3)
+	disk, err := store.Identity(dir)
+	require.NoError(t, err)
+	require.Equal(t, &Store{
+		Disk: disk, Epoch: 7, Pending: 2, Done: 1, Dead: 1,
+		Partitions: []Partition{{Number: 1, Pending: 1, Ended: 1}, {Number: 2, Ended: 1}, {Number: 4, Pending: 1}},
+	}, report.Store)
+	for _, file := range report.Files {
+		require.Equal(t, FateWhole, file.Fate)
+		require.Equal(t, file.Bytes, file.Good)
+	}
+}
+
+func TestATornEndOfAJournalIsNoDamage(t *testing.T) {
+	dir := writeStore(t)
+	change(t, segment(dir, 3), func(data []byte) []byte { return data[:len(data)-1] })
+	report := inspect(t, dir)
+	require.Empty(t, report.Damage)
+	torn := report.Files[2]
+	require.Equal(t, FateTorn, torn.Fate)
+	require.Less(t, torn.Good, torn.Bytes)
+	require.Equal(t, 1, report.Store.Pending, "the last message is gone")
+
+	change(t, segment(dir, 3), func(data []byte) []byte { return append(make([]byte, 20), data[20:]...) })
+	report = inspect(t, dir)
+	require.Empty(t, report.Damage)
+	require.Zero(t, report.Files[2].Good, "its header is gone")
+}
+
+func TestRotInAnOlderSegmentIsDamage(t *testing.T) {
+	dir := writeStore(t)
+	change(t, segment(dir, 2), func(data []byte) []byte { data[len(data)-1] ^= 1; return data })
+	report := inspect(t, dir)
+	require.True(t, report.Damaged())
+	require.Contains(t, report.Damage[0], "0000000002.journal: it can't be read from byte 12 on")
+	require.Equal(t, FateLost, report.Files[1].Fate)
+	require.Equal(t, FateWhole, report.Files[2].Fate, "what follows is still read")
+}
+
+func TestALostSegmentIsDamage(t *testing.T) {
+	dir := writeStore(t)
+	require.NoError(t, os.Remove(segment(dir, 2)))
+	require.NoError(t, os.Remove(filepath.Join(dir, identityFile)))
+	report := inspect(t, dir)
+	require.Equal(t, []string{"segments 2 to 2 are lost"}, report.Damage)
+	require.Contains(t, report.Remarks[0], "no identity")
+}
+
+func TestOtherFoldersAreNoDisks(t *testing.T) {
+	_, err := Inspect(t.TempDir())
+	require.ErrorIs(t, err, ErrNoDisk)
+	_, err = Inspect(filepath.Join(t.TempDir(), "none"))
+	require.ErrorIs(t, err, os.ErrNotExist)
+}
