Give a ceiling to few edges with a quick supply, in each zone, and pass on what would wait long

Divided among many edges a ceiling leaves each a trickle, and messages wait seconds for a token. No more edges send now than can have four tokens a second, each zone has one, and an edge with a long line has new messages delivered by others. Tested: go test -race ./dispatch ./cmd/ravendale-edge.

--- a/cmd/ravendale-edge/edge.go
+++ b/cmd/ravendale-edge/edge.go
@@ -127,7 +127,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.isNewer(s, wire.TopicMembers) && s.Members != nil {
-		e.plane.Place(edgeIDs(s.Members))
+		e.plane.Place(s.Members.Edges)
 	}
 	if e.isNewer(s, wire.TopicWorkers) && s.Workers != nil {
 		e.plane.List(s.Workers)
@@ -150,14 +150,6 @@
 	return true
 }
 
-func edgeIDs(m *wire.Members) []string {
-	ids := make([]string, len(m.Edges))
-	for i := range m.Edges {
-		ids[i] = m.Edges[i].ID
-	}
-	return ids
-}
-
 func (e *edge) usable() bool { return !e.stopping.Load() && e.queue.Usable() }
 
 func (e *edge) isCurrent() bool { return e.current() }
--- a/dispatch/ceiling.go
+++ b/dispatch/ceiling.go
@@ -2,20 +2,25 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"ravendale/wire"
 )
 
 // The parts of a ceiling. A bound on what comes in any window allows so many arrivals besides the rate.
 const (
-	boundExtra = 5    // arrivals that the bound allows in a window besides the rate
-	spared     = 2    // of them left for sends that are held up and come together
-	usedPart   = 0.93 // of the rest, for clocks and links that are not even
-	burstPart  = 0.5  // of the window's budget that bursts may take
-	largeBurst = 2    // where edges are few
-	fewParts   = 8    // edges are few while their large bursts are under this part of the budget
+	boundExtra    = 5    // arrivals that the bound allows in a window besides the rate
+	spared        = 2    // of them left for sends that are held up and come together
+	usedPart      = 0.93 // of the rest, for clocks and links that are not even
+	burstPart     = 0.5  // of the window's budget that bursts may take
+	largeBurst    = 2    // where edges are few
+	fewestSenders = 2
+	quickRate     = 4 // tokens a second: no more edges send than can have so many each
+	fewParts      = 8 // edges are few while their large bursts are under this part of the budget
 )
 
 // Ceiling bounds what all edges together send to a service in any window.
@@ -36,20 +41,19 @@
 	return c.RatePerS*c.Window.Seconds()*c.Overshoot + boundExtra
 }
 
-// senders is how many of a number of edges may send: each needs a burst of one.
-func (c Ceiling) senders(edges int) int {
+// senders is how many of a number of edges may send. Few with a quick supply of tokens keep messages waiting less than many
+// with a slow one each, but no zone should be without, and one that goes away should not be the only one.
+func (c Ceiling) senders(edges, zones int) int {
 	room := int((c.budget() - spared) * burstPart)
-	return max(1, min(edges, room))
+	wanted := max(int(math.Ceil(c.RatePerS*c.Overshoot/quickRate)), zones, fewestSenders)
+	return max(1, min(edges, wanted, room))
 }
 
 // Divide returns an edge's share among edges for a service. Edges that list the same others get shares that sum up to
-// less than the bound; where there are too many for a token each, the first by hash of service and edge have it.
-func (c Ceiling) Divide(service, edge string, edges []string) Share {
-	if !slices.Contains(edges, edge) {
-		return Share{}
-	}
-	count := c.senders(len(edges))
-	if !slices.Contains(firstByHash(service, edges, count), edge) {
+// less than the bound; where not all may send, the first of each zone by hash of service and edge do, then the second.
+func (c Ceiling) Divide(service, edge string, edges []wire.Edge) Share {
+	count := c.senders(len(edges), countZones(edges))
+	if !slices.Contains(chosen(service, edges, count), edge) {
 		return Share{}
 	}
 	burst := 1.0
@@ -61,18 +65,43 @@
 	return Share{Rate: max(0, min(rate, c.RatePerS)), Burst: burst}
 }
 
-// firstByHash returns count of the edges, those that rank first for the service.
-func firstByHash(service string, edges []string, count int) []string {
-	if count >= len(edges) {
-		return edges
+func countZones(edges []wire.Edge) int {
+	zones := make(map[string]bool)
+	for i := range edges {
+		zones[edges[i].Zone] = true
 	}
-	ranked := slices.Clone(edges)
-	slices.SortFunc(ranked, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(service+"\x00"+a), xxhash.Sum64String(service+"\x00"+b)), cmp.Compare(a, b))
-	})
-	return ranked[:count]
+	return len(zones)
 }
 
+type candidate struct {
+	id   string
+	zone string
+	hash uint64
+	turn int // its place in its zone
+}
+
+// chosen returns the IDs of count of the edges.
+func chosen(service string, edges []wire.Edge, count int) []string {
+	ranked := make([]candidate, len(edges))
+	for i := range edges {
+		ranked[i] = candidate{id: edges[i].ID, zone: edges[i].Zone, hash: xxhash.Sum64String(service + "\x00" + edges[i].ID)}
+	}
+	slices.SortFunc(ranked, byHash)
+	turns := make(map[string]int)
+	for i := range ranked {
+		ranked[i].turn = turns[ranked[i].zone]
+		turns[ranked[i].zone]++
+	}
+	slices.SortStableFunc(ranked, func(a, b candidate) int { return cmp.Compare(a.turn, b.turn) })
+	var ids []string
+	for i := range min(count, len(ranked)) {
+		ids = append(ids, ranked[i].id)
+	}
+	return ids
+}
+
+func byHash(a, b candidate) int { return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id)) }
+
 // bucket holds an edge's tokens for a service. It begins empty, and after each change of the share.
 type bucket struct {
 	share  Share
--- a/dispatch/ceiling_test.go
+++ b/dispatch/ceiling_test.go
@@ -9,15 +9,17 @@
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
 
+	"ravendale/wire"
 	"ravendale/worker"
 )
 
-func edgeNames(count int) []string {
-	names := make([]string, count)
-	for i := range names {
-		names[i] = fmt.Sprintf("edge-%d", i)
+// edgesIn lists edges, spread over zones.
+func edgesIn(zones, count int) []wire.Edge {
+	edges := make([]wire.Edge, count)
+	for i := range edges {
+		edges[i] = wire.Edge{ID: fmt.Sprintf("edge-%d", i), Zone: fmt.Sprintf("z%d", i%zones)}
 	}
-	return names
+	return edges
 }
 
 // Whatever the edges are sent and whenever, no window sees more than the bound.
@@ -28,10 +30,10 @@
 			Window:    time.Duration(rapid.Float64Range(1, 10).Draw(t, "window") * float64(time.Second)),
 			Overshoot: rapid.Float64Range(1, 1.5).Draw(t, "overshoot"),
 		}
-		edges := edgeNames(rapid.IntRange(1, 60).Draw(t, "edges"))
+		edges := edgesIn(rapid.IntRange(1, 5).Draw(t, "zones"), rapid.IntRange(1, 60).Draw(t, "edges"))
 		var sends []time.Duration
 		for _, edge := range edges {
-			sends = append(sends, greedy(t, c, edge, edges)...)
+			sends = append(sends, greedy(t, c, edge.ID, edges)...)
 		}
 		sort.Slice(sends, func(i, j int) bool { return sends[i] < sends[j] })
 		first := 0
@@ -47,7 +49,7 @@
 }
 
 // greedy sends whenever there is a token, from a drawn time on, with pauses.
-func greedy(t *rapid.T, c Ceiling, edge string, edges []string) (sends []time.Duration) {
+func greedy(t *rapid.T, c Ceiling, edge string, edges []wire.Edge) (sends []time.Duration) {
 	share := c.Divide("s", edge, edges)
 	if share.Burst == 0 {
 		return nil
@@ -71,10 +73,10 @@
 func TestCeilingIsUsed(t *testing.T) {
 	c := Ceiling{RatePerS: 39, Window: 5 * time.Second, Overshoot: 1.1}
 	for _, count := range []int{1, 4, 12, 58} {
-		edges := edgeNames(count)
+		edges := edgesIn(4, count)
 		sum := 0.0
 		for _, edge := range edges {
-			sum += c.Divide("s", edge, edges).Rate
+			sum += c.Divide("s", edge.ID, edges).Rate
 		}
 		assert.Greater(t, sum, 0.7*c.RatePerS, "%d edges", count)
 	}
@@ -82,14 +84,14 @@
 
 func TestSmallCeilingGoesToAFewEdges(t *testing.T) {
 	c := Ceiling{RatePerS: 1, Window: 5 * time.Second, Overshoot: 1.1}
-	edges := edgeNames(50)
+	edges := edgesIn(3, 50)
 	senders := 0
 	for _, edge := range edges {
-		if c.Divide("s", edge, edges).Burst > 0 {
+		if c.Divide("s", edge.ID, edges).Burst > 0 {
 			senders++
 		}
 	}
-	assert.Equal(t, c.senders(50), senders)
+	assert.Equal(t, c.senders(50, 3), senders)
 	assert.Less(t, senders, 8)
 	assert.Zero(t, c.Divide("s", "stranger", edges))
 }
@@ -97,7 +99,7 @@
 func TestBucketBeginsEmptyAfterAChange(t *testing.T) {
 	w := newWorld(t)
 	w.pass(10 * time.Second)
-	w.take(w.core.Place(w.now, []string{"e1", "e2"}))
+	w.take(w.core.Place(w.now, edgesOf("e1", "e2")))
 	w.accept("/l/", "1")
 	w.unsent()
 	w.pass(2 * time.Second)
@@ -173,3 +175,45 @@
 	w.pass(100 * ms)
 	assert.Len(t, w.out, 6)
 }
+
+func TestEachZoneHasASender(t *testing.T) {
+	for _, rate := range []float64{3, 39} {
+		c := Ceiling{RatePerS: rate, Window: 5 * time.Second, Overshoot: 1.1}
+		edges := edgesIn(4, 58)
+		zones := make(map[string]int)
+		for _, edge := range edges {
+			if share := c.Divide("s", edge.ID, edges); share.Burst > 0 {
+				zones[edge.Zone]++
+			}
+		}
+		assert.Len(t, zones, 4)
+	}
+}
+
+// Where many edges could have a trickle each, fewer have a supply that keeps nobody waiting for long.
+func TestSendersHaveAQuickSupply(t *testing.T) {
+	c := Ceiling{RatePerS: 39, Window: 5 * time.Second, Overshoot: 1.1}
+	edges := edgesIn(4, 58)
+	for _, edge := range edges {
+		if share := c.Divide("s", edge.ID, edges); share.Burst > 0 {
+			assert.Greater(t, share.Rate, 3.0)
+		}
+	}
+}
+
+func TestLongLinesSendNewMessagesToOthers(t *testing.T) {
+	w := newWorld(t)
+	w.pass(10 * time.Second)
+	assert.True(t, w.core.Takes(w.now, "limited", 10))
+	for i := range 6 {
+		w.accept("/l/", fmt.Sprint(i))
+	}
+	assert.False(t, w.core.Takes(w.now, "limited", 10))
+	assert.True(t, w.core.Takes(w.now, "s", 10))
+	w.pass(10 * time.Second)
+	assert.True(t, w.core.Takes(w.now, "limited", 10))
+	w.take(w.core.Place(w.now, edgesOf("other")))
+	assert.False(t, w.core.Takes(w.now, "limited", 10), "not a sender")
+	w.take(w.core.Stop(w.now))
+	assert.False(t, w.core.Takes(w.now, "s", 10))
+}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -88,10 +88,12 @@
 // IDs names the held messages.
 func (c *Core) IDs() []string { return slices.Collect(maps.Keys(c.messages)) }
 
-// Sends says whether this edge may send to a service. The others' stores hand its messages to edges that may.
-func (c *Core) Sends(name string) bool {
+// Takes says whether this edge should deliver a new message of a service, with a body of a size. Where it may not send, or
+// others have shorter lines, the stores hand it to one of those.
+func (c *Core) Takes(now time.Duration, name string, size int) bool {
 	s := c.services[name]
-	return s != nil && (s.bucket == nil || s.bucket.share.Burst > 0)
+	full := c.config.MaxBodies > 0 && c.held+size > c.config.MaxBodies
+	return s != nil && !c.stopping && !full && s.line(max(now, c.now)) <= longestLine
 }
 
 // begin starts the handling of an event, and end finishes it.
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -28,10 +28,18 @@
 	reports []wire.Report
 }
 
+// edgesOf lists edges of zone z1.
+func edgesOf(ids ...string) (edges []wire.Edge) {
+	for _, id := range ids {
+		edges = append(edges, wire.Edge{ID: id, Zone: "z1"})
+	}
+	return edges
+}
+
 func newWorld(t *testing.T) *world {
 	w := &world{t: t, now: time.Second}
 	w.core = NewCore(Config{
-		Topology: Topology{Edge: "e1", Zone: "z1", Zones: []string{"z1", "z2"}, Edges: []string{"e1"}},
+		Topology: Topology{Edge: "e1", Zone: "z1", Zones: []string{"z1", "z2"}, Edges: edgesOf("e1")},
 		Window:   5 * time.Second, Overshoot: 1.1, Converge: 3 * time.Second, Seed: 1,
 	})
 	w.config = catalog.Config{
@@ -316,12 +324,12 @@
 func TestGivenBackMessageMayBeGrantedAgain(t *testing.T) {
 	w := newWorld(t)
 	w.config.Services[2].RatePerS = 4
-	w.take(w.core.Place(w.now, []string{"other"})) // this edge has no share of any ceiling
+	w.take(w.core.Place(w.now, edgesOf("other"))) // this edge has no share of any ceiling
 	w.accept("/l/", "1")
 	assert.Empty(t, w.reports, "it may come again at once: not too fast")
 	w.pass(returnPause)
 	assert.Equal(t, wire.ReportReleased, w.told().Kind)
-	w.take(w.core.Place(w.now, []string{"e1"}))
+	w.take(w.core.Place(w.now, edgesOf("e1")))
 	w.take(w.core.Grant(w.now, &wire.Grant{ID: "0.1", Whole: true, Message: *messageTo("/l/", "1")}))
 	w.take(w.core.Acknowledged(w.now, "0.1")) // of the release: too late to matter
 	w.pass(2 * time.Second)
@@ -545,11 +553,11 @@
 	w := newWorld(t)
 	assert.Equal(t, 90, w.core.Connections()["s-0"])
 	assert.Equal(t, 9, w.core.Connections()["10.0.0.9:80"])
-	w.take(w.core.Place(w.now, []string{"e1", "e2", "e3", "e4"}))
+	w.take(w.core.Place(w.now, edgesOf("e1", "e2", "e3", "e4")))
 	assert.Equal(t, 22, w.core.Connections()["s-0"])
-	many := make([]string, 300)
+	many := make([]wire.Edge, 300)
 	for i := range many {
-		many[i] = fmt.Sprintf("e%d", i)
+		many[i] = wire.Edge{ID: fmt.Sprintf("e%d", i), Zone: "z1"}
 	}
 	w.take(w.core.Place(w.now, many))
 	assert.Equal(t, 1, w.core.Connections()["s-0"])
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -38,10 +38,10 @@
 
 // Topology is where the edge stands among others.
 type Topology struct {
-	Edge  string   // Member.ID of this edge
-	Zone  string   // its own
-	Zones []string // all, in the same order everywhere
-	Edges []string // Member.IDs of all edges, this one included once it is known
+	Edge  string      // Member.ID of this edge
+	Zone  string      // its own
+	Zones []string    // all, in the same order everywhere
+	Edges []wire.Edge // all, this one included once it is known
 }
 
 // Times of the plane.
@@ -52,6 +52,7 @@
 	failedPause   = 150 * time.Millisecond // after the second failed attempt, doubling
 	longestFailed = 2 * time.Second
 	returnPause   = 15 * time.Millisecond  // before a message is given back that may come again at once
+	longestLine   = 300 * time.Millisecond // for a token: new messages are another edge's to deliver while it is longer
 	repeatPause   = 120 * time.Millisecond // while another attempt of the message is running
 	expirySlack   = 500 * time.Millisecond // clocks of day differ, and no message may end early
 	forever       = 1000 * time.Hour
--- a/dispatch/plane.go
+++ b/dispatch/plane.go
@@ -154,8 +154,8 @@
 	})
 }
 
-// Place takes the IDs of the edges that share the work.
-func (p *Plane) Place(edges []string) {
+// Place takes the edges that share the work.
+func (p *Plane) Place(edges []wire.Edge) {
 	p.handle(func(core *Core, now time.Duration) []Action {
 		actions := core.Place(now, edges)
 		p.client.Limit(core.Connections())
@@ -166,13 +166,11 @@
 // Index is the configuration that the plane delivers by, nil until there is one.
 func (p *Plane) Index() *catalog.Index { return p.index.Load() }
 
-// Takes says whether the plane will deliver a message of a service with a body of a size.
+// Takes says whether this edge should deliver a new message of a service, with a body of a size.
 func (p *Plane) Takes(service string, size int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c := p.core
-	full := c.config.MaxBodies > 0 && c.held+size > c.config.MaxBodies
-	return !p.closed && !c.stopping && !full && c.Sends(service)
+	return !p.closed && p.core.Takes(p.now(), service, size)
 }
 
 // IDs names the messages held.
--- a/dispatch/plane_test.go
+++ b/dispatch/plane_test.go
@@ -73,7 +73,7 @@
 	t.Cleanup(p.Close)
 	q := &fakeQueue{plane: p}
 	p.Start(q)
-	p.Place([]string{"e1"})
+	p.Place(edgesOf("e1"))
 	p.Configure(catalog.NewIndex(&catalog.Config{
 		Routes:   []catalog.Route{{Name: "r", Host: "a.example", PathPrefix: "/p/", Type: DeferredType, Service: "s", TimeoutMs: 2000, Retries: 3}},
 		Services: []catalog.Service{{Name: "s", Endpoint: server.Listener.Addr().(*net.TCPAddr).String(), MaxConns: 20}},
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -32,7 +32,7 @@
 }
 
 func moduleSettings(config *catalog.Service, t *Topology) ravendale.Settings {
-	me := max(slices.Index(t.Edges, t.Edge), 0)
+	me := max(slices.IndexFunc(t.Edges, func(e wire.Edge) bool { return e.ID == t.Edge }), 0)
 	effect := ravendale.Unsafe
 	if config.Idempotent {
 		effect = ravendale.Safe
@@ -94,3 +94,16 @@
 	}
 	return max(1, int(used*float64(maxConns)/float64(max(edges, 1))))
 }
+
+// line is how long a message that comes now would wait for a token.
+func (s *service) line(now time.Duration) time.Duration {
+	if s.bucket == nil {
+		return 0
+	}
+	if s.bucket.share.Rate <= 0 {
+		return forever
+	}
+	s.bucket.fill(now)
+	missing := max(float64(len(s.throttled))+1-s.bucket.tokens, 0)
+	return time.Duration(missing / s.bucket.share.Rate * float64(time.Second))
+}
--- a/dispatch/topology.go
+++ b/dispatch/topology.go
@@ -150,7 +150,7 @@
 }
 
 // Place takes the edges that share the work.
-func (c *Core) Place(now time.Duration, edges []string) []Action {
+func (c *Core) Place(now time.Duration, edges []wire.Edge) []Action {
 	c.begin(now)
 	c.config.Topology.Edges = edges
 	c.retuneAll()
