Give the operator a command line for configurations, stores, messages and disks

Checks with lines, changes with a dry run and repeats, differences by item, status, the emptying of stores, messages and disks; errors say what to do next, and exit codes tell their kinds. Tested by command lines against a server with the real state machine whose answers get lost, without sleeps; under -race.

--- a/cmd/ravendalectl/config.go
+++ b/cmd/ravendalectl/config.go
@@ -1,30 +1,183 @@
 package main
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
+	"io"
 	"os"
 
+	"github.com/samber/oops"
+
 	"ravendale/catalog"
+	"ravendale/cmd/ravendalectl/internal/document"
+	"ravendale/operatorclient"
 )
 
 // configCommand has what is done to the configuration.
 type configCommand struct {
-	Check checkCommand `cmd:"" help:"Check a configuration in a file, and tell all that is wrong with it."`
+	Check checkCommand `cmd:"" help:"Check a configuration in a file, and tell all that is wrong with it. Asks no system."`
+	Show  showCommand  `cmd:"" help:"Write the newest configuration to standard output."`
+	Set   setCommand   `cmd:"" help:"Put a whole configuration into force."`
+	Patch patchCommand `cmd:"" help:"Add, replace and delete items of the configuration."`
+	Diff  diffCommand  `cmd:"" help:"Tell which items of a file differ from the configuration in force."`
 }
 
 type checkCommand struct {
-	File string `arg:"" help:"The configuration, as JSON." type:"existingfile"`
+	File  string `arg:"" help:"The configuration, as JSON."`
+	Patch bool   `help:"The file is a patch: version, upsert and delete."`
 }
 
 // Run implements the command.
-func (c *checkCommand) Run() error {
-	document, err := os.ReadFile(c.File)
+func (c *checkCommand) Run(env environment) error {
+	content, err := os.ReadFile(c.File)
+	if err != nil {
+		return fileFailed(err)
+	}
+	if err := check(content, c.Patch); err != nil {
+		return invalid(env, c.File, content, err)
+	}
+	_, err = fmt.Fprintf(env.out, "%s: no findings\n", c.File)
+	return err
+}
+
+func check(content []byte, patch bool) error {
+	if patch {
+		return catalog.CheckPatch(content)
+	}
+	_, err := catalog.Parse(content)
+	return err
+}
+
+// invalid lists findings, each with its place in the file.
+func invalid(env environment, file string, content []byte, err error) error {
+	var findings catalog.Findings
+	if !errors.As(err, &findings) {
+		findings = catalog.Findings{{Place: "document", Reason: err.Error()}}
+	}
+	listFindings(env.out, file, content, findings)
+	return oops.Code(codeInvalid).Hint("mend what is listed and check again").Errorf("%s: findings: %d", file, len(findings))
+}
+
+func listFindings(out io.Writer, file string, content []byte, findings catalog.Findings) {
+	for _, finding := range findings {
+		where := file
+		if line, ok := document.Line(content, finding.Place); ok {
+			where = fmt.Sprintf("%s:%d", file, line)
+		}
+		_, _ = fmt.Fprintf(out, "%s: %s\n", where, finding)
+	}
+}
+
+type showCommand struct {
+	adminFlags
+}
+
+// Run implements the command.
+func (c *showCommand) Run(env environment) error {
+	client, err := c.client(env)
 	if err != nil {
 		return err
 	}
-	if _, err := catalog.Parse(document); err != nil {
+	shown, err := client.Show(env.ctx)
+	if err != nil {
+		return callFailed(err, "show", "check status and the addresses, then repeat the command")
+	}
+	if shown.Version == 0 {
+		return oops.Code(codeUnknown).Hint("put one into force by config set").Errorf("there is no configuration yet")
+	}
+	_, err = fmt.Fprintf(env.out, "%s\n", bytes.TrimSpace(shown.Body))
+	return err
+}
+
+// changeFlags are those of commands that change the configuration.
+type changeFlags struct {
+	adminFlags
+	File   string  `arg:"" help:"What to send, as JSON."`
+	Base   *uint64 `help:"The version that the change builds on; by default the one that is in place."`
+	DryRun bool    `help:"Only check the change against what is in place, and tell what it would change."`
+}
+
+type setCommand struct {
+	changeFlags
+}
+
+// Run implements the command.
+func (c *setCommand) Run(env environment) error {
+	return c.run(env, false, (*operatorclient.Client).Set)
+}
+
+type patchCommand struct {
+	changeFlags
+}
+
+// Run implements the command.
+func (c *patchCommand) Run(env environment) error {
+	return c.run(env, true, (*operatorclient.Client).Patch)
+}
+
+type diffCommand struct {
+	adminFlags
+	File     string `arg:"" help:"A whole configuration, as JSON."`
+	Patch    bool   `help:"The file is a patch, applied to what is in place."`
+	ExitCode bool   `help:"Exit with code 9 if there is any difference."`
+}
+
+// Run implements the command.
+func (c *diffCommand) Run(env environment) error {
+	content, err := os.ReadFile(c.File)
+	if err != nil {
+		return fileFailed(err)
+	}
+	client, err := c.client(env)
+	if err != nil {
+		return err
+	}
+	shown, err := client.Show(env.ctx)
+	if err != nil {
+		return callFailed(err, "show", "")
+	}
+	next, err := result(shown, content, c.Patch)
+	if err != nil {
+		return invalid(env, c.File, content, err)
+	}
+	differs, err := listChanges(env.out, shown.Body, next.Document())
+	if err != nil {
 		return err
 	}
-	fmt.Printf("%s: no findings\n", c.File)
+	if differs && c.ExitCode {
+		return oops.Code(codeDiffers).Errorf("%s differs from version %d", c.File, shown.Version)
+	}
 	return nil
 }
+
+// result is the configuration that a file would make of what is in place.
+func result(shown *operatorclient.Document, content []byte, patch bool) (*catalog.Config, error) {
+	if !patch {
+		return catalog.Parse(content)
+	}
+	if shown.Version == 0 {
+		return nil, catalog.Findings{{Place: "document", Reason: "there is no configuration yet that could be changed"}}
+	}
+	now, err := catalog.Load(shown.Body)
+	if err != nil {
+		return nil, err
+	}
+	return now.Apply(content)
+}
+
+func listChanges(out io.Writer, before, after []byte) (differs bool, err error) {
+	changes, err := document.Diff(before, after)
+	if err != nil {
+		return false, oops.Wrap(err)
+	}
+	for _, change := range changes {
+		if _, err := fmt.Fprintln(out, change); err != nil {
+			return false, err
+		}
+	}
+	if len(changes) == 0 {
+		_, err = fmt.Fprintln(out, "no difference")
+	}
+	return len(changes) > 0, err
+}
--- a/cmd/ravendalectl/main.go
+++ b/cmd/ravendalectl/main.go
@@ -3,22 +3,76 @@
 package main
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 )
 
 // commandLine are all commands.
 type commandLine struct {
-	Config configCommand `cmd:"" help:"The configuration: routes, services and limits."`
+	Config  configCommand  `cmd:"" help:"The configuration: routes, services and limits."`
+	Status  statusCommand  `cmd:"" help:"Tell how the control plane, the queue and the members are."`
+	Message messageCommand `cmd:"" help:"Tell what became of a message."`
+	Store   storeCommand   `cmd:"" help:"The machines that keep messages."`
+	Disk    diskCommand    `cmd:"" help:"Read the disk of a process that does not run. Nothing on it is changed."`
 }
 
+// environment is what commands work with beside their arguments.
+type environment struct {
+	ctx   context.Context
+	out   io.Writer
+	sleep func(ctx context.Context, pause time.Duration) error
+}
+
+const description = "The operator's command line of ravendale.\n\n" + exitCodes
+
 func main() {
-	var line commandLine
-	parsed := kong.Parse(&line, kong.Name("ravendalectl"), kong.Description("The operator's command line of ravendale."), kong.UsageOnError())
-	if err := parsed.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "ravendalectl:", err)
-		os.Exit(1)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(environment{ctx: ctx, out: os.Stdout, sleep: sleep}, os.Args[1:], os.Stderr))
+}
+
+// run executes a command line and returns the exit code.
+func run(env environment, arguments []string, problems io.Writer) int {
+	parser, exited := newParser(&commandLine{}, env.out, problems)
+	parsed, err := parser.Parse(arguments)
+	if *exited {
+		return exitDone // help was asked for, and given
+	}
+	if err != nil {
+		fmt.Fprintf(problems, "ravendalectl: %v\nnext: see ravendalectl --help\n", err)
+		return exitUsage
+	}
+	if err := parsed.Run(env); err != nil {
+		tell(problems, err)
+		return codeOf(err)
+	}
+	return exitDone
+}
+
+func newParser(line *commandLine, out, problems io.Writer) (*kong.Kong, *bool) {
+	exited := false
+	parser := kong.Must(line,
+		kong.Name("ravendalectl"), kong.Description(description), kong.Writers(out, problems),
+		kong.Exit(func(int) { exited = true }),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+	)
+	return parser, &exited
+}
+
+func sleep(ctx context.Context, pause time.Duration) error {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
--- /dev/null
+++ b/cmd/ravendalectl/message.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+type messageCommand struct {
+	ID     string        `arg:"" help:"The message's name: Msg-Id of the answer that accepted it, else its Request-Id."`
+	Edge   []string      `help:"Addresses at which edges take requests, tried one after another." placeholder:"HOST:PORT" required:""`
+	Host   string        `help:"Host header of the message." required:""`
+	Body   bool          `help:"Write the message's body to standard output instead of its state."`
+	Within time.Duration `help:"How long to try until an answer is clear." default:"30s"`
+}
+
+// Run implements the command.
+func (c *messageCommand) Run(env environment) error {
+	client, err := newClient(env, c.Edge, c.Within, "name edges by --edge, as host:port,host:port")
+	if err != nil {
+		return err
+	}
+	const hint = "check the name, the host and the edges; what ended long ago is forgotten"
+	if c.Body {
+		body, err := client.MessageBody(env.ctx, c.Host, c.ID)
+		if err != nil {
+			return callFailed(err, c.ID, hint)
+		}
+		_, err = env.out.Write(body)
+		return err
+	}
+	message, err := client.Message(env.ctx, c.Host, c.ID)
+	if err != nil {
+		return callFailed(err, c.ID, hint)
+	}
+	if message.Signature != "" {
+		_, err = fmt.Fprintf(env.out, "%s %s\n", message.State, message.Signature)
+		return err
+	}
+	_, err = fmt.Fprintln(env.out, message.State)
+	return err
+}
--- /dev/null
+++ b/cmd/ravendalectl/status.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"ravendale/control/status"
+	"ravendale/operatorclient"
+)
+
+type statusCommand struct {
+	adminFlags
+	JSON  bool          `name:"json" help:"Write JSON, one line for each status."`
+	Watch bool          `help:"Go on, until interrupted."`
+	Every time.Duration `help:"With --watch: how often to ask." default:"2s"`
+}
+
+// Run implements the command.
+func (c *statusCommand) Run(env environment) error {
+	client, err := c.client(env)
+	if err != nil {
+		return err
+	}
+	for {
+		err := c.once(env, client)
+		if !c.Watch {
+			return err
+		}
+		if err != nil {
+			tell(env.out, err)
+		}
+		if env.sleep(env.ctx, c.Every) != nil {
+			return nil
+		}
+	}
+}
+
+func (c *statusCommand) once(env environment, client *operatorclient.Client) error {
+	seen, err := client.Status(env.ctx)
+	if err != nil {
+		return callFailed(err, "status", "check the addresses, and whether control processes run there")
+	}
+	if c.JSON {
+		return json.NewEncoder(env.out).Encode(seen)
+	}
+	return render(env.out, seen)
+}
+
+// render writes a status for people.
+func render(out io.Writer, s *status.Status) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	line := func(format string, arguments ...any) { _, _ = fmt.Fprintf(table, format+"\n", arguments...) }
+	line("answered by\t%s", s.Node)
+	renderCore(line, &s.Core)
+	line("configuration\tversion %d, changed %d times", s.Config.Version, s.Config.Sequence)
+	renderPlacement(line, s.Placement)
+	renderMembers(line, s.Members)
+	return table.Flush()
+}
+
+type liner func(format string, arguments ...any)
+
+func renderCore(line liner, c *status.Core) {
+	leader := c.Leader
+	switch {
+	case c.Leading:
+		leader = "this process"
+	case leader == "":
+		leader = "not known"
+	}
+	line("leader\t%s, term %d", leader, c.Term)
+	line("core\tepoch %d, %d voters, %d in the chain, %s", c.Epoch, len(c.Voters), len(c.Chain), commits(c))
+	line("commands\t%d committed, %d known", c.Committed, c.Last)
+	for _, voter := range c.Voters {
+		line("  voter\t%s\t%s\t%s\t%s", voter.Disk, voter.Address, voter.Zone, positionOf(c.Chain, voter.Disk))
+	}
+}
+
+func commits(c *status.Core) string {
+	if !c.Durable {
+		return "TOO FEW DISKS TO COMMIT"
+	}
+	if !c.Attached {
+		return "durable, but this process is not attached"
+	}
+	return "durable"
+}
+
+func positionOf(chain []string, disk string) string {
+	for i, other := range chain {
+		if other != disk {
+			continue
+		}
+		switch i {
+		case 0:
+			return "head"
+		case len(chain) - 1:
+			return "tail"
+		}
+		return "in the chain"
+	}
+	return "NOT IN THE CHAIN"
+}
+
+func renderPlacement(line liner, p *status.Placement) {
+	if p == nil {
+		line("queue\tnot placed yet")
+		return
+	}
+	line("queue\tepoch %d, %d partitions, %d copies, %d under strength, %d without any copy",
+		p.Epoch, p.Partitions, p.Copies, p.UnderStrength, p.Unheld)
+	for _, store := range p.Stores {
+		retiring := ""
+		if store.Retiring {
+			retiring = "being emptied"
+		}
+		line("  store\t%s\t%s\t%d primaries, %d whole, %d joining\t%s",
+			store.Node, store.Zone, store.Primaries, store.Replicas, store.Joining, retiring)
+	}
+}
+
+func renderMembers(line liner, m *status.Members) {
+	if m == nil {
+		line("members\tnot known here: the leader was not reached")
+		return
+	}
+	for _, edges := range m.Edges {
+		line("edges\t%s\t%d ready, %d not", edges.Zone, edges.Ready, edges.NotReady)
+	}
+	for _, stores := range m.Stores {
+		line("stores\t%s\t%d live, %d leaving, %d behind\t%d messages pending, copies counted",
+			stores.Zone, stores.Live, stores.Leaving, stores.Behind, stores.Pending)
+	}
+}
--- /dev/null
+++ b/cmd/ravendalectl/store.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/samber/oops"
+
+	"ravendale/operatorclient"
+)
+
+// storeCommand has what is done to the machines that keep messages.
+type storeCommand struct {
+	Retire retireCommand `cmd:"" help:"Empty a store, so that its machine and disk can go."`
+	Show   storeShow     `cmd:"" help:"Tell how far the emptying of a store is."`
+}
+
+type retireCommand struct {
+	adminFlags
+	Node     string        `arg:"" help:"The machine's name."`
+	Deadline time.Duration `help:"How long it may take." default:"10m"`
+	Wait     bool          `help:"Wait until it is empty."`
+}
+
+const retirePoll = time.Second
+
+// Run implements the command.
+func (c *retireCommand) Run(env environment) error {
+	client, err := c.client(env)
+	if err != nil {
+		return err
+	}
+	if err := client.StartRetire(env.ctx, c.Node, c.Deadline); err != nil {
+		return callFailed(err, c.Node, retireHint(err))
+	}
+	if !c.Wait {
+		_, err := fmt.Fprintf(env.out, "%s is being emptied; keep its machine until store show says done\n", c.Node)
+		return err
+	}
+	return c.wait(env, client)
+}
+
+func retireHint(err error) string {
+	var failure *operatorclient.Error
+	if errors.As(err, &failure) && failure.Kind == operatorclient.KindConflict {
+		return "add a store first, then repeat the command"
+	}
+	return ""
+}
+
+// wait asks until the store is empty, or the deadline has passed.
+func (c *retireCommand) wait(env environment, client *operatorclient.Client) error {
+	for waited := time.Duration(0); waited < c.Deadline; waited += retirePoll {
+		state, err := client.RetireState(env.ctx, c.Node)
+		if err != nil {
+			return callFailed(err, c.Node, "the order was taken; ask again by store show")
+		}
+		if state == operatorclient.RetireDone {
+			_, err := fmt.Fprintf(env.out, "%s is empty: its machine and disk can go\n", c.Node)
+			return err
+		}
+		if err := env.sleep(env.ctx, retirePoll); err != nil {
+			return oops.Hint("the emptying goes on; ask again by store show").Wrapf(err, "%s", c.Node)
+		}
+	}
+	return oops.Code(codeUndecided).Hint("the emptying goes on; look at status, and ask again by store show").
+		Errorf("%s is not empty after %s", c.Node, c.Deadline)
+}
+
+type storeShow struct {
+	adminFlags
+	Node string `arg:"" help:"The machine's name."`
+}
+
+// Run implements the command.
+func (c *storeShow) Run(env environment) error {
+	client, err := c.client(env)
+	if err != nil {
+		return err
+	}
+	state, err := client.RetireState(env.ctx, c.Node)
+	if err != nil {
+		return callFailed(err, c.Node, "")
+	}
+	_, err = fmt.Fprintln(env.out, state)
+	return err
+}
--- a/operatorclient/errors.go
+++ b/operatorclient/errors.go
@@ -31,10 +31,14 @@
 
 // Error implements error.
 func (e *Error) Error() string {
+	reason := e.Reason
+	if e.Version != 0 {
+		reason = fmt.Sprintf("%s, version %d", reason, e.Version)
+	}
 	if e.Status != 0 {
-		return fmt.Sprintf("%s: %s (status %d, %d tries)", e.Kind, e.Reason, e.Status, e.Tries)
+		return fmt.Sprintf("%s: %s (status %d, %d tries)", e.Kind, reason, e.Status, e.Tries)
 	}
-	return fmt.Sprintf("%s: %s (%d tries)", e.Kind, e.Reason, e.Tries)
+	return fmt.Sprintf("%s: %s (%d tries)", e.Kind, reason, e.Tries)
 }
 
 // String names the kind.
