Wait for slow stores rather than put a message twice, or leave its client without a word

On a busy machine stores took longer than the fixed patience: each message was put several times, which made them slower, and half of the clients got no answer. The patience follows the answers now, a second try needs stores that answer, and what has no answer at the end is waited for a while longer. Tested: go test -race ./queueclient ./cmd/ravendale-edge.

--- a/queueclient/put.go
+++ b/queueclient/put.go
@@ -1,10 +1,12 @@
 package queueclient
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"ravendale/rpc"
 	"ravendale/wire"
 )
 
@@ -20,6 +22,24 @@
 
 const triesAtOnce = 3 // so many partitions may refuse before a pause
 
+// The mean time of an answer is taken over so many, and some of it is waited before a put is made elsewhere.
+const (
+	answersKept   = 8
+	meansOfAnswer = 4
+)
+
+// sawAnswer notes how long a put took to be answered.
+func (c *Client) sawAnswer(took time.Duration) {
+	mean := time.Duration(c.answer.Load())
+	c.answer.Store(int64(mean + (took-mean)/answersKept))
+}
+
+// patience is how long an answer is waited for before the message is tried elsewhere. It grows when all stores are slow: to
+// put everything twice would make them slower.
+func (c *Client) patience() time.Duration {
+	return min(max(meansOfAnswer*time.Duration(c.answer.Load()), putPatience), mostPatience)
+}
+
 type tryState uint8
 
 const (
@@ -34,6 +54,9 @@
 	put       *put
 	id        string
 	partition uint16
+	conn      *rpc.Conn
+	epoch     uint64
+	began     time.Duration
 	stores    []*store // of the partition, the primary first
 	state     tryState
 	granted   bool // a grant came before the answer
@@ -52,28 +75,49 @@
 	over  bool
 }
 
-// Put has a message kept, within a limit. It names the message: ID is set when it was Kept. A message with an order keeps its
+// Put has a message kept. Within the limit it is tried wherever that may work; what has no answer by then is waited for a while
+// longer, for a client that is told nothing does not come again. It names the message: ID is set when it was Kept. A message with an order keeps its
 // name and its partition through all tries; another gets new ones with each. With dispatch Config.Kept is told, before Put
 // returns; the message, its body included, must then not change any more.
 func (c *Client) Put(m *wire.Message, dispatch bool, limit time.Duration) Result {
 	p := &put{client: c, message: m, dispatch: dispatch, answered: make(chan struct{}, 1)}
 	expired := time.NewTimer(limit)
 	defer expired.Stop()
-	for {
+	for goesOn := true; goesOn; {
 		wait := refusalPause
 		t := p.begin()
 		if t != nil {
-			wait = putPatience
+			wait = c.patience()
 		}
-		if !p.await(t, wait, expired) {
-			return p.finish()
+		goesOn = p.await(t, wait, expired)
+		if goesOn && p.pauses(t) {
+			goesOn = p.await(nil, refusalPause, expired)
 		}
-		if p.pauses(t) && !p.await(nil, refusalPause, expired) {
-			return p.finish()
+	}
+	p.awaitLast()
+	return p.finish()
+}
+
+// awaitLast waits for tries that still may be answered.
+func (p *put) awaitLast() {
+	expired := time.NewTimer(p.client.last)
+	defer expired.Stop()
+	for !p.isKept() && p.isWaiting() {
+		select {
+		case <-p.answered:
+		case <-expired.C:
+			return
 		}
 	}
 }
 
+// isWaiting says whether a try has no answer yet.
+func (p *put) isWaiting() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.tries, func(t *try) bool { return t.state == tryWaiting })
+}
+
 // pauses says whether the next try would come too soon: after a refusal there is not always another partition to turn to.
 func (p *put) pauses(t *try) bool {
 	if t == nil {
@@ -170,7 +214,7 @@
 	if conn == nil {
 		return nil
 	}
-	t := p.newTry(partition, v.replicas(partition))
+	t := p.newTry(try{put: p, partition: partition, conn: conn, epoch: v.Epoch, began: c.now(), stores: v.replicas(partition)})
 	if t == nil {
 		return nil
 	}
@@ -190,26 +234,32 @@
 		tried = append(tried, t.partition)
 	}
 	p.mu.Unlock()
-	return v.choose(p.client.now(), tried)
+	return v.choose(p.client.now(), tried, p.isWaiting())
 }
 
-func (p *put) newTry(partition uint16, stores []*store) *try {
+// newTry adds a try, unless the message was kept meanwhile, or the very same question waits for its answer.
+func (p *put) newTry(next try) *try {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.kept != nil {
+	if p.kept != nil || slices.ContainsFunc(p.tries, next.repeats) {
 		return nil
 	}
-	t := &try{put: p, partition: partition, stores: stores}
-	if p.message.Ordered && len(p.tries) > 0 && p.tries[0].partition == partition {
+	t := &next
+	if p.message.Ordered && len(p.tries) > 0 && p.tries[0].partition == t.partition {
 		t.id = p.tries[0].id
 	} else {
-		t.id = p.client.name(partition)
+		t.id = p.client.name(t.partition)
 	}
 	p.tries = append(p.tries, t)
 	p.client.remember(t)
 	return t
 }
 
+// repeats says whether a try waits for the same store's answer under the same placement.
+func (t *try) repeats(other *try) bool {
+	return other.state == tryWaiting && other.partition == t.partition && other.conn == t.conn && other.epoch == t.epoch
+}
+
 func (c *Client) name(partition uint16) string {
 	return wire.MessageID(partition, c.life+"-"+strconv.FormatUint(c.names.Add(1), 36))
 }
@@ -218,6 +268,7 @@
 func (t *try) reply(payload []byte, err error) {
 	reply := wire.PutReply{Code: wire.PutUnknown}
 	if err == nil {
+		t.put.client.sawAnswer(t.put.client.now() - t.began)
 		_, err = reply.UnmarshalMsg(payload)
 	}
 	switch {
--- a/queueclient/queueclient.go
+++ b/queueclient/queueclient.go
@@ -17,13 +17,15 @@
 
 // Times of the client.
 const (
-	putPatience    = 150 * time.Millisecond // a put without an answer for so long is made elsewhere
-	suspectFor     = time.Second            // a store that left a put unanswered is passed over for so long
-	refusalPause   = 25 * time.Millisecond  // before a put that was refused is tried again
-	reportPatience = 500 * time.Millisecond // a report without an answer for so long is sent again
-	reportPause    = 50 * time.Millisecond  // before a report that was refused is sent again
-	claimPause     = 50 * time.Millisecond  // before a claim that was refused is sent again
-	findPatience   = 300 * time.Millisecond // a question without an answer for so long goes to others, too
+	putPatience    = 150 * time.Millisecond  // a put without an answer for so long is made elsewhere
+	mostPatience   = time.Second             // ... and at most, while all answers are slow
+	lastPatience   = 2500 * time.Millisecond // for answers that are missing when the time to try is over
+	suspectFor     = time.Second             // a store that left a put unanswered is passed over for so long
+	refusalPause   = 25 * time.Millisecond   // before a put that was refused is tried again
+	reportPatience = 500 * time.Millisecond  // a report without an answer for so long is sent again
+	reportPause    = 50 * time.Millisecond   // before a report that was refused is sent again
+	claimPause     = 50 * time.Millisecond   // before a claim that was refused is sent again
+	findPatience   = 300 * time.Millisecond  // a question without an answer for so long goes to others, too
 	findLimit      = 1800 * time.Millisecond
 )
 
@@ -53,7 +55,9 @@
 	started time.Time
 	view    atomic.Pointer[view]
 	names   atomic.Uint64
-	life    string // makes the names of this life unlike all others
+	answer  atomic.Int64  // mean time of an answer to a put
+	life    string        // makes the names of this life unlike all others
+	last    time.Duration // lastPatience, but for tests
 
 	mu       sync.Mutex
 	stores   map[string]*store // by disk
@@ -77,7 +81,7 @@
 		config.Log = slog.Default()
 	}
 	c := &Client{
-		config: config, started: time.Now(), life: strconv.FormatUint(rand.Uint64()>>16, 36),
+		config: config, started: time.Now(), last: lastPatience, life: strconv.FormatUint(rand.Uint64()>>16, 36),
 		stores: make(map[string]*store), tries: make(map[string]*try),
 	}
 	c.reports.init(c)
@@ -233,8 +237,9 @@
 }
 
 // choose draws a partition for a message without an order: in the own zone and with stores that answer, if there is one; else
-// anywhere with such stores; else with a primary that is connected. Those tried before come last.
-func (v *view) choose(now time.Duration, tried []uint16) (uint16, bool) {
+// anywhere with such stores; else with a primary that is connected. Those tried before come last. While another try may still be
+// answered, only a partition that is not tried and answers is worth one more.
+func (v *view) choose(now time.Duration, tried []uint16, waiting bool) (uint16, bool) {
 	everywhere := func(i int) uint16 { return uint16(i) }
 	own := func(i int) uint16 { return v.own[i] }
 	answers := func(p uint16) bool { return v.answers(p, now) }
@@ -247,6 +252,9 @@
 		if p, ok := draw(len(v.Partitions), everywhere, skip, answers); ok {
 			return p, true
 		}
+		if waiting {
+			break
+		}
 		if p, ok := draw(len(v.Partitions), everywhere, skip, connected); ok {
 			return p, true
 		}
--- a/queueclient/queueclient_test.go
+++ b/queueclient/queueclient_test.go
@@ -273,6 +273,7 @@
 				one := newFakeStore(t)
 				one.put = answer
 				c, _ := newClient(t)
+				c.last = 50 * time.Millisecond
 				c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
 				connected(t, c)
 				assert.Equal(t, Unsure, c.Put(m, true, 100*time.Millisecond))
@@ -315,6 +316,38 @@
 	assert.Equal(t, 1, three.countPuts())
 }
 
+// All stores are slow: more copies of the same message would only make them slower, and a late answer is better than none.
+func TestPutWaitsForSlowStores(t *testing.T) {
+	for _, m := range []*wire.Message{plain(), ordered()} {
+		one, two := newFakeStore(t), newFakeStore(t)
+		for _, s := range []*fakeStore{one, two} {
+			s.put = func(*wire.Put, int) *wire.PutReply {
+				time.Sleep(2 * putPatience)
+				return &wire.PutReply{Code: wire.PutKept}
+			}
+		}
+		c, h := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one, two}, []uint16{0, 1}, []uint16{1, 0}))
+		connected(t, c)
+		assert.Equal(t, Kept, c.Put(m, true, putPatience/2))
+		assert.Equal(t, 1, one.countPuts()+two.countPuts())
+		h.with(func() { assert.Len(t, h.kept, 1) })
+	}
+}
+
+func TestPatienceGrowsWithTheAnswers(t *testing.T) {
+	c, _ := newClient(t)
+	assert.Equal(t, putPatience, c.patience())
+	for range 50 {
+		c.sawAnswer(100 * time.Millisecond)
+	}
+	assert.InDelta(t, 400, c.patience().Milliseconds(), 10)
+	for range 50 {
+		c.sawAnswer(time.Minute)
+	}
+	assert.Equal(t, mostPatience, c.patience())
+}
+
 func TestLateKeptIsDropped(t *testing.T) {
 	one, two := newFakeStore(t), newFakeStore(t)
 	var late rpc.Reply
