--- a/control/api/retire.go
+++ b/control/api/retire.go
@@ -29,10 +29,10 @@
 	ctx, cancel := bound(0)
 	defer cancel()
 	if err := s.options.Retirer.StartRetire(ctx, node, deadline); err != nil {
-		s.options.Log.Info("retirement not started", "node", node, "error", err)
+		s.options.Log.Info("retirement not started", "store", node, "error", err)
 		return answerRetireError(c, err)
 	}
-	s.options.Log.Info("retirement started", "node", node, "deadline", deadline)
+	s.options.Log.Info("retirement started", "store", node, "deadline", deadline)
 	return c.JSON(stateAnswer{State: RetireRunning})
 }
 
