--- a/queue/core_test.go
+++ b/queue/core_test.go
@@ -332,6 +332,17 @@
 	assert.Equal(t, wire.StateDead, entry.state)
 }
 
+func TestMessageThatItsHolderForgotEndsLongAfterItsRetention(t *testing.T) {
+	r, b, e := primary(t)
+	r.put(plain("0.1"), e)
+	r.settle(b)
+	r.pass(100 * time.Second)
+	entry, _ := r.core.at(0).find("0.1")
+	assert.Equal(t, wire.StatePending, entry.state)
+	r.pass(10 * time.Second)
+	assert.Equal(t, wire.StateDead, entry.state)
+}
+
 func TestHandOversAreBounded(t *testing.T) {
 	r, b, e := primary(t)
 	for i := range 100 {
--- a/queue/maintain.go
+++ b/queue/maintain.go
@@ -2,8 +2,10 @@
 
 import (
 	"sort"
+	"time"
 
 	"ravendale/queue/journal"
+	"ravendale/wire"
 )
 
 // maintain forgets what has been known for long enough, gives disk space back, and compares one partition.
@@ -63,10 +65,22 @@
 	}
 	for range (len(led) + scrubRound - 1) / scrubRound {
 		c.scrubbed = (c.scrubbed + 1) % len(led)
+		c.expireHeld(led[c.scrubbed])
 		c.compareAll(led[c.scrubbed])
 	}
 }
 
+// expireHeld ends messages whose holder should have reported their end long ago: it does not hold them any more.
+func (c *Core) expireHeld(p *partition) {
+	slack := uint32(c.config.ClockSlack / time.Millisecond)
+	late := func(_ uint64, e *entry) bool {
+		return e.pending() && !e.live.putting && e.live.holder != nil && e.live.expires+slack < c.millis()
+	}
+	for _, e := range p.sorted(late) {
+		c.end(p, e, wire.StateDead, "", nil)
+	}
+}
+
 func (c *Core) compareAll(p *partition) {
 	for _, to := range p.members {
 		if !p.isSyncing(to) {
