--- /dev/null
+++ b/queue/store/store_test.go
@@ -0,0 +1,202 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ravendale/rpc"
+	"ravendale/settings"
+	"ravendale/wire"
+)
+
+func TestIdentityLastsAndATornOneIsDrawnAnew(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "data")
+	first, err := Identity(dir)
+	require.NoError(t, err)
+	again, err := Identity(dir)
+	require.NoError(t, err)
+	assert.Equal(t, first, again)
+	require.NoError(t, os.WriteFile(filepath.Join(dir, identityFile), []byte(first[:5]), 0o644))
+	other, err := Identity(dir)
+	require.NoError(t, err)
+	assert.NotEqual(t, first, other)
+	assert.True(t, validIdentity(other))
+}
+
+// node is a store that listens on loopback.
+type node struct {
+	store  *Store
+	server *rpc.Server
+	disk   string
+}
+
+func startNode(t *testing.T, dir, address string) *node {
+	t.Helper()
+	n := &node{}
+	var err error
+	n.disk, err = Identity(dir)
+	require.NoError(t, err)
+	mux := rpc.NewMux()
+	s := &settings.Settings{DataDir: dir, DiskMb: 64, MemoryMb: 64, LostNodes: 1, Zone: "z"}
+	n.store, err = Open(Config{
+		Settings: s, Disk: n.disk, Mux: mux, Failed: func(err error) { t.Error(err) },
+	})
+	require.NoError(t, err)
+	n.server, err = rpc.Listen(address, rpc.Options{Mux: mux}, func(c *rpc.Conn) {
+		c.OnClose(func(error) { go n.store.Closed(c) })
+	})
+	require.NoError(t, err)
+	return n
+}
+
+func (n *node) stop(t *testing.T) {
+	t.Helper()
+	n.server.Close()
+	require.NoError(t, n.store.Close())
+}
+
+func view(epoch uint64, nodes ...*node) *wire.StoreView {
+	v := &wire.StoreView{Epoch: epoch, Copies: 2, Partitions: []wire.Placement{{Replicas: []uint16{0, 1}}}}
+	for _, n := range nodes {
+		v.Stores = append(v.Stores, wire.Store{Disk: n.disk, Address: n.server.Address()})
+	}
+	return v
+}
+
+// edge is a scheduler's connection that keeps the grants that it gets.
+type edge struct {
+	conn   *rpc.Conn
+	grants chan *wire.Grant
+}
+
+func attach(t *testing.T, n *node, id string, epoch uint64) *edge {
+	t.Helper()
+	e := &edge{grants: make(chan *wire.Grant, 100)}
+	mux := rpc.NewMux()
+	rpc.Handle(mux, wire.MethodGrant, func(_ *rpc.Conn, g *wire.Grant, _ rpc.Reply) { e.grants <- g })
+	var err error
+	e.conn, err = rpc.Dial(t.Context(), n.server.Address(), rpc.Options{Mux: mux})
+	require.NoError(t, err)
+	require.NoError(t, e.conn.Call(t.Context(), wire.MethodAttach, &wire.Attach{Edge: id, Zone: "z"}, &wire.AttachReply{}))
+	reply := &wire.ClaimReply{}
+	require.NoError(t, e.conn.Call(t.Context(), wire.MethodClaim, &wire.Claim{Epoch: epoch}, reply))
+	require.Equal(t, wire.PutKept, reply.Code)
+	return e
+}
+
+func (e *edge) put(t *testing.T, epoch uint64, id string) *wire.PutReply {
+	t.Helper()
+	reply := &wire.PutReply{}
+	message := wire.Message{ID: id, Key: "k", Ordered: true, Body: []byte("body"), RetentionMs: 60_000, SentUnixMs: time.Now().UnixMilli()}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	require.NoError(t, e.conn.Call(ctx, wire.MethodPut, &wire.Put{Epoch: epoch, Message: message, Dispatch: true}, reply))
+	return reply
+}
+
+func (e *edge) await(t *testing.T) *wire.Grant {
+	t.Helper()
+	select {
+	case g := <-e.grants:
+		return g
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "no grant")
+		return nil
+	}
+}
+
+// TestStoresOnLoopback keeps messages on two stores, loses one and an edge, and goes on.
+func TestStoresOnLoopback(t *testing.T) {
+	dirs := []string{t.TempDir(), t.TempDir(), t.TempDir()}
+	nodes := make([]*node, 3)
+	for i, dir := range dirs {
+		nodes[i] = startNode(t, dir, "127.0.0.1:0")
+	}
+	first := view(1, nodes...)
+	for _, n := range nodes {
+		n.store.SetEdges(&wire.Members{Edges: []wire.Edge{{ID: "e"}}})
+		n.store.SetView(first)
+	}
+	e := attach(t, nodes[0], "e", 1)
+	put := e.put(t, 1, "0.1")
+	assert.Equal(t, wire.PutKept, put.Code)
+	if !put.Granted { // the stores had not met yet
+		assert.Equal(t, "0.1", e.await(t).ID)
+	}
+	put = e.put(t, 1, "0.2")
+	assert.Equal(t, wire.PutKept, put.Code)
+	assert.False(t, put.Granted)
+	report := &wire.ReportReply{}
+	done := &wire.Report{Epoch: 1, ID: "0.1", Kind: wire.ReportDone, Signature: "s"}
+	require.NoError(t, e.conn.Call(t.Context(), wire.MethodReport, done, report))
+	assert.Equal(t, wire.PutKept, report.Code)
+	assert.Equal(t, "0.2", e.await(t).ID)
+
+	nodes[0].stop(t) // the primary goes; the other takes over, and a third joins
+	second := view(2, nodes...)
+	second.Partitions[0] = wire.Placement{Replicas: []uint16{1}, Joining: []uint16{2}}
+	nodes[1].store.SetView(second)
+	nodes[2].store.SetView(second)
+	assert.Eventually(t, func() bool { return len(nodes[2].store.Status().Synced) == 1 }, 5*time.Second, 5*time.Millisecond)
+	f := attach(t, nodes[1], "f", 2)
+	grant := f.await(t)
+	assert.True(t, grant.Whole)
+	assert.Equal(t, "0.2", grant.Message.ID)
+	assert.Equal(t, "body", string(grant.Message.Body))
+	for _, n := range nodes[1:2] {
+		c, err := rpc.Dial(t.Context(), n.server.Address(), rpc.Options{})
+		require.NoError(t, err)
+		found := &wire.FindReply{}
+		require.NoError(t, c.Call(t.Context(), wire.MethodFind, &wire.Find{ID: "0.1"}, found))
+		assert.Equal(t, &wire.FindReply{Found: true, State: wire.StateDone, Signature: "s"}, found)
+		c.Close()
+	}
+
+	address := nodes[1].server.Address() // both restart with their disks
+	nodes[1].stop(t)
+	nodes[1] = startNode(t, dirs[1], address)
+	assert.EqualValues(t, 2, nodes[1].store.Status().Messages)
+	assert.EqualValues(t, 1, nodes[1].store.Status().Pending)
+	nodes[1].stop(t)
+	nodes[2].stop(t)
+}
+
+// BenchmarkPut keeps messages on two stores of one process, over loopback and real syncs.
+func BenchmarkPut(b *testing.B) {
+	t := &testing.T{}
+	nodes := []*node{startNode(t, b.TempDir(), "127.0.0.1:0"), startNode(t, b.TempDir(), "127.0.0.1:0")}
+	v := view(1, nodes...)
+	for _, n := range nodes {
+		n.store.SetView(v)
+	}
+	c, err := rpc.Dial(b.Context(), nodes[0].server.Address(), rpc.Options{})
+	require.NoError(b, err)
+	time.Sleep(200 * time.Millisecond) // the stores connect
+	body := make([]byte, 1000)
+	var group sync.WaitGroup
+	slots := make(chan struct{}, 50)
+	b.ReportAllocs()
+	for i := range b.N {
+		slots <- struct{}{}
+		group.Add(1)
+		put := &wire.Put{Epoch: 1, Message: wire.Message{ID: fmt.Sprintf("0.%d", i), Body: body, RetentionMs: 60_000}}
+		c.Start(wire.MethodPut, put, func([]byte, error) {
+			<-slots
+			group.Done()
+		})
+	}
+	group.Wait()
+	c.Close()
+	for _, n := range nodes {
+		n.server.Close()
+		_ = n.store.Close()
+	}
+}
