--- a/standin/check/check_test.go
+++ b/standin/check/check_test.go
@@ -315,6 +315,17 @@
 	assert.Len(t, check.Drain(h, check.DefaultBounds()), 1)
 }
 
+func TestTimelineIsInOrder(t *testing.T) {
+	h := kept()
+	h.Troubles = []history.Trouble{{What: "kill", Machine: "m", At: at(5.02), Until: at(6)}}
+	lines := check.Timeline(h, "p1")
+	require.Len(t, lines, 7)
+	assert.Contains(t, lines[0], "5s sent")
+	assert.Contains(t, lines[1], "kill of m")
+	assert.Contains(t, lines[2], "answered 202")
+	assert.Contains(t, lines[6], "read as 200")
+}
+
 func TestSummary(t *testing.T) {
 	h := kept()
 	refused := sent("refused", "plain", "", 9)
--- /dev/null
+++ b/standin/check/timeline.go
@@ -0,0 +1,74 @@
+package check
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"ravendale/standin/history"
+)
+
+// Timeline tells all that was seen of a message, and the troubles and orders near it, in the order of time.
+func Timeline(h *history.History, requestID string) []string {
+	v := newView(h)
+	var line timeline
+	send, sent := v.sends[requestID]
+	if sent {
+		line.add(send.Sent, "sent to %s, route %s key %q delay %v", send.Edge, send.Route, send.Key, send.Delay)
+		line.add(send.Answered, "answered %d as %s %s", send.Status, send.MessageID, send.Problem)
+	}
+	for _, arrival := range v.arrivals[requestID] {
+		line.add(arrival.Arrived, "arrived at %s of %s", arrival.Worker, arrival.Service)
+		if arrival.Started() {
+			line.add(arrival.Start, "started at %s", arrival.Worker)
+			line.add(arrival.End, "ended at %s with %d, answer written: %v", arrival.Worker, arrival.Status, arrival.Answered)
+		}
+	}
+	for _, reading := range h.Readings {
+		if reading.RequestID == requestID {
+			line.add(reading.At, "read as %d %q, body %d", reading.StateStatus, reading.State, reading.BodyStatus)
+		}
+	}
+	from, until := line.span()
+	for _, trouble := range h.Troubles {
+		if trouble.At <= until && trouble.Until >= from {
+			line.add(trouble.At, "%s of %s, until %v", trouble.What, trouble.Machine, trouble.Until)
+		}
+	}
+	for _, order := range h.Orders {
+		if order.Sent <= until && order.Answered >= from {
+			line.add(order.Answered, "version %d on %d answered %d, sent at %v", order.Config.Version, order.Base, order.Status, order.Sent)
+		}
+	}
+	return line.lines()
+}
+
+// timeline collects events.
+type timeline []event
+
+type event struct {
+	at   time.Duration
+	text string
+}
+
+func (t *timeline) add(at time.Duration, format string, arguments ...any) {
+	*t = append(*t, event{at: at, text: fmt.Sprintf(format, arguments...)})
+}
+
+// span is from the first event to the last.
+func (t timeline) span() (from, until time.Duration) {
+	from = never
+	for _, e := range t {
+		from, until = min(from, e.at), max(until, e.at)
+	}
+	return from, until
+}
+
+func (t timeline) lines() []string {
+	sort.SliceStable(t, func(i, j int) bool { return t[i].at < t[j].at })
+	lines := make([]string, 0, len(t))
+	for _, e := range t {
+		lines = append(lines, fmt.Sprintf("%v %s", e.at, e.text))
+	}
+	return lines
+}
