Play small disks and early claims in the store's histories

Disks fill up, so that segments are rewritten and puts refused; stores hear which edges there are, and open once all have claimed.

--- a/queue/sim_test.go
+++ b/queue/sim_test.go
@@ -63,6 +63,7 @@
 
 	messages map[string]*simMessage
 	names    []string
+	byKey    map[string][]*simMessage
 	stopped  bool // no more puts and faults
 }
 
@@ -78,7 +79,7 @@
 func newSim(t *testing.T, seed uint64, stores, edges, partitions, copies int, m mutant) *sim {
 	s := &sim{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), cut: make(map[[2]string]bool), mutant: m,
-		messages: make(map[string]*simMessage),
+		messages: make(map[string]*simMessage), byKey: make(map[string][]*simMessage),
 	}
 	for i := range stores {
 		s.stores = append(s.stores, newSimStore(s, i, copies))
@@ -331,7 +332,6 @@
 	skew   int64 // of its time of day, in milliseconds
 	conns  []*simConn
 	links  map[string]*simConn
-	view   *wire.StoreView // newest that it was sent
 }
 
 func newSimStore(s *sim, i, copies int) *simStore {
@@ -349,7 +349,7 @@
 	n.upAt = n.sim.now
 	n.links = make(map[string]*simConn)
 	n.core = New(Config{
-		Disk: n.disk.name, Copies: n.copies, Remember: 10 * time.Second, DiskBytes: 1 << 20,
+		Disk: n.disk.name, Copies: n.copies, Remember: 10 * time.Second, DiskBytes: int64(1<<18) << (n.sim.seed % 3),
 	}, simHost{n, n.disk.life})
 	n.core.now = n.time()
 	for i := n.disk.first; i < len(n.disk.records); i++ {
@@ -516,11 +516,23 @@
 	}
 }
 
+// members are the edges as the leader sees them: one that has just gone or come may be missed.
+func (s *sim) members() []wire.Edge {
+	var list []wire.Edge
+	for _, e := range s.edges {
+		if e.up {
+			list = append(list, wire.Edge{ID: e.id})
+		}
+	}
+	return list
+}
+
 // publish sends the newest view to a store, some time later.
 func (s *sim) publish(n *simStore) {
 	life, view := n.disk.life, s.view
 	s.after(s.between(0, 60*ms), func() {
-		if n.up && n.disk.life == life && (n.view == nil || view.Epoch >= n.view.Epoch || true) {
+		if n.up && n.disk.life == life {
+			n.core.Edges(n.time(), s.members())
 			n.core.View(n.time(), view)
 			n.mutate()
 		}
--- a/queue/simedge_test.go
+++ b/queue/simedge_test.go
@@ -190,7 +190,9 @@
 	if e.sim.random.IntN(10) == 0 {
 		m.DelayMs = uint32(e.sim.random.IntN(400))
 	}
-	e.sim.messages[id] = &simMessage{message: m, sentAt: e.sim.now}
+	message := &simMessage{message: m, sentAt: e.sim.now}
+	e.sim.messages[id] = message
+	e.sim.byKey[key] = append(e.sim.byKey[key], message)
 	e.sim.names = append(e.sim.names, id)
 	e.held[id] = &simHeld{message: m}
 	e.puts[id] = true
@@ -372,13 +374,9 @@
 	if !m.message.Ordered {
 		return
 	}
-	for _, id := range s.names {
-		other := s.messages[id]
-		if other.message.Key != m.message.Key || other == m || !other.message.Ordered {
-			continue
-		}
+	for _, other := range s.byKey[m.message.Key] {
 		if other.keptAt > 0 && other.keptAt < m.sentAt && other.endedAt == 0 {
-			s.fail("message %s runs before %s has ended, which was accepted before it was sent", m.message.ID, id)
+			s.fail("message %s runs before %s has ended, which was accepted before it was sent", m.message.ID, other.message.ID)
 		}
 	}
 }
