--- a/standin/check/timeline.go
+++ b/standin/check/timeline.go
@@ -14,19 +14,21 @@
 	var line timeline
 	send, sent := v.sends[requestID]
 	if sent {
-		line.add(send.Sent, "sent to %s, route %s key %q delay %v", send.Edge, send.Route, send.Key, send.Delay)
+		line.add(send.Sent, "sent to %s, route %s key %q delay %v body %016x", send.Edge, send.Route, send.Key, send.Delay, send.Body)
 		line.add(send.Answered, "answered %d as %s %s", send.Status, send.MessageID, send.Problem)
 	}
 	for _, arrival := range v.arrivals[requestID] {
 		line.add(arrival.Arrived, "arrived at %s of %s", arrival.Worker, arrival.Service)
 		if arrival.Started() {
 			line.add(arrival.Start, "started at %s", arrival.Worker)
+		}
+		if arrival.Started() && arrival.Outcome != history.OutcomeRunning {
 			line.add(arrival.End, "ended at %s with %d, answer written: %v", arrival.Worker, arrival.Status, arrival.Answered)
 		}
 	}
 	for _, reading := range h.Readings {
 		if reading.RequestID == requestID {
-			line.add(reading.At, "read as %d %q, body %d", reading.StateStatus, reading.State, reading.BodyStatus)
+			line.add(reading.At, "read as %d %q, body %d %016x", reading.StateStatus, reading.State, reading.BodyStatus, reading.Body)
 		}
 	}
 	from, until := line.span()
--- a/systemtest/rig_test.go
+++ b/systemtest/rig_test.go
@@ -100,18 +100,21 @@
 	}
 }
 
-// services of all scenarios: a plain one, one that fails now and then, one for messages with an order, and one with a ceiling.
+// services of all scenarios: a plain one, one that fails now and then, one for messages with an order, one that refuses all, and one
+// with a ceiling.
 func services() []standin.Service {
 	work := workers.Service{Capacity: 8, Queue: 8, WorkMin: 2 * time.Millisecond, WorkMean: 10 * time.Millisecond, WorkMax: 300 * time.Millisecond}
-	plain, flaky, ordered, limited := work, work, work, work
-	plain.Name, flaky.Name, ordered.Name, limited.Name = "plain", "flaky", "ordered", "limited"
+	plain, flaky, ordered, limited, refusing := work, work, work, work, work
+	plain.Name, flaky.Name, ordered.Name, limited.Name, refusing.Name = "plain", "flaky", "ordered", "limited", "refusing"
 	plain.Idempotent = true
 	flaky.FailShare, flaky.PoisonShare, flaky.RefuseShare = 0.05, 0.02, 0.02
 	limited.RatePerS = 30
+	refusing.RefuseShare = 1
 	return []standin.Service{
 		{Service: plain, Workers: 2, Routes: []protocol.Route{route("plain", false), route("delayed", false)}},
 		{Service: flaky, Workers: 2, Routes: []protocol.Route{route("flaky", false)}},
 		{Service: ordered, Workers: 2, Routes: []protocol.Route{route("ordered", true)}},
+		{Service: refusing, Workers: 1, Routes: []protocol.Route{route("refusing", false)}},
 		{Service: limited, Endpoint: true, Routes: []protocol.Route{route("limited", false)}},
 	}
 }
--- a/systemtest/scenarios_test.go
+++ b/systemtest/scenarios_test.go
@@ -119,6 +119,26 @@
 	r.verify()
 }
 
+// Dead letters are kept with their bytes, also those that were accepted while the view of the stores changed, and by stores that were
+// filled by others after they came back.
+func TestDeadLettersOutliveARollOverAllStores(t *testing.T) {
+	r := start(t)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.clients.Run(t.Context(), client.Load{
+			RatePerS: 2 * rate, Duration: 6 * time.Second,
+			Traffic: []client.Traffic{{Route: "refusing", Host: host, Target: "/refusing/a", BodyBytes: 2048}},
+		})
+	}()
+	for _, store := range r.system.Stores {
+		time.Sleep(1200 * time.Millisecond)
+		r.roll(store)
+	}
+	<-done
+	r.verify()
+}
+
 // extraRoute is a route to the plain service with a time-out of its own.
 func extraRoute(r *rig, timeout int) protocol.Route {
 	extra := route("extra", false)
