Remember how messages ended, and never run one again that a store hands out anew

A store that becomes the primary may hand a message out before it has heard of its end, and a run that was given up may turn out to have succeeded. A success is told whether or not the message is still held. Tested by scripted events, and all of the package's tests.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -32,6 +32,7 @@
 	agenda   agenda
 	jobs     map[JobID]*job
 	lastJob  JobID
+	endings  endings
 	held     int // bytes
 	stopping bool
 
@@ -118,24 +119,36 @@
 	c.events = append(c.events, moduleEvent{s, event})
 }
 
-// Accept takes a message that was put by this edge and kept.
+// Accept takes a message that was put by this edge and kept. It may have been granted whole, and have ended, before that.
 func (c *Core) Accept(now time.Duration, m *wire.Message, granted bool) []Action {
 	c.begin(now)
-	if c.messages[m.ID] == nil {
+	if c.messages[m.ID] == nil && !c.repeatEnding(m.ID) {
 		c.hold(m, arrival{granted: granted})
 	}
 	return c.end()
 }
 
+// repeatEnding reports once more how a message ended here, and says whether it did.
+func (c *Core) repeatEnding(id string) bool {
+	past, ended := c.endings.find(c.now, id)
+	if ended {
+		c.act(Report{past})
+	}
+	return ended
+}
+
 // Grant takes a store's grant. A whole message is due: the store, whose steady clock has counted since it was sent, keeps its
-// delay, and its end too. The time of day says nothing reliable of either.
+// delay, and its end too. The time of day says nothing reliable of either. What ended here is not run again: the store that
+// hands it out has not heard of that, as when it has just become the primary.
 func (c *Core) Grant(now time.Duration, g *wire.Grant) []Action {
 	c.begin(now)
 	m := c.messages[g.ID]
 	switch {
 	case m != nil && m.phase != reported:
 		c.grant(m, g.Failed)
-	case g.Whole && (m == nil || m.released):
+	case m != nil && !m.released: // its report is repeated until it is acknowledged
+	case c.repeatEnding(g.ID):
+	case g.Whole:
 		c.take(g)
 	case m == nil:
 		c.report(wire.Report{ID: g.ID, Kind: wire.ReportReleased, Failed: g.Failed})
@@ -312,6 +325,18 @@
 	c.report(report)
 }
 
+// succeed ends a message that a worker has run, whether or not it is still held here: whoever has it now must not run it again.
+func (c *Core) succeed(m *message, signature string) {
+	done := wire.Report{ID: m.ID, Kind: wire.ReportDone, Failed: m.failed, Signature: signature}
+	if held := c.messages[m.ID]; held != nil && held.phase != reported {
+		c.finish(held, done)
+		return
+	}
+	if _, ended := c.endings.find(c.now, m.ID); !ended {
+		c.report(done)
+	}
+}
+
 func (c *Core) release(m *message) {
 	m.released = true
 	c.finish(m, wire.Report{Kind: wire.ReportReleased})
@@ -319,6 +344,9 @@
 
 func (c *Core) report(r wire.Report) {
 	r.Partition, _ = wire.PartitionOf(r.ID)
+	if r.Kind != wire.ReportFailed && r.Kind != wire.ReportReleased {
+		c.endings.add(c.now, r)
+	}
 	c.act(Report{r})
 }
 
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -49,7 +49,10 @@
 		Outcome: moduleOutcomes[result.Outcome], Took: result.Took, Closed: closed,
 	})
 	c.forgetJob(j)
-	if m.phase != reported && c.messages[m.ID] == m {
+	switch {
+	case result.Outcome == worker.Done:
+		c.succeed(m, result.Signature)
+	case m.phase != reported && c.messages[m.ID] == m:
 		c.conclude(m, result, closed)
 	}
 }
@@ -74,12 +77,9 @@
 	return true
 }
 
-// conclude draws the consequences of an outcome for its message.
+// conclude draws the consequences of an outcome that is no success for its message.
 func (c *Core) conclude(m *message, result worker.Result, closed bool) {
 	switch result.Outcome {
-	case worker.Done:
-		c.finish(m, wire.Report{Kind: wire.ReportDone, Signature: result.Signature})
-		return
 	case worker.Refused:
 		c.finish(m, wire.Report{Kind: wire.ReportDead})
 		return
