Guard what the edge's tests share, and start their edges on other ports when some are taken

A test read a map that a late run was writing: the race detector ended it in a few of 100 runs. Once an edge was never ready, as far as could be told because a port was taken between the look and the listen; a failure now tells what the edge answered.

--- a/cmd/ravendale-edge/edge_test.go
+++ b/cmd/ravendale-edge/edge_test.go
@@ -92,6 +92,24 @@
 	return append([]string(nil), w.runs...)
 }
 
+func (w *rigWorker) body(id string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.bodies[id]
+}
+
+func (w *rigWorker) overlapped() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.overlap
+}
+
+func (w *rigWorker) answerBy(answer func(w http.ResponseWriter, r *http.Request, run int) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answer = answer
+}
+
 func newRig(t *testing.T, stores, edges int) *rig {
 	r := &rig{t: t, log: slog.New(slog.NewTextHandler(io.Discard, nil))}
 	r.worker = &rigWorker{bodies: make(map[string]string), running: make(map[string]int)}
@@ -146,7 +164,21 @@
 	return listener.Addr().(*net.TCPAddr).Port
 }
 
+// addEdge starts an edge. Ports that were free a moment ago may be another program's by then: it is tried with others.
 func (r *rig) addEdge() {
+	const tries = 5
+	var err error
+	for range tries {
+		var added *rigEdge
+		if added, err = r.startEdge(); err == nil {
+			r.edges = append(r.edges, added)
+			return
+		}
+	}
+	require.NoError(r.t, err)
+}
+
+func (r *rig) startEdge() (*rigEdge, error) {
 	s := r.settings("edge")
 	port := freePort(r.t)
 	s.PortRange = []int{port - 1, port + 1}
@@ -158,11 +190,22 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	added := &rigEdge{edge: e, stop: cancel, done: make(chan error, 1)}
 	go func() { added.done <- e.run(ctx) }()
-	r.edges = append(r.edges, added)
 	r.t.Cleanup(func() {
 		e.queue.Close()
 		e.plane.Close()
 	})
+	for { // http is the last that is listened on
+		conn, err := net.Dial("tcp4", s.ListenHTTP)
+		if err == nil {
+			return added, conn.Close()
+		}
+		select {
+		case err := <-added.done:
+			cancel()
+			return nil, err
+		case <-time.After(time.Millisecond):
+		}
+	}
 }
 
 func (r *rig) place(epoch uint64, partitions ...[]uint16) {
@@ -209,14 +252,20 @@
 
 func (r *rig) awaitReady(e *rigEdge) {
 	r.t.Helper()
-	require.Eventually(r.t, func() bool {
+	last := ""
+	deadline := time.Now().Add(patience)
+	for ; time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
 		response, err := http.Get("http://" + e.env.Settings.ListenReady + "/v1/readyz")
 		if err != nil {
-			return false
+			last = err.Error()
+			continue
 		}
 		_ = response.Body.Close()
-		return response.StatusCode == http.StatusOK
-	}, patience, 5*time.Millisecond)
+		if last = response.Status; response.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	require.Fail(r.t, "edge is not ready", "%s; usable %t, connected to %d stores", last, e.usable(), len(r.stores))
 }
 
 // put sends a message until it is taken, and returns its name.
@@ -285,7 +334,7 @@
 	}
 	for id, name := range names {
 		assert.Equal(t, "sig-"+id, r.awaitState(two, name, "done"))
-		assert.Equal(t, "body of "+id, r.worker.bodies[id])
+		assert.Equal(t, "body of "+id, r.worker.body(id))
 	}
 	assert.Len(t, r.worker.list(), 20)
 	status, _ := r.ask(one, "/v1/message/0.none")
@@ -299,7 +348,7 @@
 
 func TestOrderIsKeptAcrossEdgesAndFailures(t *testing.T) {
 	r := newRig(t, 3, 2)
-	r.worker.answer = func(w http.ResponseWriter, _ *http.Request, run int) bool {
+	r.worker.answerBy(func(w http.ResponseWriter, _ *http.Request, run int) bool {
 		time.Sleep(2 * time.Millisecond)
 		switch run % 5 {
 		case 1:
@@ -311,7 +360,7 @@
 			return false
 		}
 		return true
-	}
+	})
 	r.awaitReady(r.edges[0])
 	r.awaitReady(r.edges[1])
 	var names, ids []string
@@ -322,7 +371,7 @@
 	for i := range names {
 		r.awaitState(r.edges[0], names[i], "done")
 	}
-	assert.False(t, r.worker.overlap)
+	assert.False(t, r.worker.overlapped())
 	seen := map[string]bool{}
 	var firsts []string
 	for _, id := range r.worker.list() {
@@ -340,10 +389,10 @@
 	r.awaitReady(one)
 	r.awaitReady(two)
 	hold := make(chan struct{})
-	r.worker.answer = func(http.ResponseWriter, *http.Request, int) bool {
+	r.worker.answerBy(func(http.ResponseWriter, *http.Request, int) bool {
 		<-hold
 		return false
-	}
+	})
 	running := r.put(one, "/p/x", "running", "", 0)
 	require.Eventually(t, func() bool { return len(r.worker.list()) == 1 }, patience, time.Millisecond)
 	delayed := r.put(one, "/p/x", "delayed", "", 1500)
--- a/dispatch/plane_test.go
+++ b/dispatch/plane_test.go
@@ -51,10 +51,14 @@
 	return q.waiting
 }
 
-func (q *fakeQueue) kinds() (kinds []wire.ReportKind) {
+func (q *fakeQueue) list() []wire.Report {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, r := range q.reports {
+	return append([]wire.Report(nil), q.reports...)
+}
+
+func (q *fakeQueue) kinds() (kinds []wire.ReportKind) {
+	for _, r := range q.list() {
 		kinds = append(kinds, r.Kind)
 	}
 	return kinds
@@ -97,7 +101,7 @@
 	}
 	p.Grant(&wire.Grant{ID: "0.4", Whole: true, Message: *messageTo("/p/x", "4")})
 	require.Eventually(t, func() bool { return len(p.IDs()) == 0 && len(q.kinds()) == 4 }, 3*time.Second, time.Millisecond)
-	for _, r := range q.reports {
+	for _, r := range q.list() {
 		assert.Equal(t, wire.ReportDone, r.Kind)
 		assert.Equal(t, "sig", r.Signature)
 	}
