Take no message back while its release is on its way, and keep grants until the edge is told

A release that was sent twice could be taken for one of the same message granted anew to the same edge: it was handed to another while it ran here. A grant over another connection could come before the edge knew of the message, which was then given back while it was delivered. Tested with stores that hold answers back; a claim made while a put is kept has its test, too.

--- a/queueclient/put.go
+++ b/queueclient/put.go
@@ -72,6 +72,7 @@
 	mu    sync.Mutex
 	tries []*try
 	kept  *try
+	told  bool // the edge was told that it is kept
 	over  bool
 }
 
@@ -319,11 +320,23 @@
 	}
 	if p.dispatch {
 		p.client.config.Kept(p.message, granted)
+		p.tell(t, granted)
 	}
 	p.client.forget(p)
 	p.poke()
 }
 
+// tell passes a grant on that came over another connection while the edge was being told of the message.
+func (p *put) tell(t *try, granted bool) {
+	p.mu.Lock()
+	p.told = true
+	overtaken := t.granted && !granted
+	p.mu.Unlock()
+	if overtaken {
+		p.client.config.Granted(&wire.Grant{Partition: t.partition, ID: t.id})
+	}
+}
+
 func (c *Client) remember(t *try) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -341,7 +354,8 @@
 	}
 }
 
-// grantTry notes a grant that overtook the answer to its put, and says whether it was one.
+// grantTry notes a grant of a message that the edge was not told of yet, as one that overtook the answer to its put. It says
+// whether it was one.
 func (c *Client) grantTry(id string) bool {
 	c.mu.Lock()
 	t := c.tries[id]
@@ -351,7 +365,7 @@
 	}
 	t.put.mu.Lock()
 	defer t.put.mu.Unlock()
-	if t.put.kept != nil {
+	if kept := t.put.kept; kept != nil && (kept.id != id || t.put.told) {
 		return false
 	}
 	for _, other := range t.put.tries { // a repeat under the same name may be the one that is answered
--- a/queueclient/queueclient.go
+++ b/queueclient/queueclient.go
@@ -100,6 +100,10 @@
 	if !g.Whole && c.grantTry(g.ID) {
 		return
 	}
+	if g.Whole && c.reports.releasing(g.ID) { // the store takes the repeat of the release for one of this grant
+		c.Report(wire.Report{ID: g.ID, Kind: wire.ReportReleased, Failed: g.Failed})
+		return
+	}
 	c.config.Granted(g)
 }
 
--- /dev/null
+++ b/queueclient/races_test.go
@@ -0,0 +1,118 @@
+package queueclient
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ravendale/rpc"
+	"ravendale/wire"
+)
+
+// The store that keeps a message answers while a claim is being made: the message was in no list of the held when that was made.
+func TestClaimNamesWhatIsKeptWhileItIsMade(t *testing.T) {
+	one := newFakeStore(t)
+	answer, kept := make(chan struct{}), make(chan string, 1)
+	one.put = func(*wire.Put, int) *wire.PutReply {
+		<-answer
+		return &wire.PutReply{Code: wire.PutKept}
+	}
+	c, _ := newClient(t)
+	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+	connected(t, c)
+	require.Eventually(t, func() bool { return one.countClaims() == 1 }, soon, time.Millisecond)
+	go func() {
+		m := plain()
+		c.Put(m, true, time.Second)
+		kept <- m.ID
+	}()
+	require.Eventually(t, func() bool { return len(c.putting()) == 1 }, soon, time.Millisecond)
+	var id string
+	c.config.Held = func() []string {
+		close(answer)
+		id = <-kept
+		return nil // as it was before
+	}
+	c.SetView(placement(2, []*fakeStore{one}, []uint16{0}))
+	require.Eventually(t, func() bool { return one.countClaims() == 2 }, soon, time.Millisecond)
+	one.with(func() { assert.Equal(t, wire.Claim{Epoch: 2, IDs: []string{id}}, one.claims[1]) })
+}
+
+// A grant comes over another connection while the edge is being told that the message is kept.
+func TestGrantWhileTheEdgeIsTold(t *testing.T) {
+	one := newFakeStore(t)
+	c, h := newClient(t)
+	told := c.config.Kept
+	c.config.Kept = func(m *wire.Message, granted bool) {
+		c.granted(&wire.Grant{ID: m.ID})
+		h.with(func() { assert.Empty(t, h.granted, "before the message is known") })
+		told(m, granted)
+	}
+	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+	connected(t, c)
+	m := ordered()
+	require.Equal(t, Kept, c.Put(m, true, time.Second))
+	h.with(func() { assert.Equal(t, []string{m.ID}, h.granted) })
+}
+
+// heldBack is a store that answers reports when it is told to.
+type heldBack struct {
+	mu      sync.Mutex
+	conn    *rpc.Conn
+	reports []wire.Report
+	replies []rpc.Reply
+}
+
+func (s *heldBack) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.reports)
+}
+
+func newHeldBack(t *testing.T) (*heldBack, *fakeStore) {
+	s := &heldBack{}
+	mux := rpc.NewMux()
+	rpc.Handle(mux, wire.MethodAttach, func(c *rpc.Conn, _ *wire.Attach, reply rpc.Reply) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.conn = c
+		reply.Send(&wire.AttachReply{})
+	})
+	rpc.Handle(mux, wire.MethodReport, func(_ *rpc.Conn, m *wire.Report, reply rpc.Reply) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.reports = append(s.reports, *m)
+		s.replies = append(s.replies, reply)
+	})
+	server, err := rpc.Listen("127.0.0.1:0", rpc.Options{Mux: mux}, nil)
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	return s, &fakeStore{server: server}
+}
+
+// A release is sent twice. The store takes the first and hands the message back to the same edge; the second is still on its way.
+func TestMessageIsNotTakenWhileItsReleaseIsOnItsWay(t *testing.T) {
+	s, store := newHeldBack(t)
+	c, h := newClient(t)
+	c.SetView(placement(1, []*fakeStore{store}, []uint16{0}))
+	connected(t, c)
+	require.Eventually(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.conn != nil }, soon, time.Millisecond)
+	c.Report(wire.Report{ID: "0.1", Kind: wire.ReportReleased})
+	c.reports.resend()
+	require.Eventually(t, func() bool { return s.count() == 2 }, soon, time.Millisecond)
+	s.replies[0].Send(&wire.ReportReply{Code: wire.PutKept})
+	grant := &wire.Grant{ID: "0.1", Whole: true}
+	require.NoError(t, s.conn.Notify(wire.MethodGrant, grant))
+	require.Eventually(t, func() bool { return s.count() == 3 }, soon, time.Millisecond, "it is given back once more")
+	assert.Equal(t, wire.ReportReleased, s.reports[2].Kind)
+	h.with(func() { assert.Empty(t, h.granted) })
+	s.replies[1].Send(&wire.ReportReply{Code: wire.PutKept})
+	s.replies[2].Send(&wire.ReportReply{Code: wire.PutKept})
+	require.NoError(t, s.conn.Notify(wire.MethodGrant, grant))
+	require.Eventually(t, func() bool { h.mu.Lock(); defer h.mu.Unlock(); return len(h.granted) == 1 }, soon, time.Millisecond)
+	assert.Zero(t, c.Pending())
+	assert.Empty(t, c.reports.waiting)
+}
--- a/queueclient/report.go
+++ b/queueclient/report.go
@@ -1,6 +1,7 @@
 package queueclient
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -24,8 +25,13 @@
 	sent   uint64        // number of the newest sending; answers to older ones only count if they acknowledge
 	due    time.Duration // when it is sent again
 	number uint64        // of the report at the head
+
+	releases int // sendings of a report that gives the message back without an answer
 }
 
+// over says whether nothing is to be told of the message any more, and nothing that was can still be taken.
+func (w *reporting) over() bool { return len(w.queue) == 0 && w.releases == 0 }
+
 func (r *reports) init(c *Client) {
 	r.client = c
 	r.waiting = make(map[string]*reporting)
@@ -57,14 +63,30 @@
 func (r *reports) pending() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.waiting)
+	count := 0
+	for _, w := range r.waiting {
+		if len(w.queue) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// releasing says whether the message is being given back: a store that has taken that may be told so once more.
+func (r *reports) releasing(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.waiting[id]
+	return w != nil && (w.releases > 0 || slices.ContainsFunc(w.queue, isRelease))
 }
 
+func isRelease(report wire.Report) bool { return report.Kind == wire.ReportReleased }
+
 // send sends the report at the head of a message's queue.
 func (r *reports) send(id string) {
 	r.mu.Lock()
 	w := r.waiting[id]
-	if w == nil || r.stopped {
+	if w == nil || len(w.queue) == 0 || r.stopped {
 		r.mu.Unlock()
 		return
 	}
@@ -88,15 +110,30 @@
 		return // it is sent again once the connection is up, or another store is the primary
 	}
 	report.Epoch = v.Epoch
+	r.count(w, &report, 1)
 	conn.Start(wire.MethodReport, &report, func(payload []byte, err error) {
 		reply := wire.ReportReply{Code: wire.PutUnknown}
 		if err == nil {
 			_, err = reply.UnmarshalMsg(payload)
 		}
+		r.count(w, &report, -1)
 		r.answered(id, number, sent, err == nil && reply.Code == wire.PutKept)
 	})
 }
 
+// count counts the sendings of a release that have no answer.
+func (r *reports) count(w *reporting, report *wire.Report, change int) {
+	if !isRelease(*report) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w.releases += change
+	if w.over() {
+		delete(r.waiting, report.ID)
+	}
+}
+
 func (r *reports) answered(id string, number, sent uint64, kept bool) {
 	r.mu.Lock()
 	w := r.waiting[id]
@@ -116,7 +153,7 @@
 	w.queue = w.queue[1:]
 	w.number++
 	last := len(w.queue) == 0
-	if last {
+	if w.over() {
 		delete(r.waiting, id)
 	}
 	r.mu.Unlock()
@@ -160,6 +197,7 @@
 	var due []string
 	for id, w := range r.waiting {
 		switch {
+		case len(w.queue) == 0:
 		case w.due <= now:
 			due = append(due, id)
 		case next == 0 || w.due < next:
