Never answer a dead message's body that is not there, and find it at a replica that has it

Need: after a roll over all stores a dead letter's body was read back empty. A second end, as it comes from the successor of a primary that was replaced while it ended the message, placed the entry at the record of the end, which has no body; an end that reached a joining member before the message was never completed by it.

Change: a second end leaves a dead message's body where it is. Entries without their body are marked, the mark is part of what members agree on, so that comparisons bring the body from whoever has it, and questions for it go on to other replicas.

--- a/queue/apply.go
+++ b/queue/apply.go
@@ -24,7 +24,7 @@
 	e, _ := p.find(r.ID)
 	switch r.Kind {
 	case RecordWhole:
-		return e == nil || e.sequence != r.Sequence || e.state != r.State || e.failed != r.Failed
+		return e == nil || e.sequence != r.Sequence || e.state != r.State || e.failed != r.Failed || e.bare && !r.Bare
 	case RecordEnd:
 		return e == nil || e.sequence != r.Sequence || e.state != r.State
 	case RecordFailed:
@@ -67,6 +67,10 @@
 	if taken {
 		return
 	}
+	if e != nil && e.state == wire.StateDead && r.Bare {
+		c.endAnew(p, e, r, at)
+		return
+	}
 	if e != nil {
 		c.forget(p, e)
 	}
@@ -84,6 +88,7 @@
 		}
 	} else {
 		e.learned = c.seconds()
+		e.bare = e.state == wire.StateDead && (r.Bare || r.Kind == RecordEnd)
 	}
 	p.table.insert(e)
 	c.messages++
@@ -117,10 +122,22 @@
 		c.settle(p, e)
 		return
 	}
-	p.removeEnded(e) // another end
-	p.change(e, func() { e.state, e.sequence = r.State, r.Sequence })
+	c.endAnew(p, e, r, at)
+}
+
+// endAnew gives an ended message another end. The body that is kept of a dead one lies where it did.
+func (c *Core) endAnew(p *partition, e *entry, r *Record, at journal.Location) {
+	dead := r.State == wire.StateDead
+	keeps := dead && e.state == wire.StateDead
+	p.removeEnded(e)
+	p.change(e, func() {
+		e.state, e.sequence = r.State, r.Sequence
+		e.bare = dead && (e.bare || !keeps)
+	})
 	p.insertEnded(e)
-	c.place(e, at)
+	if !keeps {
+		c.place(e, at)
+	}
 }
 
 // markEnded records an end in memory; the message keeps its place in the order of its key. The body of a dead one is kept.
@@ -199,7 +216,7 @@
 		return nil, err
 	}
 	r.Kind, r.Partition, r.ID = RecordWhole, p.number, e.id
-	r.Sequence, r.State, r.Failed = e.sequence, e.state, e.failed
+	r.Sequence, r.State, r.Failed, r.Bare = e.sequence, e.state, e.failed, e.bare
 	return r, nil
 }
 
--- a/queue/core_test.go
+++ b/queue/core_test.go
@@ -433,6 +433,13 @@
 	assert.EqualValues(t, 2, last[Acked](p).Number, "a repeat is on disk")
 }
 
+// replay has a core read what another wrote.
+func replay(t *testing.T, r *rig, again *Core) {
+	for i, payload := range r.records {
+		require.NoError(t, again.Recover(Time{}, journal.Location{Segment: 1, Offset: uint32(i + 1)}, payload))
+	}
+}
+
 func TestRecoveryBringsBackWhatIsInTheJournal(t *testing.T) {
 	r, b, e := primary(t)
 	for _, id := range []string{"0.1", "0.2", "0.3"} {
@@ -444,9 +451,7 @@
 	r.settle(b)
 	before := r.core.at(0)
 	again := New(Config{Disk: "a", Copies: 2}, r)
-	for i, payload := range r.records {
-		require.NoError(t, again.Recover(Time{}, journal.Location{Segment: 1, Offset: uint32(i + 1)}, payload))
-	}
+	replay(t, r, again)
 	after := again.at(0)
 	assert.Equal(t, before.sums, after.sums)
 	assert.Equal(t, 2, after.pending)
--- a/queue/entry.go
+++ b/queue/entry.go
@@ -19,6 +19,7 @@
 	learned  uint32 // seconds of the steady clock at which its end was learnt
 	failed   uint16
 	state    wire.State
+	bare     bool // it is dead, and its body is not here
 }
 
 // live is what only a pending message needs.
@@ -94,6 +95,9 @@
 	if e.pending() {
 		binary.LittleEndian.PutUint16(b[17:], e.failed)
 	}
+	if e.bare {
+		b[19] = 1
+	}
 	return xxhash.Sum64(b[:])
 }
 
--- a/queue/fill.go
+++ b/queue/fill.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"sort"
+
+	"ravendale/wire"
 )
 
 // filling is a comparison of a partition with one member, and what comes of it.
@@ -74,7 +76,7 @@
 		delete(theirs, e.id)
 		switch {
 		case digest != nil && digest.Sum == e.sum(hashOf(e.id)):
-		case digest != nil && f.merge && digest.ahead(e):
+		case digest != nil && (digest.whole(e) || f.merge && digest.ahead(e)):
 			fetch = append(fetch, e.id)
 		default:
 			f.push = append(f.push, e)
@@ -95,6 +97,9 @@
 	}
 }
 
+// whole says whether a member has the body of a dead message that this store lacks.
+func (d *Digest) whole(e *entry) bool { return e.bare && d.State == wire.StateDead && !d.Bare }
+
 // ahead says whether a member knows more of a message than this store.
 func (d *Digest) ahead(e *entry) bool {
 	if !e.pending() {
@@ -129,14 +134,17 @@
 // takeOver applies a record of a member, unless it is known better by now, and gives it to all members.
 func (c *Core) takeOver(p *partition, r *Record) {
 	e, taken := p.find(r.ID)
-	digest := Digest{State: r.State, Failed: r.Failed}
-	if taken || e != nil && !digest.ahead(e) {
+	digest := Digest{State: r.State, Failed: r.Failed, Bare: r.Bare}
+	if taken || e != nil && !digest.ahead(e) && !digest.whole(e) {
 		return
 	}
+	if e != nil && !e.pending() { // the body of a dead message
+		r.Sequence = e.sequence
+	}
 	var holder *edge
 	var waiters []waiter
 	putting := false
-	if e != nil {
+	if e != nil && e.live != nil {
 		holder, putting = e.live.holder, e.live.putting
 		waiters = p.supersede(e)
 	}
--- a/queue/member.go
+++ b/queue/member.go
@@ -70,7 +70,7 @@
 func (p *partition) differ(round uint64, bucket int, last bool) *Differ {
 	answer := &Differ{Partition: p.number, Round: round, Bucket: uint16(bucket), Last: last}
 	for _, e := range p.bucket(bucket) {
-		answer.Entries = append(answer.Entries, Digest{ID: e.id, Sum: e.sum(hashOf(e.id)), State: e.state, Failed: e.failed})
+		answer.Entries = append(answer.Entries, Digest{ID: e.id, Sum: e.sum(hashOf(e.id)), State: e.state, Failed: e.failed, Bare: e.bare})
 	}
 	return answer
 }
@@ -143,6 +143,9 @@
 	if e == nil {
 		return &wire.FindReply{}, nil
 	}
+	if m.Body && e.bare {
+		return &wire.FindReply{}, nil // another replica has it
+	}
 	answer := &wire.FindReply{Found: true, State: e.state}
 	kept := e.pending() || e.state == wire.StateDead
 	if e.state != wire.StateDone && !(m.Body && kept) {
--- a/queue/protocol.go
+++ b/queue/protocol.go
@@ -55,6 +55,7 @@
 	Sum    uint64
 	State  wire.State
 	Failed uint16
+	Bare   bool // it is dead, and its body is not there
 }
 
 // Differ lists what a member has in one bucket.
--- a/queue/protocol_gen.go
+++ b/queue/protocol_gen.go
@@ -434,8 +434,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.ID, err = dc.ReadString()
@@ -458,13 +458,18 @@
 		err = msgp.WrapError(err, "Failed")
 		return
 	}
+	z.Bare, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Bare")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Digest) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+	// array header, size 5
+	err = en.Append(0x95)
 	if err != nil {
 		return
 	}
@@ -488,14 +493,19 @@
 		err = msgp.WrapError(err, "Failed")
 		return
 	}
+	err = en.WriteBool(z.Bare)
+	if err != nil {
+		err = msgp.WrapError(err, "Bare")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Digest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendString(o, z.ID)
 	o = msgp.AppendUint64(o, z.Sum)
 	o, err = z.State.MarshalMsg(o)
@@ -504,6 +514,7 @@
 		return
 	}
 	o = msgp.AppendUint16(o, z.Failed)
+	o = msgp.AppendBool(o, z.Bare)
 	return
 }
 
@@ -515,8 +526,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadStringBytes(bts)
@@ -539,13 +550,18 @@
 		err = msgp.WrapError(err, "Failed")
 		return
 	}
+	z.Bare, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Bare")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Digest) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.Uint64Size + z.State.Msgsize() + msgp.Uint16Size
+	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.Uint64Size + z.State.Msgsize() + msgp.Uint16Size + msgp.BoolSize
 	return
 }
 
--- a/queue/record.go
+++ b/queue/record.go
@@ -30,6 +30,7 @@
 	State     wire.State
 	Failed    uint16
 	Signature string
+	Bare      bool         // of a whole record: the message is dead, and its body is not here
 	Message   wire.Message // without ID; empty for ended messages but dead ones
 }
 
--- a/queue/record_gen.go
+++ b/queue/record_gen.go
@@ -14,8 +14,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	{
@@ -57,6 +57,11 @@
 		err = msgp.WrapError(err, "Signature")
 		return
 	}
+	z.Bare, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Bare")
+		return
+	}
 	err = z.Message.DecodeMsg(dc)
 	if err != nil {
 		err = msgp.WrapError(err, "Message")
@@ -67,8 +72,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Record) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 8
-	err = en.Append(0x98)
+	// array header, size 9
+	err = en.Append(0x99)
 	if err != nil {
 		return
 	}
@@ -107,6 +112,11 @@
 		err = msgp.WrapError(err, "Signature")
 		return
 	}
+	err = en.WriteBool(z.Bare)
+	if err != nil {
+		err = msgp.WrapError(err, "Bare")
+		return
+	}
 	err = z.Message.EncodeMsg(en)
 	if err != nil {
 		err = msgp.WrapError(err, "Message")
@@ -118,8 +128,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Record) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 9
+	o = append(o, 0x99)
 	o = msgp.AppendUint8(o, uint8(z.Kind))
 	o = msgp.AppendUint16(o, z.Partition)
 	o = msgp.AppendString(o, z.ID)
@@ -131,6 +141,7 @@
 	}
 	o = msgp.AppendUint16(o, z.Failed)
 	o = msgp.AppendString(o, z.Signature)
+	o = msgp.AppendBool(o, z.Bare)
 	o, err = z.Message.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Message")
@@ -147,8 +158,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	{
@@ -190,6 +201,11 @@
 		err = msgp.WrapError(err, "Signature")
 		return
 	}
+	z.Bare, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Bare")
+		return
+	}
 	bts, err = z.Message.UnmarshalMsg(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Message")
@@ -201,7 +217,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Record) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.Uint16Size + msgp.StringPrefixSize + len(z.ID) + msgp.Uint64Size + z.State.Msgsize() + msgp.Uint16Size + msgp.StringPrefixSize + len(z.Signature) + z.Message.Msgsize()
+	s = 1 + msgp.Uint8Size + msgp.Uint16Size + msgp.StringPrefixSize + len(z.ID) + msgp.Uint64Size + z.State.Msgsize() + msgp.Uint16Size + msgp.StringPrefixSize + len(z.Signature) + msgp.BoolSize + z.Message.Msgsize()
 	return
 }
 
