Tell the body of a dropped message as not found

Need: a message whose route is gone has ended, and its body is kept nowhere; asked for, it read as 200 with no bytes.

Change: the store does not find it.

Tested: a unit test.

--- a/queue/dead_test.go
+++ b/queue/dead_test.go
@@ -80,3 +80,13 @@
 	entry, _ := r.core.at(0).find("0.1")
 	assert.EqualValues(t, 2, entry.sequence)
 }
+
+func TestBodyOfADroppedMessageIsNotFound(t *testing.T) {
+	r, b, e := primary(t)
+	r.put(plain("0.1"), e)
+	r.settle(b)
+	r.report(wire.Report{ID: "0.1", Kind: wire.ReportDropped}, e)
+	r.settle(b)
+	assert.Equal(t, &wire.FindReply{Found: true, State: wire.StateDropped}, r.find("0.1", false))
+	assert.Equal(t, &wire.FindReply{}, r.find("0.1", true))
+}
--- a/queue/member.go
+++ b/queue/member.go
@@ -143,8 +143,8 @@
 	if e == nil {
 		return &wire.FindReply{}, nil
 	}
-	if m.Body && e.bare {
-		return &wire.FindReply{}, nil // another replica has it
+	if m.Body && (e.bare || e.state == wire.StateDropped) {
+		return &wire.FindReply{}, nil // no body is here; of a dead message another replica has it
 	}
 	answer := &wire.FindReply{Found: true, State: e.state}
 	kept := e.pending() || e.state == wire.StateDead
