Tell the store's epoch with each grant

Need: a grant of a primary that was replaced can reach an edge that already knows the successor.

Change: wire.Grant carries the epoch under which it was given, for the edge to check.

--- a/queue/edge.go
+++ b/queue/edge.go
@@ -226,7 +226,7 @@
 	}
 	e.live.granted = true
 	if !quiet && e.live.holder.remote != nil {
-		_ = e.live.holder.remote.Notify(wire.MethodGrant, &wire.Grant{Partition: p.number, ID: e.id, Failed: e.failed})
+		_ = e.live.holder.remote.Notify(wire.MethodGrant, &wire.Grant{Partition: p.number, Epoch: c.epoch(), ID: e.id, Failed: e.failed})
 	}
 }
 
@@ -377,6 +377,8 @@
 	to.given++
 	c.round++
 	to.turn = c.round
-	grant := &wire.Grant{Partition: p.number, ID: e.id, Failed: e.failed, Whole: true, Message: *message}
+	grant := &wire.Grant{
+		Partition: p.number, Epoch: c.epoch(), ID: e.id, Failed: e.failed, Whole: true, Message: *message,
+	}
 	_ = to.remote.Notify(wire.MethodGrant, grant)
 }
--- a/queue/takeover_test.go
+++ b/queue/takeover_test.go
@@ -46,3 +46,20 @@
 	require.Nil(t, last[wire.Grant](e))
 	assert.Equal(t, wire.PutKept, code(t, r.report(wire.Report{ID: "0.2", Kind: wire.ReportDone}, e)), "nobody knows it")
 }
+
+func TestGrantsCarryTheEpoch(t *testing.T) {
+	r, b, e := primary(t)
+	r.view(7, []uint16{0, 1}, nil)
+	r.claim(e)
+	r.put(ordered("0.1"), e)
+	r.put(ordered("0.2"), e)
+	r.putAs(plain("0.3"), e, false)
+	r.settle(b)
+	require.NotNil(t, last[wire.Grant](e))
+	assert.True(t, last[wire.Grant](e).Whole)
+	assert.EqualValues(t, 7, last[wire.Grant](e).Epoch)
+	r.report(wire.Report{ID: "0.1", Kind: wire.ReportDone}, e)
+	r.settle(b)
+	assert.False(t, last[wire.Grant](e).Whole)
+	assert.EqualValues(t, 7, last[wire.Grant](e).Epoch)
+}
--- a/wire/queue_gen.go
+++ b/wire/queue_gen.go
@@ -678,8 +678,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Partition, err = dc.ReadUint16()
@@ -687,6 +687,11 @@
 		err = msgp.WrapError(err, "Partition")
 		return
 	}
+	z.Epoch, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch")
+		return
+	}
 	z.ID, err = dc.ReadString()
 	if err != nil {
 		err = msgp.WrapError(err, "ID")
@@ -712,8 +717,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Grant) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 5
-	err = en.Append(0x95)
+	// array header, size 6
+	err = en.Append(0x96)
 	if err != nil {
 		return
 	}
@@ -722,6 +727,11 @@
 		err = msgp.WrapError(err, "Partition")
 		return
 	}
+	err = en.WriteUint64(z.Epoch)
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch")
+		return
+	}
 	err = en.WriteString(z.ID)
 	if err != nil {
 		err = msgp.WrapError(err, "ID")
@@ -748,9 +758,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Grant) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendUint16(o, z.Partition)
+	o = msgp.AppendUint64(o, z.Epoch)
 	o = msgp.AppendString(o, z.ID)
 	o = msgp.AppendUint16(o, z.Failed)
 	o = msgp.AppendBool(o, z.Whole)
@@ -770,8 +781,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Partition, bts, err = msgp.ReadUint16Bytes(bts)
@@ -779,6 +790,11 @@
 		err = msgp.WrapError(err, "Partition")
 		return
 	}
+	z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch")
+		return
+	}
 	z.ID, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "ID")
@@ -805,7 +821,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Grant) Msgsize() (s int) {
-	s = 1 + msgp.Uint16Size + msgp.StringPrefixSize + len(z.ID) + msgp.Uint16Size + msgp.BoolSize + z.Message.Msgsize()
+	s = 1 + msgp.Uint16Size + msgp.Uint64Size + msgp.StringPrefixSize + len(z.ID) + msgp.Uint16Size + msgp.BoolSize + z.Message.Msgsize()
 	return
 }
 
