Hold a request for the configuration a moment, and refuse in time for another try

A request that came before the first configuration was refused at once, and one that could not be kept was held for most of its time. It now waits for readiness, woken by a signal, for 0.42 of its deadline or 0.3 s, and its put has no more than that part either, so that a client that is refused can still go elsewhere. Tested with configurations that come late, or not.

--- a/cmd/ravendale-edge/edge.go
+++ b/cmd/ravendale-edge/edge.go
@@ -124,6 +124,7 @@
 
 // take hands what is newer in a snapshot to the parts that need it.
 func (e *edge) take(s *member.Snapshot) {
+	defer e.ingress.Changed()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.isNewer(s, wire.TopicMembers) && s.Members != nil {
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -29,8 +29,9 @@
 	leastPutTime  = 250 * time.Millisecond
 	mostPutTime   = 600 * time.Millisecond
 	longestPut    = 2 * time.Second // for clients that say that they wait longer
-	deadlinePart  = 0.7             // of what a client waits: the answer has to reach it, too
+	deadlinePart  = 0.42            // of what a client waits: refused by then, it may be taken elsewhere
 	unknownTarget = 100 * time.Millisecond
+	longestHold   = 300 * time.Millisecond // for a configuration, of a request that comes before there is one
 )
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
@@ -70,8 +71,8 @@
 
 // take has a message kept.
 func (s *Server) take(ctx *fasthttp.RequestCtx, path string) {
-	index := s.config.Index()
-	if index == nil || !s.config.Ready() {
+	index, held := s.awaitIndex(&ctx.Request.Header)
+	if index == nil {
 		refuse(ctx)
 		return
 	}
@@ -90,7 +91,7 @@
 	if m.Body = body; takes {
 		m.Body = bytes.Clone(body)
 	}
-	switch s.config.Queue.Put(m, takes, limit) {
+	switch s.config.Queue.Put(m, takes, max(limit-held, 0)) {
 	case queueclient.Kept:
 		ctx.Response.Header.Set("Msg-Id", m.ID)
 		ctx.SetStatusCode(fasthttp.StatusAccepted)
@@ -117,16 +118,21 @@
 	if !fine || delay > math.MaxUint32 {
 		return nil, 0, false
 	}
-	deadline, fine := figure(header, "Deadline-Ms")
-	if !fine {
-		deadline = 0 // it is only a hint
-	}
 	return &wire.Message{
 		RequestID: id, Route: route.Name, Method: string(header.Method()), Host: string(header.Host()),
 		Target: string(header.RequestURI()), ContentType: string(header.ContentType()), Key: key,
 		SentUnixMs: time.Now().UnixMilli(), DelayMs: uint32(math.Ceil(delay)), RetentionMs: retention(route),
 		Retries: uint16(min(max(route.Retries, 0), math.MaxUint16)), Ordered: route.Ordered && key != "",
-	}, putLimit(route, deadline), true
+	}, putLimit(route, deadlineOf(header)), true
+}
+
+// deadlineOf is how long the client waits, in milliseconds, 0 if it does not say so: it is only a hint.
+func deadlineOf(header *fasthttp.RequestHeader) float64 {
+	deadline, fine := figure(header, "Deadline-Ms")
+	if !fine {
+		return 0
+	}
+	return deadline
 }
 
 func retention(route *catalog.Route) uint32 {
@@ -136,12 +142,16 @@
 
 func putLimit(route *catalog.Route, deadlineMs float64) time.Duration {
 	if deadlineMs > 0 {
-		return min(milliseconds(min(deadlineMs, math.MaxInt32)*deadlinePart), longestPut)
+		return min(partOfDeadline(deadlineMs), longestPut)
 	}
 	target := orElse(milliseconds(route.TargetMs), unknownTarget)
 	return min(max(targetsTried*target, leastPutTime), mostPutTime)
 }
 
+func partOfDeadline(deadlineMs float64) time.Duration {
+	return milliseconds(min(deadlineMs, math.MaxInt32) * deadlinePart)
+}
+
 // isName says whether a text can be a request's id.
 func isName(text string) bool {
 	for i := range len(text) {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -53,6 +53,7 @@
 	config  Config
 	limits  atomic.Pointer[limits]
 	leaving atomic.Bool
+	changed signal
 	slots   chan struct{} // one for each connection
 
 	mu       sync.Mutex
