Refuse in time while stores are silent, and wait for answers only where they may come

When the stores had gone, each request was put into the void: nothing could be promised to its client, which got no answer after its whole time. While a partition's stores leave puts unanswered, one put goes there at a time, the rest are refused for another try elsewhere; an answer that is missing is waited for past 0.47 of the deadline only if its store keeps others. Tested with stores that are silent, stall, and are slow.

--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -30,6 +30,9 @@
 	mostPutTime   = 600 * time.Millisecond
 	longestPut    = 2 * time.Second // for clients that say that they wait longer
 	deadlinePart  = 0.42            // of what a client waits: refused by then, it may be taken elsewhere
+	answerPart    = 0.47            // ... and closed by then, if no answer is likely to come
+	hopePart      = 0.9             // ... or by then: it has to reach the client, too
+	longestAnswer = 2500 * time.Millisecond
 	unknownTarget = 100 * time.Millisecond
 	longestHold   = 300 * time.Millisecond // for a configuration, of a request that comes before there is one
 )
@@ -81,7 +84,7 @@
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	m, limit, ok := read(&ctx.Request, route)
+	m, limits, ok := read(&ctx.Request, route)
 	if !ok {
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
@@ -91,7 +94,8 @@
 	if m.Body = body; takes {
 		m.Body = bytes.Clone(body)
 	}
-	switch s.config.Queue.Put(m, takes, max(limit-held, 0)) {
+	limits.Try = max(limits.Try-held, 0)
+	switch s.config.Queue.PutWithin(m, takes, limits) {
 	case queueclient.Kept:
 		ctx.Response.Header.Set("Msg-Id", m.ID)
 		ctx.SetStatusCode(fasthttp.StatusAccepted)
@@ -104,26 +108,26 @@
 }
 
 // read makes a message of a request, without its body, and says how long it may be tried to be kept.
-func read(request *fasthttp.Request, route *catalog.Route) (m *wire.Message, limit time.Duration, ok bool) {
+func read(request *fasthttp.Request, route *catalog.Route) (m *wire.Message, limits queueclient.Limits, ok bool) {
 	header := &request.Header
 	id, once := single(header, "Request-Id")
 	if !once || !isName(id) {
-		return nil, 0, false
+		return nil, limits, false
 	}
 	key, once := single(header, "Order-Key")
 	if !once {
-		return nil, 0, false
+		return nil, limits, false
 	}
 	delay, fine := figure(header, "Delay-Ms")
 	if !fine || delay > math.MaxUint32 {
-		return nil, 0, false
+		return nil, limits, false
 	}
 	return &wire.Message{
 		RequestID: id, Route: route.Name, Method: string(header.Method()), Host: string(header.Host()),
 		Target: string(header.RequestURI()), ContentType: string(header.ContentType()), Key: key,
 		SentUnixMs: time.Now().UnixMilli(), DelayMs: uint32(math.Ceil(delay)), RetentionMs: retention(route),
 		Retries: uint16(min(max(route.Retries, 0), math.MaxUint16)), Ordered: route.Ordered && key != "",
-	}, putLimit(route, deadlineOf(header)), true
+	}, putLimits(route, deadlineOf(header)), true
 }
 
 // deadlineOf is how long the client waits, in milliseconds, 0 if it does not say so: it is only a hint.
@@ -140,16 +144,22 @@
 	return uint32(min(route.RetentionS*thousand, math.MaxUint32))
 }
 
-func putLimit(route *catalog.Route, deadlineMs float64) time.Duration {
+func putLimits(route *catalog.Route, deadlineMs float64) queueclient.Limits {
 	if deadlineMs > 0 {
-		return min(partOfDeadline(deadlineMs), longestPut)
+		part := partOfDeadline(deadlineMs, deadlinePart)
+		return queueclient.Limits{
+			Try:    min(part, longestPut),
+			Answer: min(partOfDeadline(deadlineMs, answerPart)-part, longestAnswer),
+			Hope:   min(partOfDeadline(deadlineMs, hopePart)-part, longestAnswer),
+		}
 	}
 	target := orElse(milliseconds(route.TargetMs), unknownTarget)
-	return min(max(targetsTried*target, leastPutTime), mostPutTime)
+	try := min(max(targetsTried*target, leastPutTime), mostPutTime)
+	return queueclient.Limits{Try: try, Answer: longestAnswer, Hope: longestAnswer}
 }
 
-func partOfDeadline(deadlineMs float64) time.Duration {
-	return milliseconds(min(deadlineMs, math.MaxInt32) * deadlinePart)
+func partOfDeadline(deadlineMs, part float64) time.Duration {
+	return milliseconds(min(deadlineMs, math.MaxInt32) * part)
 }
 
 // isName says whether a text can be a request's id.
--- a/ingress/hold.go
+++ b/ingress/hold.go
@@ -68,7 +68,7 @@
 
 func holdLimit(header *fasthttp.RequestHeader) time.Duration {
 	if deadline := deadlineOf(header); deadline > 0 {
-		return min(partOfDeadline(deadline), longestHold)
+		return min(partOfDeadline(deadline, deadlinePart), longestHold)
 	}
 	return longestHold
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -19,7 +19,7 @@
 
 // Queue keeps messages and knows what became of them.
 type Queue interface {
-	Put(m *wire.Message, dispatch bool, limit time.Duration) queueclient.Result
+	PutWithin(m *wire.Message, dispatch bool, limits queueclient.Limits) queueclient.Result
 	Find(id string, body bool) (*wire.FindReply, error)
 }
 
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -25,12 +25,13 @@
 	messages []wire.Message
 	dispatch []bool
 	limits   []time.Duration
+	answers  []queueclient.Limits
 	result   queueclient.Result
 	hold     chan struct{} // nil: answer at once
 	find     func(id string, body bool) (*wire.FindReply, error)
 }
 
-func (q *fakeQueue) Put(m *wire.Message, dispatch bool, limit time.Duration) queueclient.Result {
+func (q *fakeQueue) PutWithin(m *wire.Message, dispatch bool, limits queueclient.Limits) queueclient.Result {
 	if q.hold != nil {
 		<-q.hold
 	}
@@ -41,7 +42,8 @@
 	kept.Body = append([]byte(nil), m.Body...)
 	q.messages = append(q.messages, kept)
 	q.dispatch = append(q.dispatch, dispatch)
-	q.limits = append(q.limits, limit)
+	q.limits = append(q.limits, limits.Try)
+	q.answers = append(q.answers, limits)
 	return q.result
 }
 
@@ -344,6 +346,7 @@
 		require.Equal(t, http.StatusAccepted, s.ask(t, head+deadline+"Content-Length: 0\r\n\r\n").status)
 	}
 	assert.Equal(t, []time.Duration{400 * time.Millisecond, 420 * time.Millisecond, longestPut, 400 * time.Millisecond}, s.queue.limits)
+	assert.Equal(t, queueclient.Limits{Try: 420 * time.Millisecond, Answer: 50 * time.Millisecond, Hope: 480 * time.Millisecond}, s.queue.answers[1])
 }
 
 func TestStates(t *testing.T) {
--- /dev/null
+++ b/queueclient/outage_test.go
@@ -0,0 +1,63 @@
+package queueclient
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ravendale/wire"
+)
+
+// All stores have gone silent. Once that is known a message is not put into the void, but refused: its client may try again.
+func TestPutsToSilentStoresAreRefusedInTime(t *testing.T) {
+	one := newFakeStore(t)
+	one.put = func(*wire.Put, int) *wire.PutReply { return nil }
+	c, _ := newClient(t)
+	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}, []uint16{0}))
+	connected(t, c)
+	limits := Limits{Try: 2 * putPatience, Answer: 20 * time.Millisecond, Hope: soon}
+	began := time.Now()
+	require.Equal(t, Unsure, c.PutWithin(plain(), true, limits))
+	assert.Less(t, time.Since(began), soon/2, "nothing hints that an answer comes")
+	for _, m := range []*wire.Message{plain(), ordered()} {
+		assert.Equal(t, Refused, c.PutWithin(m, true, limits))
+	}
+	assert.LessOrEqual(t, one.countPuts(), 2)
+}
+
+// The first answer ends the suspicion, and what waited goes on.
+func TestPutsGoOnWhenAStoreAnswersAgain(t *testing.T) {
+	one := newFakeStore(t)
+	var stall sync.Once
+	one.put = func(*wire.Put, int) *wire.PutReply {
+		stall.Do(func() { time.Sleep(2 * putPatience) })
+		return &wire.PutReply{Code: wire.PutKept}
+	}
+	c, _ := newClient(t)
+	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+	connected(t, c)
+	go c.Put(plain(), true, soon)
+	time.Sleep(putPatience + 50*time.Millisecond)
+	began := time.Now()
+	require.Equal(t, Kept, c.PutWithin(plain(), true, Limits{Try: soon}))
+	assert.Less(t, time.Since(began), 2*putPatience)
+}
+
+// A store that keeps other messages is slow, not gone: its answer is worth waiting for.
+func TestAnswersOfASlowStoreAreHopedFor(t *testing.T) {
+	one := newFakeStore(t)
+	one.put = func(_ *wire.Put, number int) *wire.PutReply {
+		if number > 1 {
+			time.Sleep(putPatience * 2 / 3)
+		}
+		return &wire.PutReply{Code: wire.PutKept}
+	}
+	c, _ := newClient(t)
+	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+	connected(t, c)
+	require.Equal(t, Kept, c.Put(plain(), true, soon))
+	assert.Equal(t, Kept, c.PutWithin(plain(), true, Limits{Try: 20 * time.Millisecond, Answer: 20 * time.Millisecond, Hope: soon}))
+}
--- a/queueclient/put.go
+++ b/queueclient/put.go
@@ -76,13 +76,25 @@
 	over  bool
 }
 
-// Put has a message kept. Within the limit it is tried wherever that may work; what has no answer by then is waited for a while
-// longer, for a client that is told nothing does not come again. It names the message: ID is set when it was Kept. A message with an order keeps its
-// name and its partition through all tries; another gets new ones with each. With dispatch Config.Kept is told, before Put
-// returns; the message, its body included, must then not change any more.
+// Limits bound a put.
+type Limits struct {
+	Try    time.Duration // for so long it is tried wherever that may work
+	Answer time.Duration // then an answer that is missing is waited for so long,
+	Hope   time.Duration // and so long if stores that have not answered this put answer others
+}
+
+// Put is PutWithin, with a limit for trying and the client's patience for answers.
 func (c *Client) Put(m *wire.Message, dispatch bool, limit time.Duration) Result {
+	return c.PutWithin(m, dispatch, Limits{Try: limit, Answer: c.last, Hope: c.last})
+}
+
+// PutWithin has a message kept. What has no answer when the time to try is over is waited for a while longer, for a client that
+// is told nothing does not come again. It names the message: ID is set when it was Kept. A message with an order keeps its
+// name and its partition through all tries; another gets new ones with each. With dispatch Config.Kept is told, before it
+// returns; the message, its body included, must then not change any more.
+func (c *Client) PutWithin(m *wire.Message, dispatch bool, limits Limits) Result {
 	p := &put{client: c, message: m, dispatch: dispatch, answered: make(chan struct{}, 1)}
-	expired := time.NewTimer(limit)
+	expired := time.NewTimer(limits.Try)
 	defer expired.Stop()
 	for goesOn := true; goesOn; {
 		wait := refusalPause
@@ -95,21 +107,38 @@
 			goesOn = p.await(nil, refusalPause, expired)
 		}
 	}
-	p.awaitLast()
+	if p.awaitLast(limits.Answer) && limits.Hope > limits.Answer && p.hopes() {
+		p.awaitLast(limits.Hope - limits.Answer)
+	}
 	return p.finish()
 }
 
-// awaitLast waits for tries that still may be answered.
-func (p *put) awaitLast() {
-	expired := time.NewTimer(p.client.last)
+// awaitLast waits for tries that still may be answered, and says whether some may be yet.
+func (p *put) awaitLast(limit time.Duration) bool {
+	if limit <= 0 {
+		return true
+	}
+	expired := time.NewTimer(limit)
 	defer expired.Stop()
 	for !p.isKept() && p.isWaiting() {
 		select {
 		case <-p.answered:
 		case <-expired.C:
-			return
+			return true
 		}
 	}
+	return false
+}
+
+// hopes says whether a store that owes this put an answer has kept another message a short while ago: it is slow, not gone.
+func (p *put) hopes() bool {
+	now := p.client.now()
+	patience := p.client.patience()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.tries, func(t *try) bool {
+		return t.state == tryWaiting && t.stores[0].keptSince(now-patience)
+	})
 }
 
 // isWaiting says whether a try has no answer yet.
@@ -212,7 +241,7 @@
 		return nil
 	}
 	conn := primary.conn()
-	if conn == nil {
+	if conn == nil || !v.mayPut(partition, c.now()) {
 		return nil
 	}
 	t := p.newTry(try{put: p, partition: partition, conn: conn, epoch: v.Epoch, began: c.now(), stores: v.replicas(partition)})
@@ -221,6 +250,7 @@
 	}
 	request := &wire.Put{Partition: partition, Epoch: v.Epoch, Message: *p.message, Dispatch: p.dispatch}
 	request.Message.ID = t.id
+	primary.unanswered.Add(1)
 	conn.Start(wire.MethodPut, request, t.reply)
 	return t
 }
@@ -267,6 +297,7 @@
 
 // reply takes the answer to a try, on the goroutine that reads the connection.
 func (t *try) reply(payload []byte, err error) {
+	t.stores[0].unanswered.Add(-1)
 	reply := wire.PutReply{Code: wire.PutUnknown}
 	if err == nil {
 		t.put.client.sawAnswer(t.put.client.now() - t.began)
@@ -302,6 +333,7 @@
 	for _, s := range t.stores {
 		s.clear()
 	}
+	t.stores[0].kept(p.client.now())
 	p.mu.Lock()
 	t.state = tryKept
 	known := p.kept != nil && p.kept.id == t.id
--- a/queueclient/queueclient.go
+++ b/queueclient/queueclient.go
@@ -240,6 +240,17 @@
 	return len(replicas) > 0
 }
 
+// mayPut says whether a put to a partition may be tried now. While its stores leave puts unanswered one goes there at a time: the
+// rest would promise nothing to their clients either, who do better if they are refused in time.
+func (v *view) mayPut(partition uint16, now time.Duration) bool {
+	for _, s := range v.replicas(partition) {
+		if time.Duration(s.suspectUntil.Load()) > now {
+			return v.primary(partition).unanswered.Load() == 0
+		}
+	}
+	return true
+}
+
 // choose draws a partition for a message without an order: in the own zone and with stores that answer, if there is one; else
 // anywhere with such stores; else with a primary that is connected. Those tried before come last. While another try may still be
 // answered, only a partition that is not tried and answers is worth one more.
--- a/queueclient/store.go
+++ b/queueclient/store.go
@@ -14,6 +14,8 @@
 	address      string
 	link         *rpc.Link
 	suspectUntil atomic.Int64 // steady time of the client
+	unanswered   atomic.Int64 // puts that it owes an answer, as a primary
+	keptAt       atomic.Int64 // steady time of the client at which it kept a message last, as a primary
 }
 
 func newStore(c *Client, entry *wire.Store) *store {
@@ -103,6 +105,14 @@
 	return time.Duration(s.suspectUntil.Load()) > now || s.conn() == nil
 }
 
+func (s *store) kept(now time.Duration) { s.keptAt.Store(int64(now)) }
+
+// keptSince says whether it kept a message after a time.
+func (s *store) keptSince(at time.Duration) bool {
+	kept := time.Duration(s.keptAt.Load())
+	return kept > 0 && kept >= at
+}
+
 func (s *store) blame(now time.Duration) { s.suspectUntil.Store(int64(now + suspectFor)) }
 
 func (s *store) clear() {
