Hand a message out to the edge that had it first, as long as that lives

Need: around a change of view a message that an edge had put, delivered and not yet reported was handed to another edge, which ran it again.

Change: each pending message carries the edge that put it, or was granted it last, on the disks of all members; a hand-over is sent once that is written. A message without a holder goes to that edge, which answers by its report if it has ended it, and to others only once its connection has been away for the edges' grace, or it has given the message back.

Tested: unit tests; simulated histories without faults in which primaries change and edges hear of it late, which fail if any edge is chosen.

--- a/queue/apply.go
+++ b/queue/apply.go
@@ -24,11 +24,14 @@
 	e, _ := p.find(r.ID)
 	switch r.Kind {
 	case RecordWhole:
-		return e == nil || e.sequence != r.Sequence || e.state != r.State || e.failed != r.Failed || e.bare && !r.Bare
+		return e == nil || e.sequence != r.Sequence || e.state != r.State || e.failed != r.Failed || e.bare && !r.Bare ||
+			e.pending() && e.owner() != r.Holder
 	case RecordEnd:
 		return e == nil || e.sequence != r.Sequence || e.state != r.State
 	case RecordFailed:
 		return e != nil && e.failed != r.Failed
+	case RecordHolder:
+		return e != nil && e.pending() && e.owner() != r.Holder
 	case RecordDrop:
 		return e != nil
 	}
@@ -53,6 +56,10 @@
 		if e, _ := p.find(r.ID); e != nil {
 			p.change(e, func() { e.failed = r.Failed })
 		}
+	case RecordHolder:
+		if e, _ := p.find(r.ID); e != nil && e.pending() {
+			p.change(e, func() { e.live.owner = c.intern(r.Holder) })
+		}
 	case RecordDrop:
 		if e, _ := p.find(r.ID); e != nil {
 			c.forget(p, e)
@@ -81,7 +88,7 @@
 func (c *Core) insert(p *partition, r *Record, at journal.Location, old bool) *entry {
 	e := &entry{id: r.ID, sequence: r.Sequence, state: r.State, failed: r.Failed}
 	if e.pending() {
-		e.live = &live{accepted: r.Sequence}
+		e.live = &live{accepted: r.Sequence, owner: c.intern(r.Holder)}
 		c.setTimes(e, &r.Message, old)
 		if r.Message.Ordered && r.Message.Key != "" {
 			p.join(e, r.Message.Key)
@@ -181,12 +188,20 @@
 
 // forget takes an entry out of memory.
 func (c *Core) forget(p *partition, e *entry) {
+	p.remove(e)
 	c.settle(p, e)
 	c.unplace(e)
-	p.remove(e)
 	c.messages--
 }
 
+// intern saves the memory of a name that very many messages have.
+func (c *Core) intern(id string) string {
+	if e := c.edges[id]; e != nil {
+		return e.id
+	}
+	return id
+}
+
 func (c *Core) wipeTable(p *partition) {
 	for _, e := range p.entries {
 		c.unlease(e)
@@ -217,6 +232,7 @@
 	}
 	r.Kind, r.Partition, r.ID = RecordWhole, p.number, e.id
 	r.Sequence, r.State, r.Failed, r.Bare = e.sequence, e.state, e.failed, e.bare
+	r.Holder = e.owner()
 	return r, nil
 }
 
--- a/queue/core_test.go
+++ b/queue/core_test.go
@@ -279,6 +279,8 @@
 	assert.Nil(t, last[wire.Grant](f))
 	r.pass(200 * ms)
 	r.ack(b) // the barrier
+	assert.Nil(t, last[wire.Grant](f), "whose they are now is not on all disks")
+	r.settle(b)
 	var ids []string
 	for _, notice := range f.notices {
 		grant := notice.(*wire.Grant)
@@ -324,6 +326,7 @@
 	assert.Nil(t, last[wire.Grant](e))
 	r.pass(200 * ms)
 	r.ack(b)
+	r.settle(b)
 	require.NotNil(t, last[wire.Grant](e))
 	assert.Equal(t, "0.1", last[wire.Grant](e).ID)
 	r.pass(1000 * ms)
@@ -350,6 +353,7 @@
 	}
 	r.settle(b)
 	r.ack(b)
+	r.settle(b)
 	grants := func() (n int) {
 		for _, notice := range e.notices {
 			if _, ok := notice.(*wire.Grant); ok {
@@ -361,6 +365,7 @@
 	assert.Equal(t, maxHandedOver, grants())
 	r.report(wire.Report{ID: last[wire.Grant](e).ID, Kind: wire.ReportDone}, e)
 	r.settle(b)
+	r.settle(b)
 	assert.Equal(t, maxHandedOver+1, grants())
 }
 
--- a/queue/doc.go
+++ b/queue/doc.go
@@ -8,6 +8,10 @@
 // only they have, and sends them what they lack. It hands out nothing before that, and before edges had the time to claim
 // what they hold. The same comparison fills joining members, and repairs what a scrub finds.
 //
+// Handing out. All members know of each pending message which edge put it, or was granted it last. A message without a holder goes to
+// that edge first, as long as it is connected: it may have ended it, and then says so. Others get it once that edge has gone, or
+// has given it back.
+//
 // Forgetting. Changes that end messages are numbered. The primary forgets ends in that order, and the number of the last one that
 // it has forgotten goes along with each comparison: members forget exactly the same.
 package queue
--- a/queue/edge.go
+++ b/queue/edge.go
@@ -1,7 +1,6 @@
 package queue
 
 import (
-	"container/heap"
 	"slices"
 	"time"
 
@@ -14,11 +13,12 @@
 	zone     string
 	remote   Remote // nil while there is no connection
 	draining bool
-	session  uint16 // raised with each connection
-	claimed  uint64 // epoch for which it has said what it holds, on this connection
-	given    int    // messages that it was given whole and that have not ended
-	turn     uint64 // when it was given one last
-	stale    bool   // it holds messages from before it went, which it has not claimed
+	session  uint16        // raised with each connection
+	claimed  uint64        // epoch for which it has said what it holds, on this connection
+	given    int           // messages that it was given whole and that have not ended
+	waiting  []orphanEntry // messages that only it is to be given, while it lives
+	turn     uint64        // when it was given one last
+	stale    bool          // it holds messages from before it went, which it has not claimed
 	since    time.Duration
 }
 
@@ -91,6 +91,7 @@
 		if e.remote == nil {
 			delete(c.edges, e.id)
 			c.edgeList = slices.DeleteFunc(c.edgeList, func(other *edge) bool { return other == e })
+			c.unqueue(e)
 		}
 	}
 }
@@ -154,6 +155,7 @@
 		c.takeBack(e, claimed)
 	}
 	e.claimed = c.epoch()
+	c.unqueue(e)
 	reply.Send(answer)
 	c.openAll()
 	c.handOver()
@@ -176,6 +178,7 @@
 	}
 	whole := e.live.whole && e.live.holder == by
 	c.lease(e, by)
+	c.own(p, e, by)
 	if whole {
 		e.live.whole = true
 		by.given++
@@ -198,10 +201,22 @@
 	}
 	if e.live.whole {
 		e.live.holder.given--
+		c.unqueue(e.live.holder)
 	}
 	e.live.holder = nil
 	e.live.whole = false
 	e.live.granted = false
+	e.live.owed = false
+}
+
+// own has all members note who may deliver a message.
+func (c *Core) own(p *partition, e *entry, by *edge) {
+	if e.live.owner == by.id {
+		return
+	}
+	p.change(e, func() { e.live.owner = by.id })
+	payload, _, position := c.write(&Record{Kind: RecordHolder, Partition: p.number, ID: e.id, Holder: by.id})
+	c.begin(p, e, position, payload).put = e.live.putting
 }
 
 // mayRun says whether a message may be delivered now as far as its order goes.
@@ -253,132 +268,3 @@
 		c.turn(p, e, false)
 	}
 }
-
-// orphanEntry is a message that some edge is to be found for.
-type orphanEntry struct {
-	due uint32 // milliseconds of the steady clock
-	p   *partition
-	e   *entry
-}
-
-// orphanHeap has the message that is due first on top.
-type orphanHeap []orphanEntry
-
-func (h orphanHeap) Len() int { return len(h) }
-func (h orphanHeap) Less(i, j int) bool {
-	if h[i].due != h[j].due {
-		return h[i].due < h[j].due
-	}
-	return before(h[i].e, h[j].e)
-}
-func (h orphanHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-// Push is part of heap.Interface.
-func (h *orphanHeap) Push(x any) { *h = append(*h, x.(orphanEntry)) }
-
-// Pop is part of heap.Interface.
-func (h *orphanHeap) Pop() any {
-	last := len(*h) - 1
-	x := (*h)[last]
-	(*h)[last] = orphanEntry{}
-	*h = (*h)[:last]
-	return x
-}
-
-// orphan takes a message from its holder, if any, and has it handed to another once it is due.
-func (c *Core) orphan(p *partition, e *entry) {
-	c.unlease(e)
-	if e.live.waiting || !c.mayRun(p, e) {
-		return
-	}
-	e.live.waiting = true
-	due := min(e.live.due, e.live.expires)
-	heap.Push(&c.orphans, orphanEntry{due: due, p: p, e: e})
-	if due > c.millis() { // else the event ends with a hand-over
-		c.wakeAt(time.Duration(due) * time.Millisecond)
-	}
-}
-
-// handOver gives orphans that are due to edges.
-func (c *Core) handOver() {
-	for len(c.orphans) > 0 && c.orphans[0].due <= c.millis() {
-		top := c.orphans[0]
-		if !c.isOrphan(top) {
-			c.popOrphan()
-			continue
-		}
-		if top.e.live.expires <= c.millis() {
-			c.popOrphan()
-			c.end(top.p, top.e, wire.StateDead, "", nil)
-			continue
-		}
-		to := c.choose()
-		if to == nil {
-			return
-		}
-		if !c.isConfirmed(top.p) {
-			heap.Pop(&c.orphans)
-			top.p.parked = append(top.p.parked, top)
-			c.askMembers(top.p)
-			continue
-		}
-		c.popOrphan()
-		c.give(top.p, top.e, to)
-	}
-}
-
-func (c *Core) isConfirmed(p *partition) bool {
-	return len(p.members) == 0 || c.now.Steady < p.confirmed+confirmedFor
-}
-
-func (c *Core) popOrphan() {
-	top := heap.Pop(&c.orphans).(orphanEntry)
-	if top.e.live != nil {
-		top.e.live.waiting = false
-	}
-}
-
-// isOrphan says whether a message is still there and without a holder.
-func (c *Core) isOrphan(o orphanEntry) bool {
-	current, _ := o.p.find(o.e.id)
-	return current == o.e && o.e.live != nil && o.e.live.waiting && o.e.live.holder == nil && c.mayRun(o.p, o.e)
-}
-
-// choose picks the edge with the least to do that may be given a message, preferably of the own zone.
-func (c *Core) choose() *edge {
-	var best *edge
-	for _, e := range c.edgeList {
-		if e.remote == nil || e.draining || e.claimed != c.epoch() || e.given >= maxHandedOver {
-			continue
-		}
-		if best == nil || c.load(e) < c.load(best) || c.load(e) == c.load(best) && e.turn < best.turn {
-			best = e
-		}
-	}
-	return best
-}
-
-func (c *Core) load(e *edge) int {
-	if e.zone != c.config.Zone {
-		return e.given + otherZone
-	}
-	return e.given
-}
-
-func (c *Core) give(p *partition, e *entry, to *edge) {
-	message, err := c.message(p, e)
-	if err != nil {
-		c.host.Fail(err)
-		return
-	}
-	c.lease(e, to)
-	e.live.whole = true
-	e.live.granted = true
-	to.given++
-	c.round++
-	to.turn = c.round
-	grant := &wire.Grant{
-		Partition: p.number, Epoch: c.epoch(), ID: e.id, Failed: e.failed, Whole: true, Message: *message,
-	}
-	_ = to.remote.Notify(wire.MethodGrant, grant)
-}
--- a/queue/entry.go
+++ b/queue/entry.go
@@ -26,6 +26,7 @@
 type live struct {
 	key      *keyQueue // of a message with an order
 	holder   *edge     // who may deliver it
+	owner    string    // Member.ID of who put it, or was granted it last: the same at all members
 	last     *op       // newest change that is not at all members yet
 	accepted uint64    // sequence of acceptance
 	due      uint32    // milliseconds of the steady clock
@@ -35,6 +36,8 @@
 	granted  bool      // its turn has come, and the holder was told
 	whole    bool      // the holder was given it by a Grant
 	waiting  bool      // it is among the orphans
+	returned bool      // its owner has given it back
+	owed     bool      // the holder is to be granted it once all members know
 }
 
 func (e *entry) pending() bool { return e.state == wire.StatePending }
@@ -88,7 +91,8 @@
 
 // sum stands for all that members must agree on of a message.
 func (e *entry) sum(hash uint64) uint64 {
-	var b [20]byte
+	var room [48]byte
+	b := room[:20]
 	binary.LittleEndian.PutUint64(b[:], hash)
 	binary.LittleEndian.PutUint64(b[8:], e.sequence)
 	b[16] = byte(e.state)
@@ -98,7 +102,15 @@
 	if e.bare {
 		b[19] = 1
 	}
-	return xxhash.Sum64(b[:])
+	return xxhash.Sum64(append(b, e.owner()...))
+}
+
+// owner is who put a pending message, or was granted it last; else empty.
+func (e *entry) owner() string {
+	if !e.pending() {
+		return ""
+	}
+	return e.live.owner
 }
 
 // table is a partition's content.
@@ -176,7 +188,7 @@
 	}
 }
 
-// remove forgets an entry; the caller has taken it out of its key's order.
+// remove forgets an entry; the caller takes it out of its key's order after it.
 func (t *table) remove(e *entry) {
 	hash := hashOf(e.id)
 	t.count(e, hash, -1)
--- a/queue/fill.go
+++ b/queue/fill.go
@@ -146,6 +146,7 @@
 	putting := false
 	if e != nil && e.live != nil {
 		holder, putting = e.live.holder, e.live.putting
+		r.Holder = e.live.owner
 		waiters = p.supersede(e)
 	}
 	payload, at, position := c.write(r)
--- a/queue/peer.go
+++ b/queue/peer.go
@@ -265,6 +265,9 @@
 	if o.put && e.pending() {
 		c.turn(o.p, e, o.told(e.live.holder))
 	}
+	if e.live != nil && e.live.last == nil && e.live.owed {
+		c.grantWhole(o.p, e)
+	}
 	for _, w := range o.waiters {
 		c.answer(o, w)
 	}
--- a/queue/record.go
+++ b/queue/record.go
@@ -19,6 +19,7 @@
 	RecordDrop                     // the message was never kept
 	RecordWipe                     // the partition is held no more
 	RecordEpoch                    // Sequence is the newest epoch seen
+	RecordHolder                   // Holder
 )
 
 // Record is one change, as it lies in the journal and goes to other stores.
@@ -30,6 +31,7 @@
 	State     wire.State
 	Failed    uint16
 	Signature string
+	Holder    string       // of a pending message: Member.ID of the edge that put it, or was granted it last
 	Bare      bool         // of a whole record: the message is dead, and its body is not here
 	Message   wire.Message // without ID; empty for ended messages but dead ones
 }
--- a/queue/record_gen.go
+++ b/queue/record_gen.go
@@ -14,8 +14,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	{
@@ -57,6 +57,11 @@
 		err = msgp.WrapError(err, "Signature")
 		return
 	}
+	z.Holder, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Holder")
+		return
+	}
 	z.Bare, err = dc.ReadBool()
 	if err != nil {
 		err = msgp.WrapError(err, "Bare")
@@ -72,8 +77,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Record) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 9
-	err = en.Append(0x99)
+	// array header, size 10
+	err = en.Append(0x9a)
 	if err != nil {
 		return
 	}
@@ -112,6 +117,11 @@
 		err = msgp.WrapError(err, "Signature")
 		return
 	}
+	err = en.WriteString(z.Holder)
+	if err != nil {
+		err = msgp.WrapError(err, "Holder")
+		return
+	}
 	err = en.WriteBool(z.Bare)
 	if err != nil {
 		err = msgp.WrapError(err, "Bare")
@@ -128,8 +138,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Record) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o = msgp.AppendUint8(o, uint8(z.Kind))
 	o = msgp.AppendUint16(o, z.Partition)
 	o = msgp.AppendString(o, z.ID)
@@ -141,6 +151,7 @@
 	}
 	o = msgp.AppendUint16(o, z.Failed)
 	o = msgp.AppendString(o, z.Signature)
+	o = msgp.AppendString(o, z.Holder)
 	o = msgp.AppendBool(o, z.Bare)
 	o, err = z.Message.MarshalMsg(o)
 	if err != nil {
@@ -158,8 +169,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	{
@@ -201,6 +212,11 @@
 		err = msgp.WrapError(err, "Signature")
 		return
 	}
+	z.Holder, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Holder")
+		return
+	}
 	z.Bare, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Bare")
@@ -217,7 +233,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Record) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.Uint16Size + msgp.StringPrefixSize + len(z.ID) + msgp.Uint64Size + z.State.Msgsize() + msgp.Uint16Size + msgp.StringPrefixSize + len(z.Signature) + msgp.BoolSize + z.Message.Msgsize()
+	s = 1 + msgp.Uint8Size + msgp.Uint16Size + msgp.StringPrefixSize + len(z.ID) + msgp.Uint64Size + z.State.Msgsize() + msgp.Uint16Size + msgp.StringPrefixSize + len(z.Signature) + msgp.StringPrefixSize + len(z.Holder) + msgp.BoolSize + z.Message.Msgsize()
 	return
 }
 
--- a/queue/requests.go
+++ b/queue/requests.go
@@ -57,6 +57,9 @@
 func (c *Core) putNew(p *partition, m *wire.Put, holder *edge, reply Replier) {
 	r := &Record{Kind: RecordWhole, Partition: p.number, ID: m.Message.ID, Sequence: c.nextSequence(), Message: m.Message}
 	r.Message.ID = ""
+	if m.Dispatch && holder != nil {
+		r.Holder = holder.id
+	}
 	payload, at, position := c.write(r)
 	e := c.insert(p, r, at, false)
 	e.live.putting = true
@@ -71,6 +74,7 @@
 func (c *Core) putAgain(p *partition, e *entry, m *wire.Put, from *edge, reply Replier) {
 	if e.live != nil && e.pending() && e.live.holder == nil && m.Dispatch && from != nil {
 		c.lease(e, from)
+		c.own(p, e, from)
 		c.turn(p, e, true)
 	}
 	if e.live != nil && e.live.putting && e.live.last != nil {
@@ -139,6 +143,7 @@
 		c.failed(p, e, m.Failed, reply)
 	case wire.ReportReleased:
 		if holder := c.edgeOf[from]; holder != nil && e.live.holder == holder {
+			e.live.returned = true
 			c.orphan(p, e)
 		}
 		reply.Send(&wire.ReportReply{Code: wire.PutKept, Epoch: c.epoch()})
--- a/queue/sim_test.go
+++ b/queue/sim_test.go
@@ -64,7 +64,9 @@
 	messages map[string]*simMessage
 	names    []string
 	byKey    map[string][]*simMessage
-	stopped  bool // no more puts and faults
+	stopped  bool          // no more puts and faults
+	calm     bool          // no faults: nothing may run again after it has ended
+	lag      time.Duration // edges hear of a view so late, at most
 }
 
 type simMessage struct {
@@ -79,7 +81,7 @@
 func newSim(t *testing.T, seed uint64, stores, edges, partitions, copies int, m mutant) *sim {
 	s := &sim{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), cut: make(map[[2]string]bool), mutant: m,
-		messages: make(map[string]*simMessage), byKey: make(map[string][]*simMessage),
+		messages: make(map[string]*simMessage), byKey: make(map[string][]*simMessage), lag: 60 * ms,
 	}
 	for i := range stores {
 		s.stores = append(s.stores, newSimStore(s, i, copies))
@@ -548,6 +550,11 @@
 	if fmt.Sprint(next.Partitions) == fmt.Sprint(s.view.Partitions) {
 		return
 	}
+	s.enact(next)
+}
+
+// enact has a view take effect.
+func (s *sim) enact(next *wire.StoreView) {
 	s.view = next
 	for _, n := range s.stores {
 		if n.up {
--- a/queue/simedge_test.go
+++ b/queue/simedge_test.go
@@ -19,7 +19,8 @@
 	view  *wire.StoreView
 	conns map[uint16]*simConn
 	held  map[string]*simHeld
-	puts  map[string]bool // under way
+	puts  map[string]bool     // under way
+	ended map[string]*simHeld // that were reported, and acknowledged
 	count int
 }
 
@@ -43,6 +44,7 @@
 	e.conns = make(map[uint16]*simConn)
 	e.held = make(map[string]*simHeld)
 	e.puts = make(map[string]bool)
+	e.ended = make(map[string]*simHeld)
 	life := e.life
 	e.publish()
 	e.loop(life, 5*ms, 40*ms, e.connect)
@@ -78,7 +80,7 @@
 
 func (e *simEdge) publish() {
 	life, view := e.life, e.sim.view
-	e.sim.after(e.sim.between(0, 60*ms), func() {
+	e.sim.after(e.sim.between(0, e.sim.lag), func() {
 		if !e.up || e.life != life || e.view != nil && e.view.Epoch >= view.Epoch {
 			return
 		}
@@ -282,6 +284,11 @@
 
 func (e *simEdge) granted(g *wire.Grant) {
 	held := e.held[g.ID]
+	if ended := e.ended[g.ID]; held == nil && ended != nil {
+		e.held[g.ID] = ended
+		e.report(g.ID, ended)
+		return
+	}
 	if held == nil {
 		if !g.Whole {
 			e.refuse(g)
@@ -364,6 +371,7 @@
 			return
 		}
 		e.sim.messages[id].doneAcked = true
+		e.ended[id] = held
 		delete(e.held, id)
 	})
 }
@@ -371,6 +379,9 @@
 // started checks what may run.
 func (s *sim) started(m *simMessage) {
 	m.runs++
+	if s.calm && m.endedAt > 0 {
+		s.fail("message %s runs again after its end:%s", m.message.ID, s.describe(m.message.ID))
+	}
 	if !m.message.Ordered {
 		return
 	}
--- a/queue/simrun_test.go
+++ b/queue/simrun_test.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"ravendale/wire"
 )
 
 // faults plays a fault now and then, so that no more stores are in trouble at once than may be lost.
@@ -66,6 +69,46 @@
 	s.after(s.between(50*ms, 2*time.Second), func() { delete(s.cut, way) })
 }
 
+// shuffle has the replicas of partitions change places, now and then, as a leader does around planned work.
+func (s *sim) shuffle() {
+	s.after(s.between(100*ms, 900*ms), func() {
+		if s.stopped {
+			return
+		}
+		next := &wire.StoreView{Epoch: s.view.Epoch + 1, Copies: s.view.Copies, Stores: s.view.Stores}
+		for _, place := range s.view.Partitions {
+			place.Replicas = slices.Clone(place.Replicas)
+			if s.random.IntN(2) == 0 {
+				place.Replicas = append(place.Replicas[1:], place.Replicas[0])
+			}
+			next.Partitions = append(next.Partitions, place)
+		}
+		s.enact(next)
+		s.shuffle()
+	})
+}
+
+// playCalm has primaries change without any trouble, and edges hear of it late.
+func playCalm(t *testing.T, seed uint64) string {
+	s := newSim(t, seed, 3, 3, 4, 2+int(seed%2), mutant{})
+	s.calm = true
+	s.lag = 900 * ms
+	s.shuffle()
+	s.run(8 * time.Second)
+	s.stopped = true
+	s.run(20 * time.Second)
+	if s.failure == "" {
+		s.check()
+	}
+	return s.failure
+}
+
+func TestNothingRunsTwiceAroundViewChanges(t *testing.T) {
+	for seed := range uint64(16) {
+		require.Empty(t, playCalm(t, seed))
+	}
+}
+
 // histories are played by default; QUEUE_SEEDS names more.
 const histories = 24
 
--- a/queue/takeover_test.go
+++ b/queue/takeover_test.go
@@ -55,6 +55,7 @@
 	r.put(ordered("0.2"), e)
 	r.putAs(plain("0.3"), e, false)
 	r.settle(b)
+	r.settle(b)
 	require.NotNil(t, last[wire.Grant](e))
 	assert.True(t, last[wire.Grant](e).Whole)
 	assert.EqualValues(t, 7, last[wire.Grant](e).Epoch)
@@ -63,3 +64,85 @@
 	assert.False(t, last[wire.Grant](e).Whole)
 	assert.EqualValues(t, 7, last[wire.Grant](e).Epoch)
 }
+
+// The edge that put a message may have ended it, and its report be on its way: it is asked before another gets the message.
+func TestOrphanGoesToItsOwnerFirst(t *testing.T) {
+	r, b := successor(t, &Record{ID: "0.1", Sequence: 1, Holder: "e", Message: plain("")})
+	e, f := &heard{}, &heard{}
+	r.attach("e", e)
+	r.attach("f", f)
+	r.claim(f)
+	r.same(b)
+	r.pass(10 * time.Second)
+	r.settle(b)
+	assert.Empty(t, f.notices, "its owner is connected, and has not heard of the new primary yet")
+	r.claim(e)
+	r.settle(b)
+	require.NotNil(t, last[wire.Grant](e))
+	assert.True(t, last[wire.Grant](e).Whole)
+	assert.Empty(t, f.notices)
+
+	released := r.report(wire.Report{ID: "0.1", Kind: wire.ReportReleased}, e)
+	assert.Equal(t, wire.PutKept, code(t, released))
+	assert.Empty(t, f.notices, "whose it is now is not on all disks")
+	r.settle(b)
+	require.NotNil(t, last[wire.Grant](f), "its owner has given it back")
+}
+
+func TestOrphanGoesToAnotherOnceItsOwnerHasGone(t *testing.T) {
+	r, b := successor(t, &Record{ID: "0.1", Sequence: 1, Holder: "e", Message: plain("")})
+	e, f := &heard{}, &heard{}
+	r.attach("e", e)
+	r.attach("f", f)
+	r.claim(f)
+	r.same(b)
+	r.pass(2 * time.Second)
+	r.core.EdgeDown(r.now, e)
+	r.pass(DefaultEdgeGrace - ms)
+	r.settle(b)
+	assert.Empty(t, f.notices)
+	r.pass(2 * ms)
+	r.settle(b)
+	r.settle(b)
+	require.NotNil(t, last[wire.Grant](f))
+}
+
+func TestOrphanWhoseOwnerIsNotThereGoesToAnother(t *testing.T) {
+	r, b := successor(t, &Record{ID: "0.1", Sequence: 1, Holder: "e", Message: plain("")})
+	f := &heard{}
+	r.attach("f", f)
+	r.claim(f)
+	r.same(b)
+	r.pass(time.Second)
+	r.settle(b)
+	r.settle(b)
+	require.NotNil(t, last[wire.Grant](f))
+}
+
+// Who holds a message is known wherever the message is, and after a restart.
+func TestOwnerIsOnAllDisks(t *testing.T) {
+	r, b, e := primary(t)
+	r.put(plain("0.1"), e)
+	whole, err := decodeRecord(r.records[len(r.records)-1])
+	require.NoError(t, err)
+	assert.Equal(t, "e", whole.Holder)
+	r.settle(b)
+	f := &heard{}
+	r.attach("f", f)
+	r.claim(f)
+	r.report(wire.Report{ID: "0.1", Kind: wire.ReportReleased}, e)
+	r.settle(b)
+	entry, _ := r.core.at(0).find("0.1")
+	to := entry.live.holder.id
+	other := newRig(t)
+	other.view(1, []uint16{1, 0}, nil)
+	other.take(1, whole)
+	holder := &Record{Kind: RecordHolder, ID: "0.1", Holder: to}
+	other.take(1, holder)
+	assert.Equal(t, r.core.at(0).sums, other.core.at(0).sums)
+	again := New(Config{Disk: "a", Copies: 2}, r)
+	replay(t, r, again)
+	assert.Equal(t, r.core.at(0).sums, again.at(0).sums)
+	other.take(1, &Record{Kind: RecordDrop, ID: "0.1"})
+	assert.Equal(t, [bucketCount]uint64{}, other.core.at(0).sums)
+}
