Ask edges again for claimed messages that do not end, and take those that they gave up

Need: an edge claims what it is putting, too. If it then gave the put up as unsure, the store that had taken the claim held the message for it until its retention was over.

Change: what was claimed and has not ended is granted to its holder again every four seconds; an edge that does not hold it gives it back, and it goes to another, rather than to the same one.

--- a/queue/core.go
+++ b/queue/core.go
@@ -68,10 +68,11 @@
 
 	maintenanceEvery = 2 * time.Second
 	scrubEvery       = 4 * time.Second
-	maxHandedOver    = 64       // messages that an edge was given whole and that have not ended
-	otherZone        = 8        // handed-over messages that an edge of the own zone may have more than others
-	fillBytes        = 64 << 10 // of one batch that fills a member
-	fetchCount       = 256      // names in one Fetch
+	remindEvery      = 4 * time.Second // longer than an edge waits for the answer to a put
+	maxHandedOver    = 64              // messages that an edge was given whole and that have not ended
+	otherZone        = 8               // handed-over messages that an edge of the own zone may have more than others
+	fillBytes        = 64 << 10        // of one batch that fills a member
+	fetchCount       = 256             // names in one Fetch
 	rewriteBytes     = 512 << 10
 	scrubRound       = 4 // scrubs in which each partition is compared once
 	// A primary hands out messages only if all members took something from it so recently: one that was frozen, and replaced
@@ -124,6 +125,7 @@
 	orphans    orphanHeap
 	local      []localWait // changes that wait for the own disk
 	acks       []ackWait   // what is acknowledged once it is on the own disk
+	reminders  []reminder  // by time
 	segments   map[uint32]int
 	messages   int
 	pendingAll int
@@ -255,6 +257,7 @@
 	c.wake = never
 	c.dropEdges()
 	c.openAll()
+	c.remind()
 	c.handOver()
 	c.maintain()
 	c.finish()
@@ -269,6 +272,9 @@
 			next = min(next, p.since+p.window)
 		}
 	}
+	if len(c.reminders) > 0 {
+		next = min(next, c.reminders[0].at)
+	}
 	for _, e := range c.edgeList {
 		if e.stale {
 			next = min(next, e.since+c.config.EdgeGrace)
--- a/queue/edge.go
+++ b/queue/edge.go
@@ -177,6 +177,9 @@
 		return false
 	}
 	whole := e.live.whole && e.live.holder == by
+	if e.live.holder == nil {
+		c.remindLater(p, e, by)
+	}
 	c.lease(e, by)
 	c.own(p, e, by)
 	if whole {
--- a/queue/orphan.go
+++ b/queue/orphan.go
@@ -108,7 +108,7 @@
 	owner := c.edges[e.live.owner]
 	switch {
 	case owner == nil || e.live.returned:
-		return c.choose(), nil
+		return c.choose(e.live.owner), nil
 	case c.takes(owner):
 		return owner, nil
 	}
@@ -129,15 +129,21 @@
 	}
 }
 
-// choose picks the edge with the least to do that may be given a message, preferably of the own zone.
-func (c *Core) choose() *edge {
+// choose picks the edge with the least to do that may be given a message, preferably of the own zone, and rather not the one
+// that has given it back.
+func (c *Core) choose(back string) *edge {
 	var best *edge
+	least := 0
 	for _, e := range c.edgeList {
 		if e.draining || !c.takes(e) {
 			continue
 		}
-		if best == nil || c.load(e) < c.load(best) || c.load(e) == c.load(best) && e.turn < best.turn {
-			best = e
+		load := c.load(e)
+		if e.id == back {
+			load += maxHandedOver
+		}
+		if best == nil || load < least || load == least && e.turn < best.turn {
+			best, least = e, load
 		}
 	}
 	return best
--- a/queue/takeover_test.go
+++ b/queue/takeover_test.go
@@ -146,3 +146,44 @@
 	other.take(1, &Record{Kind: RecordDrop, ID: "0.1"})
 	assert.Equal(t, [bucketCount]uint64{}, other.core.at(0).sums)
 }
+
+// An edge claims what it is putting, too, and may give it up without a word.
+func TestClaimedMessageThatItsEdgeGaveUpIsReleased(t *testing.T) {
+	r, b := successor(t, &Record{ID: "0.1", Sequence: 1, Holder: "e", Message: plain("")})
+	e, f := &heard{}, &heard{}
+	r.attach("e", e)
+	r.attach("f", f)
+	r.claim(e, "0.1")
+	r.claim(f)
+	r.same(b)
+	r.pass(remindEvery - ms)
+	assert.Nil(t, last[wire.Grant](e))
+	r.pass(ms)
+	require.NotNil(t, last[wire.Grant](e), "it is asked")
+	assert.False(t, last[wire.Grant](e).Whole)
+	r.report(wire.Report{ID: "0.1", Kind: wire.ReportReleased}, e)
+	r.settle(b)
+	r.settle(b)
+	require.NotNil(t, last[wire.Grant](f))
+	assert.True(t, last[wire.Grant](f).Whole)
+	told := len(e.notices)
+	r.pass(10 * time.Second)
+	assert.Len(t, e.notices, told)
+}
+
+func TestClaimedMessageIsRemindedOfAgain(t *testing.T) {
+	r, b := successor(t, &Record{ID: "0.1", Sequence: 1, Holder: "e", Message: plain("")})
+	e := &heard{}
+	r.attach("e", e)
+	r.claim(e, "0.1")
+	r.same(b)
+	for round := range 3 {
+		assert.Len(t, e.notices, round)
+		r.pass(remindEvery)
+	}
+	r.report(wire.Report{ID: "0.1", Kind: wire.ReportDone}, e)
+	r.settle(b)
+	told := len(e.notices)
+	r.pass(3 * remindEvery)
+	assert.Len(t, e.notices, told)
+}
