Drop what may have been kept by a put's other tries: it ran a second time

A put that a stopping store could not answer for was made elsewhere under another name. Every try that is unsure when a put ends is now dropped at its partition's primary, until that acknowledges it. Tested with stores that do not know.

--- a/queueclient/put.go
+++ b/queueclient/put.go
@@ -211,20 +211,44 @@
 func (p *put) finish() Result {
 	p.mu.Lock()
 	p.over = true
+	open := p.open()
 	result := Refused
-	for _, t := range p.tries {
-		if t.state == tryWaiting || t.state == tryUnsure {
-			result = Unsure
-		}
+	if len(open) > 0 {
+		result = Unsure
 	}
 	if p.kept != nil {
 		result = Kept
 	}
 	p.mu.Unlock()
 	p.client.forget(p)
+	p.drop(open)
 	return result
 }
 
+// open returns the tries that may have been kept without being told so.
+func (p *put) open() (open []*try) {
+	for _, t := range p.tries {
+		if t.state == tryWaiting || t.state == tryUnsure {
+			open = append(open, t)
+		}
+	}
+	return open
+}
+
+// drop has stores forget what they may have kept of a put by other tries than the one that counts: it would run once more.
+func (p *put) drop(open []*try) {
+	told := make(map[string]bool)
+	if p.kept != nil {
+		told[p.kept.id] = true
+	}
+	for _, t := range open {
+		if !told[t.id] {
+			told[t.id] = true
+			p.client.Report(wire.Report{ID: t.id, Kind: wire.ReportDropped})
+		}
+	}
+}
+
 // begin sends the message to the primary of a partition, or returns nil where that can't be.
 func (p *put) begin() *try {
 	c := p.client
--- a/queueclient/races_test.go
+++ b/queueclient/races_test.go
@@ -116,3 +116,50 @@
 	assert.Zero(t, c.Pending())
 	assert.Empty(t, c.reports.waiting)
 }
+
+// A store that is stopped does not know what became of a put, and the message is kept elsewhere under another name. The one that
+// took the store's place may have the first, too, and nobody would hold it.
+func TestWhatMayHaveBeenKeptTwiceIsDropped(t *testing.T) {
+	one, two := newFakeStore(t), newFakeStore(t)
+	one.put = func(*wire.Put, int) *wire.PutReply { return &wire.PutReply{Code: wire.PutUnknown} }
+	c, _ := newClient(t)
+	c.SetView(placement(1, []*fakeStore{one, two}, []uint16{0, 1}, []uint16{1, 0}))
+	connected(t, c)
+	m := plain()
+	require.Equal(t, Kept, c.Put(m, true, soon))
+	require.Eventually(t, func() bool { return one.countReports() == one.countPuts() }, soon, time.Millisecond)
+	one.with(func() {
+		require.NotEmpty(t, one.puts)
+		for i, r := range one.reports {
+			assert.Equal(t, wire.ReportDropped, r.Kind)
+			assert.NotEqual(t, m.ID, r.ID)
+			assert.Equal(t, one.puts[i].Message.ID, r.ID)
+		}
+	})
+	assert.Zero(t, two.countReports())
+}
+
+// Nothing was promised to the client: two tries that may both have been kept would run the message twice.
+func TestWhatIsUnsureIsDropped(t *testing.T) {
+	for _, m := range []*wire.Message{plain(), ordered()} {
+		one := newFakeStore(t)
+		one.put = func(*wire.Put, int) *wire.PutReply { return &wire.PutReply{Code: wire.PutUnknown} }
+		c, _ := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+		connected(t, c)
+		require.Equal(t, Unsure, c.Put(m, true, 60*time.Millisecond))
+		names := make(map[string]bool)
+		one.with(func() {
+			for _, p := range one.puts {
+				names[p.Message.ID] = true
+			}
+		})
+		require.Eventually(t, func() bool { return one.countReports() == len(names) }, soon, time.Millisecond)
+		one.with(func() {
+			for _, r := range one.reports {
+				assert.Equal(t, wire.ReportDropped, r.Kind)
+				assert.True(t, names[r.ID])
+			}
+		})
+	}
+}
