Refuse puts over a connection that its edge has replaced

Need: an edge that has lost a connection settles on the next what it sent before: it has the message dropped, or put elsewhere. A put read from the old connection after that was kept, and belonged to nobody.

Change: a put that its edge is to deliver is refused unless it comes over the edge's connection.

Tested: a unit test.

--- a/queue/requests.go
+++ b/queue/requests.go
@@ -36,7 +36,7 @@
 	switch {
 	case e != nil:
 		c.putAgain(p, e, m, holder, reply)
-	case taken || len(p.members)+1 < c.copies() || c.full():
+	case m.Dispatch && holder == nil || taken || len(p.members)+1 < c.copies() || c.full():
 		reply.Send(&wire.PutReply{Code: wire.PutRefused, Epoch: c.epoch()})
 	default:
 		c.putNew(p, m, holder, reply)
--- a/queue/takeover_test.go
+++ b/queue/takeover_test.go
@@ -208,3 +208,14 @@
 	require.NotNil(t, last[wire.Grant](e))
 	assert.Equal(t, "0.2", last[wire.Grant](e).ID)
 }
+
+// An edge that has connected anew has had what it sent before settled: the rest of it must not come after.
+func TestPutOverAConnectionThatWasReplacedIsRefused(t *testing.T) {
+	r, _, e := primary(t)
+	again := &heard{}
+	r.attach("e", again)
+	assert.Equal(t, wire.PutRefused, code(t, r.put(plain("0.1"), e)))
+	r.core.EdgeDown(r.now, again)
+	assert.Equal(t, wire.PutRefused, code(t, r.put(plain("0.1"), again)))
+	assert.Empty(t, r.core.at(0).entries)
+}
