Leave connections for edges that ended a moment ago, and need no more than a worker can use

Workers reset connections over their cap around restarts of edges: the list of edges was short for a moment, or the ones of the process before were still open. Shares are 0.8 of the cap, by the longest list of the last ten seconds, and one edge takes two more than the worker's capacity at most. Tested with lists that shrink and grow.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -33,6 +33,7 @@
 	jobs     map[JobID]*job
 	lastJob  JobID
 	endings  endings
+	edges    peak
 	held     int // bytes
 	stopping bool
 
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -86,13 +86,66 @@
 	}
 }
 
-// connectionShare is how many of a worker's connections an edge may have.
+// The parts of a worker's connections that edges may have.
+const (
+	connectionsUsed  = 0.8              // all together: those of processes that have just ended may still be open
+	beyondCapacity   = 2                // one edge, above what the worker runs at once
+	edgesCountedFor  = 10 * time.Second // where the list of edges was longer a while ago, it counts as that long
+	fewestConnection = 1
+)
+
+// connectionShare is how many connections one of a number of edges may have to a worker that takes maxConns; 0 is no bound.
 func connectionShare(maxConns, edges int) int {
-	const used = 0.9
 	if maxConns <= 0 {
 		return 0
 	}
-	return max(1, int(used*float64(maxConns)/float64(max(edges, 1))))
+	return max(fewestConnection, int(connectionsUsed*float64(maxConns)/float64(max(edges, 1))))
+}
+
+// connections is how many connections this edge may have to each worker of a service.
+func (s *service) connections(config *catalog.Service, edges int) map[string]int {
+	share := connectionShare(config.MaxConns, edges)
+	limits := make(map[string]int, len(s.addresses))
+	for name := range s.addresses {
+		limits[name] = share
+	}
+	if s.endpoint != "" {
+		return limits
+	}
+	for i := range s.listed {
+		if most := int(s.listed[i].Weight) + beyondCapacity; share > most {
+			limits[s.listed[i].Worker] = most
+		}
+	}
+	return limits
+}
+
+// peak knows the highest count of the last while.
+type peak struct {
+	counts []sighting // falling
+}
+
+type sighting struct {
+	at    time.Duration
+	count int
+}
+
+func (p *peak) add(now time.Duration, count int) {
+	for len(p.counts) > 0 && p.counts[len(p.counts)-1].count <= count {
+		p.counts = p.counts[:len(p.counts)-1]
+	}
+	p.counts = append(p.counts, sighting{now, count})
+}
+
+// highest is the highest count that held at some time since a while before now.
+func (p *peak) highest(now time.Duration) int {
+	for len(p.counts) > 1 && p.counts[1].at <= now-edgesCountedFor {
+		p.counts = p.counts[1:]
+	}
+	if len(p.counts) == 0 {
+		return 0
+	}
+	return p.counts[0].count
 }
 
 // line is how long a message that comes now would wait for a token.
--- a/dispatch/topology.go
+++ b/dispatch/topology.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -153,6 +154,7 @@
 func (c *Core) Place(now time.Duration, edges []wire.Edge) []Action {
 	c.begin(now)
 	c.config.Topology.Edges = edges
+	c.edges.add(c.now, len(edges))
 	c.retuneAll()
 	return c.end()
 }
@@ -172,14 +174,10 @@
 	if c.index == nil {
 		return limits
 	}
-	edges := len(c.config.Topology.Edges)
+	edges := max(c.edges.highest(c.now), len(c.config.Topology.Edges))
 	for _, s := range c.services {
-		config := c.index.Service(s.name)
-		if config == nil {
-			continue
-		}
-		for name := range s.addresses {
-			limits[name] = connectionShare(config.MaxConns, edges)
+		if config := c.index.Service(s.name); config != nil {
+			maps.Copy(limits, s.connections(config, edges))
 		}
 	}
 	return limits
