Send nothing more to a worker whose address another has

After all workers of a service were down, their machines came back as other instances while the list still named the old ones: for over a second each message went to a wrong worker again and again, half of all arrivals. A worker that answers 421 is taken for gone until the list has forgotten it.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -34,7 +34,8 @@
 	lastJob  JobID
 	endings  endings
 	edges    peak
-	held     int // bytes
+	gone     map[string]bool // listed workers whose address another has by now
+	held     int             // bytes
 	stopping bool
 
 	now     time.Duration
@@ -59,7 +60,10 @@
 	token    bool // it took one
 }
 
-type attempt struct{ out, cancelled bool }
+type attempt struct {
+	worker         string
+	out, cancelled bool
+}
 
 func (j *job) live() bool {
 	return slices.ContainsFunc(j.attempts, func(a attempt) bool { return a.out && !a.cancelled })
@@ -69,6 +73,7 @@
 func NewCore(config Config) *Core {
 	return &Core{
 		config: config, services: make(map[string]*service), messages: make(map[string]*message), jobs: make(map[JobID]*job),
+		gone: make(map[string]bool),
 	}
 }
 
@@ -498,7 +503,7 @@
 // send makes an attempt, if the newest configuration still wants it.
 func (c *Core) send(j *job, name string) {
 	number := len(j.attempts)
-	j.attempts = append(j.attempts, attempt{out: true})
+	j.attempts = append(j.attempts, attempt{worker: name, out: true})
 	j.out++
 	m := j.message
 	route, s, gone := c.route(m)
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -38,6 +38,9 @@
 	if result.Outcome == worker.NoRoom || result.Outcome == worker.Unreachable {
 		c.refund(j)
 	}
+	if result.Outcome == worker.WrongWorker {
+		c.lose(j.service, j.attempts[number].worker)
+	}
 	closed := c.closes(j, result.Outcome)
 	m := j.message
 	if closed {
