Fill a store in one small part at a time, and tell what filling it took

Need: a store that joined many partitions was sent a part of each at once, and new messages queued behind all of them. What filling costs was not to be seen.

Change: a store has one part of 32 kB on its way at a time, what a takeover waits for first; once the comparisons with it have ended, what they came to is logged.

--- a/queue/core.go
+++ b/queue/core.go
@@ -71,7 +71,7 @@
 	remindEvery      = 4 * time.Second // longer than an edge waits for the answer to a put
 	maxHandedOver    = 64              // messages that an edge was given whole and that have not ended
 	otherZone        = 8               // handed-over messages that an edge of the own zone may have more than others
-	fillBytes        = 64 << 10        // of one batch that fills a member
+	fillBytes        = 32 << 10        // of one batch that fills a member
 	fetchCount       = 256             // names in one Fetch
 	rewriteBytes     = 512 << 10
 	scrubRound       = 4 // scrubs in which each partition is compared once
--- a/queue/fill.go
+++ b/queue/fill.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"time"
 
 	"ravendale/wire"
 )
@@ -15,7 +16,6 @@
 	merge   bool // what only the member knows is taken over; else it is dropped there
 	listed  bool // the member has listed all that differs
 	fetches int  // unanswered
-	sending bool
 	push    []*entry
 	drop    []string
 }
@@ -26,6 +26,9 @@
 		return
 	}
 	p.syncs = slices.DeleteFunc(p.syncs, func(f *filling) bool { return f.to == to })
+	if !c.isComparing(to) {
+		to.tally = tally{since: c.now.Steady}
+	}
 	c.round++
 	f := &filling{p: p, to: to, round: c.round, merge: slices.Contains(p.unmerged, to)}
 	p.syncs = append(p.syncs, f)
@@ -66,6 +69,7 @@
 
 // weigh decides what to do about each message of a bucket.
 func (c *Core) weigh(f *filling, m *Differ) {
+	f.to.tally.listed += len(m.Entries)
 	theirs := make(map[string]*Digest, len(m.Entries))
 	for i := range m.Entries {
 		theirs[m.Entries[i].ID] = &m.Entries[i]
@@ -121,6 +125,8 @@
 			c.config.Log.Error("a store sent a record that can't be read", "error", err)
 			return
 		}
+		f.to.tally.fetched++
+		f.to.tally.bytes += len(payload)
 		c.takeOver(f.p, r)
 	}
 	if m.Last {
@@ -165,7 +171,7 @@
 
 // pump sends a member what it lacks, a batch at a time, and ends the comparison once it has all on disk.
 func (c *Core) pump(f *filling) {
-	if f.sending {
+	if f.to.filling == f {
 		return
 	}
 	if len(f.push) == 0 && len(f.drop) == 0 {
@@ -174,6 +180,39 @@
 		}
 		return
 	}
+	if !slices.Contains(f.to.queued, f) {
+		f.to.queue(f)
+	}
+	c.fillNext(f.to)
+}
+
+// queue has a comparison wait for its turn. What a takeover waits for comes first.
+func (to *peer) queue(f *filling) {
+	i := len(to.queued)
+	if f.merge {
+		i = slices.IndexFunc(to.queued, func(other *filling) bool { return !other.merge })
+		if i < 0 {
+			i = len(to.queued)
+		}
+	}
+	to.queued = slices.Insert(to.queued, i, f)
+}
+
+// dropFills forgets what was on its way to a peer.
+func (to *peer) dropFills() {
+	to.filling, to.queued, to.tally = nil, nil, tally{}
+}
+
+// fillNext sends the next batch to a peer that has taken the one before.
+func (c *Core) fillNext(to *peer) {
+	for to.filling == nil && len(to.queued) > 0 {
+		f := to.queued[0]
+		to.queued = to.queued[1:]
+		c.sendBatch(f)
+	}
+}
+
+func (c *Core) sendBatch(f *filling) {
 	f.to.flush(c.epoch())
 	var number uint64
 	size := 0
@@ -195,19 +234,51 @@
 		}
 		number = c.post(f.to, payload, true)
 		size += len(payload)
+		f.to.tally.sent++
 	}
+	f.to.tally.bytes += size
 	if number == 0 { // all of it was forgotten meanwhile
 		c.pump(f)
 		return
 	}
-	f.sending = true
+	f.to.filling = f
 	f.to.waiting = append(f.to.waiting, peerWait{number: number, fill: f})
 }
 
+// tally counts what the comparisons with one peer have come to.
+type tally struct {
+	since      time.Duration
+	partitions int
+	listed     int // messages that the peer named
+	sent       int // messages that it lacked
+	fetched    int // messages that only it had
+	bytes      int // of those
+}
+
+// count notes that a comparison has ended, and tells once all have that brought something.
+func (c *Core) count(to *peer) {
+	to.tally.partitions++
+	if c.isComparing(to) {
+		return
+	}
+	t := to.tally
+	to.tally = tally{}
+	if t.sent == 0 && t.fetched == 0 {
+		return
+	}
+	c.config.Log.Info("compared with a store", "disk", to.disk, "epoch", c.epoch(), "partitions", t.partitions, "listed", t.listed,
+		"sent", t.sent, "fetched", t.fetched, "bytes", t.bytes, "took", c.now.Steady-t.since)
+}
+
+func (c *Core) isComparing(to *peer) bool {
+	return slices.ContainsFunc(c.partitions, func(p *partition) bool { return p != nil && p.isSyncing(to) })
+}
+
 // filled ends a comparison: the member has what the primary has.
 func (c *Core) filled(f *filling) {
 	p := f.p
 	p.syncs = slices.DeleteFunc(p.syncs, func(other *filling) bool { return other == f })
+	c.count(f.to)
 	if slices.Contains(p.fillers, f.to) {
 		f.to.flush(c.epoch())
 		_ = f.to.remote.Notify(MethodFilled, &Filled{Epoch: c.epoch(), Partition: p.number})
--- /dev/null
+++ b/queue/fill_test.go
@@ -0,0 +1,102 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ravendale/wire"
+)
+
+// joiner returns a ready primary of two partitions with messages in both, and a store that joins both.
+func joiner(t *testing.T, messages int) (r *rig, c *heard) {
+	r, b, c := newRig(t), &heard{}, &heard{}
+	view := func(epoch uint64, joining ...uint16) {
+		place := wire.Placement{Replicas: []uint16{0, 1}, Joining: joining}
+		r.core.View(r.now, &wire.StoreView{
+			Epoch: epoch, Copies: 2, Stores: []wire.Store{{Disk: "a"}, {Disk: "b"}, {Disk: "c"}}, Partitions: []wire.Placement{place, place},
+		})
+	}
+	view(1)
+	r.core.PeerUp(r.now, "b", b)
+	for i := range messages {
+		number := uint16(i % 2)
+		m := plain(fmt.Sprintf("%d.%d", number, i))
+		m.Body = make([]byte, 1000)
+		r.core.Put(r.now, &heard{}, &wire.Put{Partition: number, Epoch: 1, Message: m}, &answer{})
+	}
+	r.settle(b)
+	view(2, 2)
+	r.core.PeerUp(r.now, "c", c)
+	r.settle(b)
+	return r, c
+}
+
+// rounds are those of the comparisons under way with a member.
+func rounds(h *heard) (list []uint64) {
+	for _, notice := range h.notices {
+		if m, ok := notice.(*Compare); ok {
+			list = append(list, m.Round)
+		}
+	}
+	return list[len(list)-2:]
+}
+
+// replicated counts the records of each notice that a member was sent.
+func replicated(h *heard) (counts []int) {
+	for _, notice := range h.notices {
+		if m, ok := notice.(*Replicate); ok && len(m.Records) > 0 {
+			counts = append(counts, len(m.Records))
+		}
+	}
+	return counts
+}
+
+func (r *rig) differ(from *heard, number uint16, have func(e *entry) bool) {
+	round := rounds(from)[number]
+	for bucket := range bucketCount {
+		m := &Differ{Partition: number, Round: round, Bucket: uint16(bucket), Last: bucket == bucketCount-1}
+		for _, e := range r.core.at(number).bucket(bucket) {
+			if have(e) {
+				m.Entries = append(m.Entries, Digest{ID: e.id, Sum: e.sum(hashOf(e.id)), State: e.state})
+			}
+		}
+		r.core.Differ(r.now, from, m)
+	}
+}
+
+func TestJoiningStoreThatHasMostIsSentTheRest(t *testing.T) {
+	r, c := joiner(t, 100)
+	have := func(e *entry) bool { return e.id != "0.6" && e.id != "1.7" }
+	r.differ(c, 0, have)
+	r.differ(c, 1, have)
+	r.ack(c)
+	r.ack(c)
+	assert.Equal(t, []int{1, 1}, replicated(c))
+	assert.NotNil(t, last[Filled](c))
+}
+
+// A store that is filled with much still takes new messages in time: what fills it comes in small parts, whatever their partition.
+func TestFillLeavesRoomForNewMessages(t *testing.T) {
+	r, c := joiner(t, 200)
+	nothing := func(*entry) bool { return false }
+	r.differ(c, 0, nothing)
+	r.differ(c, 1, nothing)
+	require.Len(t, replicated(c), 1, "one part at a time")
+	r.core.Put(r.now, &heard{}, &wire.Put{Partition: 1, Epoch: 2, Message: plain("1.new")}, &answer{})
+	require.Len(t, replicated(c), 2, "a new message does not wait")
+	for part := range 20 {
+		before := len(replicated(c))
+		r.ack(c)
+		assert.LessOrEqual(t, len(replicated(c)), before+1, "part %d", part)
+	}
+	total := 0
+	for _, count := range replicated(c) {
+		assert.LessOrEqual(t, count, fillBytes/1000+1)
+		total += count
+	}
+	assert.Equal(t, 201, total)
+	assert.False(t, r.core.isComparing(r.core.peers["c"]))
+}
--- a/queue/peer.go
+++ b/queue/peer.go
@@ -16,6 +16,9 @@
 	outbox  [][]byte
 	old     bool // of the records in the outbox
 	waiting []peerWait
+	filling *filling   // whose batch it has yet to acknowledge: one at a time, so that new messages find the way free
+	queued  []*filling // that have something to send
+	tally   tally
 }
 
 // peerWait is something that waits until a peer has synced a Replicate.
@@ -163,6 +166,7 @@
 	to.remote = nil
 	to.number = 0
 	to.waiting = nil
+	to.dropFills()
 	clear(to.outbox)
 	to.outbox = to.outbox[:0]
 	for _, p := range c.partitions {
@@ -187,8 +191,9 @@
 	to.waiting = slices.Delete(to.waiting, 0, n)
 	for _, wait := range done {
 		if wait.fill != nil {
-			wait.fill.sending = false
+			to.filling = nil
 			c.pump(wait.fill)
+			c.fillNext(to)
 			continue
 		}
 		wait.op.missing &^= 1 << wait.member
--- a/queue/view.go
+++ b/queue/view.go
@@ -19,6 +19,7 @@
 	c.updatePeers()
 	for _, to := range c.peerList {
 		to.waiting = nil
+		to.dropFills()
 	}
 	for number := range view.Partitions {
 		if p := c.at(uint16(number)); missed && p.primary {
