--- a/cmd/ravendale-store/process.go
+++ b/cmd/ravendale-store/process.go
@@ -36,17 +36,13 @@
 func newProcess(env program.Environment) (*process, error) {
 	s := env.Settings
 	p := &process{env: env, mux: rpc.NewMux(), failed: make(chan error, 1)}
-	disk, err := store.Identity(s.DataDir)
-	if err != nil {
-		return nil, err
-	}
-	p.store, err = store.Open(store.Config{
-		Settings: s, Disk: disk, Mux: p.mux, Log: env.Log,
-		StatusChanged: func() { p.agent.RenewNow() }, Failed: p.fail,
+	opened, disk, err := store.OpenDisk(store.Config{
+		Settings: s, Mux: p.mux, Log: env.Log, StatusChanged: func() { p.agent.RenewNow() }, Failed: p.fail,
 	})
 	if err != nil {
 		return nil, err
 	}
+	p.store = opened
 	p.agent = member.New(member.Config{
 		Settings: s, Mux: p.mux, Log: env.Log, Status: p.store.Status,
 		Self: wire.Member{
--- a/queue/store/store.go
+++ b/queue/store/store.go
@@ -55,15 +55,14 @@
 
 // Open reads the store's journal and registers its handlers. The store takes part in nothing before SetView.
 func Open(config Config) (*Store, error) {
+	config.Log = logger(&config)
 	s := &Store{config: config, started: time.Now(), links: make(map[string]*rpc.Link)}
-	if s.config.Log == nil {
-		s.config.Log = slog.Default()
-	}
 	s.core = queue.New(coreConfig(&s.config), host{s})
 	s.timer = time.AfterFunc(time.Hour, s.tick)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.recover(); err != nil {
+		s.timer.Stop()
 		return nil, err
 	}
 	s.core.Start(s.now(), s.journal)
@@ -71,12 +70,19 @@
 	return s, nil
 }
 
+func logger(config *Config) *slog.Logger {
+	if config.Log == nil {
+		return slog.Default()
+	}
+	return config.Log
+}
+
 func coreConfig(config *Config) queue.Config {
 	s := config.Settings
 	return queue.Config{
 		Disk: config.Disk, Zone: s.Zone, Copies: s.Copies(),
 		Remember:    settings.Seconds(s.Bounds.StatusS) + remembered,
-		DiskBytes:   int64(s.DiskMb) << 20,
+		DiskBytes:   max(int64(s.DiskMb)<<20-asideBytes(s.DataDir), 0),
 		MaxMessages: s.MemoryMb << 20 / memoryPart / bytesPerMessage,
 		Log:         config.Log,
 	}
--- a/queue/store/store_test.go
+++ b/queue/store/store_test.go
@@ -12,6 +12,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"ravendale/queue"
+	"ravendale/queue/journal"
 	"ravendale/rpc"
 	"ravendale/settings"
 	"ravendale/wire"
@@ -200,3 +202,55 @@
 		_ = n.store.Close()
 	}
 }
+
+// A disk with damage in an old segment is another, empty one; it opens again as that.
+func TestDamagedDiskBeginsAnew(t *testing.T) {
+	dir := t.TempDir()
+	lost, err := Identity(dir)
+	require.NoError(t, err)
+	kept, err := journal.Open(filepath.Join(dir, journalFolder), journal.Options{SegmentBytes: 500_000},
+		func(journal.Location, []byte) error { return nil })
+	require.NoError(t, err)
+	for i := range 12 {
+		record := queue.Record{ID: fmt.Sprintf("0.%d", i), Sequence: uint64(i), Message: wire.Message{Body: make([]byte, 200_000)}}
+		payload, err := record.MarshalMsg(nil)
+		require.NoError(t, err)
+		kept.Append(payload)
+	}
+	require.NoError(t, kept.Close())
+	segments, err := filepath.Glob(filepath.Join(dir, journalFolder, "*"))
+	require.NoError(t, err)
+	require.Greater(t, len(segments), 1)
+	file, err := os.OpenFile(segments[0], os.O_RDWR, 0)
+	require.NoError(t, err)
+	_, err = file.WriteAt([]byte("damage"), 1000)
+	require.NoError(t, err)
+	require.NoError(t, file.Close())
+
+	config := Config{Settings: &settings.Settings{DataDir: dir, DiskMb: 8, MemoryMb: 64, LostNodes: 0}, Failed: func(err error) { t.Error(err) }}
+	var disks []string
+	for range 2 {
+		config.Mux = rpc.NewMux()
+		s, disk, err := OpenDisk(config)
+		require.NoError(t, err)
+		assert.Zero(t, s.Status().Messages)
+		require.NoError(t, s.Close())
+		disks = append(disks, disk)
+	}
+	assert.NotEqual(t, lost, disks[0])
+	assert.Equal(t, disks[0], disks[1])
+	left := asideBytes(dir)
+	assert.Positive(t, left)
+	assert.LessOrEqual(t, left, int64(1<<20))
+}
+
+func TestFolderIsCutToItsNewestFiles(t *testing.T) {
+	dir := t.TempDir()
+	for _, name := range []string{"1", "2", "3"} {
+		require.NoError(t, os.WriteFile(filepath.Join(dir, name), make([]byte, 100), 0o644))
+	}
+	require.NoError(t, cutFolder(dir, 250))
+	left, err := filepath.Glob(filepath.Join(dir, "*"))
+	require.NoError(t, err)
+	assert.Equal(t, []string{filepath.Join(dir, "2"), filepath.Join(dir, "3")}, left)
+}
