Take a token for the second try of a worker that could not be reached, too

Cause: a failed connect gives the job's token back, and the module, for which it was no attempt, sends the job once more: without a token. Ruled out: the shares themselves (11 senders with 2 + 3.3 a second sum up to 204). Change: such a send goes back to the line for a token. Test: the property over windows now draws failed connects too: 28 sends of 27 without the change.

--- a/dispatch/ceiling_test.go
+++ b/dispatch/ceiling_test.go
@@ -113,7 +113,7 @@
 		ceiling := Ceiling{RatePerS: 4, Window: 5 * time.Second, Overshoot: 1.1}
 		var sends []time.Duration
 		next := 0
-		outcomes := []worker.Outcome{worker.Done, worker.Full, worker.Broken, worker.Failed, worker.Silent, worker.Repeat}
+		outcomes := []worker.Outcome{worker.Done, worker.Full, worker.Broken, worker.Failed, worker.Silent, worker.Repeat, worker.Unreachable, worker.NoRoom}
 		for end := w.now + 15*time.Second; w.now < end; {
 			for range rapid.IntRange(0, 4).Draw(r, "arrivals") {
 				next++
@@ -122,8 +122,11 @@
 			for len(w.out) > 0 {
 				d := w.out[0]
 				w.out = w.out[1:]
-				sends = append(sends, w.now)
-				w.end(d, rapid.SampledFrom(outcomes).Draw(r, "outcome"))
+				outcome := rapid.SampledFrom(outcomes).Draw(r, "outcome")
+				if outcome != worker.Unreachable && outcome != worker.NoRoom { // those never came to the worker
+					sends = append(sends, w.now)
+				}
+				w.end(d, outcome)
 			}
 			w.pass(time.Duration(rapid.IntRange(1, 400).Draw(r, "pause")) * ms)
 		}
@@ -142,6 +145,21 @@
 	})
 }
 
+// The module tries a worker that can't be reached once more by itself: that takes a token of its own.
+func TestWhatFollowsAFailedConnectTakesAToken(t *testing.T) {
+	w := newWorld(t)
+	w.pass(10 * time.Second)
+	w.accept("/l/", "1")
+	first := w.sent()
+	bucket := w.core.services["limited"].bucket
+	bucket.tokens, bucket.filled = -1, w.now // the one that is given back is the last for now
+	w.end(first, worker.Unreachable)
+	w.pass(ms)
+	assert.Empty(t, w.out)
+	w.pass(2 * time.Second)
+	w.sent()
+}
+
 func TestTokenIsKeptWhereNothingWasSent(t *testing.T) {
 	w := newWorld(t)
 	w.pass(10 * time.Second)
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -514,7 +514,7 @@
 	case c.stopping:
 		c.unsent(j, number)
 		c.release(m)
-	case gone || c.now >= m.expires || s != j.service:
+	case gone || c.now >= m.expires || s != j.service || j.lacksToken():
 		c.unsent(j, number)
 		c.wait(m, c.now)
 	default:
@@ -545,6 +545,9 @@
 	c.forgetJob(j)
 }
 
+// lacksToken says whether another attempt needs a token first: the one that the job had was given back.
+func (j *job) lacksToken() bool { return j.service.bucket != nil && !j.token }
+
 // refund gives a token back whose attempt never came to the worker.
 func (c *Core) refund(j *job) {
 	if j.token && j.service.bucket != nil {
