--- /dev/null
+++ b/lab/hollow/slope_test.go
@@ -0,0 +1,191 @@
+package hollow
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravendale/control/placement"
+	"ravendale/control/registry"
+	"ravendale/discovery"
+	"ravendale/relay"
+	"ravendale/relay/delta"
+	"ravendale/wire"
+)
+
+// Sizes that slopes are taken at.
+var (
+	fleetSizes  = []int{30, 100, 300, 1000, 3000, 10_000}
+	workerSizes = []int{1000, 10_000, 100_000}
+	storeSizes  = []int{10, 30, 100, 300}
+)
+
+func members(count int) *wire.Members {
+	list := &wire.Members{}
+	for i := range count {
+		p := place{number: i, zone: i * 31 / count, life: 1, ip: fmt.Sprintf("10.%d.%d.%d", i>>16, i>>8&255, i&255)}
+		m := p.member(31, 12)
+		list.Edges = append(list.Edges, wire.Edge{ID: m.ID, Node: m.Node, Address: m.Address, Zone: m.Zone, Region: m.Region, Ready: true})
+	}
+	return list
+}
+
+func encoded(b *testing.B, message interface{ MarshalMsg([]byte) ([]byte, error) }) []byte {
+	b.Helper()
+	payload, err := message.MarshalMsg(nil)
+	require.NoError(b, err)
+	return payload
+}
+
+func fleets(b *testing.B, run func(b *testing.B, count int)) {
+	for _, count := range fleetSizes {
+		b.Run(fmt.Sprint(count), func(b *testing.B) { run(b, count) })
+	}
+}
+
+// BenchmarkRenewal is what the leader's registry does for each renewal, and for the tick after it.
+func BenchmarkRenewal(b *testing.B) {
+	fleets(b, func(b *testing.B, count int) {
+		r := registry.New(registry.DefaultConfig(time.Hour))
+		var renewals []*wire.Renew
+		for _, edge := range members(count).Edges {
+			renewals = append(renewals, &wire.Renew{Member: wire.Member{
+				ID: edge.ID, Node: edge.Node, Address: edge.Address, Zone: edge.Zone, Region: edge.Region, Edge: true, Ready: true,
+			}})
+		}
+		for i, renew := range renewals {
+			r.Renew(0, uint64(i+1), renew)
+		}
+		now := time.Duration(0)
+		i := 0
+		for b.Loop() {
+			r.Renew(now, uint64(i+1), renewals[i])
+			r.Tick(now)
+			i = (i + 1) % count
+			now += time.Microsecond
+		}
+	})
+}
+
+// BenchmarkListMembers is what the leader does for each change of the topic of members.
+func BenchmarkListMembers(b *testing.B) {
+	fleets(b, func(b *testing.B, count int) {
+		list := members(count)
+		before := encoded(b, list)
+		list.Edges[count/2].Ready = false
+		var change []byte
+		for b.Loop() {
+			payload := encoded(b, list)
+			var err error
+			change, err = delta.Make(before, payload)
+			require.NoError(b, err)
+		}
+		b.ReportMetric(float64(len(before)), "B/whole")
+		b.ReportMetric(float64(len(change)), "B/change")
+	})
+}
+
+// BenchmarkTakeMembers is what each scheduler does for each change of the topic of members: apply, decode, find its parents.
+func BenchmarkTakeMembers(b *testing.B) {
+	fleets(b, func(b *testing.B, count int) {
+		list := members(count)
+		before := encoded(b, list)
+		list.Edges[count/2].Ready = false
+		change, err := delta.Make(before, encoded(b, list))
+		require.NoError(b, err)
+		last := list.Edges[count-1]
+		self := wire.Member{ID: last.ID, Zone: last.Zone, Edge: true}
+		b.ReportAllocs()
+		for b.Loop() {
+			whole, err := delta.Apply(before, change)
+			require.NoError(b, err)
+			taken := new(wire.Members)
+			_, err = taken.UnmarshalMsg(whole)
+			require.NoError(b, err)
+			relay.Parents(self, taken, 0, "leader")
+		}
+	})
+}
+
+// BenchmarkWorkers is what the leader and each scheduler do for each change of the platform's list.
+func BenchmarkWorkers(b *testing.B) {
+	for _, count := range workerSizes {
+		b.Run(fmt.Sprintf("leader/%d", count), func(b *testing.B) { benchmarkLeaderWorkers(b, count) })
+		b.Run(fmt.Sprintf("scheduler/%d", count), func(b *testing.B) { benchmarkSchedulerWorkers(b, count) })
+	}
+}
+
+func benchmarkLeaderWorkers(b *testing.B, count int) {
+	old := discovery.Sort(workers(count, count/100))
+	fresh := workers(count, count/100)
+	fresh[count/2].Draining = true
+	var whole, change []byte
+	before := encoded(b, old)
+	for b.Loop() {
+		merged, changed := discovery.Merge(old, discovery.Sort(fresh))
+		require.True(b, changed)
+		whole = encoded(b, merged)
+		var err error
+		change, err = delta.Make(before, whole)
+		require.NoError(b, err)
+	}
+	b.ReportMetric(float64(len(whole))/float64(count), "B/worker")
+	b.ReportMetric(float64(len(change)), "B/change")
+}
+
+func benchmarkSchedulerWorkers(b *testing.B, count int) {
+	list := discovery.Sort(workers(count, count/100))
+	before := encoded(b, list)
+	list.Entries[count/2].Draining = true
+	change, err := delta.Make(before, encoded(b, list))
+	require.NoError(b, err)
+	list = nil
+	held := new(wire.Workers)
+	empty := heapInUse()
+	for b.Loop() {
+		whole, err := delta.Apply(before, change)
+		require.NoError(b, err)
+		held = new(wire.Workers)
+		_, err = held.UnmarshalMsg(whole)
+		require.NoError(b, err)
+	}
+	b.ReportMetric(float64(heapInUse()-empty)/float64(count), "B-memory/worker")
+	runtime.KeepAlive(held)
+	runtime.KeepAlive(before)
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// BenchmarkPlacement is what the leader does after the loss of one of the stores.
+func BenchmarkPlacement(b *testing.B) {
+	for _, count := range storeSizes {
+		for _, partitions := range []int{64, 1024} {
+			b.Run(fmt.Sprintf("%d-stores/%d-partitions", count, partitions), func(b *testing.B) { benchmarkPlacement(b, count, partitions) })
+		}
+	}
+}
+
+func benchmarkPlacement(b *testing.B, count, partitions int) {
+	var live []placement.Store
+	for i := range count {
+		name := fmt.Sprintf("store-%05d", i)
+		live = append(live, placement.Store{Disk: "disk-" + name, Node: name, Address: name + ":1", Zone: fmt.Sprintf("zone-%02d", i%31), Region: "region"})
+	}
+	config := placement.Config{Copies: 2, Partitions: partitions}
+	view, founded := placement.Plan(nil, live, config)
+	require.True(b, founded)
+	for b.Loop() {
+		_, changed := placement.Plan(view, live[1:], config)
+		require.True(b, changed)
+	}
+	b.ReportMetric(float64(len(encoded(b, view))), "B/view")
+}
