Let the last leader lead again at once after the whole core restarted

Need: after all machines lost power nobody led for a lease's length (1.5 s), since a voter that starts has forgotten whom it granted.

Change: a voter keeps on disk whom it granted last, written before the answer, and after a start grants that one at once and any other only after a lease's length. Requests, replies and releases carry the candidate's life, so that what is late from an earlier one neither prolongs nor ends a lease. After a start nobody proposes a view before a majority was heard of; who comes while promises are gathered is asked too; and who comes late is taken in without a wait.

--- a/control/core/leading.go
+++ b/control/core/leading.go
@@ -11,8 +11,23 @@
 	if m.Epoch != n.view.Epoch || !n.isVoter(n.self.ID) || !n.isVoter(from.ID) || n.vote.Sealed(n.view.Epoch) {
 		return
 	}
-	granted := n.voter.Grant(now, from.ID, m.Round)
-	n.deliver(post{from.Address, &lease.Reply{Epoch: m.Epoch, Round: m.Round, Granted: granted}})
+	granted, changed := n.voter.Grant(now, from.ID, m)
+	if changed {
+		n.keepPast()
+	}
+	reply := &lease.Reply{Epoch: m.Epoch, Life: m.Life, Round: m.Round, Granted: granted}
+	if n.lasting >= n.pastBatch {
+		n.deliver(post{from.Address, reply})
+		return
+	}
+	n.sendLasting(from.Address, reply)
+}
+
+// keepPast has the name of the newest holder written.
+func (n *node) keepPast() {
+	past := n.voter.Past()
+	n.log(&record{Lease: &past})
+	n.pastBatch = n.batch + 1
 }
 
 func (n *node) onLeaseReply(now time.Duration, from view.Member, m *lease.Reply) {
@@ -84,8 +99,15 @@
 	n.askAt = now + pause + time.Duration(n.candidateRank(now))*leaderPause
 }
 
-// patience is how long a candidate leaves the lease to those before it.
+// patience is how long a candidate leaves the lease to those before it. After a restart of the whole core the one that held it last gets it
+// at once.
 func (n *node) patience(now time.Duration) time.Duration {
+	switch heir := n.voter.Heir(now); {
+	case heir == n.self.ID:
+		return 0
+	case heir != 0 && now-n.started < heirPause:
+		return now - n.leaderLost + askAgain
+	}
 	rank := n.candidateRank(now)
 	if rank == 0 {
 		return 0
--- a/control/core/messages.go
+++ b/control/core/messages.go
@@ -2,11 +2,12 @@
 
 import (
 	"ravendale/control/chain"
+	"ravendale/control/lease"
 	"ravendale/control/view"
 	"ravendale/wire"
 )
 
-//go:generate go run github.com/tinylib/msgp -file messages.go -o messages_gen.go -tests=false
+//go:generate go run github.com/tinylib/msgp -file messages.go -o messages_gen.go -tests=false -unexported
 //msgp:tuple beat decided propose forward forwardReply record image
 
 // Methods of the core's messages, all of them notifications but the last.
@@ -82,6 +83,7 @@
 	View  *view.View
 	Vote  *view.Vote
 	Write *chain.Write
+	Lease *lease.Past
 }
 
 // image is all that a member keeps on disk.
@@ -92,4 +94,5 @@
 	Vote     view.Vote
 	Chain    chain.State
 	Machine  []byte
+	Lease    lease.Past
 }
--- a/control/core/messages_gen.go
+++ b/control/core/messages_gen.go
@@ -4,6 +4,7 @@
 
 import (
 	"ravendale/control/chain"
+	"ravendale/control/lease"
 	"ravendale/control/view"
 
 	"github.com/tinylib/msgp/msgp"
@@ -553,8 +554,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	err = z.ID.DecodeMsg(dc)
@@ -600,13 +601,18 @@
 		err = msgp.WrapError(err, "Machine")
 		return
 	}
+	err = z.Lease.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "Lease")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *image) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 6
-	err = en.Append(0x96)
+	// array header, size 7
+	err = en.Append(0x97)
 	if err != nil {
 		return
 	}
@@ -647,14 +653,19 @@
 		err = msgp.WrapError(err, "Machine")
 		return
 	}
+	err = z.Lease.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Lease")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *image) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 7
+	o = append(o, 0x97)
 	o, err = z.ID.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "ID")
@@ -680,6 +691,11 @@
 		return
 	}
 	o = msgp.AppendBytes(o, z.Machine)
+	o, err = z.Lease.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Lease")
+		return
+	}
 	return
 }
 
@@ -691,8 +707,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	bts, err = z.ID.UnmarshalMsg(bts)
@@ -738,6 +754,11 @@
 		err = msgp.WrapError(err, "Machine")
 		return
 	}
+	bts, err = z.Lease.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Lease")
+		return
+	}
 	o = bts
 	return
 }
@@ -748,7 +769,7 @@
 	for za0001 := range z.Founders {
 		s += msgp.StringPrefixSize + len(z.Founders[za0001])
 	}
-	s += z.View.Msgsize() + z.Vote.Msgsize() + z.Chain.Msgsize() + msgp.BytesPrefixSize + len(z.Machine)
+	s += z.View.Msgsize() + z.Vote.Msgsize() + z.Chain.Msgsize() + msgp.BytesPrefixSize + len(z.Machine) + z.Lease.Msgsize()
 	return
 }
 
@@ -947,8 +968,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	if dc.IsNil() {
@@ -1002,13 +1023,30 @@
 			return
 		}
 	}
+	if dc.IsNil() {
+		err = dc.ReadNil()
+		if err != nil {
+			err = msgp.WrapError(err, "Lease")
+			return
+		}
+		z.Lease = nil
+	} else {
+		if z.Lease == nil {
+			z.Lease = new(lease.Past)
+		}
+		err = z.Lease.DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Lease")
+			return
+		}
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *record) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -1048,14 +1086,26 @@
 			return
 		}
 	}
+	if z.Lease == nil {
+		err = en.WriteNil()
+		if err != nil {
+			return
+		}
+	} else {
+		err = z.Lease.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Lease")
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *record) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	if z.View == nil {
 		o = msgp.AppendNil(o)
 	} else {
@@ -1083,6 +1133,15 @@
 			return
 		}
 	}
+	if z.Lease == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Lease.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Lease")
+			return
+		}
+	}
 	return
 }
 
@@ -1094,8 +1153,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	if msgp.IsNil(bts) {
@@ -1146,6 +1205,22 @@
 			return
 		}
 	}
+	if msgp.IsNil(bts) {
+		bts, err = msgp.ReadNilBytes(bts)
+		if err != nil {
+			return
+		}
+		z.Lease = nil
+	} else {
+		if z.Lease == nil {
+			z.Lease = new(lease.Past)
+		}
+		bts, err = z.Lease.UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Lease")
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -1168,5 +1243,10 @@
 	} else {
 		s += z.Write.Msgsize()
 	}
+	if z.Lease == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Lease.Msgsize()
+	}
 	return
 }
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -17,15 +17,17 @@
 	beatEvery    = 200 * time.Millisecond
 	silentAfter  = 700 * time.Millisecond // then a member counts as down
 	joinAfter    = 300 * time.Millisecond // so long a member is heard of before it is taken in
-	settleAfter  = 500 * time.Millisecond // after a start, so long is waited for others before the chain is changed
+	settleAfter  = 300 * time.Millisecond // after a start, so long is waited for others before the chain is changed
+	startWithin  = 500 * time.Millisecond // after a start, so long others may not have started yet
 	rankPause    = 150 * time.Millisecond // by which each further proposer waits longer
 	leaderPause  = 400 * time.Millisecond // by which each further candidate waits longer
+	heirPause    = 400 * time.Millisecond // after a start, so long the lease is left to whoever held it last
 	askAgain     = 250 * time.Millisecond // between rounds of a candidate
 	proposeAgain = 200 * time.Millisecond // after which a command that was sent to the head is sent again
 	stuckAfter   = time.Second            // a member whose disk takes longer falls silent
 	absentGap    = 400 * time.Millisecond // a member that was not run for so long judges nobody at first
 	forgetAfter  = 10 * time.Second       // a stranger that is silent for longer is forgotten
-	leastLog     = 64 << 10               // bytes of log before a snapshot is taken
+	leastLog     = 64 << 10               // of nodeConfig.LeastLog
 )
 
 // nodeConfig is what a node must know from the start.
@@ -39,6 +41,7 @@
 	Durability view.Durability
 	GoneAfter  time.Duration // a voter that is down for longer may be given up
 	Terms      lease.Terms
+	LeastLog   int // bytes of log before a snapshot is taken
 	Machine    Machine
 	Random     func() uint64
 	faults     faults
@@ -48,6 +51,7 @@
 type faults struct {
 	minority   bool // a view is decided by a single voter
 	unsyncedOK bool // what waits for the disk does not
+	forgetful  bool // a voter that starts takes it that it granted nothing
 }
 
 // post is a message to send. Its type tells the method.
@@ -109,6 +113,7 @@
 	leader     string
 	leaderTill time.Duration
 	leaderLost time.Duration
+	pastBatch  uint64 // the write that holds whom the voter granted last
 
 	pending map[uint64]*command
 	number  uint64
@@ -168,8 +173,8 @@
 	n.self = view.Member{Address: config.Address, Zone: config.Zone}
 	if !config.Disk {
 		n.chain = chain.New(0, chain.State{}, config.Machine.Snapshot)
-		n.voter = lease.NewVoter(now, config.Terms, false)
-		n.holder = lease.NewHolder(config.Terms, 0)
+		n.voter = lease.NewVoter(now, config.Terms, lease.Past{Unknown: true})
+		n.holder = lease.NewHolder(config.Terms, n.origin)
 		return n, nil
 	}
 	kept, err := n.load(snapshot, records)
@@ -178,8 +183,11 @@
 	}
 	n.self.ID, n.founder, n.view, n.vote = kept.ID, kept.Founders, kept.View, kept.Vote
 	n.chain = chain.New(n.self.ID, kept.Chain, config.Machine.Snapshot)
-	n.voter = lease.NewVoter(now, config.Terms, n.view.Epoch == 0)
-	n.holder = lease.NewHolder(config.Terms, n.self.ID)
+	if config.faults.forgetful {
+		kept.Lease = lease.Past{}
+	}
+	n.voter = lease.NewVoter(now, config.Terms, kept.Lease)
+	n.holder = lease.NewHolder(config.Terms, n.origin)
 	if n.view.Epoch > 0 {
 		n.follow(now, true)
 	}
@@ -221,12 +229,15 @@
 func (i *image) replay(change *record) {
 	switch {
 	case change.View != nil:
+		i.Lease = i.Lease.Adopt(&i.View, change.View)
 		i.View = *change.View
 		i.Chain.Follow(i.ID, &i.View)
 	case change.Vote != nil:
 		i.Vote = *change.Vote
 	case change.Write != nil:
 		i.Chain.Replay(change.Write)
+	case change.Lease != nil:
+		i.Lease = *change.Lease
 	}
 }
 
@@ -328,7 +339,7 @@
 	if !n.whole && len(n.records) == 0 {
 		return
 	}
-	if n.logBytes > max(leastLog, 2*n.imageSize) {
+	if n.logBytes > max(n.config.LeastLog, 2*n.imageSize) {
 		n.whole = true
 	}
 	if n.batch == n.lasting {
@@ -348,7 +359,7 @@
 func (n *node) image() []byte {
 	kept := image{
 		ID: n.self.ID, Founders: n.founder, View: n.view, Vote: n.vote,
-		Chain: n.chain.State(), Machine: n.config.Machine.Snapshot(),
+		Chain: n.chain.State(), Machine: n.config.Machine.Snapshot(), Lease: n.voter.Past(),
 	}
 	data, err := kept.MarshalMsg(nil)
 	if err != nil {
@@ -459,7 +470,7 @@
 	case *lease.Reply:
 		n.onLeaseReply(now, from, m)
 	case *lease.Release:
-		n.voter.Release(from.ID, m.Round)
+		n.voter.Release(from.ID, m)
 	}
 }
 
--- a/control/core/peers.go
+++ b/control/core/peers.go
@@ -15,6 +15,7 @@
 	}
 	if !known {
 		n.deliver(post{m.Member.Address, n.beat(now)})
+		n.prepareLate(m.Member)
 	}
 	if m.Member.ID != 0 {
 		n.chain.OnBeat(now, m.Member.ID, chain.Beat{Epoch: m.Epoch, Attached: m.Attached, Synced: m.Synced, Committed: m.Committed})
@@ -54,7 +55,7 @@
 		p = &peer{heard: now}
 		n.peers[address] = p
 	}
-	p.refused = now-n.started >= settleAfter // before, it may not have started yet
+	p.refused = now-n.started >= startWithin
 	n.watch(now)
 	n.finish(now)
 }
@@ -120,7 +121,12 @@
 		return true
 	}
 	p := n.find(id)
-	return id != 0 && p != nil && !p.refused && now-p.heard < silentAfter && now-p.since >= joinAfter
+	if id == 0 || p == nil || p.refused || now-p.heard >= silentAfter {
+		return false
+	}
+	taken := n.view.Position(id) >= 0       // others judged it sooner
+	starting := now-n.started < silentAfter // of all perhaps: who comes a little late need not wait
+	return taken || starting || now-p.since >= joinAfter
 }
 
 func (n *node) gone(now time.Duration, id view.ID) bool {
--- a/control/core/simulation_test.go
+++ b/control/core/simulation_test.go
@@ -73,17 +73,19 @@
 
 // simulation is a whole core in simulated time.
 type simulation struct {
-	random  *rand.Rand
-	mutant  mutant
-	now     time.Duration
-	queue   []event // heap by time, then by order of making
-	made    uint64
-	members []*simulated
-	byAddr  map[string]*simulated
-	cut     map[[2]string]bool // from, to
-	loss    float64
-	lossy   bool
-	lost    int // LostNodes
+	random    *rand.Rand
+	mutant    mutant
+	now       time.Duration
+	queue     []event // heap by time, then by order of making
+	made      uint64
+	members   []*simulated
+	byAddr    map[string]*simulated
+	cut       map[[2]string]bool // from, to
+	loss      float64
+	lossy     bool
+	lost      int // LostNodes
+	slowDisks bool
+	leastLog  int // bytes of log before a snapshot
 
 	operations map[string]*operation // by command
 	order      []string              // of commands, as the first to apply each saw it
@@ -136,6 +138,8 @@
 		random: rand.New(rand.NewPCG(seed, 7)), mutant: m, byAddr: make(map[string]*simulated),
 		cut: make(map[[2]string]bool), lost: lost, operations: make(map[string]*operation),
 	}
+	s.slowDisks = s.random.IntN(4) == 0
+	s.leastLog = 300 << s.random.IntN(8)
 	for i := range members {
 		member := &simulated{
 			s: s, address: fmt.Sprintf("10.0.0.%d:1", i+1), zone: fmt.Sprint("zone-", i%3), folder: slotstest.New(),
@@ -255,7 +259,7 @@
 	}
 	config := nodeConfig{
 		Address: m.address, Zone: m.zone, Seeds: m.s.seeds(), Bootstrap: m.fresh && snapshot == nil, Disk: true, Candidate: true,
-		Durability: view.Durability{Copies: m.s.lost + 1}, GoneAfter: 10 * time.Second, Terms: terms, Machine: m.machine,
+		Durability: view.Durability{Copies: m.s.lost + 1}, GoneAfter: 10 * time.Second, Terms: terms, LeastLog: m.s.leastLog, Machine: m.machine,
 		Random: func() uint64 {
 			drawn++
 			if drawn == 2 && m.s.mutant == keptIdentity { // the first draw names the life, the second the disk
@@ -263,7 +267,7 @@
 			}
 			return random.Uint64()
 		},
-		faults: faults{minority: m.s.mutant == minorityView, unsyncedOK: m.s.mutant == unsyncedAck},
+		faults: faults{minority: m.s.mutant == minorityView, unsyncedOK: m.s.mutant == unsyncedAck, forgetful: m.s.mutant == forgetfulVoter},
 	}
 	node, err := newNode(m.clock(), config, snapshot, records)
 	if err != nil {
@@ -289,6 +293,9 @@
 	out := m.node.Take()
 	for _, write := range out.Writes {
 		m.writes = append(m.writes, write)
+		if m.s.mutant == unsyncedAck { // the disk says so before it has done it
+			m.s.after(0, m.guard(func() { m.node.OnDisk(m.clock(), write.Batch); m.carryOut() }))
+		}
 	}
 	for _, post := range out.Posts {
 		m.post(post)
@@ -305,13 +312,9 @@
 		return
 	}
 	m.writing = true
-	if m.s.mutant == unsyncedAck { // the disk says so before it has done it
-		batch := m.writes[len(m.writes)-1].Batch
-		m.s.after(0, m.guard(func() { m.node.OnDisk(m.clock(), batch); m.carryOut() }))
-	}
 	wait := 500*time.Microsecond + time.Duration(m.s.random.Int64N(int64(time.Millisecond)))
-	if m.s.random.IntN(100) == 0 {
-		wait += time.Duration(m.s.random.Int64N(int64(30 * time.Millisecond)))
+	if m.s.slowDisks || m.s.random.IntN(100) == 0 {
+		wait += time.Duration(m.s.random.Int64N(int64(40 * time.Millisecond)))
 	}
 	m.s.after(wait, m.guard(m.written))
 }
@@ -542,7 +545,7 @@
 func (s *simulation) trouble() {
 	back := time.Duration(s.random.Int64N(int64(1500 * time.Millisecond)))
 	member := s.pick()
-	switch s.random.IntN(9) {
+	switch s.random.IntN(10) {
 	case 0, 1:
 		member.kill()
 		s.after(back, member.start)
@@ -566,6 +569,9 @@
 	case 6:
 		s.lossy, s.loss = true, 0.1*s.random.Float64()
 		s.after(back, func() { s.lossy = false })
+	case 9: // one alone for long: it comes back with much to learn
+		member.kill()
+		s.after(3*time.Second, member.start)
 	case 7: // the whole core
 		for _, member := range s.members {
 			if s.random.IntN(2) == 0 {
@@ -649,22 +655,50 @@
 	s.calm()
 	s.run(s.now + 6*time.Second)
 	s.expectService("after calm", 500*time.Millisecond)
-	answered := s.answered
-	for range 50 {
-		s.run(s.now + 10*time.Millisecond)
-		if s.answered > answered {
-			break
-		}
+	s.disasters(1 + s.random.IntN(2))
+	if s.broken == "" {
+		s.checkHistory()
 	}
-	s.disaster()
-	s.run(s.now + 6*time.Second)
-	s.expectService("after the disaster", 500*time.Millisecond)
+	return s.broken
+}
+
+// disasters plays final faults, one after the other.
+func (s *simulation) disasters(count int) {
+	for range count {
+		s.awaitAnswer()
+		s.disaster()
+		s.run(s.now + time.Second + restartBound)
+		s.expectService("after a disaster", 500*time.Millisecond)
+		s.run(s.now + catchupBound - restartBound)
+	}
+}
+
+// playDisasters is a history of nothing but final faults.
+func playDisasters(seed uint64, members, lost int, m mutant) string {
+	s := newSimulation(seed, members, lost, m)
+	s.run(1500 * time.Millisecond)
+	s.load(60 * time.Millisecond)
+	s.disasters(3)
 	if s.broken == "" {
 		s.checkHistory()
 	}
 	return s.broken
 }
 
+// Bounds that the core must keep.
+const (
+	restartBound = 4 * time.Second // from the start of the last process of a core to service
+	catchupBound = 5 * time.Second // from there no machine counts as lost
+)
+
+// awaitAnswer plays until just after the next answer, so that a fault hits what was acknowledged last.
+func (s *simulation) awaitAnswer() {
+	answered, until := s.answered, s.now+time.Second
+	for len(s.queue) > 0 && s.answered == answered && s.now < until && s.broken == "" {
+		s.run(s.queue[0].at)
+	}
+}
+
 func (s *simulation) expectService(when string, within time.Duration) {
 	if s.broken != "" {
 		return
--- a/control/core/views.go
+++ b/control/core/views.go
@@ -128,6 +128,25 @@
 	return true
 }
 
+// majorityHeard says whether so many voters were heard of that a view can be decided: else those that come later would miss the
+// question, and wait until the attempt is given up.
+func (n *node) majorityHeard(now time.Duration) bool {
+	heard := 0
+	for _, member := range n.view.Voters {
+		if member.ID == n.self.ID || n.find(member.ID) != nil && n.hears(now, member.ID) {
+			heard++
+		}
+	}
+	return heard >= n.view.Majority()
+}
+
+// prepareLate asks a voter that has just come for the promise that is being gathered.
+func (n *node) prepareLate(member view.Member) {
+	if n.proposer != nil && n.proposer.Gathering() && n.isVoter(member.ID) {
+		n.deliver(post{member.Address, n.proposer.Prepare()})
+	}
+}
+
 // rank is how many members that live come before this one as proposers.
 func (n *node) rank(now time.Duration) int {
 	rank := 0
@@ -169,7 +188,7 @@
 	if n.wanted < 0 {
 		n.wanted = now
 	}
-	if now < n.wanted+time.Duration(n.rank(now))*rankPause || now < n.retryAt {
+	if now < n.wanted+time.Duration(n.rank(now))*rankPause || now < n.retryAt || !n.majorityHeard(now) {
 		return
 	}
 	n.propose(now)
--- a/control/lease/lease_gen.go
+++ b/control/lease/lease_gen.go
@@ -6,6 +6,97 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// DecodeMsg implements msgp.Decodable
+func (z *Past) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	err = z.Holder.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "Holder")
+		return
+	}
+	z.Unknown, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Unknown")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Past) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = z.Holder.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Holder")
+		return
+	}
+	err = en.WriteBool(z.Unknown)
+	if err != nil {
+		err = msgp.WrapError(err, "Unknown")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Past) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o, err = z.Holder.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Holder")
+		return
+	}
+	o = msgp.AppendBool(o, z.Unknown)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Past) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	bts, err = z.Holder.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Holder")
+		return
+	}
+	z.Unknown, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Unknown")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Past) Msgsize() (s int) {
+	s = 1 + z.Holder.Msgsize() + msgp.BoolSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Release) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -14,8 +105,13 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Life, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Life")
 		return
 	}
 	z.Round, err = dc.ReadUint64()
@@ -28,9 +124,14 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z Release) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 1
-	err = en.Append(0x91)
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Life)
 	if err != nil {
+		err = msgp.WrapError(err, "Life")
 		return
 	}
 	err = en.WriteUint64(z.Round)
@@ -44,8 +145,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z Release) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint64(o, z.Life)
 	o = msgp.AppendUint64(o, z.Round)
 	return
 }
@@ -58,8 +160,13 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Life, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Life")
 		return
 	}
 	z.Round, bts, err = msgp.ReadUint64Bytes(bts)
@@ -73,7 +180,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Release) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size
 	return
 }
 
@@ -85,8 +192,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Epoch, err = dc.ReadUint64()
@@ -94,6 +201,11 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
+	z.Life, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Life")
+		return
+	}
 	z.Round, err = dc.ReadUint64()
 	if err != nil {
 		err = msgp.WrapError(err, "Round")
@@ -108,9 +220,9 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z Reply) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+func (z *Reply) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -119,6 +231,11 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
+	err = en.WriteUint64(z.Life)
+	if err != nil {
+		err = msgp.WrapError(err, "Life")
+		return
+	}
 	err = en.WriteUint64(z.Round)
 	if err != nil {
 		err = msgp.WrapError(err, "Round")
@@ -133,11 +250,12 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Reply) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Reply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendUint64(o, z.Epoch)
+	o = msgp.AppendUint64(o, z.Life)
 	o = msgp.AppendUint64(o, z.Round)
 	o = msgp.AppendBool(o, z.Granted)
 	return
@@ -151,8 +269,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
@@ -160,6 +278,11 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
+	z.Life, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Life")
+		return
+	}
 	z.Round, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Round")
@@ -175,8 +298,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Reply) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize
+func (z *Reply) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize
 	return
 }
 
@@ -188,8 +311,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Epoch, err = dc.ReadUint64()
@@ -197,6 +320,11 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
+	z.Life, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Life")
+		return
+	}
 	z.Round, err = dc.ReadUint64()
 	if err != nil {
 		err = msgp.WrapError(err, "Round")
@@ -207,8 +335,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z Request) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
 		return
 	}
@@ -217,6 +345,11 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
+	err = en.WriteUint64(z.Life)
+	if err != nil {
+		err = msgp.WrapError(err, "Life")
+		return
+	}
 	err = en.WriteUint64(z.Round)
 	if err != nil {
 		err = msgp.WrapError(err, "Round")
@@ -228,9 +361,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z Request) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendUint64(o, z.Epoch)
+	o = msgp.AppendUint64(o, z.Life)
 	o = msgp.AppendUint64(o, z.Round)
 	return
 }
@@ -243,8 +377,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
@@ -252,6 +386,11 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
+	z.Life, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Life")
+		return
+	}
 	z.Round, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Round")
@@ -263,6 +402,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Request) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size
 	return
 }
--- /dev/null
+++ b/control/lease/lease_test.go
@@ -0,0 +1,115 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravendale/control/view"
+)
+
+const (
+	ms = time.Millisecond
+	a  = view.ID(1)
+	b  = view.ID(2)
+	c  = view.ID(3)
+)
+
+func testTerms() Terms { return Terms{Length: 1000 * ms, Margin: 100 * ms, Renew: 250 * ms} }
+
+func request(life, round uint64) *Request { return &Request{Epoch: 1, Life: life, Round: round} }
+
+func grants(v *Voter, now time.Duration, candidate view.ID, life, round uint64) bool {
+	granted, _ := v.Grant(now, candidate, request(life, round))
+	return granted
+}
+
+func TestAVoterGrantsOneAtATime(t *testing.T) {
+	v := NewVoter(0, testTerms(), Past{})
+	granted, changed := v.Grant(0, a, request(7, 1))
+	require.True(t, granted)
+	require.True(t, changed, "who it is has to be written")
+	granted, changed = v.Grant(500*ms, a, request(7, 2))
+	require.True(t, granted)
+	require.False(t, changed, "a renewal need not be")
+	require.False(t, grants(v, 1499*ms, b, 8, 1))
+	require.True(t, grants(v, 1500*ms, b, 8, 2))
+	require.Equal(t, Past{Holder: b}, v.Past())
+}
+
+func TestAVoterThatStartsGrantsOnlyToWhomItGrantedLast(t *testing.T) {
+	v := NewVoter(5000*ms, testTerms(), Past{Holder: a})
+	require.Equal(t, a, v.Heir(5000*ms))
+	require.False(t, grants(v, 5000*ms, b, 8, 1))
+	require.True(t, grants(v, 5001*ms, a, 9, 1), "in whatever life")
+	require.False(t, grants(v, 6000*ms, b, 8, 2), "not while that lasts")
+	require.True(t, grants(v, 6001*ms, b, 8, 3))
+
+	v = NewVoter(5000*ms, testTerms(), Past{Holder: a})
+	require.False(t, grants(v, 5999*ms, b, 8, 1), "its old grant may last so long")
+	require.True(t, grants(v, 6000*ms, b, 8, 2))
+}
+
+func TestAVoterThatNeverGrantedNeedNotWait(t *testing.T) {
+	require.True(t, grants(NewVoter(5000*ms, testTerms(), Past{}), 5000*ms, b, 8, 1))
+}
+
+func TestAVoterThatCannotKnowWaitsForAll(t *testing.T) {
+	v := NewVoter(0, testTerms(), Past{Unknown: true})
+	require.False(t, grants(v, 999*ms, a, 7, 1))
+	require.False(t, grants(v, 999*ms, b, 8, 1))
+	require.Zero(t, v.Heir(0))
+	_, quiet := v.Holder(0)
+	require.True(t, quiet)
+	require.True(t, grants(v, 1000*ms, b, 8, 2))
+}
+
+func TestAReleaseEndsOnlyGrantsOfItsLife(t *testing.T) {
+	v := NewVoter(0, testTerms(), Past{})
+	require.True(t, grants(v, 0, a, 7, 40))
+	require.True(t, grants(v, 100*ms, a, 9, 1), "the next life")
+	v.Release(a, &Release{Life: 7, Round: 41})
+	require.False(t, grants(v, 200*ms, b, 8, 1), "a late release of the life before")
+	v.Release(a, &Release{Life: 9, Round: 1})
+	require.True(t, grants(v, 200*ms, b, 8, 2))
+}
+
+func threeVoters(epoch uint64, ids ...view.ID) *view.View {
+	v := &view.View{Epoch: epoch}
+	for _, id := range ids {
+		v.Voters = append(v.Voters, view.Member{ID: id})
+	}
+	return v
+}
+
+func TestAnAnswerCountsOnlyInItsLife(t *testing.T) {
+	current := threeVoters(1, a, b, c)
+	h := NewHolder(testTerms(), 9)
+	h.Ask(0, 1)
+	require.False(t, h.Granted(current, a, &Reply{Epoch: 1, Life: 7, Round: 1, Granted: true}))
+	require.False(t, h.Granted(current, b, &Reply{Epoch: 1, Life: 7, Round: 1, Granted: true}))
+	require.False(t, h.Valid(0))
+	require.False(t, h.Granted(current, a, &Reply{Epoch: 1, Life: 9, Round: 1, Granted: true}))
+	require.True(t, h.Granted(current, b, &Reply{Epoch: 1, Life: 9, Round: 1, Granted: true}))
+	require.True(t, h.Valid(899*ms))
+	require.False(t, h.Valid(900*ms), "a margin before the voters' end")
+}
+
+func TestOtherVotersInheritWhoCanHold(t *testing.T) {
+	old, same, other := threeVoters(4, a, b, c), threeVoters(5, c, b, a), threeVoters(5, a, b)
+	require.Equal(t, Past{Holder: c}, Past{Holder: c}.Adopt(old, same))
+	other.Holder = a
+	require.Equal(t, Past{Holder: a}, Past{Holder: c}.Adopt(old, other))
+	other.Holder = 0
+	require.Equal(t, Past{Unknown: true}, Past{Holder: c}.Adopt(old, other))
+	require.Equal(t, Past{Unknown: true}, Past{}.Adopt(threeVoters(0), threeVoters(7, a, b, c)), "a newcomer")
+	require.Equal(t, Past{}, Past{}.Adopt(threeVoters(0), threeVoters(1, a, b, c)), "a founder")
+	require.Equal(t, Past{Unknown: true}, Past{Holder: c}.Adopt(old, threeVoters(6, a, b, c)), "one that missed a view")
+
+	v := NewVoter(0, testTerms(), Past{Holder: c})
+	other.Holder = a
+	v.Adopt(2000*ms, old, other)
+	require.False(t, grants(v, 2999*ms, c, 7, 1))
+	require.True(t, grants(v, 2001*ms, a, 8, 1))
+}
--- a/control/view/proposer.go
+++ b/control/view/proposer.go
@@ -33,6 +33,9 @@
 // Prepare is the message of the first phase.
 func (p *Proposer) Prepare() *Prepare { return &Prepare{View: p.view, Ballot: p.ballot} }
 
+// Gathering says whether promises are still waited for.
+func (p *Proposer) Gathering() bool { return p.value == nil }
+
 // Epoch is that of the view whose successor is sought.
 func (p *Proposer) Epoch() uint64 { return p.view.Epoch }
 
