--- a/queue/core.go
+++ b/queue/core.go
@@ -71,8 +71,9 @@
 	remindEvery      = 4 * time.Second // longer than an edge waits for the answer to a put
 	maxHandedOver    = 64              // messages that an edge was given whole and that have not ended
 	otherZone        = 8               // handed-over messages that an edge of the own zone may have more than others
-	fillBytes        = 32 << 10        // of one batch that fills a member
-	fetchCount       = 256             // names in one Fetch
+	releasedFor      = 20 * time.Second
+	fillBytes        = 32 << 10 // of one batch that fills a member
+	fetchCount       = 256      // names in one Fetch
 	rewriteBytes     = 512 << 10
 	scrubRound       = 4 // scrubs in which each partition is compared once
 	// A primary hands out messages only if all members took something from it so recently: one that was frozen, and replaced
@@ -172,6 +173,7 @@
 	fillers   []*peer       // joining members
 	syncs     []*filling
 	ops       []*op
+	released  time.Duration // when what is left of it is forgotten; zero: it is held
 	filledFor uint64        // epoch for which the primary said that this store has it whole
 	confirmed time.Duration // when the newest change or barrier began that all members have taken
 	barrier   *op           // under way
--- a/queue/core_test.go
+++ b/queue/core_test.go
@@ -493,10 +493,42 @@
 	r.view(2, []uint16{1}, []uint16{2})
 	assert.Len(t, r.core.at(0).entries, 1)
 	r.view(3, []uint16{1, 2}, nil)
+	r.pass(releasedFor - ms)
+	assert.Len(t, r.core.at(0).entries, 1)
+	r.pass(maintenanceEvery)
 	assert.Empty(t, r.core.at(0).entries)
 	assert.Zero(t, r.core.messages)
 }
 
+// A store that was away for a moment, and replaced meanwhile, needs only what has changed.
+func TestPartitionThatComesBackSoonIsNotWiped(t *testing.T) {
+	r := newRig(t)
+	r.view(1, []uint16{1, 0}, nil)
+	record := &Record{Kind: RecordWhole, ID: "0.1", Sequence: 1<<32 + 1, Message: plain("")}
+	r.core.Replicate(r.now, &heard{}, &Replicate{Epoch: 1, Number: 1, Records: [][]byte{record.encode()}})
+	r.view(3, []uint16{1, 2}, nil)
+	r.pass(releasedFor / 2)
+	r.view(4, []uint16{1, 2}, []uint16{0})
+	b := &heard{}
+	r.core.Compare(r.now, b, &Compare{Epoch: 4, Sums: r.core.at(0).sums[:]})
+	assert.EqualValues(t, bucketCount, last[Differ](b).Bucket, "nothing differs")
+	r.pass(2 * releasedFor)
+	assert.Len(t, r.core.at(0).entries, 1)
+}
+
+func TestPartitionIsWipedSoonerOnACrowdedDisk(t *testing.T) {
+	r := newRig(t)
+	r.core.config.MaxMessages = 3
+	r.view(1, []uint16{1, 0}, nil)
+	for i := range 2 {
+		record := &Record{Kind: RecordWhole, ID: fmt.Sprintf("0.%d", i), Sequence: uint64(i), Message: plain("")}
+		r.core.Replicate(r.now, &heard{}, &Replicate{Epoch: 1, Number: 1, Records: [][]byte{record.encode()}})
+	}
+	r.view(3, []uint16{1, 2}, nil)
+	r.pass(maintenanceEvery)
+	assert.Empty(t, r.core.at(0).entries)
+}
+
 // fillCore puts messages into a core, and has them end if wanted.
 func fillCore(b *testing.B, n int, end bool) *rig {
 	t := &testing.T{}
--- a/queue/maintain.go
+++ b/queue/maintain.go
@@ -12,6 +12,7 @@
 func (c *Core) maintain() {
 	if c.now.Steady >= c.nextWork {
 		c.nextWork = c.now.Steady + maintenanceEvery
+		c.wipeReleased()
 		c.forgetOld()
 		c.reclaim()
 	}
@@ -107,7 +108,7 @@
 		}
 		c.journal.Remove(oldest)
 	}
-	if oldest < newest && c.config.DiskBytes > 0 && c.journal.Used()*100 > c.config.DiskBytes*rewriteAbove {
+	if oldest < newest && c.crowded() {
 		c.rewrite(oldest)
 		c.nextWork = min(c.nextWork, c.now.Steady+maintenanceEvery/20)
 	}
--- a/queue/view.go
+++ b/queue/view.go
@@ -98,6 +98,7 @@
 	p.members = append(c.others(replicas), p.fillers...)
 	p.syncs = nil
 	if p.primary {
+		p.released = 0
 		c.lead(p, wasPrimary, c.others(replicas), oldMembers)
 		return
 	}
@@ -167,13 +168,37 @@
 	p.unmerged = nil
 }
 
-// release lets go of a partition that others hold whole.
+// release lets go of a partition that others hold whole: not at once, for a store that was away for a moment is likely to be given it
+// back, and then needs only what has changed.
 func (c *Core) release(p *partition, whole bool) {
-	if p.replica || p.joining || !whole || len(p.entries) == 0 {
-		return
+	switch {
+	case p.replica || p.joining || !whole || len(p.entries) == 0:
+		p.released = 0
+	case p.released == 0:
+		p.released = c.now.Steady + releasedFor
+	}
+}
+
+// wipeReleased forgets partitions that were let go of, sooner if there is little room.
+func (c *Core) wipeReleased() {
+	for _, p := range c.partitions {
+		if p == nil || p.released == 0 || c.now.Steady < p.released && !c.tight() {
+			continue
+		}
+		c.write(&Record{Kind: RecordWipe, Partition: p.number})
+		c.wipeTable(p)
+		p.released = 0
 	}
-	c.write(&Record{Kind: RecordWipe, Partition: p.number})
-	c.wipeTable(p)
+}
+
+// tight says whether the store has half as much as it can hold.
+func (c *Core) tight() bool {
+	return c.crowded() || c.config.MaxMessages > 0 && c.messages*2 > c.config.MaxMessages
+}
+
+// crowded says whether the disk has so much that old segments are rewritten.
+func (c *Core) crowded() bool {
+	return c.config.DiskBytes > 0 && c.journal.Used()*100 > c.config.DiskBytes*rewriteAbove
 }
 
 func (w waiter) refuse(code wire.PutCode, epoch uint64) {
