Read whom a control process granted the leader lease from its disk

Need: the image and the records of the core have one part more, without which the command line can't read them. Tested: the tests of the package.

--- a/cmd/ravendalectl/internal/disks/core.go
+++ b/cmd/ravendalectl/internal/disks/core.go
@@ -222,12 +222,15 @@
 func (i *coreImage) replay(change *coreRecord) {
 	switch {
 	case change.View != nil:
+		i.Lease = i.Lease.Adopt(&i.View, change.View)
 		i.View = *change.View
 		i.Chain.Follow(i.ID, &i.View)
 	case change.Vote != nil:
 		i.Vote = *change.Vote
 	case change.Write != nil:
 		i.Chain.Replay(change.Write)
+	case change.Lease != nil:
+		i.Lease = *change.Lease
 	}
 }
 
--- a/cmd/ravendalectl/internal/disks/image.go
+++ b/cmd/ravendalectl/internal/disks/image.go
@@ -2,6 +2,7 @@
 
 import (
 	"ravendale/control/chain"
+	"ravendale/control/lease"
 	"ravendale/control/view"
 )
 
@@ -16,6 +17,7 @@
 	Vote     view.Vote
 	Chain    chain.State
 	Machine  []byte
+	Lease    lease.Past
 }
 
 // coreRecord is the content of a record of the log. One of its parts is set.
@@ -23,4 +25,5 @@
 	View  *view.View
 	Vote  *view.Vote
 	Write *chain.Write
+	Lease *lease.Past
 }
--- a/cmd/ravendalectl/internal/disks/image_gen.go
+++ b/cmd/ravendalectl/internal/disks/image_gen.go
@@ -4,6 +4,7 @@
 
 import (
 	"ravendale/control/chain"
+	"ravendale/control/lease"
 	"ravendale/control/view"
 
 	"github.com/tinylib/msgp/msgp"
@@ -17,8 +18,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	err = z.ID.DecodeMsg(dc)
@@ -64,13 +65,18 @@
 		err = msgp.WrapError(err, "Machine")
 		return
 	}
+	err = z.Lease.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "Lease")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *coreImage) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 6
-	err = en.Append(0x96)
+	// array header, size 7
+	err = en.Append(0x97)
 	if err != nil {
 		return
 	}
@@ -111,14 +117,19 @@
 		err = msgp.WrapError(err, "Machine")
 		return
 	}
+	err = z.Lease.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Lease")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *coreImage) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 7
+	o = append(o, 0x97)
 	o, err = z.ID.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "ID")
@@ -144,6 +155,11 @@
 		return
 	}
 	o = msgp.AppendBytes(o, z.Machine)
+	o, err = z.Lease.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Lease")
+		return
+	}
 	return
 }
 
@@ -155,8 +171,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	bts, err = z.ID.UnmarshalMsg(bts)
@@ -202,6 +218,11 @@
 		err = msgp.WrapError(err, "Machine")
 		return
 	}
+	bts, err = z.Lease.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Lease")
+		return
+	}
 	o = bts
 	return
 }
@@ -212,7 +233,7 @@
 	for za0001 := range z.Founders {
 		s += msgp.StringPrefixSize + len(z.Founders[za0001])
 	}
-	s += z.View.Msgsize() + z.Vote.Msgsize() + z.Chain.Msgsize() + msgp.BytesPrefixSize + len(z.Machine)
+	s += z.View.Msgsize() + z.Vote.Msgsize() + z.Chain.Msgsize() + msgp.BytesPrefixSize + len(z.Machine) + z.Lease.Msgsize()
 	return
 }
 
@@ -224,8 +245,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	if dc.IsNil() {
@@ -279,13 +300,30 @@
 			return
 		}
 	}
+	if dc.IsNil() {
+		err = dc.ReadNil()
+		if err != nil {
+			err = msgp.WrapError(err, "Lease")
+			return
+		}
+		z.Lease = nil
+	} else {
+		if z.Lease == nil {
+			z.Lease = new(lease.Past)
+		}
+		err = z.Lease.DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Lease")
+			return
+		}
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *coreRecord) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -325,14 +363,26 @@
 			return
 		}
 	}
+	if z.Lease == nil {
+		err = en.WriteNil()
+		if err != nil {
+			return
+		}
+	} else {
+		err = z.Lease.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Lease")
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *coreRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	if z.View == nil {
 		o = msgp.AppendNil(o)
 	} else {
@@ -360,6 +410,15 @@
 			return
 		}
 	}
+	if z.Lease == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Lease.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Lease")
+			return
+		}
+	}
 	return
 }
 
@@ -371,8 +430,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	if msgp.IsNil(bts) {
@@ -423,6 +482,22 @@
 			return
 		}
 	}
+	if msgp.IsNil(bts) {
+		bts, err = msgp.ReadNilBytes(bts)
+		if err != nil {
+			return
+		}
+		z.Lease = nil
+	} else {
+		if z.Lease == nil {
+			z.Lease = new(lease.Past)
+		}
+		bts, err = z.Lease.UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Lease")
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -445,5 +520,10 @@
 	} else {
 		s += z.Write.Msgsize()
 	}
+	if z.Lease == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Lease.Msgsize()
+	}
 	return
 }
