Keep the schedulers that the leader knows in the control state

Need: after a restart of all machines nobody knows how many schedulers there are, and too short a list gives each too large a share of a ceiling and of a worker's connections; so the leader waits before it lists them.

--- a/cmd/ravendalectl/internal/disks/core.go
+++ b/cmd/ravendalectl/internal/disks/core.go
@@ -271,6 +271,8 @@
 		return "term of " + command.Candidate
 	case *state.PutPlacement:
 		return fmt.Sprintf("placement %d", command.View.Epoch)
+	case *state.PutMembers:
+		return fmt.Sprintf("%d members", len(command.Edges))
 	}
 	return "barrier"
 }
--- a/control/state/commands.go
+++ b/control/state/commands.go
@@ -11,7 +11,7 @@
 
 //go:generate go run github.com/tinylib/msgp -file commands.go -o commands_gen.go -tests=false
 
-//msgp:tuple Set Patch Show TakeTerm PutPlacement Barrier
+//msgp:tuple Set Patch Show TakeTerm PutPlacement Barrier PutMembers
 //msgp:ignore Command
 
 // Kind is the first byte of an encoded command.
@@ -25,6 +25,7 @@
 	KindTakeTerm
 	KindPutPlacement
 	KindBarrier
+	KindPutMembers
 )
 
 // Command is what the machine can be told.
@@ -62,12 +63,19 @@
 // Barrier changes nothing: once it is applied, so is all that came before it.
 type Barrier struct{}
 
+// PutMembers keeps which schedulers there are, for the next leader. Term is the leader's. Their order and whether they are ready are not kept.
+type PutMembers struct {
+	Term  uint64
+	Edges []wire.Edge
+}
+
 func (*Set) kind() Kind          { return KindSet }
 func (*Patch) kind() Kind        { return KindPatch }
 func (*Show) kind() Kind         { return KindShow }
 func (*TakeTerm) kind() Kind     { return KindTakeTerm }
 func (*PutPlacement) kind() Kind { return KindPutPlacement }
 func (*Barrier) kind() Kind      { return KindBarrier }
+func (*PutMembers) kind() Kind   { return KindPutMembers }
 
 // Errors of decoding a command.
 var (
@@ -111,6 +119,8 @@
 		command = &PutPlacement{}
 	case KindBarrier:
 		command = &Barrier{}
+	case KindPutMembers:
+		command = &PutMembers{}
 	default:
 		return nil, fmt.Errorf("%w: kind %d", ErrUnknownCommand, encoded[0])
 	}
--- a/control/state/commands_gen.go
+++ b/control/state/commands_gen.go
@@ -3,6 +3,8 @@
 package state
 
 import (
+	"ravendale/wire"
+
 	"github.com/tinylib/msgp/msgp"
 )
 
@@ -200,6 +202,136 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *PutMembers) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Term, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Term")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Edges")
+		return
+	}
+	if cap(z.Edges) >= int(zb0002) {
+		z.Edges = (z.Edges)[:zb0002]
+	} else {
+		z.Edges = make([]wire.Edge, zb0002)
+	}
+	for za0001 := range z.Edges {
+		err = z.Edges[za0001].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Edges", za0001)
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *PutMembers) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Term)
+	if err != nil {
+		err = msgp.WrapError(err, "Term")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Edges)))
+	if err != nil {
+		err = msgp.WrapError(err, "Edges")
+		return
+	}
+	for za0001 := range z.Edges {
+		err = z.Edges[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Edges", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PutMembers) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint64(o, z.Term)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Edges)))
+	for za0001 := range z.Edges {
+		o, err = z.Edges[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Edges", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PutMembers) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Term, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Term")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Edges")
+		return
+	}
+	if cap(z.Edges) >= int(zb0002) {
+		z.Edges = (z.Edges)[:zb0002]
+	} else {
+		z.Edges = make([]wire.Edge, zb0002)
+	}
+	for za0001 := range z.Edges {
+		bts, err = z.Edges[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Edges", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PutMembers) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Edges {
+		s += z.Edges[za0001].Msgsize()
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *PutPlacement) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
--- a/control/state/image.go
+++ b/control/state/image.go
@@ -18,7 +18,7 @@
 // An encoded snapshot: the magic, the format's number, the msgpack of an image, and a checksum of all that.
 const (
 	magic        = "RVCS"
-	formatNumber = 1
+	formatNumber = 2
 	headSize     = len(magic) + 2
 	checksumSize = 8
 )
@@ -40,6 +40,7 @@
 	Placement *wire.StoreView
 	Term      uint64
 	Leader    string
+	Edges     []wire.Edge
 	Taken     []entry // oldest first
 }
 
@@ -55,6 +56,7 @@
 		Placement: now.Placement,
 		Term:      now.Term,
 		Leader:    now.Leader,
+		Edges:     now.Edges,
 		Taken:     m.taken.inOrder(),
 	}
 	out := make([]byte, 0, headSize+content.Msgsize()+checksumSize)
@@ -83,6 +85,7 @@
 		Placement: content.Placement,
 		Term:      content.Term,
 		Leader:    content.Leader,
+		Edges:     content.Edges,
 	})
 	return nil
 }
@@ -112,5 +115,8 @@
 	if len(content.Document) == 0 {
 		content.Document = nil
 	}
+	if len(content.Edges) == 0 {
+		content.Edges = nil
+	}
 	return content, nil
 }
--- a/control/state/image_gen.go
+++ b/control/state/image_gen.go
@@ -16,8 +16,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Document, err = dc.ReadBytes(z.Document)
@@ -64,19 +64,37 @@
 	}
 	var zb0002 uint32
 	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Edges")
+		return
+	}
+	if cap(z.Edges) >= int(zb0002) {
+		z.Edges = (z.Edges)[:zb0002]
+	} else {
+		z.Edges = make([]wire.Edge, zb0002)
+	}
+	for za0001 := range z.Edges {
+		err = z.Edges[za0001].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Edges", za0001)
+			return
+		}
+	}
+	var zb0003 uint32
+	zb0003, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err, "Taken")
 		return
 	}
-	if cap(z.Taken) >= int(zb0002) {
-		z.Taken = (z.Taken)[:zb0002]
+	if cap(z.Taken) >= int(zb0003) {
+		z.Taken = (z.Taken)[:zb0003]
 	} else {
-		z.Taken = make([]entry, zb0002)
+		z.Taken = make([]entry, zb0003)
 	}
-	for za0001 := range z.Taken {
-		err = z.Taken[za0001].DecodeMsg(dc)
+	for za0002 := range z.Taken {
+		err = z.Taken[za0002].DecodeMsg(dc)
 		if err != nil {
-			err = msgp.WrapError(err, "Taken", za0001)
+			err = msgp.WrapError(err, "Taken", za0002)
 			return
 		}
 	}
@@ -85,8 +103,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *image) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 7
-	err = en.Append(0x97)
+	// array header, size 8
+	err = en.Append(0x98)
 	if err != nil {
 		return
 	}
@@ -127,15 +145,27 @@
 		err = msgp.WrapError(err, "Leader")
 		return
 	}
+	err = en.WriteArrayHeader(uint32(len(z.Edges)))
+	if err != nil {
+		err = msgp.WrapError(err, "Edges")
+		return
+	}
+	for za0001 := range z.Edges {
+		err = z.Edges[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Edges", za0001)
+			return
+		}
+	}
 	err = en.WriteArrayHeader(uint32(len(z.Taken)))
 	if err != nil {
 		err = msgp.WrapError(err, "Taken")
 		return
 	}
-	for za0001 := range z.Taken {
-		err = z.Taken[za0001].EncodeMsg(en)
+	for za0002 := range z.Taken {
+		err = z.Taken[za0002].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Taken", za0001)
+			err = msgp.WrapError(err, "Taken", za0002)
 			return
 		}
 	}
@@ -145,8 +175,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *image) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendBytes(o, z.Document)
 	o = msgp.AppendUint64(o, z.Version)
 	o = msgp.AppendUint64(o, z.Sequence)
@@ -161,11 +191,19 @@
 	}
 	o = msgp.AppendUint64(o, z.Term)
 	o = msgp.AppendString(o, z.Leader)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Edges)))
+	for za0001 := range z.Edges {
+		o, err = z.Edges[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Edges", za0001)
+			return
+		}
+	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Taken)))
-	for za0001 := range z.Taken {
-		o, err = z.Taken[za0001].MarshalMsg(o)
+	for za0002 := range z.Taken {
+		o, err = z.Taken[za0002].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Taken", za0001)
+			err = msgp.WrapError(err, "Taken", za0002)
 			return
 		}
 	}
@@ -180,8 +218,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Document, bts, err = msgp.ReadBytesBytes(bts, z.Document)
@@ -227,19 +265,37 @@
 	}
 	var zb0002 uint32
 	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Edges")
+		return
+	}
+	if cap(z.Edges) >= int(zb0002) {
+		z.Edges = (z.Edges)[:zb0002]
+	} else {
+		z.Edges = make([]wire.Edge, zb0002)
+	}
+	for za0001 := range z.Edges {
+		bts, err = z.Edges[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Edges", za0001)
+			return
+		}
+	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Taken")
 		return
 	}
-	if cap(z.Taken) >= int(zb0002) {
-		z.Taken = (z.Taken)[:zb0002]
+	if cap(z.Taken) >= int(zb0003) {
+		z.Taken = (z.Taken)[:zb0003]
 	} else {
-		z.Taken = make([]entry, zb0002)
+		z.Taken = make([]entry, zb0003)
 	}
-	for za0001 := range z.Taken {
-		bts, err = z.Taken[za0001].UnmarshalMsg(bts)
+	for za0002 := range z.Taken {
+		bts, err = z.Taken[za0002].UnmarshalMsg(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Taken", za0001)
+			err = msgp.WrapError(err, "Taken", za0002)
 			return
 		}
 	}
@@ -256,8 +312,12 @@
 		s += z.Placement.Msgsize()
 	}
 	s += msgp.Uint64Size + msgp.StringPrefixSize + len(z.Leader) + msgp.ArrayHeaderSize
-	for za0001 := range z.Taken {
-		s += z.Taken[za0001].Msgsize()
+	for za0001 := range z.Edges {
+		s += z.Edges[za0001].Msgsize()
+	}
+	s += msgp.ArrayHeaderSize
+	for za0002 := range z.Taken {
+		s += z.Taken[za0002].Msgsize()
 	}
 	return
 }
--- a/control/state/image_test.go
+++ b/control/state/image_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
+
+	"ravendale/wire"
 )
 
 func filled(t *testing.T) *Machine {
@@ -15,6 +17,7 @@
 	patch(t, m, 5, `{"version":7,"upsert":{"routes":[`+route("a")+`]}}`)
 	apply(t, m, &TakeTerm{Candidate: "a"})
 	apply(t, m, &PutPlacement{Term: 1, View: view(1, 0, 1)})
+	apply(t, m, &PutMembers{Term: 1, Edges: []wire.Edge{{ID: "e", Node: "n", Address: "a:1", Zone: "z", Region: "r", Ready: true}}})
 	return m
 }
 
--- a/control/state/machine.go
+++ b/control/state/machine.go
@@ -21,6 +21,7 @@
 	Placement *wire.StoreView // nil: there is none yet
 	Term      uint64          // of the newest leader; 0: there was none yet
 	Leader    string          // the candidate that took Term
+	Edges     []wire.Edge     // the schedulers that a leader knew last, none of them ready
 }
 
 // Epoch is that of the placement, 0 if there is none yet.
@@ -85,6 +86,8 @@
 		return m.place(command)
 	case *Barrier:
 		return &Result{Outcome: OutcomeTaken}
+	case *PutMembers:
+		return m.keepMembers(command)
 	}
 	return failed(OutcomeMalformed, ErrUnknownCommand)
 }
@@ -168,6 +171,20 @@
 	return &Result{Outcome: OutcomeTaken}
 }
 
+// keepMembers takes the schedulers that the current leader knows.
+func (m *Machine) keepMembers(command *PutMembers) *Result {
+	next := *m.Current()
+	if command.Term != next.Term || next.Term == 0 {
+		return &Result{Outcome: OutcomeStaleTerm}
+	}
+	next.Edges = command.Edges
+	for i := range next.Edges {
+		next.Edges[i].Ready = false
+	}
+	m.current.Store(&next)
+	return &Result{Outcome: OutcomeTaken}
+}
+
 func sameView(one, other *wire.StoreView) bool {
 	if one.Epoch != other.Epoch {
 		return false
--- a/control/state/machine_test.go
+++ b/control/state/machine_test.go
@@ -158,6 +158,20 @@
 	require.Equal(t, uint64(3), m.Current().Epoch())
 }
 
+func TestOnlyTheNewestLeaderKeepsMembers(t *testing.T) {
+	m := NewMachine()
+	edges := []wire.Edge{{ID: "a", Ready: true}, {ID: "b"}}
+	require.Equal(t, OutcomeStaleTerm, apply(t, m, &PutMembers{Edges: edges}).Outcome, "nobody leads yet")
+	apply(t, m, &TakeTerm{Candidate: "a"})
+	require.Equal(t, OutcomeTaken, apply(t, m, &PutMembers{Term: 1, Edges: edges}).Outcome)
+	require.Equal(t, []wire.Edge{{ID: "a"}, {ID: "b"}}, m.Current().Edges, "none is ready")
+	apply(t, m, &TakeTerm{Candidate: "b"})
+	require.Equal(t, OutcomeStaleTerm, apply(t, m, &PutMembers{Term: 1}).Outcome)
+	require.Len(t, m.Current().Edges, 2)
+	require.Equal(t, OutcomeTaken, apply(t, m, &PutMembers{Term: 2}).Outcome)
+	require.Empty(t, m.Current().Edges)
+}
+
 func TestAPlacementNamesOnlyStoresThatItLists(t *testing.T) {
 	m := NewMachine()
 	apply(t, m, &TakeTerm{})
