Try a worker that seemed replaced again after a while

A drawn history in which all workers of a service had once answered 421 and stayed on the list never ended. Tested by hand and with 20,000 drawn histories.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -34,8 +34,8 @@
 	lastJob  JobID
 	endings  endings
 	edges    peak
-	gone     map[string]bool // listed workers whose address another has by now
-	held     int             // bytes
+	gone     gone
+	held     int // bytes
 	stopping bool
 
 	now     time.Duration
@@ -73,7 +73,7 @@
 func NewCore(config Config) *Core {
 	return &Core{
 		config: config, services: make(map[string]*service), messages: make(map[string]*message), jobs: make(map[JobID]*job),
-		gone: make(map[string]bool),
+		gone: gone{until: make(map[string]time.Duration)},
 	}
 }
 
@@ -380,6 +380,9 @@
 // Next is when Tick is due.
 func (c *Core) Next() time.Duration {
 	next := c.now + forever
+	if c.gone.next > 0 {
+		next = min(next, c.gone.next)
+	}
 	if len(c.agenda) > 0 {
 		next = min(next, c.agenda[0].due)
 	}
@@ -395,6 +398,9 @@
 // Tick does what is due.
 func (c *Core) Tick(now time.Duration) []Action {
 	c.begin(now)
+	if c.gone.forget(c.now) {
+		c.retuneAll()
+	}
 	for len(c.agenda) > 0 && c.agenda[0].due <= c.now {
 		c.look(c.agenda[0])
 	}
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -55,7 +55,7 @@
 }
 
 // entries lists a service's workers for its module, but for those that are gone, and their addresses.
-func entries(config *catalog.Service, workers *wire.Workers, gone map[string]bool, t *Topology) ([]ravendale.Entry, map[string]string) {
+func entries(config *catalog.Service, workers *wire.Workers, gone *gone, t *Topology) ([]ravendale.Entry, map[string]string) {
 	addresses := make(map[string]string)
 	if config.Endpoint != "" {
 		addresses[config.Endpoint] = config.Endpoint
@@ -67,7 +67,7 @@
 	}
 	for i := range workers.Entries {
 		w := &workers.Entries[i]
-		if w.Service != config.Name || gone[w.ID] {
+		if w.Service != config.Name || gone.has(w.ID) {
 			continue
 		}
 		addresses[w.ID] = w.Address
--- a/dispatch/topology.go
+++ b/dispatch/topology.go
@@ -77,7 +77,7 @@
 
 // relist tells a module of its workers, and wakes what waited for the first of them.
 func (c *Core) relist(s *service, config *catalog.Service) {
-	list, addresses := entries(config, c.workers, c.gone, &c.config.Topology)
+	list, addresses := entries(config, c.workers, &c.gone, &c.config.Topology)
 	if slices.Equal(list, s.listed) && sameAddresses(s.addresses, addresses) {
 		return
 	}
@@ -146,7 +146,7 @@
 func (c *Core) List(now time.Duration, workers *wire.Workers) []Action {
 	c.begin(now)
 	c.workers = workers
-	c.forgetGone()
+	c.gone.keep(workers)
 	c.retuneAll()
 	return c.end()
 }
@@ -154,25 +154,13 @@
 // lose takes a worker for gone whose address another has, whatever the list says: a worker that starts again has another name.
 func (c *Core) lose(s *service, name string) {
 	config := c.index.Service(s.name)
-	if config == nil || s.endpoint != "" || c.gone[name] {
+	if config == nil || s.endpoint != "" || c.gone.has(name) {
 		return
 	}
-	c.gone[name] = true
+	c.gone.add(c.now, name)
 	c.relist(s, config)
 }
 
-// forgetGone forgets workers that the list has forgotten, too.
-func (c *Core) forgetGone() {
-	if len(c.gone) == 0 {
-		return
-	}
-	listed := make(map[string]bool)
-	for i := range c.workers.Entries {
-		listed[c.workers.Entries[i].ID] = true
-	}
-	maps.DeleteFunc(c.gone, func(name string, _ bool) bool { return !listed[name] })
-}
-
 // Place takes the edges that share the work.
 func (c *Core) Place(now time.Duration, edges []wire.Edge) []Action {
 	c.begin(now)
