List members at once after a whole restart, and renew quickly at a start

Need: after all machines restarted, a new leader waited 0.6 s before it listed members, and a member that was granted a lease before the newest versions could be named asked again only with its next heartbeat. Change: the leader keeps the schedulers in the control state; its successor counts them until they have renewed or two heartbeats have passed, and so lists them at once. Lists follow one another 100 ms apart at the least. A member tries again after about 75 ms, for a while, until a leader has named the newest versions, gives up a connect after 200 ms, and logs once when its state is current. Tested: a restarted system on sockets of which a part comes back; the session by hand; under the race detector.

--- a/control/leader/leader_test.go
+++ b/control/leader/leader_test.go
@@ -315,6 +315,36 @@
 	f.eventually("one more joins", all([]*process{late}, hasMembers(7)))
 }
 
+// TestALeaderOfARestartedSystemCountsAllSchedulers has all processes end, and some come back.
+func TestALeaderOfARestartedSystemCountsAllSchedulers(t *testing.T) {
+	f := newFleet(t, 2)
+	f.setWorkers("a")
+	f.lead(f.controls[0])
+	edges := f.edges(2, 3)
+	f.eventually("all are members", all(edges, hasMembers(6)))
+	f.eventually("they are kept", func() bool { return len(f.machine.Current().Edges) == 6 })
+	f.controls[0].depose()
+	for _, p := range edges {
+		p.kill()
+	}
+	began := time.Now()
+	f.lead(f.controls[1])
+	var back []*process
+	for _, p := range edges[:4] {
+		back = append(back, f.member(wire.Member{Node: p.self.Node, Zone: p.self.Zone, Address: p.self.Address, Edge: true}))
+	}
+	f.eventually("those who are back have a list", all(back, func(p *process) bool { return p.Current() }))
+	require.Less(t, time.Since(began), membersFirst, "at once")
+	for _, p := range back {
+		require.Len(t, p.Snapshot().Members.Edges, 6, "that counts the others too")
+	}
+	f.eventually("who does not come is dropped", all(back, hasMembers(4)))
+	for _, p := range back {
+		require.EqualValues(t, 2, p.shrunk.Load())
+	}
+	f.eventually("and no longer kept", func() bool { return len(f.machine.Current().Edges) == 4 })
+}
+
 func (f *fleet) view() *wire.StoreView { return f.machine.Current().Placement }
 
 // fill has the stores say that they hold all that they are joining.
--- a/control/leader/term.go
+++ b/control/leader/term.go
@@ -27,7 +27,10 @@
 	storeGrace    = 1500 * time.Millisecond // for stores to find a new leader before one of them is taken for lost
 	foundingQuiet = 500 * time.Millisecond  // without a new store, before the queue is placed first
 	membersQuiet  = 300 * time.Millisecond  // without a new scheduler, before they are listed first
-	membersFirst  = 600 * time.Millisecond  // before that the first list is not made
+	membersFirst  = 600 * time.Millisecond  // before that the first list is not made, unless an earlier leader's was kept
+	membersEvery  = 100 * time.Millisecond  // the list is made anew
+	membersFetch  = 150 * time.Millisecond  // for a member to hand over the list that it has, before the one that was kept is told
+	keepEvery     = 250 * time.Millisecond  // the schedulers are kept for the next leader
 	workersGrace  = 2 * time.Second         // for a list of workers, before members are told that there is none
 	invalidPause  = 50 * time.Millisecond
 	placeEvery    = 200 * time.Millisecond // each new placement disturbs: only losses are acted on at once
@@ -63,7 +66,12 @@
 	unlisted  bool           // members changed since they were published
 	adopted   relay.Versions // what was taken over from members of earlier terms
 	fetching  [wire.TopicCount]bool
-	earlier   bool // some member knows a list of an earlier term
+	earlier   bool          // some member knows a list of an earlier term
+	earlierAt time.Duration // when the first of them renewed
+	inherited bool          // an earlier leader's schedulers were kept
+	listedAt  time.Duration // when members were published last
+	keeping   bool          // the schedulers are being kept
+	keepAt    time.Duration // not before
 	lastEdge  time.Duration
 	edges     map[string]bool // IDs of those that renewed in this term
 
@@ -95,6 +103,7 @@
 	t.ctx = ctx
 	t.work.Go(func() { t.node.Run(ctx) })
 	t.work.Go(func() { t.discover(ctx) })
+	t.inherit()
 	t.box.Run(ctx, t.tick)
 	cancel()
 	close(t.done)
@@ -103,6 +112,17 @@
 
 func (t *term) now() time.Duration { return time.Since(t.started) }
 
+// inherit counts the schedulers that an earlier leader kept until they have renewed or had the time to: the list may be too long for
+// a while, which is safe.
+func (t *term) inherit() {
+	edges := t.service.config.State().Edges
+	if len(edges) == 0 {
+		return
+	}
+	t.inherited = true
+	t.note(t.registry.Adopt(t.now(), &wire.Members{Edges: edges}))
+}
+
 // tick does what is due after each event.
 func (t *term) tick() time.Duration {
 	if !t.valid() {
@@ -112,6 +132,7 @@
 	t.note(t.registry.Tick(now))
 	t.followState()
 	t.publishMembers(now)
+	t.keepMembers(now)
 	t.place(now)
 	return t.next(now)
 }
@@ -136,6 +157,11 @@
 	}
 	if t.members == nil {
 		consider(max(t.membersDue(), now+invalidPause))
+	} else if t.unlisted {
+		consider(t.listedAt + membersEvery)
+	}
+	if t.keepAt > now {
+		consider(t.keepAt)
 	}
 	for _, at := range []time.Duration{storeGrace, t.lastStore + foundingQuiet, t.retryAt} {
 		if at > now {
@@ -244,8 +270,8 @@
 
 // adopt asks a member for the topics that it knows of an earlier term, as long as this one has nothing better.
 func (t *term) adopt(c *rpc.Conn, have relay.Versions) {
-	if have[wire.TopicMembers] != (wire.Version{}) {
-		t.earlier = true
+	if have[wire.TopicMembers] != (wire.Version{}) && !t.earlier {
+		t.earlier, t.earlierAt = true, t.now()
 	}
 	if t.workers == nil {
 		t.ask(c, wire.TopicWorkers, have[wire.TopicWorkers])
@@ -292,27 +318,29 @@
 	}
 }
 
-// membersDue is when the first list of members of this term is made: at once after one was adopted, and else when it can be
+// membersDue is when the first list of members of this term is made: at once after one was adopted or kept, and else when it can be
 // thought to be whole. Too short a list would have schedulers take too large a share of a service.
 func (t *term) membersDue() time.Duration {
-	if t.adopted[wire.TopicMembers] != (wire.Version{}) {
+	switch {
+	case t.adopted[wire.TopicMembers] != (wire.Version{}), t.inherited && !t.earlier:
 		return 0
-	}
-	if t.earlier {
+	case t.inherited:
+		return t.earlierAt + membersFetch
+	case t.earlier:
 		return t.lease.Suspicion()
 	}
 	return max(t.lastEdge+membersQuiet, membersFirst)
 }
 
 func (t *term) publishMembers(now time.Duration) {
-	if t.members == nil && (now < t.membersDue() || len(t.edges) == 0) {
+	if t.members == nil && (now < t.membersDue() || len(t.edges) == 0 && !t.inherited) {
 		return
 	}
 	t.lookAtCore(now)
-	if !t.unlisted {
+	if !t.unlisted || t.members != nil && now < t.listedAt+membersEvery {
 		return
 	}
-	t.unlisted = false
+	t.unlisted, t.listedAt = false, now
 	members := &wire.Members{Edges: t.registry.Edges(), Core: t.core}
 	payload, err := members.MarshalMsg(nil)
 	if err != nil || t.members != nil && bytes.Equal(payload, t.members) {
@@ -322,6 +350,36 @@
 	t.announce(wire.TopicMembers, members)
 }
 
+// keepMembers has the control state keep the schedulers that are listed.
+func (t *term) keepMembers(now time.Duration) {
+	if t.members == nil || t.keeping || now < t.keepAt {
+		return
+	}
+	edges := t.registry.Edges()
+	if slices.EqualFunc(edges, t.service.config.State().Edges, sameEdge) {
+		return
+	}
+	t.keeping = true
+	t.work.Go(func() {
+		t.keep(edges)
+		t.box.Post(func() { t.keeping, t.keepAt = false, t.now()+keepEvery })
+	})
+}
+
+func sameEdge(a, b wire.Edge) bool {
+	a.Ready, b.Ready = false, false
+	return a == b
+}
+
+func (t *term) keep(edges []wire.Edge) {
+	if !t.valid() {
+		return
+	}
+	if _, err := t.service.submit(t.ctx, &state.PutMembers{Term: t.number, Edges: edges}); err != nil {
+		t.service.log.Debug("the schedulers were not kept", "error", err)
+	}
+}
+
 func (t *term) lookAtCore(now time.Duration) {
 	if t.core != nil && now < t.coreSeen+coreEvery {
 		return
--- a/member/agent.go
+++ b/member/agent.go
@@ -18,7 +18,7 @@
 
 // Times of the connection to a control process. Renewals tell soon enough when it is silent, so that pings are hardly needed.
 const (
-	connectWithin = 300 * time.Millisecond
+	connectWithin = 200 * time.Millisecond
 	pingAfter     = 2 * time.Second
 	silentAfter   = 5 * time.Second
 )
@@ -47,12 +47,14 @@
 	leader   atomic.Pointer[rpc.Conn]       // to who granted last, while it is up
 
 	// The rest belongs to the goroutine of Run.
-	session *session
-	link    *rpc.Link
-	conn    *rpc.Conn
-	leaving bool
-	left    []chan struct{} // closed once a leader knows that the process is leaving
-	parents parentsKey
+	session  *session
+	link     *rpc.Link
+	conn     *rpc.Conn
+	leaving  bool
+	left     []chan struct{} // closed once a leader knows that the process is leaving
+	parents  parentsKey
+	granting bool // it was granted a lease
+	told     bool // the log says that the state is current
 }
 
 // New makes an agent and registers its handlers on the Mux. Nothing else happens before Run.
@@ -211,16 +213,41 @@
 }
 
 func (a *Agent) granted(conn *rpc.Conn, reply *wire.RenewReply) {
+	if !a.granting {
+		a.granting = true
+		a.log.Debug("member of the system", "leader", a.session.leader, "after", a.now())
+	}
 	a.leader.Store(conn)
 	a.leaseEnd.Store(int64(a.session.renewed + a.session.lease))
-	if a.first.Load() == nil && len(reply.Heads) == int(wire.TopicCount) {
-		first := relay.VersionsOf(reply.Heads)
-		a.first.Store(&first)
-	}
+	a.named(reply.Heads)
 	a.node.Named(reply.Heads)
 	a.placeInTree()
 }
 
+// named notes the versions that the first renewal names which does so.
+func (a *Agent) named(heads []wire.Version) {
+	if a.first.Load() != nil {
+		return
+	}
+	if len(heads) != int(wire.TopicCount) {
+		a.session.unnamed(a.now())
+		return
+	}
+	first := relay.VersionsOf(heads)
+	a.first.Store(&first)
+	a.session.named = true
+	a.tellCurrent()
+}
+
+// tellCurrent logs once that the process has the newest state, and how long that took.
+func (a *Agent) tellCurrent() {
+	if a.told || !a.Current() {
+		return
+	}
+	a.told = true
+	a.log.Info("state is current", "leader", a.session.leader, "after", a.now())
+}
+
 // parentsKey is what the process's parents follow from.
 type parentsKey struct {
 	leader  string
@@ -257,6 +284,7 @@
 		return
 	}
 	a.snapshot.Store(snapshot)
+	a.tellCurrent()
 	if topic == wire.TopicMembers && len(snapshot.Members.Core) > 0 {
 		a.session.setCore(snapshot.Members.Core)
 	}
--- a/member/session.go
+++ b/member/session.go
@@ -13,6 +13,8 @@
 	retryPause   = 130 * time.Millisecond // around which to wait after a failure
 	hopsAllowed  = 3                      // from one control process to the next before a pause
 	leaseParts   = 3                      // renewals within a lease
+	startPause   = 75 * time.Millisecond  // around which to wait at first, until the newest versions are known
+	startTries   = 16                     // so often
 )
 
 // session decides when to renew the lease, and at which control process. It is pure: time and events go in, target and what
@@ -32,6 +34,8 @@
 	renewed time.Duration // when the renewal that was granted last was sent
 	lease   time.Duration
 	again   bool // something changed while a renewal was under way
+	named   bool // a leader has named the newest versions: the start is over
+	tries   int  // pauses before that
 }
 
 func newSession(random *rand.Rand, heartbeat time.Duration, seeds []string) *session {
@@ -87,6 +91,13 @@
 	s.due = now
 }
 
+// unnamed tells that the leader granted a lease and could not name the newest versions yet: it is asked again soon.
+func (s *session) unnamed(now time.Duration) {
+	if !s.waiting {
+		s.due = min(s.due, now+s.spread(s.retryIn()))
+	}
+}
+
 func (s *session) setSeeds(seeds []string) { s.seeds = seeds }
 
 func (s *session) setCore(core []string) { s.core = core }
@@ -123,7 +134,20 @@
 
 func (s *session) pause(now time.Duration) {
 	s.waiting, s.sent, s.hops = false, false, 0
-	s.due = now + retryPause/2 + time.Duration(s.random.Int64N(int64(retryPause)))
+	s.due = now + s.spread(s.retryIn())
+}
+
+// retryIn is about how long to wait before the next try.
+func (s *session) retryIn() time.Duration {
+	if s.named || s.tries >= startTries {
+		return retryPause
+	}
+	s.tries++
+	return startPause
+}
+
+func (s *session) spread(around time.Duration) time.Duration {
+	return around/2 + time.Duration(s.random.Int64N(int64(around)))
 }
 
 // disconnected tells that the connection to the target has ended. Between renewals it is only made again.
--- a/member/session_test.go
+++ b/member/session_test.go
@@ -193,7 +193,7 @@
 			}
 			require.False(t, s.leased(now) && now >= s.renewed+600*ms)
 		}
-		s.renewed, s.lease = 0, 0 // whatever was granted
+		s.renewed, s.lease = 0, 0                     // whatever was granted
 		for start := now; !s.leased(now); now += ms { // it is called after each event, and when it asked to be
 			require.Less(t, now-start, 3*time.Second)
 			if !s.tick(now, true) {
@@ -208,3 +208,37 @@
 		}
 	})
 }
+
+func TestAtTheStartTriesFollowQuickly(t *testing.T) {
+	s := testSession("a", "b")
+	now, tries := time.Duration(0), 0
+	for ; now < 500*ms; now = s.next() {
+		require.True(t, s.tick(now, true))
+		tries++
+		s.replied(now+ms, now, s.target, &wire.RenewReply{})
+	}
+	require.GreaterOrEqual(t, tries, 5)
+	for s.tries < startTries {
+		now = s.next()
+		s.tick(now, true)
+		s.replied(now, now, s.target, &wire.RenewReply{})
+	}
+	now = s.next()
+	s.tick(now, true)
+	s.replied(now, now, s.target, &wire.RenewReply{})
+	require.GreaterOrEqual(t, s.next(), now+retryPause/2, "not for ever")
+}
+
+func TestALeaderThatCannotNameTheNewestYetIsAskedAgainSoon(t *testing.T) {
+	s := testSession("a")
+	s.tick(0, true)
+	s.replied(1*ms, 0, "a", grant(3000*ms))
+	require.Equal(t, 1000*ms, s.next())
+	s.unnamed(1 * ms)
+	require.LessOrEqual(t, s.next(), 1*ms+2*startPause)
+	now := s.next()
+	require.True(t, s.tick(now, true))
+	s.replied(now, now, "a", grant(3000*ms))
+	s.named = true
+	require.Equal(t, now+1000*ms, s.next())
+}
