--- /dev/null
+++ b/control/view/view_test.go
@@ -0,0 +1,233 @@
+package view_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravendale/control/view"
+)
+
+func member(id view.ID) view.Member {
+	return view.Member{ID: id, Address: string(rune('a' + id)), Zone: string(rune('x' + id%3))}
+}
+
+func of(epoch uint64, chain []view.ID, voters ...view.ID) view.View {
+	v := view.View{Epoch: epoch, Chain: chain, Whole: len(chain)}
+	for _, id := range voters {
+		v.Voters = append(v.Voters, member(id))
+	}
+	return v
+}
+
+func yes(view.ID) bool { return true }
+
+func no(view.ID) bool { return false }
+
+func among(ids ...view.ID) func(view.ID) bool {
+	return func(id view.ID) bool {
+		for _, other := range ids {
+			if other == id {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+func knowing(lives func(view.ID) bool, others ...view.ID) view.Knowledge {
+	know := view.Knowledge{Lives: lives, Joinable: lives, Touch: func(a, b view.ID) bool { return true }, Gone: no}
+	for _, id := range others {
+		know.Others = append(know.Others, member(id))
+	}
+	return know
+}
+
+func TestAnOlderBallotIsRefused(t *testing.T) {
+	var vote view.Vote
+	require.False(t, vote.Sealed(4))
+	newer := view.Ballot{Round: 2, Proposer: 1}
+	reply, changed := vote.Prepare(4, newer)
+	require.True(t, reply.Granted && changed)
+	require.True(t, vote.Sealed(4))
+	reply, changed = vote.Prepare(4, newer)
+	require.True(t, reply.Granted && !changed, "a repeat needs no write")
+	reply, _ = vote.Prepare(4, view.Ballot{Round: 1, Proposer: 9})
+	require.False(t, reply.Granted)
+	require.Equal(t, newer, reply.Promised)
+	accepted, _ := vote.Accept(&view.Accept{Epoch: 4, Ballot: view.Ballot{Round: 1, Proposer: 9}})
+	require.False(t, accepted.Granted)
+	require.False(t, vote.Sealed(5))
+}
+
+// TestOneViewIsDecided lets proposers with values of their own race over a network that loses, repeats and reorders, and voters
+// that are asked in any order.
+func TestOneViewIsDecided(t *testing.T) {
+	for seed := range uint64(2000) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		current := of(1, []view.ID{1, 2, 3}, 1, 2, 3, 4, 5)
+		votes := make(map[view.ID]*view.Vote)
+		for _, voter := range current.Voters {
+			votes[voter.ID] = &view.Vote{}
+		}
+		var decided []view.View
+		var mail []func()
+		round := uint64(0)
+		propose := func(id view.ID) {
+			round++
+			ballot := view.Ballot{Round: round - random.Uint64N(min(round, 2)), Proposer: id, Life: round}
+			p := view.NewProposer(0, current, ballot, false)
+			value := of(0, []view.ID{id}, 1, 2, 3, 4, 5)
+			value.Holder = view.ID(round)
+			send := func(f func()) {
+				for range random.IntN(3) {
+					mail = append(mail, f)
+				}
+			}
+			for voter, vote := range votes {
+				send(func() {
+					promise, _ := vote.Prepare(1, ballot)
+					send(func() {
+						p.Promised(voter, &promise)
+						if !p.Gathered(view.GatherTime, no) {
+							return
+						}
+						accept := p.Choose(func(func(view.ID) bool) (view.View, bool) { return value, true })
+						for voter, vote := range votes {
+							send(func() {
+								reply, _ := vote.Accept(accept)
+								send(func() {
+									if v := p.Accepted(voter, &reply); v != nil {
+										decided = append(decided, *v)
+									}
+								})
+							})
+						}
+					})
+				})
+			}
+		}
+		for range 4 {
+			propose(view.ID(1 + random.IntN(5)))
+			for step := 0; step < 60 && len(mail) > 0; step++ {
+				at := random.IntN(len(mail))
+				f := mail[at]
+				mail = append(mail[:at], mail[at+1:]...)
+				f()
+			}
+		}
+		for _, v := range decided {
+			require.Equal(t, decided[0], v, "seed %d", seed)
+		}
+	}
+}
+
+func TestAChainKeepsItsOrderAndNeedsAWholeMember(t *testing.T) {
+	current := of(7, []view.ID{3, 1, 2}, 1, 2, 3)
+	planned, ok := view.Plan(&current, knowing(among(1, 2, 4), 1, 2, 4), yes)
+	require.True(t, ok)
+	require.Equal(t, []view.ID{1, 2, 4}, planned.Chain)
+	require.Equal(t, 2, planned.Whole)
+	planned, ok = view.Plan(&current, knowing(yes, 1, 2, 3), among(2))
+	require.True(t, ok)
+	require.Equal(t, []view.ID{2, 3, 1}, planned.Chain, "those that are not whole join at the end")
+	require.Equal(t, 1, planned.Whole)
+	_, ok = view.Plan(&current, knowing(yes, 1, 2, 3, 4), among(4))
+	require.False(t, ok, "nobody of the old chain is whole")
+}
+
+func TestAQuietCoreWantsNoChange(t *testing.T) {
+	current := of(7, []view.ID{3, 1, 2}, 1, 2, 3)
+	planned, ok := view.Plan(&current, knowing(yes, 1, 2, 3), yes)
+	require.True(t, ok)
+	require.True(t, view.Same(&current, &planned))
+}
+
+func TestNeighboursThatDoNotTouchAreParted(t *testing.T) {
+	current := of(7, []view.ID{1, 2, 3}, 1, 2, 3)
+	know := knowing(yes, 1, 2, 3)
+	know.Touch = func(a, b view.ID) bool { return a+b != 3 } // 1 and 2
+	planned, ok := view.Plan(&current, know, yes)
+	require.True(t, ok)
+	require.Equal(t, []view.ID{1, 3, 2}, planned.Chain)
+	require.Equal(t, 2, planned.Whole)
+}
+
+func TestANewDiskReplacesTheOneOfItsAddress(t *testing.T) {
+	current := of(7, []view.ID{1, 2, 3}, 1, 2, 3)
+	know := knowing(among(2, 3, 9), 2, 3)
+	know.Others = append(know.Others, view.Member{ID: 9, Address: member(1).Address})
+	planned, ok := view.Plan(&current, know, yes)
+	require.True(t, ok)
+	require.Equal(t, []view.ID{2, 3, 9}, planned.Chain)
+	require.Len(t, planned.Voters, 3)
+}
+
+func TestThoseGoneForLongAreGivenUpIfThatHelps(t *testing.T) {
+	for _, c := range []struct {
+		voters []view.ID
+		gone   []view.ID
+		left   int
+	}{
+		{[]view.ID{1, 2, 3}, []view.ID{3}, 3}, // two voters would bear no more than three of which one is down
+		{[]view.ID{1, 2, 3, 4}, []view.ID{4}, 3},
+		{[]view.ID{1, 2, 3, 4, 5}, []view.ID{4}, 5},
+		{[]view.ID{1, 2, 3, 4, 5}, []view.ID{4, 5}, 3},
+	} {
+		current := of(7, c.voters, c.voters...)
+		know := knowing(func(id view.ID) bool { return !among(c.gone...)(id) }, c.voters...)
+		know.Gone = among(c.gone...)
+		planned, ok := view.Plan(&current, know, yes)
+		require.True(t, ok)
+		require.Len(t, planned.Voters, c.left, "%v", c)
+	}
+}
+
+func TestAJoinerTakesTheVoteOfOneGone(t *testing.T) {
+	current := of(7, []view.ID{1, 2, 3}, 1, 2, 3)
+	know := knowing(among(1, 2, 4), 1, 2, 4)
+	know.Gone = among(3)
+	planned, _ := view.Plan(&current, know, yes)
+	require.Len(t, planned.Voters, 3)
+	_, stays := planned.Voter(3)
+	require.False(t, stays)
+}
+
+func TestAHolderIsNamedOnlyIfNobodyElseCanBe(t *testing.T) {
+	current := of(1, []view.ID{1, 2, 3}, 1, 2, 3)
+	for _, c := range []struct {
+		promises []view.Promise
+		holder   view.ID
+	}{
+		{[]view.Promise{{Holder: 1}, {}}, 1},
+		{[]view.Promise{{Holder: 1}, {Holder: 2}}, 0},
+		{[]view.Promise{{Holder: 1}, {Quiet: true}}, 0},
+		{[]view.Promise{{}, {}}, 0},
+	} {
+		ballot := view.Ballot{Round: 1, Proposer: 1}
+		p := view.NewProposer(0, current, ballot, false)
+		for i, promise := range c.promises {
+			promise.Epoch, promise.Ballot, promise.Granted = 1, ballot, true
+			p.Promised(view.ID(i+1), &promise)
+		}
+		require.True(t, p.Gathered(view.GatherTime, yes))
+		require.False(t, p.Failed(view.AttemptTime-time.Millisecond))
+		accept := p.Choose(func(func(view.ID) bool) (view.View, bool) { return current, true })
+		require.Equal(t, c.holder, accept.View.Holder)
+		require.EqualValues(t, 2, accept.View.Epoch)
+	}
+}
+
+func TestAChainMustCoverMoreThanMayBeLost(t *testing.T) {
+	v := of(1, []view.ID{1, 2}, 1, 2, 3, 4)
+	require.True(t, view.Durability{Copies: 2}.Met(&v))
+	require.False(t, view.Durability{Copies: 3}.Met(&v))
+	require.True(t, view.Durability{Copies: 2, LostZones: 1}.Met(&v))
+	require.False(t, view.Durability{Copies: 2, LostZones: 2}.Met(&v))
+	same := of(1, []view.ID{1, 4}, 1, 2, 3, 4)
+	require.False(t, view.Durability{Copies: 2, LostZones: 1}.Met(&same), "both lie in one zone")
+	oneRegion := func(string) string { return "r" }
+	require.False(t, view.Durability{Copies: 2, LostRegions: 1, RegionOf: oneRegion}.Met(&v))
+}
