Let no tokens of a ceiling pile up with jobs that wait for room

Change: with a ceiling no more jobs are open than connections; a token that is older than 20 ms at the send is lost, and another is taken.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -58,6 +58,7 @@
 	attempts []attempt
 	out      int
 	token    bool // it took one
+	tokenAt  time.Duration
 }
 
 type attempt struct {
@@ -274,7 +275,7 @@
 		c.handOver(m, s, false)
 	case s.bucket.share.Burst == 0:
 		c.schedule(m, returning, c.now+returnPause)
-	case len(s.throttled) == 0 && s.bucket.take(c.now):
+	case len(s.throttled) == 0 && s.open < s.room && s.bucket.take(c.now):
 		c.handOver(m, s, true)
 	default:
 		m.service = s
@@ -285,8 +286,9 @@
 
 func (c *Core) handOver(m *message, s *service, token bool) {
 	c.lastJob++
-	j := &job{id: c.lastJob, service: s, message: m, active: true, token: token}
+	j := &job{id: c.lastJob, service: s, message: m, active: true, token: token, tokenAt: c.now}
 	c.jobs[j.id] = j
+	s.open++
 	m.job, m.service = j, s
 	c.schedule(m, handed, c.now+giveBack)
 	c.feed(s, ravendale.Event{Kind: ravendale.JobArrived, Job: ravendale.JobID(j.id), Class: 0, Tenant: -1, Left: jobDeadline, Retry: m.tried})
@@ -314,8 +316,9 @@
 }
 
 func (c *Core) forgetJob(j *job) {
-	if !j.active && j.out == 0 {
+	if !j.active && j.out == 0 && c.jobs[j.id] == j {
 		delete(c.jobs, j.id)
+		j.service.open--
 	}
 }
 
@@ -388,7 +391,7 @@
 	}
 	for _, s := range c.services {
 		next = min(next, s.timer)
-		if len(s.throttled) > 0 && s.bucket != nil {
+		if len(s.throttled) > 0 && s.bucket != nil && s.open < s.room {
 			next = min(next, s.bucket.next(c.now))
 		}
 	}
@@ -433,7 +436,7 @@
 
 // spend hands over throttled messages while there are tokens.
 func (c *Core) spend(s *service) {
-	for len(s.throttled) > 0 && s.bucket != nil && s.bucket.take(c.now) {
+	for len(s.throttled) > 0 && s.bucket != nil && s.open < s.room && s.bucket.take(c.now) {
 		m := s.throttled[0]
 		s.throttled = slices.Delete(s.throttled, 0, 1)
 		if _, current, gone := c.route(m); gone || current != s || s.ready == 0 {
@@ -520,7 +523,7 @@
 	case c.stopping:
 		c.unsent(j, number)
 		c.release(m)
-	case gone || c.now >= m.expires || s != j.service || j.lacksToken():
+	case gone || c.now >= m.expires || s != j.service || j.lacksToken(c.now):
 		c.unsent(j, number)
 		c.wait(m, c.now)
 	default:
@@ -551,8 +554,17 @@
 	c.forgetJob(j)
 }
 
-// lacksToken says whether another attempt needs a token first: the one that the job had was given back.
-func (j *job) lacksToken() bool { return j.service.bucket != nil && !j.token }
+// lacksToken says whether an attempt has to wait for a token: the one that the job had was given back, or waited with the module, and
+// there is no other. Tokens that wait somewhere would all be spent at once on top of those that came to the bucket meanwhile.
+func (j *job) lacksToken(now time.Duration) bool {
+	if j.service.bucket == nil {
+		return false
+	}
+	if !j.token || now-j.tokenAt > tokenLife {
+		j.token, j.tokenAt = j.service.bucket.take(now), now
+	}
+	return !j.token
+}
 
 // refund gives a token back whose attempt never came to the worker.
 func (c *Core) refund(j *job) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -52,6 +52,7 @@
 	failedPause   = 150 * time.Millisecond // after the second failed attempt, doubling
 	longestFailed = 2 * time.Second
 	returnPause   = 15 * time.Millisecond  // before a message is given back that may come again at once
+	tokenLife     = 20 * time.Millisecond  // a token is spent so soon, or lost
 	longestLine   = 300 * time.Millisecond // for a token: new messages are another edge's to deliver while it is longer
 	repeatPause   = 120 * time.Millisecond // while another attempt of the message is running
 	expirySlack   = 500 * time.Millisecond // clocks of day differ, and no message may end early
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -28,6 +28,7 @@
 	c.begin(now)
 	if j := c.jobs[id]; j != nil && number < len(j.attempts) && j.attempts[number].out {
 		c.ended(j, number, result)
+		c.spend(j.service)
 	}
 	return c.end()
 }
--- a/dispatch/topology.go
+++ b/dispatch/topology.go
@@ -132,6 +132,10 @@
 	}
 	ceiling := Ceiling{RatePerS: config.RatePerS, Window: c.config.Window, Overshoot: c.config.Overshoot}
 	share := ceiling.Divide(s.name, c.config.Topology.Edge, c.config.Topology.Edges)
+	s.room = 0
+	for _, connections := range s.connections(config, max(c.edges.highest(c.now), len(c.config.Topology.Edges))) {
+		s.room += connections
+	}
 	if s.bucket == nil || s.bucket.share != share {
 		s.bucket = newBucket(share, c.now)
 	}
