Log why the leader lease is lost, and each change of the chain and the placement

Need: the output of a control process did not say what was decided. Change: one line for a change of the chain with its epoch, who joined, and who left with why; for a lost lease its cause; for a placement its epoch and stores. Tested: what is told when a member is killed; the tests of the packages.

--- /dev/null
+++ b/control/core/change.go
@@ -0,0 +1,56 @@
+package core
+
+import (
+	"log/slog"
+	"time"
+
+	"ravendale/control/view"
+)
+
+// change is the step from one view to a later one, for the log.
+type change struct {
+	epoch  uint64
+	chain  []string // rpc addresses
+	joined []string
+	left   []string // with why, as far as this node knows
+}
+
+func (n *node) change(now time.Duration, next *view.View) change {
+	c := change{epoch: next.Epoch}
+	for _, id := range next.Chain {
+		member, _ := next.Voter(id)
+		c.chain = append(c.chain, member.Address)
+		if n.view.Position(id) < 0 {
+			c.joined = append(c.joined, member.Address)
+		}
+	}
+	for _, id := range n.view.Chain {
+		if next.Position(id) < 0 {
+			member, _ := n.view.Voter(id)
+			c.left = append(c.left, member.Address+": "+n.absence(now, member))
+		}
+	}
+	return c
+}
+
+// absence says why a member may have been left out.
+func (n *node) absence(now time.Duration, member view.Member) string {
+	p := n.peers[member.Address]
+	switch {
+	case member.ID == n.self.ID:
+		return "this process"
+	case p != nil && p.refused:
+		return "its process has ended"
+	case p != nil && p.contacted && p.member.ID != member.ID:
+		return "it has another disk"
+	case !n.hears(now, member.ID):
+		return "it is silent"
+	case p != nil && len(p.beat.Missing) > 0:
+		return "it does not hear others"
+	}
+	return "it is behind, or silent to others"
+}
+
+func (c *change) log(log *slog.Logger) {
+	log.Info("chain changed", "epoch", c.epoch, "chain", c.chain, "joined", c.joined, "left", c.left)
+}
--- a/control/core/core.go
+++ b/control/core/core.go
@@ -215,6 +215,9 @@
 			delete(c.waiting, end.Number)
 		}
 	}
+	for i := range out.Changes {
+		out.Changes[i].log(c.config.Log)
+	}
 	c.leading.follow(c, now)
 	c.schedule(now)
 	c.mu.Unlock()
--- a/control/core/lead.go
+++ b/control/core/lead.go
@@ -37,7 +37,7 @@
 	case held && l.lease == nil:
 		l.begin(c, until)
 	case !held && l.lease != nil:
-		c.config.Log.Info("leader lease lost")
+		c.config.Log.Info("leader lease lost", "epoch", c.node.view.Epoch, "cause", c.node.lossCause())
 		l.end()
 	}
 }
--- a/control/core/leading.go
+++ b/control/core/leading.go
@@ -7,6 +7,13 @@
 	"ravendale/control/view"
 )
 
+// Causes of a lost lease, for the log.
+const (
+	lossSilence = "no majority renewed it in time"
+	lossStop    = "the process stops"
+	lossChain   = "not in the chain any more"
+)
+
 func (n *node) onLeaseRequest(now time.Duration, from view.Member, m *lease.Request) {
 	if m.Epoch != n.view.Epoch || !n.isVoter(n.self.ID) || !n.isVoter(from.ID) || n.vote.Sealed(n.view.Epoch) {
 		return
@@ -42,13 +49,29 @@
 
 func (n *node) leads(now time.Duration) bool { return n.holder.Valid(now) }
 
+// drop gives the lease back, for a cause.
+func (n *node) drop(cause string) {
+	n.lostFor = cause
+	n.sendVoters(n.holder.Drop())
+}
+
+// lossCause says why this node has lost the lease.
+func (n *node) lossCause() string {
+	cause := n.lostFor
+	n.lostFor = ""
+	if cause == "" {
+		return lossSilence
+	}
+	return cause
+}
+
 // LeaseUntil is when the lease that this node holds ends.
 func (n *node) LeaseUntil() time.Duration { return n.holder.Until() }
 
 // Release gives the lease back, in an orderly end.
 func (n *node) Release(now time.Duration) {
 	if n.holder.Valid(now) {
-		n.sendVoters(n.holder.Drop())
+		n.drop(lossStop)
 		n.beatAt = now
 		n.sendBeats(now)
 	}
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -79,6 +79,7 @@
 	Writes  []diskWrite
 	Posts   []post
 	Ended   []ended
+	Changes []change
 	Applied bool
 }
 
@@ -113,6 +114,7 @@
 	leader     string
 	leaderTill time.Duration
 	leaderLost time.Duration
+	lostFor    string // why the lease was given back, empty if it was not
 	pastBatch  uint64 // the write that holds whom the voter granted last
 
 	pending map[uint64]*command
@@ -501,13 +503,14 @@
 	if next.Epoch <= n.view.Epoch {
 		return
 	}
+	n.out.Changes = append(n.out.Changes, n.change(now, next))
 	n.voter.Adopt(now, &n.view, next)
 	n.view = *next
 	n.log(&record{View: next})
 	n.follow(now, false)
 	n.drain(now)
 	if n.chain.Position() < 0 && n.holder.Valid(now) {
-		n.sendVoters(n.holder.Drop())
+		n.drop(lossChain)
 	}
 	n.beatAt = now
 }
--- a/control/core/restart_test.go
+++ b/control/core/restart_test.go
@@ -105,3 +105,24 @@
 	}
 	require.Fail(t, "not caught")
 }
+
+// TestChangesOfTheChainAreTold has a member killed, and reads what the others would log.
+func TestChangesOfTheChainAreTold(t *testing.T) {
+	s := settled(t, 3, 3, 1)
+	s.run(s.now + time.Second)
+	leader := s.holders()[0]
+	lost := s.others(leader)[0]
+	leader.changes = nil
+	lost.kill()
+	var told []change
+	s.until(3*time.Second, func() bool {
+		told = append(told, leader.changes...)
+		leader.changes = nil
+		return len(told) > 0
+	})
+	require.Len(t, told, 1)
+	require.Equal(t, leader.node.view.Epoch, told[0].epoch)
+	require.NotContains(t, told[0].chain, lost.address)
+	require.Empty(t, told[0].joined)
+	require.Equal(t, []string{lost.address + ": its process has ended"}, told[0].left)
+}
--- a/control/core/simulation_test.go
+++ b/control/core/simulation_test.go
@@ -131,6 +131,7 @@
 	writes  []diskWrite
 	writing bool
 	calls   map[uint64]string // commands by number
+	changes []change          // of the chain, as told
 }
 
 func newSimulation(seed uint64, members, lost int, m mutant) *simulation {
@@ -291,6 +292,7 @@
 // carryOut does what the node wants.
 func (m *simulated) carryOut() {
 	out := m.node.Take()
+	m.changes = append(m.changes, out.Changes...)
 	for _, write := range out.Writes {
 		m.writes = append(m.writes, write)
 		if m.s.mutant == unsyncedAck { // the disk says so before it has done it
--- a/control/leader/term.go
+++ b/control/leader/term.go
@@ -514,10 +514,30 @@
 				return
 			}
 			t.epoch = max(t.epoch, view.Epoch)
+			t.service.log.Info("queue placed", "term", t.number, "epoch", view.Epoch, "stores", nodesOf(view), "joining", joiningIn(view))
 		})
 	})
 }
 
+func nodesOf(view *wire.StoreView) []string {
+	var nodes []string
+	for i := range view.Stores {
+		nodes = append(nodes, view.Stores[i].Node)
+	}
+	return nodes
+}
+
+// joiningIn is how many partitions of a placement are being filled somewhere.
+func joiningIn(view *wire.StoreView) int {
+	count := 0
+	for i := range view.Partitions {
+		if len(view.Partitions[i].Joining) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 func (t *term) decide(view *wire.StoreView) error {
 	if !t.valid() {
 		return ErrNotLeading
