--- a/dispatch/ceiling_test.go
+++ b/dispatch/ceiling_test.go
@@ -160,6 +160,34 @@
 	w.sent()
 }
 
+// Jobs whose attempts find no connection wait with the module: their tokens must not pile up there beside those that come.
+func TestTokensThatWaitAreNotSpentTogether(t *testing.T) {
+	w := newWorld(t)
+	w.pass(10 * time.Second)
+	ceiling := Ceiling{RatePerS: 4, Window: 5 * time.Second, Overshoot: 1.1}
+	for i := range 200 {
+		w.accept("/l/", fmt.Sprint(i))
+	}
+	for end := w.now + 8*time.Second; w.now < end; w.pass(20 * ms) {
+		for len(w.out) > 0 {
+			d := w.out[0]
+			w.out = w.out[1:]
+			w.end(d, worker.NoRoom)
+		}
+	}
+	sent := 0
+	for end := w.now + ceiling.Window; w.now < end; w.pass(20 * ms) {
+		for len(w.out) > 0 {
+			d := w.out[0]
+			w.out = w.out[1:]
+			sent++
+			w.end(d, worker.Done)
+		}
+	}
+	assert.LessOrEqual(t, float64(sent), ceiling.budget())
+	assert.Greater(t, float64(sent), ceiling.budget()/2)
+}
+
 func TestTokenIsKeptWhereNothingWasSent(t *testing.T) {
 	w := newWorld(t)
 	w.pass(10 * time.Second)
