Remind edges of granted messages with an order, too

Need: an edge that was granted a message which it had given up says so; with that word lost the message, and all of its key behind it, waited until its retention was over.

Change: claimed messages with an order are reminded of once they were granted.

--- a/queue/remind.go
+++ b/queue/remind.go
@@ -16,9 +16,6 @@
 }
 
 func (c *Core) remindLater(p *partition, e *entry, by *edge) {
-	if e.live.key != nil { // it is granted when its turn comes
-		return
-	}
 	at := c.now.Steady + remindEvery
 	c.reminders = append(c.reminders, reminder{at: at, p: p, e: e, by: by})
 	c.wakeAt(at)
@@ -32,7 +29,8 @@
 		if !c.isHeld(r) {
 			continue
 		}
-		if r.by.remote != nil && c.mayRun(r.p, r.e) {
+		told := r.e.live.key == nil || r.e.live.granted // else it is granted when its turn comes
+		if r.by.remote != nil && told && c.mayRun(r.p, r.e) {
 			_ = r.by.remote.Notify(wire.MethodGrant, &wire.Grant{Partition: r.p.number, Epoch: c.epoch(), ID: r.e.id, Failed: r.e.failed})
 		}
 		c.remindLater(r.p, r.e, r.by)
--- a/queue/takeover_test.go
+++ b/queue/takeover_test.go
@@ -219,3 +219,17 @@
 	assert.Equal(t, wire.PutRefused, code(t, r.put(plain("0.1"), again)))
 	assert.Empty(t, r.core.at(0).entries)
 }
+
+// A message with an order was granted, and the edge's word that it has none is lost.
+func TestGrantedMessageIsRemindedOf(t *testing.T) {
+	r, b := successor(t, &Record{ID: "0.1", Sequence: 1, Holder: "e", Message: ordered("")}, &Record{ID: "0.2", Sequence: 2, Holder: "e", Message: ordered("")})
+	e := &heard{}
+	r.attach("e", e)
+	r.claim(e, "0.1", "0.2")
+	r.same(b)
+	r.pass(time.Second)
+	require.Len(t, e.notices, 1)
+	r.pass(remindEvery)
+	require.Len(t, e.notices, 2, "of the first alone")
+	assert.Equal(t, "0.1", last[wire.Grant](e).ID)
+}
