Prefer workers of the own zone among those with equally few messages

Bodies that cross zones are priced, and half of the deliveries did. Workers of the own zone weigh four times, where that zone has its part of the capacity. Tested with enough workers in the zone, and too few.

--- /dev/null
+++ b/dispatch/home_test.go
@@ -0,0 +1,63 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"ravendale/wire"
+	"ravendale/worker"
+)
+
+// inZones has service s run by workers of two zones, with a capacity of 4 each.
+func inZones(t *testing.T, home, away int) *world {
+	w := newWorld(t)
+	w.workers.Entries = nil
+	for i := range home + away {
+		zone := "z1"
+		if i >= home {
+			zone = "z2"
+		}
+		w.workers.Entries = append(w.workers.Entries, wire.Worker{
+			ID: fmt.Sprint(zone, "-", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: zone, Capacity: 4,
+		})
+	}
+	w.take(w.core.Place(w.now, []wire.Edge{{ID: "e1", Zone: "z1"}, {ID: "e2", Zone: "z2"}}))
+	w.list()
+	return w
+}
+
+// runs has messages run one after the other, and counts those that stayed in the edge's zone.
+func runs(w *world, count int) (home int) {
+	for i := range count {
+		id := fmt.Sprint("run", i)
+		w.accept("/p/", id)
+		d := w.sent()
+		if d.Delivery.Worker[:2] == "z1" {
+			home++
+		}
+		w.end(d, worker.Done)
+		w.take(w.core.Acknowledged(w.now, "0."+id))
+	}
+	return home
+}
+
+func TestWorkersOfTheOwnZoneArePreferred(t *testing.T) {
+	w := inZones(t, 5, 5)
+	assert.Greater(t, runs(w, 200), 150)
+	for i := range 5 {
+		w.accept("/p/", fmt.Sprint(i))
+	}
+	used := make(map[string]bool)
+	for _, d := range w.out {
+		used[d.Delivery.Worker] = true
+	}
+	assert.Len(t, used, 5, "but not one twice while another has nothing")
+	assert.Equal(t, 4+beyondCapacity, w.core.Connections()["z1-0"])
+}
+
+// A zone with less than its part must not be overrun.
+func TestFewWorkersOfTheOwnZoneAreNotPreferred(t *testing.T) {
+	assert.Less(t, runs(inZones(t, 2, 8), 200), 100)
+}
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -19,18 +19,19 @@
 
 // service is what the plane has for one service: its decision module, its workers and its ceiling.
 type service struct {
-	name      string
-	module    *ravendale.Dispatcher
-	settings  ravendale.Settings
-	endpoint  string
-	addresses map[string]string // by worker
-	listed    []ravendale.Entry
-	ready     int           // listed workers that may be sent to
-	bucket    *bucket       // nil: no ceiling
-	throttled []*message    // wait for tokens, in the order in which they came
-	open      int           // jobs with the module, or whose attempts are out
-	room      int           // connections that may be open to all its workers: with a ceiling, no more jobs are open
-	timer     time.Duration // the module's; forever: none
+	name       string
+	module     *ravendale.Dispatcher
+	settings   ravendale.Settings
+	endpoint   string
+	addresses  map[string]string // by worker
+	listed     []ravendale.Entry
+	capacities map[string]int // by worker: how many messages it runs at once
+	ready      int            // listed workers that may be sent to
+	bucket     *bucket        // nil: no ceiling
+	throttled  []*message     // wait for tokens, in the order in which they came
+	open       int            // jobs with the module, or whose attempts are out
+	room       int            // connections that may be open to all its workers: with a ceiling, no more jobs are open
+	timer      time.Duration  // the module's; forever: none
 }
 
 func moduleSettings(config *catalog.Service, t *Topology) ravendale.Settings {
@@ -75,9 +76,51 @@
 		addresses[w.ID] = w.Address
 		list = append(list, entry(w, t))
 	}
+	weighHome(list, t)
 	return list, addresses
 }
 
+// homeWeight is how much heavier a worker of the edge's own zone weighs where that has its part of the capacity: bodies that cross
+// zones are priced, and the module draws among workers with equally few slots by weight.
+const (
+	homeWeight = 4
+	homePart   = 0.75 // of the edges' part, that the zone's capacity must be
+)
+
+// weighHome raises the weight of workers in the own zone, if they are enough for its edges.
+func weighHome(list []ravendale.Entry, t *Topology) {
+	zone := slices.Index(t.Zones, t.Zone)
+	all, home := 0.0, 0.0
+	for i := range list {
+		if list[i].State != ravendale.Ready {
+			continue
+		}
+		all += list[i].Weight
+		if list[i].Zone == zone {
+			home += list[i].Weight
+		}
+	}
+	if len(t.Edges) == 0 || home*float64(len(t.Edges)) < homePart*all*float64(t.here()) {
+		return
+	}
+	for i := range list {
+		if list[i].Zone == zone {
+			list[i].Weight *= homeWeight
+		}
+	}
+}
+
+// here counts the edges of the own zone.
+func (t *Topology) here() int {
+	count := 0
+	for i := range t.Edges {
+		if t.Edges[i].Zone == t.Zone {
+			count++
+		}
+	}
+	return count
+}
+
 func entry(w *wire.Worker, t *Topology) ravendale.Entry {
 	state := ravendale.Ready
 	if w.Draining {
@@ -111,13 +154,11 @@
 	for name := range s.addresses {
 		limits[name] = share
 	}
-	if s.endpoint != "" {
+	if s.endpoint != "" || share == 0 {
 		return limits
 	}
-	for i := range s.listed {
-		if most := int(s.listed[i].Weight) + beyondCapacity; share > most {
-			limits[s.listed[i].Worker] = most
-		}
+	for name := range limits {
+		limits[name] = min(share, s.capacities[name]+beyondCapacity)
 	}
 	return limits
 }
--- a/dispatch/topology.go
+++ b/dispatch/topology.go
@@ -82,6 +82,7 @@
 		return
 	}
 	were := s.ready
+	s.capacities = capacities(c.workers, addresses)
 	s.listed, s.addresses, s.ready = list, addresses, 0
 	for i := range list {
 		if list[i].State == ravendale.Ready {
@@ -197,3 +198,17 @@
 	}
 	return limits
 }
+
+// capacities says how many messages workers run at once, by name.
+func capacities(workers *wire.Workers, named map[string]string) map[string]int {
+	capacities := make(map[string]int, len(named))
+	if workers == nil {
+		return capacities
+	}
+	for i := range workers.Entries {
+		if w := &workers.Entries[i]; named[w.ID] != "" {
+			capacities[w.ID] = int(w.Capacity)
+		}
+	}
+	return capacities
+}
