--- a/dispatch/home_test.go
+++ b/dispatch/home_test.go
@@ -57,7 +57,16 @@
 	assert.Equal(t, 4+beyondCapacity, w.core.Connections()["z1-0"])
 }
 
-// A zone with less than its part must not be overrun.
+// A zone with less than its part must not be overrun: there the module's own choice is all there is.
 func TestFewWorkersOfTheOwnZoneAreNotPreferred(t *testing.T) {
-	assert.Less(t, runs(inZones(t, 2, 8), 200), 100)
+	for home, weight := range map[int]float64{2: 4, 4: 4 * homeWeight} {
+		w := inZones(t, home, 10-home)
+		for _, entry := range w.core.services["s"].listed {
+			if entry.Zone == 0 {
+				assert.Equal(t, weight, entry.Weight)
+			} else {
+				assert.EqualValues(t, 4, entry.Weight)
+			}
+		}
+	}
 }
