--- a/queueclient/queueclient.go
+++ b/queueclient/queueclient.go
@@ -93,10 +93,13 @@
 
 // Handle registers what stores may call.
 func (c *Client) Handle(mux *rpc.Mux) {
-	rpc.Handle(mux, wire.MethodGrant, func(_ *rpc.Conn, g *wire.Grant, _ rpc.Reply) { c.granted(g) })
+	rpc.Handle(mux, wire.MethodGrant, func(conn *rpc.Conn, g *wire.Grant, _ rpc.Reply) { c.granted(conn, g) })
 }
 
-func (c *Client) granted(g *wire.Grant) {
+func (c *Client) granted(conn *rpc.Conn, g *wire.Grant) {
+	if c.isOver(conn, g) {
+		return
+	}
 	if !g.Whole && c.grantTry(g.ID) {
 		return
 	}
@@ -107,6 +110,17 @@
 	c.config.Granted(g)
 }
 
+// isOver says whether a grant came too late to count: it is from a store that is not the partition's primary any more, or from a
+// connection before the present one. The claims that this edge has made since do not name its message, which may be another's.
+func (c *Client) isOver(conn *rpc.Conn, g *wire.Grant) bool {
+	v := c.view.Load()
+	if v == nil || g.Epoch > v.Epoch {
+		return false // this edge is the one that is behind
+	}
+	primary := v.primary(g.Partition)
+	return primary == nil || primary.conn() != conn
+}
+
 func (c *Client) now() time.Duration { return time.Since(c.started) }
 
 // SetView takes a placement, unless a newer one is known.
--- a/queueclient/races_test.go
+++ b/queueclient/races_test.go
@@ -47,7 +47,7 @@
 	c, h := newClient(t)
 	told := c.config.Kept
 	c.config.Kept = func(m *wire.Message, granted bool) {
-		c.granted(&wire.Grant{ID: m.ID})
+		c.granted(c.view.Load().stores[0].conn(), &wire.Grant{ID: m.ID})
 		h.with(func() { assert.Empty(t, h.granted, "before the message is known") })
 		told(m, granted)
 	}
@@ -163,3 +163,37 @@
 		})
 	}
 }
+
+// A store that was the primary hands a message out while the one that took its place does, too.
+func TestGrantsOfAPrimaryThatWasReplacedDoNotCount(t *testing.T) {
+	one, two := newFakeStore(t), newFakeStore(t)
+	stores := []*fakeStore{one, two}
+	c, h := newClient(t)
+	c.SetView(placement(5, stores, []uint16{0, 1}))
+	connected(t, c)
+	require.Eventually(t, func() bool { return one.countClaims() == 1 && two.countClaims() == 1 }, soon, time.Millisecond)
+	c.SetView(placement(6, stores, []uint16{1, 0}))
+	one.with(func() {
+		_ = one.conns[0].Notify(wire.MethodGrant, &wire.Grant{Epoch: 5, ID: "0.old", Whole: true})
+		_ = one.conns[0].Notify(wire.MethodGrant, &wire.Grant{Epoch: 7, ID: "0.new", Whole: true})
+	})
+	two.with(func() { _ = two.conns[0].Notify(wire.MethodGrant, &wire.Grant{Epoch: 6, ID: "0.right", Whole: true}) })
+	require.Eventually(t, func() bool { h.mu.Lock(); defer h.mu.Unlock(); return len(h.granted) == 2 }, soon, time.Millisecond)
+	h.with(func() { assert.ElementsMatch(t, []string{"0.new", "0.right"}, h.granted) })
+}
+
+// What was handed out over a connection that has been replaced was not claimed on the new one: the store takes it back.
+func TestGrantsOfAnEarlierConnectionDoNotCount(t *testing.T) {
+	one := newFakeStore(t)
+	c, h := newClient(t)
+	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+	connected(t, c)
+	earlier := c.view.Load().stores[0].conn()
+	earlier.Close()
+	require.Eventually(t, func() bool {
+		conn := c.view.Load().stores[0].conn()
+		return conn != nil && conn != earlier
+	}, soon, time.Millisecond)
+	c.granted(earlier, &wire.Grant{Epoch: 1, ID: "0.x", Whole: true})
+	h.with(func() { assert.Empty(t, h.granted) })
+}
