Claim messages of which an end is still to be told, and tell it first

Reports are sent before claims, and claims name their messages. Tested with a store that takes over before it hears of the ends.

--- a/queueclient/put.go
+++ b/queueclient/put.go
@@ -220,8 +220,8 @@
 		result = Kept
 	}
 	p.mu.Unlock()
+	p.drop(open) // first: a claim that is made meanwhile names them by one list or the other
 	p.client.forget(p)
-	p.drop(open)
 	return result
 }
 
--- a/queueclient/queueclient.go
+++ b/queueclient/queueclient.go
@@ -142,10 +142,10 @@
 	for _, s := range gone {
 		s.link.Close()
 	}
+	c.reports.resend() // first: what has ended needs no claim
 	for _, s := range v.stores {
 		s.claim()
 	}
-	c.reports.resend()
 }
 
 // adopt returns the store of an entry: the one known, taken out of gone, or a new one.
--- a/queueclient/races_test.go
+++ b/queueclient/races_test.go
@@ -197,3 +197,28 @@
 	c.granted(earlier, &wire.Grant{Epoch: 1, ID: "0.x", Whole: true})
 	h.with(func() { assert.Empty(t, h.granted) })
 }
+
+// The end of a message, or that it is to be dropped, has not been heard when another store takes over: it must not hand it out.
+func TestClaimNamesWhatIsReported(t *testing.T) {
+	one, two := newFakeStore(t), newFakeStore(t)
+	for _, s := range []*fakeStore{one, two} {
+		s.report = func(*wire.Report, int) wire.PutCode { return wire.PutStale }
+	}
+	stores := []*fakeStore{one, two}
+	c, h := newClient(t)
+	two.claim = func(m *wire.Claim) *wire.ClaimReply { return &wire.ClaimReply{Code: wire.PutKept, Unknown: m.IDs} }
+	c.SetView(placement(1, stores, []uint16{0, 1}))
+	connected(t, c)
+	c.Report(wire.Report{ID: "0.done", Kind: wire.ReportDone})
+	c.Report(wire.Report{ID: "0.drop", Kind: wire.ReportDropped})
+	h.with(func() { h.held = []string{"0.done"} })
+	require.Eventually(t, func() bool { return two.countClaims() == 1 && one.countReports() >= 2 }, soon, time.Millisecond)
+	c.SetView(placement(2, stores, []uint16{1, 0}))
+	require.Eventually(t, func() bool { return two.countClaims() == 2 }, soon, time.Millisecond)
+	two.with(func() {
+		assert.ElementsMatch(t, []string{"0.done", "0.drop"}, two.claims[1].IDs)
+		assert.GreaterOrEqual(t, len(two.reports), 2, "they are told first")
+	})
+	require.Eventually(t, func() bool { h.mu.Lock(); defer h.mu.Unlock(); return len(h.unknown) == 1 }, soon, time.Millisecond)
+	h.with(func() { assert.Equal(t, []string{"0.done"}, h.unknown) })
+}
--- a/queueclient/report.go
+++ b/queueclient/report.go
@@ -165,15 +165,22 @@
 	}
 }
 
-// resend sends all reports again, as to a new primary.
-func (r *reports) resend() {
+// ids lists the messages of which something has to be told.
+func (r *reports) ids() []string {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	ids := make([]string, 0, len(r.waiting))
-	for id := range r.waiting {
-		ids = append(ids, id)
+	for id, w := range r.waiting {
+		if len(w.queue) > 0 {
+			ids = append(ids, id)
+		}
 	}
-	r.mu.Unlock()
-	for _, id := range ids {
+	return ids
+}
+
+// resend sends all reports again, as to a new primary.
+func (r *reports) resend() {
+	for _, id := range r.ids() {
 		r.send(id)
 	}
 }
--- a/queueclient/store.go
+++ b/queueclient/store.go
@@ -28,8 +28,8 @@
 
 func (s *store) up(conn *rpc.Conn) {
 	s.attach(conn)
-	s.claimOn(conn)
 	s.client.reports.resend()
+	s.claimOn(conn)
 }
 
 // attach tells the store who is at this end. What is sent after it on the connection is taken after it.
@@ -46,24 +46,27 @@
 
 func (s *store) claim() { s.claimOn(s.conn()) }
 
-// claimOn tells the store which messages this edge holds of the partitions whose primary it is.
+// claimOn tells the store which messages this edge holds of the partitions whose primary it is. Those that it has an end to tell of
+// are among them: they must not be handed out before that is heard.
 func (s *store) claimOn(conn *rpc.Conn) {
 	v := s.client.view.Load()
 	if conn == nil || v == nil {
 		return
 	}
-	putting := s.client.putting() // first: what is kept meanwhile is among the held
+	putting := s.client.putting() // in the order in which messages go through the lists: none slips by
 	held := s.client.config.Held()
+	reporting := s.client.reports.ids()
 	claim := &wire.Claim{Epoch: v.Epoch}
-	kept := make(map[string]bool)
+	kept, claimed := make(map[string]bool), make(map[string]bool)
 	for _, id := range held {
 		if v.leads(s, id) {
 			claim.IDs = append(claim.IDs, id)
-			kept[id] = true
+			kept[id], claimed[id] = true, true
 		}
 	}
-	for _, id := range putting {
-		if v.leads(s, id) && !kept[id] {
+	for _, id := range append(putting, reporting...) {
+		if v.leads(s, id) && !claimed[id] {
+			claimed[id] = true
 			claim.IDs = append(claim.IDs, id)
 		}
 	}
@@ -89,7 +92,7 @@
 		return
 	}
 	for _, id := range reply.Unknown {
-		if kept[id] { // a put under way settles itself
+		if kept[id] { // a put or a report under way settles itself
 			s.client.config.Unknown(id)
 		}
 	}
