Count lists of members in capacity runs, profile their leader, and bound what they wait for

Need: runs at 1,000 and 3,000 hollow schedulers ended without telling why. Change: phases count the lists that came, the leader can be profiled, starts are spread and waited for as told, dispatch has slopes. Tested: the package's tests; runs at 30 to 3,000.

--- a/cmd/ravendale-capacity/hollow.go
+++ b/cmd/ravendale-capacity/hollow.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"os/exec"
+	"runtime/pprof"
 	"strconv"
 	"time"
 
@@ -23,13 +24,18 @@
 	Routes    int           `help:"Of the configuration." default:"100"`
 	Services  int           `help:"Of the configuration." default:"20"`
 	Workers   int           `help:"Entries of the platform's list." default:"100"`
+	Profile   string        `help:"File that gets a profile of the leader's processor time." type:"path"`
 }
 
 func (l leadership) arguments() []string {
-	return []string{
+	arguments := []string{
 		"leader", "--network", strconv.Itoa(l.Network), "--heartbeat", l.Heartbeat.String(), "--routes", strconv.Itoa(l.Routes),
 		"--services", strconv.Itoa(l.Services), "--workers", strconv.Itoa(l.Workers),
 	}
+	if l.Profile != "" {
+		arguments = append(arguments, "--profile", l.Profile)
+	}
+	return arguments
 }
 
 type leaderCmd struct {
@@ -38,9 +44,31 @@
 
 func (c *leaderCmd) Run() error {
 	config := hollow.LeaderConfig{
-		Network: c.Network, Heartbeat: c.Heartbeat, Routes: c.Routes, Services: c.Services, Workers: c.Workers, Log: logger(),
+		Network: c.Network, Heartbeat: c.Heartbeat, Routes: c.Routes, Services: c.Services, Workers: c.Workers, Log: logger(slog.LevelInfo),
+	}
+	stop, err := startProfile(c.Profile)
+	if err != nil {
+		return err
 	}
-	return hollow.ServeLeader(config, os.Stdin, os.Stdout)
+	return errors.Join(hollow.ServeLeader(config, os.Stdin, os.Stdout), stop())
+}
+
+// startProfile writes a profile to a file until stop is called. Without a path it does nothing.
+func startProfile(path string) (stop func() error, err error) {
+	if path == "" {
+		return func() error { return nil }, nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		return nil, errors.Join(err, file.Close())
+	}
+	return func() error {
+		pprof.StopCPUProfile()
+		return file.Close()
+	}, nil
 }
 
 type hollowCmd struct {
@@ -48,10 +76,12 @@
 	Schedulers int           `help:"Hollow schedulers." default:"100"`
 	Zones      int           `help:"Zones that they stand in." default:"10"`
 	Regions    int           `help:"Regions of the zones." default:"4"`
+	Spread     time.Duration `help:"Within which all start first; restarts take 300 ms." default:"300ms"`
 	Quiet      time.Duration `help:"Before anything is measured." default:"3s"`
 	Rest       time.Duration `help:"Measured without changes." default:"10s"`
 	Changes    int           `help:"Of the configuration, a second apart." default:"10"`
 	Converge   time.Duration `help:"Within which all must have a change." default:"13s"`
+	Patience   time.Duration `help:"For all to be current after a start." default:"30s"`
 	Seed       uint64        `help:"Of the order of starts and the choice of who is killed." default:"1"`
 	Out        string        `help:"File that gets the whole result as JSON." type:"path"`
 }
@@ -65,9 +95,10 @@
 	leader.Env = append(os.Environ(), "GOMAXPROCS=1") // as on the machines of the system
 	result, err := hollow.Play(hollow.ExperimentConfig{
 		Fleet: hollow.FleetConfig{
-			Network: c.Network, Schedulers: c.Schedulers, Zones: c.Zones, Regions: c.Regions, Heartbeat: c.Heartbeat, Seed: c.Seed, Log: logger(),
+			Network: c.Network, Schedulers: c.Schedulers, Zones: c.Zones, Regions: c.Regions, Heartbeat: c.Heartbeat,
+			Spread: c.Spread, Seed: c.Seed, Log: logger(slog.LevelInfo),
 		},
-		Quiet: c.Quiet, Rest: c.Rest, Changes: c.Changes, Converge: c.Converge, Leader: leader,
+		Quiet: c.Quiet, Rest: c.Rest, Changes: c.Changes, Converge: c.Converge, Patience: c.Patience, Leader: leader,
 	})
 	if result != nil {
 		fmt.Print(result.Table())
@@ -93,4 +124,6 @@
 	return os.WriteFile(c.Out, append(encoded, '\n'), 0o644)
 }
 
-func logger() *slog.Logger { return slog.New(slog.NewTextHandler(os.Stderr, nil)) }
+func logger(level slog.Level) *slog.Logger {
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+}
--- a/lab/hollow/experiment.go
+++ b/lab/hollow/experiment.go
@@ -11,7 +11,7 @@
 
 // Times of an experiment.
 const (
-	awaitStart    = 60 * time.Second
+	restartWithin = 300 * time.Millisecond
 	betweenChange = time.Second
 )
 
@@ -22,6 +22,7 @@
 	Rest     time.Duration // measured without changes
 	Changes  int           // measured, a second apart
 	Converge time.Duration // within which all must have a change
+	Patience time.Duration // for all to be current after a start
 	Leader   *exec.Cmd     // a program that calls ServeLeader, not yet started
 }
 
@@ -30,6 +31,7 @@
 	Lasted     time.Duration
 	Schedulers Usage // of all together
 	Leader     Usage
+	Lists      uint64 // versions of the topic of members that came
 }
 
 // Result is what an experiment measured. Usage of schedulers is that of all of them in one process.
@@ -86,10 +88,10 @@
 
 func (p *player) start() error {
 	began := time.Now()
-	if err := p.fleet.start(p.fleet.numbers()); err != nil {
+	if err := p.fleet.start(p.fleet.numbers(), p.config.Fleet.Spread); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), awaitStart)
+	ctx, cancel := context.WithTimeout(context.Background(), p.config.Patience)
 	defer cancel()
 	if _, err := p.fleet.await(ctx); err != nil {
 		return err
@@ -112,11 +114,11 @@
 	if err != nil {
 		return Phase{}, err
 	}
-	began := time.Now()
+	began, lists := time.Now(), p.fleet.lists()
 	if err := f(); err != nil {
 		return Phase{}, err
 	}
-	phase := Phase{Lasted: time.Since(began)}
+	phase := Phase{Lasted: time.Since(began), Lists: p.fleet.lists() - lists}
 	if phase.Schedulers, err = ReadUsage(); err != nil {
 		return Phase{}, err
 	}
@@ -181,10 +183,10 @@
 	p.result.RelaysKilled = len(killed)
 	p.result.AfterKill = p.delays(change)
 	p.log.Info("relays were killed", "count", len(killed), "last", p.result.AfterKill.Max)
-	if err := p.fleet.start(killed); err != nil {
+	if err := p.fleet.start(killed, restartWithin); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), awaitStart)
+	ctx, cancel := context.WithTimeout(context.Background(), p.config.Patience)
 	defer cancel()
 	_, err = p.fleet.await(ctx)
 	return err
@@ -203,10 +205,10 @@
 	p.result.ZoneReturn, err = p.measure(func() error {
 		p.fleet.kill(numbers)
 		began := time.Now()
-		if err := p.fleet.start(numbers); err != nil {
+		if err := p.fleet.start(numbers, restartWithin); err != nil {
 			return err
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), awaitStart)
+		ctx, cancel := context.WithTimeout(context.Background(), p.config.Patience)
 		defer cancel()
 		_, err := p.fleet.await(ctx)
 		p.result.ZoneBack = time.Since(began)
--- a/lab/hollow/fleet.go
+++ b/lab/hollow/fleet.go
@@ -14,8 +14,7 @@
 )
 
 const (
-	lookPause   = 20 * time.Millisecond  // between looks whether all have come as far as they should
-	startWithin = 300 * time.Millisecond // all processes of a system start within this
+	lookPause = 20 * time.Millisecond // between looks whether all have come as far as they should
 )
 
 // FleetConfig says how many hollow schedulers there are.
@@ -25,6 +24,7 @@
 	Zones      int
 	Regions    int
 	Heartbeat  time.Duration
+	Spread     time.Duration // within which all start first
 	Seed       uint64
 	Log        *slog.Logger
 }
@@ -34,6 +34,7 @@
 	config   FleetConfig
 	leader   string
 	random   *rand.Rand
+	quiet    *slog.Logger // of the schedulers: a thousand of them say too much
 	arrivals *arrivals
 	alive    map[int]*scheduler // by number
 	lives    map[int]int
@@ -49,6 +50,7 @@
 	}
 	return &fleet{
 		config: config, leader: join(ip, firstPort), random: rand.New(rand.NewPCG(config.Seed, config.Seed)),
+		quiet:    slog.New(slog.DiscardHandler),
 		arrivals: newArrivals(), alive: make(map[int]*scheduler), lives: make(map[int]int),
 	}, nil
 }
@@ -65,12 +67,12 @@
 // zone of a scheduler: zones are filled in turn.
 func (f *fleet) zone(number int) int { return number % f.config.Zones }
 
-// start starts schedulers, in any order, spread over the time within which a deployment starts.
-func (f *fleet) start(numbers []int) error {
+// start starts schedulers, in any order, spread over a time.
+func (f *fleet) start(numbers []int, spread time.Duration) error {
 	f.random.Shuffle(len(numbers), func(i, j int) { numbers[i], numbers[j] = numbers[j], numbers[i] })
 	began := time.Now()
 	for i, number := range numbers {
-		time.Sleep(time.Until(began.Add(startWithin * time.Duration(i) / time.Duration(len(numbers)))))
+		time.Sleep(time.Until(began.Add(spread * time.Duration(i) / time.Duration(len(numbers)))))
 		if err := f.startOne(number); err != nil {
 			return err
 		}
@@ -96,7 +98,7 @@
 		f.arrivals.add(last, s.Versions[topic].Sequence, time.Now())
 		last = s.Versions[topic].Sequence
 	}
-	s, err := startScheduler(p.member(f.config.Zones, f.config.Regions), ip, f.leader, f.config.Heartbeat, f.config.Log, changed)
+	s, err := startScheduler(p.member(f.config.Zones, f.config.Regions), ip, f.leader, f.config.Heartbeat, f.quiet, changed)
 	if err != nil {
 		return err
 	}
@@ -191,3 +193,12 @@
 	}
 	return depth
 }
+
+// lists is the newest version of the topic of members that any scheduler has.
+func (f *fleet) lists() uint64 {
+	newest := uint64(0)
+	for _, s := range f.alive {
+		newest = max(newest, s.agent.Snapshot().Versions[wire.TopicMembers].Sequence)
+	}
+	return newest
+}
--- a/lab/hollow/hollow_test.go
+++ b/lab/hollow/hollow_test.go
@@ -57,9 +57,10 @@
 	leader.Env = append(os.Environ(), leaderVariable+"="+strconv.Itoa(network))
 	result, err := Play(ExperimentConfig{
 		Fleet: FleetConfig{
-			Network: network, Schedulers: 24, Zones: 2, Regions: 1, Heartbeat: testHeartbeat, Seed: 1, Log: quiet(),
+			Network: network, Schedulers: 24, Zones: 2, Regions: 1, Heartbeat: testHeartbeat, Spread: 100 * time.Millisecond, Seed: 1,
+			Log: quiet(),
 		},
-		Quiet: 100 * time.Millisecond, Rest: 300 * time.Millisecond, Changes: 1, Converge: 13 * time.Second, Leader: leader,
+		Quiet: 100 * time.Millisecond, Rest: 300 * time.Millisecond, Changes: 1, Converge: 13 * time.Second, Patience: time.Minute, Leader: leader,
 	})
 	require.NoError(t, err)
 	require.Empty(t, result.Breaches)
--- a/lab/hollow/slope_test.go
+++ b/lab/hollow/slope_test.go
@@ -8,12 +8,15 @@
 
 	"github.com/stretchr/testify/require"
 
+	"ravendale/catalog"
 	"ravendale/control/placement"
 	"ravendale/control/registry"
 	"ravendale/discovery"
+	"ravendale/dispatch"
 	"ravendale/relay"
 	"ravendale/relay/delta"
 	"ravendale/wire"
+	"ravendale/worker"
 )
 
 // Sizes that slopes are taken at.
@@ -189,3 +192,55 @@
 	}
 	b.ReportMetric(float64(len(encoded(b, view))), "B/view")
 }
+
+// BenchmarkPlane is what an edge's dispatchers do for each change of the lists: of members, and of workers. There are ten workers an edge.
+func BenchmarkPlane(b *testing.B) {
+	for _, count := range []int{30, 100, 300, 1000} {
+		b.Run(fmt.Sprintf("members/%d", count), func(b *testing.B) {
+			plane, list, _ := newPlane(b, count)
+			i := 0
+			for b.Loop() {
+				changed := append([]wire.Edge(nil), list.Edges...)
+				changed[i%count].Ready = false
+				plane.Place(changed)
+				i++
+			}
+		})
+		b.Run(fmt.Sprintf("workers/%d", count), func(b *testing.B) {
+			plane, _, entries := newPlane(b, count)
+			i := 0
+			for b.Loop() {
+				changed := append([]wire.Worker(nil), entries.Entries...)
+				changed[i%len(changed)].Draining = true
+				plane.List(&wire.Workers{Entries: changed})
+				i++
+			}
+		})
+	}
+}
+
+func newPlane(b *testing.B, count int) (*dispatch.Plane, *wire.Members, *wire.Workers) {
+	const services, workersEach = 3, 10
+	list := members(count)
+	self := list.Edges[count/2]
+	var zones []string
+	for _, edge := range list.Edges {
+		if len(zones) == 0 || zones[len(zones)-1] != edge.Zone {
+			zones = append(zones, edge.Zone)
+		}
+	}
+	client := worker.NewClient()
+	b.Cleanup(client.Close)
+	plane := dispatch.NewPlane(dispatch.Config{
+		Topology: dispatch.Topology{Edge: self.ID, Zone: self.Zone, Zones: zones}, Window: 5 * time.Second, Overshoot: 1.1,
+		Converge: 3 * time.Second, MaxBodies: 1 << 20,
+	}, client)
+	b.Cleanup(plane.Close)
+	config, err := catalog.Parse(document(1, services, services))
+	require.NoError(b, err)
+	entries := discovery.Sort(workers(workersEach*count, services))
+	plane.Configure(catalog.NewIndex(config))
+	plane.Place(list.Edges)
+	plane.List(entries)
+	return plane, list, entries
+}
--- a/lab/hollow/table.go
+++ b/lab/hollow/table.go
@@ -42,6 +42,7 @@
 	line(name+": a scheduler", "cpu %.4f%% of a core, sends %.0f B/s in %.2f writes/s, %.1f waits/s, heap %.0f KB, resident %.0f KB",
 		p.Schedulers.CPU.Seconds()/each*100, float64(p.Schedulers.Written)/each, float64(p.Schedulers.Writes)/each,
 		float64(p.Schedulers.Switches)/each, float64(p.Schedulers.Heap)/kb/float64(r.Schedulers), float64(p.Schedulers.Resident)/kb/float64(r.Schedulers))
+	line(name, "%v long, %d lists of members", p.Lasted.Round(time.Millisecond), p.Lists)
 	line(name+": the leader", "cpu %.2f%% of a core, sends %.0f B/s in %.0f writes/s, heap %.1f MB, resident %.1f MB, peak %.1f MB",
 		p.Leader.CPU.Seconds()/seconds*100, float64(p.Leader.Written)/seconds, float64(p.Leader.Writes)/seconds,
 		float64(p.Leader.Heap)/mb, float64(p.Leader.Resident)/mb, float64(p.Leader.Peak)/mb)
