Connect at once to a store that a new placement has back

Cause: a store that restarts is in the placement within 100 ms, but its peers' links wait up to 0.6 s before they connect again; what they take for its partitions waits for it meanwhile. Change: a link that is down is hurried by each new placement, which also gives up a connect that hangs; the longest pause between connects is 150 ms in place of 400.

--- a/queue/store/store.go
+++ b/queue/store/store.go
@@ -169,6 +169,17 @@
 		s.core.View(now, view)
 		s.updateLinks()
 	})
+	s.hurryLinks()
+}
+
+// hurryLinks has links that are down connect at once: a store that is back takes part in a placement before its peers would
+// try again by themselves, and what they take meanwhile waits for it.
+func (s *Store) hurryLinks() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, link := range s.links {
+		link.Hurry()
+	}
 }
 
 // SetEdges tells which schedulers there are.
--- a/queueclient/queueclient.go
+++ b/queueclient/queueclient.go
@@ -144,6 +144,7 @@
 	}
 	c.reports.resend() // first: what has ended needs no claim
 	for _, s := range v.stores {
+		s.link.Hurry() // a new placement may tell that it is back
 		s.claim()
 	}
 }
--- a/rpc/link.go
+++ b/rpc/link.go
@@ -10,7 +10,7 @@
 // Pauses between attempts to connect: the first, and the longest as it doubles.
 const (
 	firstRetry   = 30 * time.Millisecond
-	longestRetry = 400 * time.Millisecond
+	longestRetry = 150 * time.Millisecond // a process that is back serves nobody until they are connected
 )
 
 // Link keeps a connection to one address: it connects again whenever that is lost, until it is closed.
@@ -20,16 +20,18 @@
 	onUp    func(*Conn)
 	onDown  func(error)
 	cancel  context.CancelFunc
+	hurried chan struct{}
 
-	mu   sync.Mutex
-	conn *Conn
+	mu     sync.Mutex
+	conn   *Conn
+	giveUp context.CancelFunc // of the connect that is under way; nil: none is
 }
 
 // NewLink starts a link. OnUp and onDown, which may be nil, are called in turn, on a goroutine of the link; onDown also for a
 // connect that failed.
 func NewLink(address string, options Options, onUp func(*Conn), onDown func(error)) *Link {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &Link{address: address, options: options.withDefaults(), onUp: onUp, onDown: onDown, cancel: cancel}
+	l := &Link{address: address, options: options.withDefaults(), onUp: onUp, onDown: onDown, cancel: cancel, hurried: make(chan struct{}, 1)}
 	go l.run(ctx)
 	return l
 }
@@ -52,10 +54,40 @@
 	}
 }
 
+// Hurry has a link that is down connect anew at once: the peer is known to be back. A connect that began before, and may wait
+// for what was lost on its way, is given up.
+func (l *Link) Hurry() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		return
+	}
+	select {
+	case l.hurried <- struct{}{}:
+	default:
+	}
+	if l.giveUp != nil {
+		l.giveUp()
+	}
+}
+
+func (l *Link) dial(ctx context.Context) (*Conn, error) {
+	ctx, giveUp := context.WithCancel(ctx)
+	defer giveUp()
+	l.mu.Lock()
+	l.giveUp = giveUp
+	l.mu.Unlock()
+	conn, err := Dial(ctx, l.address, l.options)
+	l.mu.Lock()
+	l.giveUp = nil
+	l.mu.Unlock()
+	return conn, err
+}
+
 func (l *Link) run(ctx context.Context) {
 	pause := firstRetry
 	for ctx.Err() == nil {
-		conn, err := Dial(ctx, l.address, l.options)
+		conn, err := l.dial(ctx)
 		if err == nil {
 			pause = firstRetry
 			err = l.hold(ctx, conn)
@@ -65,14 +97,20 @@
 		}
 		select {
 		case <-time.After(pause/2 + rand.N(pause)):
+			pause = min(2*pause, longestRetry)
+		case <-l.hurried:
+			pause = firstRetry
 		case <-ctx.Done():
 		}
-		pause = min(2*pause, longestRetry)
 	}
 }
 
 func (l *Link) hold(ctx context.Context, conn *Conn) error {
 	l.set(conn)
+	select {
+	case <-l.hurried: // it came while the connect was under way
+	default:
+	}
 	if l.onUp != nil {
 		l.onUp(conn)
 	}
--- a/rpc/rpc_test.go
+++ b/rpc/rpc_test.go
@@ -110,3 +110,26 @@
 	second := <-up
 	require.NotSame(t, first, second)
 }
+
+func TestAHurriedLinkGivesUpAConnectThatHangs(t *testing.T) {
+	s, err := Listen("127.0.0.1:0", Options{}, nil)
+	require.NoError(t, err)
+	defer s.Close()
+	failed := make(chan error, 64)
+	up := make(chan *Conn, 1)
+	link := &Link{address: s.Address(), options: Options{}.withDefaults(), onUp: func(c *Conn) { up <- c }, hurried: make(chan struct{}, 1)}
+	link.onDown = func(err error) { failed <- err }
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	waiting, given := context.WithCancel(ctx)
+	link.giveUp = given // a connect that is under way
+	link.Hurry()
+	require.ErrorIs(t, waiting.Err(), context.Canceled)
+	require.Len(t, link.hurried, 1)
+
+	go link.run(ctx)
+	<-up
+	link.Hurry() // connected: nothing to do
+	require.Empty(t, link.hurried)
+	require.Empty(t, failed)
+}
