Drop two fields of the control core's simulation that nothing reads

Cause: staticcheck found simulated.tickAt and simulated.ids unused (U1000). Change: both are gone; identities come from idSeed, as before. Result: staticcheck tells nothing of control/core; no history plays otherwise, since neither field was read or set.

--- a/control/core/simulation_test.go
+++ b/control/core/simulation_test.go
@@ -125,8 +125,6 @@
 	rate    float64 // of its steady clock
 	offset  time.Duration
 	fresh   bool // bootstrap
-	tickAt  time.Duration
-	ids     *rand.Rand
 	idSeed  uint64
 	writes  []diskWrite
 	writing bool
