Drop two fields of the queue's core that nothing reads

Cause: staticcheck found Core.pendingAll and partition.whole unused (U1000). Change: both are gone. What an edge has whole is kept with the edge, as before. Result: staticcheck tells nothing of queue; no behaviour changes, since neither field was read or set.

--- a/queue/core.go
+++ b/queue/core.go
@@ -129,7 +129,6 @@
 	reminders  []reminder  // by time
 	segments   map[uint32]int
 	messages   int
-	pendingAll int
 	round      uint64
 	wake       time.Duration
 	nextWork   time.Duration
@@ -164,7 +163,6 @@
 	primary   bool
 	replica   bool
 	joining   bool
-	whole     bool          // the others have it whole without this store
 	since     time.Duration // from when the store has been primary
 	window    time.Duration // nothing is handed out so long after
 	ready     bool          // of a primary: it may hand out
