Keep connections under the workers' caps where there are more edges than places

Cause: each edge may have one connection to each worker at least, so that 58 edges go over the caps of workers that take 18 or 24, which reset what is too much. All edges dial a worker that is new to the list, with several connections each. Ruled out: a larger part of the cap for edges, which is still less than one each; parting few workers, which leaves edges with none. Where workers are too few for that, a connection is closed after its answer, by a limit of its own type. Deliveries wait for the first dial to a worker, and share its failure.

--- a/worker/client.go
+++ b/worker/client.go
@@ -17,12 +17,36 @@
 	closed bool
 }
 
+// Limit is what connections to a worker are bound by.
+type Limit struct {
+	Open int  // connections that may be open at once; 0: no bound
+	Once bool // a connection is closed after its answer: others need its place
+}
+
 // pool has the connections to one worker.
 type pool struct {
-	limit int // connections that may be open; 0: no bound
-	open  int // connections, and those that are being made
-	idle  []*connection
-	gone  bool // no longer named: what is open is closed after use
+	limit   Limit
+	open    int // connections, and those that are being made
+	idle    []*connection
+	gone    bool       // no longer named: what is open is closed after use
+	reached bool       // a connection has come up
+	first   *firstDial // under way, while the worker is not reached
+}
+
+// firstDial is an attempt to reach a worker that was not reached before. Other deliveries wait for it rather than dial as well.
+type firstDial struct {
+	ended  chan struct{}
+	failed bool // the worker did not take it; set before ended is closed
+}
+
+// wait returns once the dial or the context has ended, and says whether to look for a connection again.
+func (f *firstDial) wait(ctx context.Context) bool {
+	select {
+	case <-f.ended:
+		return !f.failed
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // NewClient returns a client without connections.
@@ -32,9 +56,9 @@
 
 func (c *Client) now() time.Duration { return time.Since(c.started) }
 
-// Limit says how many connections may be open to each worker, by name. Idle connections to workers that it does not name are
+// Limit bounds the connections to each worker, by name. Idle connections to workers that it does not name are
 // closed, and those in use after their delivery.
-func (c *Client) Limit(limits map[string]int) {
+func (c *Client) Limit(limits map[string]Limit) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for name, p := range c.pools {
@@ -50,6 +74,9 @@
 	for name, limit := range limits {
 		p := c.pool(name)
 		p.limit, p.gone = limit, false
+		if limit.Once {
+			p.closeIdle()
+		}
 	}
 }
 
@@ -156,28 +183,45 @@
 // take returns a connection to a worker: an idle one if it is still open, or a new one.
 func (c *Client) take(ctx context.Context, d *Delivery) (*connection, Outcome) {
 	for {
-		conn, room := c.reserve(d.Worker)
-		if !room {
+		conn, first, room := c.reserve(d.Worker)
+		switch {
+		case first != nil:
+			if !first.wait(ctx) {
+				return nil, Unreachable
+			}
+		case !room:
 			return nil, NoRoom
-		}
-		if conn == nil {
-			break
-		}
-		if conn.quiet() {
+		case conn == nil:
+			return c.connect(ctx, d)
+		case conn.quiet():
 			return conn, Done
+		default:
+			c.give(d.Worker, conn, 0)
 		}
-		c.give(d.Worker, conn, 0)
 	}
+}
+
+// connect makes the connection that there was room for.
+func (c *Client) connect(ctx context.Context, d *Delivery) (*connection, Outcome) {
 	conn, err := dial(ctx, d.Address)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pool(d.Worker)
+	p.reached = p.reached || err == nil
+	if p.first != nil {
+		p.first.failed = err != nil && ctx.Err() == nil
+		close(p.first.ended)
+		p.first = nil
+	}
 	if err != nil {
-		c.unreserve(d.Worker)
+		c.drop(d.Worker)
 		return nil, Unreachable
 	}
 	return conn, Done
 }
 
-// reserve takes an idle connection, or else room for a new one.
-func (c *Client) reserve(name string) (conn *connection, room bool) {
+// reserve takes an idle connection, or else room for a new one, or else says which dial to wait for.
+func (c *Client) reserve(name string) (conn *connection, first *firstDial, room bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pool(name)
@@ -186,22 +230,22 @@
 		last := len(p.idle) - 1
 		conn, p.idle = p.idle[last], p.idle[:last]
 		if conn.until > now {
-			return conn, true
+			return conn, nil, true
 		}
 		_ = conn.socket.Close()
 		p.open--
 	}
-	if p.limit > 0 && p.open >= p.limit {
-		return nil, false
+	if p.first != nil {
+		return nil, p.first, false
+	}
+	if p.limit.Open > 0 && p.open >= p.limit.Open {
+		return nil, nil, false
 	}
 	p.open++
-	return nil, true
-}
-
-func (c *Client) unreserve(name string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.drop(name)
+	if !p.reached {
+		p.first = &firstDial{ended: make(chan struct{})}
+	}
+	return nil, nil, true
 }
 
 func (c *Client) drop(name string) {
@@ -217,7 +261,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pool(name)
-	if idle <= 0 || p.gone || c.closed || p.limit > 0 && p.open > p.limit {
+	if idle <= 0 || p.gone || c.closed || p.limit.Once || p.limit.Open > 0 && p.open > p.limit.Open {
 		_ = conn.socket.Close()
 		c.drop(name)
 		return
