--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -7,7 +7,6 @@
 	"ravendale"
 	"ravendale/catalog"
 	"ravendale/wire"
-	"ravendale/worker"
 )
 
 // The module's settings for a service.
@@ -31,7 +30,6 @@
 	bucket     *bucket        // nil: no ceiling
 	throttled  []*message     // wait for tokens, in the order in which they came
 	open       int            // jobs with the module, or whose attempts are out
-	spread     bool           // this edge has a part of the workers only
 	room       int            // connections that may be open to all its workers: with a ceiling, no more jobs are open
 	timer      time.Duration  // the module's; forever: none
 }
@@ -78,6 +76,7 @@
 		addresses[w.ID] = w.Address
 		list = append(list, entry(w, t))
 	}
+	weighHome(list, t)
 	return list, addresses
 }
 
@@ -148,16 +147,18 @@
 	return max(fewestConnection, int(connectionsUsed*float64(maxConns)/float64(max(edges, 1))))
 }
 
-// connections bounds the connections of this edge to each worker of a service.
-func (s *service) connections(config *catalog.Service, edges int) map[string]worker.Limit {
-	limit := worker.Limit{Open: connectionShare(config.MaxConns, edges), Once: scarce(config.MaxConns, edges) && !s.spread}
-	limits := make(map[string]worker.Limit, len(s.addresses))
+// connections is how many connections this edge may have to each worker of a service.
+func (s *service) connections(config *catalog.Service, edges int) map[string]int {
+	share := connectionShare(config.MaxConns, edges)
+	limits := make(map[string]int, len(s.addresses))
 	for name := range s.addresses {
-		own := limit
-		if s.endpoint == "" && own.Open > 0 {
-			own.Open = min(own.Open, s.capacities[name]+beyondCapacity)
-		}
-		limits[name] = own
+		limits[name] = share
+	}
+	if s.endpoint != "" || share == 0 {
+		return limits
+	}
+	for name := range limits {
+		limits[name] = min(share, s.capacities[name]+beyondCapacity)
 	}
 	return limits
 }
--- a/dispatch/topology.go
+++ b/dispatch/topology.go
@@ -10,7 +10,6 @@
 	"ravendale"
 	"ravendale/catalog"
 	"ravendale/wire"
-	"ravendale/worker"
 )
 
 // Configure takes a configuration. Messages whose route it lacks end.
@@ -79,18 +78,17 @@
 // relist tells a module of its workers, and wakes what waited for the first of them.
 func (c *Core) relist(s *service, config *catalog.Service) {
 	list, addresses := entries(config, c.workers, &c.gone, &c.config.Topology)
-	s.spread = s.endpoint == "" && spreads(config.MaxConns, c.edgeCount(), readyAmong(list))
-	if s.spread {
-		list = c.config.Topology.part(list, places(config.MaxConns))
-		maps.DeleteFunc(addresses, func(name, _ string) bool { return !lists(list, name) })
-	}
-	weighHome(list, &c.config.Topology)
 	if slices.Equal(list, s.listed) && sameAddresses(s.addresses, addresses) {
 		return
 	}
 	were := s.ready
 	s.capacities = capacities(c.workers, addresses)
-	s.listed, s.addresses, s.ready = list, addresses, readyAmong(list)
+	s.listed, s.addresses, s.ready = list, addresses, 0
+	for i := range list {
+		if list[i].State == ravendale.Ready {
+			s.ready++
+		}
+	}
 	c.feed(s, ravendale.Event{Kind: ravendale.WorkersListed, List: ravendale.Full, Entries: list})
 	if were == 0 && s.ready > 0 {
 		c.hurry(s)
@@ -136,8 +134,8 @@
 	ceiling := Ceiling{RatePerS: config.RatePerS, Window: c.config.Window, Overshoot: c.config.Overshoot}
 	share := ceiling.Divide(s.name, c.config.Topology.Edge, c.config.Topology.Edges)
 	s.room = 0
-	for _, limit := range s.connections(config, c.edgeCount()) {
-		s.room += limit.Open
+	for _, connections := range s.connections(config, max(c.edges.highest(c.now), len(c.config.Topology.Edges))) {
+		s.room += connections
 	}
 	if s.bucket == nil || s.bucket.share != share {
 		s.bucket = newBucket(share, c.now)
@@ -186,16 +184,13 @@
 	}
 }
 
-// edgeCount counts the edges whose connections may be open.
-func (c *Core) edgeCount() int { return max(c.edges.highest(c.now), len(c.config.Topology.Edges)) }
-
-// Connections bounds the connections of this edge to each worker, by name.
-func (c *Core) Connections() map[string]worker.Limit {
-	limits := make(map[string]worker.Limit)
+// Connections says how many connections this edge may have to each worker, by name; 0 is no bound.
+func (c *Core) Connections() map[string]int {
+	limits := make(map[string]int)
 	if c.index == nil {
 		return limits
 	}
-	edges := c.edgeCount()
+	edges := max(c.edges.highest(c.now), len(c.config.Topology.Edges))
 	for _, s := range c.services {
 		if config := c.index.Service(s.name); config != nil {
 			maps.Copy(limits, s.connections(config, edges))
--- a/worker/client.go
+++ b/worker/client.go
@@ -17,36 +17,12 @@
 	closed bool
 }
 
-// Limit is what connections to a worker are bound by.
-type Limit struct {
-	Open int  // connections that may be open at once; 0: no bound
-	Once bool // a connection is closed after its answer: others need its place
-}
-
 // pool has the connections to one worker.
 type pool struct {
-	limit   Limit
-	open    int // connections, and those that are being made
-	idle    []*connection
-	gone    bool       // no longer named: what is open is closed after use
-	reached bool       // a connection has come up
-	first   *firstDial // under way, while the worker is not reached
-}
-
-// firstDial is an attempt to reach a worker that was not reached before. Other deliveries wait for it rather than dial as well.
-type firstDial struct {
-	ended  chan struct{}
-	failed bool // the worker did not take it; set before ended is closed
-}
-
-// wait returns once the dial or the context has ended, and says whether to look for a connection again.
-func (f *firstDial) wait(ctx context.Context) bool {
-	select {
-	case <-f.ended:
-		return !f.failed
-	case <-ctx.Done():
-		return false
-	}
+	limit int // connections that may be open; 0: no bound
+	open  int // connections, and those that are being made
+	idle  []*connection
+	gone  bool // no longer named: what is open is closed after use
 }
 
 // NewClient returns a client without connections.
@@ -56,9 +32,9 @@
 
 func (c *Client) now() time.Duration { return time.Since(c.started) }
 
-// Limit bounds the connections to each worker, by name. Idle connections to workers that it does not name are
+// Limit says how many connections may be open to each worker, by name. Idle connections to workers that it does not name are
 // closed, and those in use after their delivery.
-func (c *Client) Limit(limits map[string]Limit) {
+func (c *Client) Limit(limits map[string]int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for name, p := range c.pools {
@@ -74,9 +50,6 @@
 	for name, limit := range limits {
 		p := c.pool(name)
 		p.limit, p.gone = limit, false
-		if limit.Once {
-			p.closeIdle()
-		}
 	}
 }
 
@@ -183,45 +156,28 @@
 // take returns a connection to a worker: an idle one if it is still open, or a new one.
 func (c *Client) take(ctx context.Context, d *Delivery) (*connection, Outcome) {
 	for {
-		conn, first, room := c.reserve(d.Worker)
-		switch {
-		case first != nil:
-			if !first.wait(ctx) {
-				return nil, Unreachable
-			}
-		case !room:
+		conn, room := c.reserve(d.Worker)
+		if !room {
 			return nil, NoRoom
-		case conn == nil:
-			return c.connect(ctx, d)
-		case conn.quiet():
+		}
+		if conn == nil {
+			break
+		}
+		if conn.quiet() {
 			return conn, Done
-		default:
-			c.give(d.Worker, conn, 0)
 		}
+		c.give(d.Worker, conn, 0)
 	}
-}
-
-// connect makes the connection that there was room for.
-func (c *Client) connect(ctx context.Context, d *Delivery) (*connection, Outcome) {
 	conn, err := dial(ctx, d.Address)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p := c.pool(d.Worker)
-	p.reached = p.reached || err == nil
-	if p.first != nil {
-		p.first.failed = err != nil && ctx.Err() == nil
-		close(p.first.ended)
-		p.first = nil
-	}
 	if err != nil {
-		c.drop(d.Worker)
+		c.unreserve(d.Worker)
 		return nil, Unreachable
 	}
 	return conn, Done
 }
 
-// reserve takes an idle connection, or else room for a new one, or else says which dial to wait for.
-func (c *Client) reserve(name string) (conn *connection, first *firstDial, room bool) {
+// reserve takes an idle connection, or else room for a new one.
+func (c *Client) reserve(name string) (conn *connection, room bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pool(name)
@@ -230,22 +186,22 @@
 		last := len(p.idle) - 1
 		conn, p.idle = p.idle[last], p.idle[:last]
 		if conn.until > now {
-			return conn, nil, true
+			return conn, true
 		}
 		_ = conn.socket.Close()
 		p.open--
 	}
-	if p.first != nil {
-		return nil, p.first, false
-	}
-	if p.limit.Open > 0 && p.open >= p.limit.Open {
-		return nil, nil, false
+	if p.limit > 0 && p.open >= p.limit {
+		return nil, false
 	}
 	p.open++
-	if !p.reached {
-		p.first = &firstDial{ended: make(chan struct{})}
-	}
-	return nil, nil, true
+	return nil, true
+}
+
+func (c *Client) unreserve(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drop(name)
 }
 
 func (c *Client) drop(name string) {
@@ -261,7 +217,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pool(name)
-	if idle <= 0 || p.gone || c.closed || p.limit.Once || p.limit.Open > 0 && p.open > p.limit.Open {
+	if idle <= 0 || p.gone || c.closed || p.limit > 0 && p.open > p.limit {
 		_ = conn.socket.Close()
 		c.drop(name)
 		return
--- a/worker/client_test.go
+++ b/worker/client_test.go
@@ -332,7 +332,7 @@
 	})
 	client := NewClient()
 	defer client.Close()
-	client.Limit(map[string]Limit{"i-1": {Open: 2}})
+	client.Limit(map[string]int{"i-1": 2})
 	results := make(chan Result, 3)
 	for range 3 {
 		d := delivery(address)
@@ -355,81 +355,9 @@
 	})
 	client := NewClient()
 	defer client.Close()
-	client.Limit(map[string]Limit{"i-1": {}})
+	client.Limit(map[string]int{"i-1": 0})
 	require.Equal(t, Done, deliver(client, delivery(address)).Outcome)
-	client.Limit(map[string]Limit{"i-2": {}})
+	client.Limit(map[string]int{"i-2": 0})
 	<-closed
 	assert.Nil(t, client.pools["i-1"])
 }
-
-func TestConnectionIsNotKeptWhereOthersNeedItsPlace(t *testing.T) {
-	var conns atomic.Int32
-	address := script(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
-		conns.Add(1)
-		_, _, _ = readRequest(reader)
-		_, _ = io.WriteString(conn, doneAnswer+"\r\n")
-		_, _ = reader.ReadByte()
-	})
-	client := NewClient()
-	defer client.Close()
-	client.Limit(map[string]Limit{"i-1": {Open: 1, Once: true}})
-	for i := range 3 {
-		require.Equal(t, Done, deliver(client, delivery(address)).Outcome)
-		assert.EqualValues(t, i+1, conns.Load())
-		assert.Zero(t, client.pools["i-1"].open)
-	}
-}
-
-func TestIdleConnectionIsClosedOnceOthersNeedItsPlace(t *testing.T) {
-	closed := make(chan struct{})
-	address := script(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
-		_, _, _ = readRequest(reader)
-		_, _ = io.WriteString(conn, doneAnswer+"\r\n")
-		_, _ = reader.ReadByte()
-		close(closed)
-	})
-	client := NewClient()
-	defer client.Close()
-	require.Equal(t, Done, deliver(client, delivery(address)).Outcome)
-	client.Limit(map[string]Limit{"i-1": {Open: 1, Once: true}})
-	<-closed
-	assert.Zero(t, client.pools["i-1"].open)
-}
-
-func TestOneDialIsUnderWayUntilTheWorkerIsReached(t *testing.T) {
-	client := NewClient()
-	defer client.Close()
-	conn, first, room := client.reserve("i-1")
-	assert.Nil(t, conn)
-	assert.Nil(t, first)
-	require.True(t, room, "the first may dial")
-	_, first, room = client.reserve("i-1")
-	assert.False(t, room)
-	require.NotNil(t, first, "the second waits for it")
-	made, outcome := client.connect(t.Context(), delivery(answering(t, doneAnswer+"\r\n")))
-	require.Equal(t, Done, outcome)
-	assert.True(t, first.wait(t.Context()))
-	for range 3 {
-		_, first, room = client.reserve("i-1")
-		assert.Nil(t, first)
-		assert.True(t, room, "and from then on there is no need to")
-	}
-	client.give("i-1", made, 0)
-}
-
-func TestDialThatFailsEndsThoseThatWait(t *testing.T) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	address := listener.Addr().String()
-	require.NoError(t, listener.Close())
-	client := NewClient()
-	defer client.Close()
-	_, _, _ = client.reserve("i-1")
-	_, first, _ := client.reserve("i-1")
-	_, outcome := client.connect(t.Context(), delivery(address))
-	assert.Equal(t, Unreachable, outcome)
-	assert.False(t, first.wait(t.Context()))
-	_, first, room := client.reserve("i-1")
-	assert.Nil(t, first, "the next may try again")
-	assert.True(t, room)
-}
