Record the last answer of reading back, not the call that its own end cut off

Cause: a message that was accepted just as its route was dropped ends as a dead letter without a body, so the reading back is never settled and goes on until its context ends. The call begun after that failed at once, and as the last one it was recorded: "the state was answered 0". TestConfigurationChangesUnderLoad was red whenever an edge took a message in the moments before it heard of the drop. Change: where the end of the context cut the last call off, the reading before it is recorded; where there is none, the cut one as before. As strict: all that an edge answered is judged by the same rules, and a message without any answer is still told as such. Result: the client's test plays such a message, and holds an unknown one to its 404, where before any failure would do.

--- a/standin/client/client_test.go
+++ b/standin/client/client_test.go
@@ -105,6 +105,8 @@
 			_, _ = fmt.Fprint(w, `{"state":"pending"}`)
 		case "/v1/message-body/held":
 			_, _ = fmt.Fprint(w, "bytes")
+		case "/v1/message/dropped": // its body is told to nobody
+			_, _ = fmt.Fprint(w, `{"state":"dead_letter"}`)
 		default:
 			w.WriteHeader(http.StatusNotFound)
 		}
@@ -113,15 +115,19 @@
 	clients := client.New(client.NewBalancer([]client.Edge{telling}), record)
 	clients.ReadBack(within(t, 800*time.Millisecond), []history.Send{
 		{RequestID: "r1", MessageID: "done"}, {RequestID: "r2", MessageID: "held"}, {RequestID: "r3", MessageID: "gone"},
+		{RequestID: "r4", MessageID: "dropped"},
 	})
 	readings := make(map[string]history.Reading)
 	for _, reading := range record.History().Readings {
 		readings[reading.RequestID] = reading
 	}
-	require.Len(t, readings, 3)
+	require.Len(t, readings, 4)
 	assert.Equal(t, "s1", readings["r1"].Signature)
 	assert.Equal(t, xxhash.Sum64String("bytes"), readings["r2"].Body)
-	assert.NotEqual(t, http.StatusOK, readings["r3"].StateStatus)
+	assert.Equal(t, http.StatusNotFound, readings["r3"].StateStatus, "as answered, and not as cut off by the end of the context")
+	assert.Equal(t, http.StatusOK, readings["r4"].StateStatus)
+	assert.Equal(t, protocol.StateDead, readings["r4"].State)
+	assert.Equal(t, http.StatusNotFound, readings["r4"].BodyStatus)
 }
 
 func TestBalancerLeavesOutWhatIsNotReady(t *testing.T) {
--- a/standin/client/poller.go
+++ b/standin/client/poller.go
@@ -24,7 +24,8 @@
 )
 
 // ReadBack asks for the state of each message, and for the body of those that it is told are pending or dead. Each is asked for
-// again after a failure, at another edge, until the context ends. All readings are recorded.
+// again after a failure, at another edge, until the context ends. Recorded is the reading that settles it, or else the last that the end of
+// the context did not cut off.
 func (c *Clients) ReadBack(ctx context.Context, sends []history.Send) {
 	work := make(chan history.Send)
 	var group sync.WaitGroup
@@ -45,13 +46,23 @@
 }
 
 func (c *Clients) readBack(ctx context.Context, transport *http.Transport, send history.Send) {
+	var before *history.Reading
 	for {
 		reading := c.Read(ctx, transport, send)
 		settled := reading.StateStatus == http.StatusOK && (reading.State == protocol.StateDone || reading.BodyStatus == http.StatusOK)
-		if settled || ctx.Err() != nil {
+		if settled {
 			c.record.Read(reading)
 			return
 		}
+		if ctx.Err() != nil {
+			unanswered := reading.StateStatus == 0 || reading.StateStatus == http.StatusOK && reading.BodyStatus == 0
+			if unanswered && before != nil { // the call was cut off from here
+				reading = *before
+			}
+			c.record.Read(reading)
+			return
+		}
+		before = &reading
 		transport.CloseIdleConnections()
 		pause(ctx, pollPause)
 	}
