Start the test's wait for the configuration when the request has come

Cause: TestTheWaitCounts was red under -race beside other work: 320.164 ms in place of at most 320. Its 100 ms began before the request was sent, so a request that took its time on the way waited less at the server, and less was rightly taken off. Change: the 100 ms begin at the server's second look for the configuration, from which on the wait is counted. The bound of 320 ms stays.

--- a/ingress/hold_test.go
+++ b/ingress/hold_test.go
@@ -38,7 +38,14 @@
 // What a request waited is taken off the time for its put.
 func TestTheWaitCounts(t *testing.T) {
 	s, arrive := late(t)
-	time.AfterFunc(100*time.Millisecond, arrive)
+	var asked atomic.Int32
+	ready := s.server.config.Ready
+	s.server.config.Ready = func() bool {
+		if asked.Add(1) == 2 { // the request is there, and its wait is counted
+			time.AfterFunc(100*time.Millisecond, arrive)
+		}
+		return ready()
+	}
 	assert.Equal(t, http.StatusAccepted, s.ask(t, head+"Deadline-Ms: 1000\r\nContent-Length: 0\r\n\r\n").status)
 	assert.LessOrEqual(t, s.queue.limits[0], 320*time.Millisecond)
 }
