--- a/queue/journal/journal.go
+++ b/queue/journal/journal.go
@@ -18,8 +18,6 @@
 	"path/filepath"
 	"slices"
 	"sync"
-	"syscall"
-	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -60,14 +58,8 @@
 	OnSync func(position uint64)
 	// OnError is called once when the disk fails: nothing is synced from then on.
 	OnError func(error)
-	// OnFull is called each time that the disk takes no more bytes; may be nil. What is queued is written again after a pause, so a full
-	// disk is a slow one to whoever waits for OnSync.
-	OnFull func(error)
 }
 
-// fullPause is how long a full disk is left alone.
-const fullPause = 200 * time.Millisecond
-
 // chunk is what one write puts into one segment.
 type chunk struct {
 	segment uint32
@@ -100,9 +92,6 @@
 	closing  bool
 	wake     chan struct{}
 	done     chan struct{}
-
-	writeAt func(file *os.File, data []byte, offset int64) (int, error)
-	pause   func(time.Duration)
 }
 
 // Open reads a journal, in the order in which it was written, and makes it ready for more. Visit gets each record; the payload
@@ -117,7 +106,6 @@
 	j := &Journal{
 		dir: dir, options: options, files: make(map[uint32]*os.File), sizes: make(map[uint32]uint32),
 		wake: make(chan struct{}, 1), done: make(chan struct{}),
-		writeAt: (*os.File).WriteAt, pause: time.Sleep,
 	}
 	if err := j.recover(visit); err != nil {
 		j.closeFiles()
@@ -477,27 +465,7 @@
 	return nil
 }
 
-// writeData writes a chunk and syncs it. Its place is its own, so where the disk was full it is simply written again.
 func (j *Journal) writeData(c *chunk) error {
-	for {
-		err := j.tryData(c)
-		if !errors.Is(err, syscall.ENOSPC) || j.isClosing() {
-			return err
-		}
-		if j.options.OnFull != nil {
-			j.options.OnFull(err)
-		}
-		j.pause(fullPause)
-	}
-}
-
-func (j *Journal) isClosing() bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.closing
-}
-
-func (j *Journal) tryData(c *chunk) error {
 	j.mu.Lock()
 	file := j.files[c.segment]
 	j.mu.Unlock()
@@ -509,7 +477,7 @@
 		file = j.files[c.segment]
 		j.mu.Unlock()
 	}
-	if _, err := j.writeAt(file, c.data, int64(c.offset)); err != nil {
+	if _, err := file.WriteAt(c.data, int64(c.offset)); err != nil {
 		return fmt.Errorf("journal: segment %d: %w", c.segment, err)
 	}
 	if err := syncData(file); err != nil {
--- a/queue/store/store.go
+++ b/queue/store/store.go
@@ -88,11 +88,8 @@
 	}
 }
 
-// full notes that the disk takes no more. The store stays: what waits for the disk waits, as at a slow one.
-func (s *Store) full(err error) { s.config.Log.Warn("the disk is full", "error", err) }
-
 func (s *Store) recover() error {
-	options := journal.Options{OnSync: s.synced, OnError: s.fail, OnFull: s.full}
+	options := journal.Options{OnSync: s.synced, OnError: s.fail}
 	if s.config.Settings.DiskMb > 0 {
 		options.SegmentBytes = min(max(s.config.Settings.DiskMb<<20/segmentsOfDisk, leastSegment), journal.DefaultSegmentBytes)
 	}
