Have a test of silent stores go by events, not by sleeps

Cause: TestPutsGoOnWhenAStoreAnswersAgain slept 0.2 s and took the first put to have come by then; under load it had not (1.376 s against 0.3 s). Change: the stalled store says when it has the put and is let go by the test; the second put must be kept sooner than the suspicion (1 s) would pass by itself, and the suspicion must be over.

--- a/queueclient/outage_test.go
+++ b/queueclient/outage_test.go
@@ -1,7 +1,6 @@
 package queueclient
 
 import (
-	"sync"
 	"testing"
 	"time"
 
@@ -28,22 +27,31 @@
 	assert.LessOrEqual(t, one.countPuts(), 2)
 }
 
-// The first answer ends the suspicion, and what waited goes on.
+// The first answer ends the suspicion, and what waited goes on, sooner than the suspicion would have passed by itself.
 func TestPutsGoOnWhenAStoreAnswersAgain(t *testing.T) {
 	one := newFakeStore(t)
-	var stall sync.Once
-	one.put = func(*wire.Put, int) *wire.PutReply {
-		stall.Do(func() { time.Sleep(2 * putPatience) })
+	arrived, release := make(chan struct{}), make(chan struct{})
+	one.put = func(_ *wire.Put, number int) *wire.PutReply {
+		if number == 1 {
+			close(arrived)
+			<-release
+		}
 		return &wire.PutReply{Code: wire.PutKept}
 	}
 	c, _ := newClient(t)
 	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
 	connected(t, c)
 	go c.Put(plain(), true, soon)
-	time.Sleep(putPatience + 50*time.Millisecond)
-	began := time.Now()
-	require.Equal(t, Kept, c.PutWithin(plain(), true, Limits{Try: soon}))
-	assert.Less(t, time.Since(began), 2*putPatience)
+	<-arrived
+	primary := c.view.Load().primary(0)
+	require.Eventually(t, func() bool { return primary.suspect(c.now()) }, soon, time.Millisecond)
+	suspected := time.Now()
+	second := make(chan Result, 1)
+	go func() { second <- c.PutWithin(plain(), true, Limits{Try: soon}) }()
+	close(release)
+	require.Equal(t, Kept, <-second)
+	assert.Less(t, time.Since(suspected), suspectFor)
+	assert.False(t, primary.suspect(c.now()))
 }
 
 // A store that keeps other messages is slow, not gone: its answer is worth waiting for.
