Keep the copies of a partition in one region where no region is to be borne

Cause: a store for a new copy was chosen by zone and load alone, so with several regions a partition's copies came to lie in two after losses, and each put waited for the far one. Change: each partition has a home region in proportion to the stores of each (control/placement/homes.go); new copies go there where a store of another zone can be had, and those elsewhere come home, eight at a time. Where the loss of a region is to be borne nothing changes. Ruled out: homes by the members at hand, which leave all in one region after it was alone for a while.

--- a/control/placement/placement.go
+++ b/control/placement/placement.go
@@ -79,6 +79,7 @@
 	}
 	p := newPlan(nil, live, config)
 	p.partitions = make([]partition, config.Partitions)
+	p.assignHomes()
 	for i := range p.partitions {
 		for range config.Copies {
 			if s := p.candidate(&p.partitions[i], p.strict()); s != nil {
--- a/control/placement/placement_test.go
+++ b/control/placement/placement_test.go
@@ -469,3 +469,59 @@
 	parts, _ := loads(view)
 	requireEven(t, parts, live, 1)
 }
+
+// storesOfTwoRegions are two stores in each of two zones a region.
+func storesOfTwoRegions() []Store {
+	stores := storesIn(2, 2, 2, 2)
+	for i := range stores {
+		stores[i].Region = "east"
+		if stores[i].Zone >= "z2" {
+			stores[i].Region = "west"
+		}
+	}
+	return stores
+}
+
+// crossing counts the partitions whose replicas lie in several regions.
+func crossing(view *wire.StoreView) int {
+	count := 0
+	for _, place := range view.Partitions {
+		for _, r := range place.Replicas[1:] {
+			if view.Stores[r].Region != view.Stores[place.Replicas[0]].Region {
+				count++
+				break
+			}
+		}
+	}
+	return count
+}
+
+func TestCopiesStayInOneRegionWhereNoRegionIsToBeBorne(t *testing.T) {
+	live := storesOfTwoRegions()
+	view, ok := Plan(nil, live, config(2))
+	require.True(t, ok)
+	require.Zero(t, crossing(view), "as founded")
+	require.Zero(t, crossing(settle(t, view, live, config(2))))
+	c := config(2)
+	c.Regions = true
+	view, _ = Plan(nil, live, c)
+	require.Equal(t, DefaultPartitions, crossing(view), "the loss of a region is to be borne")
+}
+
+func TestCopiesComeHomeOnceTheirRegionHasStoresAgain(t *testing.T) {
+	live := storesOfTwoRegions()
+	west := slices.DeleteFunc(slices.Clone(live), func(s Store) bool { return s.Region == "east" })
+	for name, left := range map[string][]Store{
+		"one store of a region is left": append(slices.Clone(west), live[0]), "a region is away": west,
+	} {
+		t.Run(name, func(t *testing.T) {
+			view, _ := Plan(nil, live, config(2))
+			view = settle(t, view, left, config(2))
+			view = settle(t, view, live, config(2))
+			require.Zero(t, crossing(view))
+			parts, primaries := loads(view)
+			requireEven(t, parts, live, 2)
+			requireEven(t, primaries, live, 1)
+		})
+	}
+}
--- a/control/placement/plan.go
+++ b/control/placement/plan.go
@@ -24,6 +24,7 @@
 type partition struct {
 	replicas []*store
 	joining  []*store
+	home     string // the region where all copies should lie; empty where it does not matter
 }
 
 func (p *partition) members() []*store { return slices.Concat(p.replicas, p.joining) }
@@ -62,6 +63,7 @@
 		p.arrive(s)
 	}
 	p.count()
+	p.assignHomes()
 	return p
 }
 
@@ -233,17 +235,20 @@
 		if !s.eligible() || part.has(s) || otherDomain && taken[p.domain(s)] {
 			continue
 		}
-		if best == nil || p.better(s, best, taken) {
+		if best == nil || p.better(part, s, best, taken) {
 			best = s
 		}
 	}
 	return best
 }
 
-func (p *plan) better(a, b *store, taken map[string]bool) bool {
+func (p *plan) better(part *partition, a, b *store, taken map[string]bool) bool {
 	if ta, tb := taken[p.domain(a)], taken[p.domain(b)]; ta != tb {
 		return !ta
 	}
+	if fa, fb := part.foreign(a), part.foreign(b); fa != fb {
+		return !fa
+	}
 	return a.load < b.load
 }
 
@@ -272,7 +277,7 @@
 	}
 	var worst *store
 	for _, s := range part.replicas {
-		if worst == nil || p.worse(part.replicas, s, worst) {
+		if worst == nil || p.worse(part, s, worst) {
 			worst = s
 		}
 	}
@@ -295,20 +300,23 @@
 }
 
 // worse says whether a should be dropped rather than b.
-func (p *plan) worse(replicas []*store, a, b *store) bool {
+func (p *plan) worse(part *partition, a, b *store) bool {
 	if a.Retiring != b.Retiring {
 		return a.Retiring
 	}
 	if a.leaving != b.leaving {
 		return a.leaving
 	}
-	if da, db := p.shared(replicas, a), p.shared(replicas, b); da != db {
+	if da, db := p.shared(part.replicas, a), p.shared(part.replicas, b); da != db {
 		return da
 	}
+	if fa, fb := part.foreign(a), part.foreign(b); fa != fb {
+		return fa
+	}
 	if a.load != b.load {
 		return a.load > b.load
 	}
-	return b == replicas[0] // leave the primary where it is
+	return b == part.replicas[0] // leave the primary where it is
 }
 
 // shared says whether another of the replicas is in a store's domain.
@@ -322,6 +330,7 @@
 	for i := range p.partitions {
 		moves += len(p.partitions[i].joining)
 	}
+	moves += p.bringHome(movesAtOnce - moves)
 	p.settle()
 	for ; moves < movesAtOnce; moves++ {
 		if !p.move() {
@@ -336,7 +345,7 @@
 		part := &p.partitions[i]
 		members := part.members()
 		for range max(0, len(members)-p.config.Copies) {
-			settled := partition{replicas: members}
+			settled := partition{replicas: members, home: part.home}
 			if s := p.excess(&settled); s != nil {
 				s.load--
 				members = without(members, func(m *store) bool { return m == s })
@@ -382,6 +391,9 @@
 		if !s.eligible() || part.has(s) || best != nil && s.load >= best.load {
 			continue
 		}
+		if part.foreign(s) && !part.foreign(giver) {
+			continue
+		}
 		if p.domains(append(slices.Clone(rest), s)) >= before {
 			best = s
 		}
