--- a/queueclient/outage_test.go
+++ b/queueclient/outage_test.go
@@ -12,60 +12,66 @@
 
 // All stores have gone silent. Once that is known a message is not put into the void, but refused: its client may try again.
 func TestPutsToSilentStoresAreRefusedInTime(t *testing.T) {
-	one := newFakeStore(t)
-	one.put = func(*wire.Put, int) *wire.PutReply { return nil }
-	c, _ := newClient(t)
-	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}, []uint16{0}))
-	connected(t, c)
-	limits := Limits{Try: 2 * putPatience, Answer: 20 * time.Millisecond, Hope: soon}
-	began := time.Now()
-	require.Equal(t, Unsure, c.PutWithin(plain(), true, limits))
-	assert.Less(t, time.Since(began), soon/2, "nothing hints that an answer comes")
-	for _, m := range []*wire.Message{plain(), ordered()} {
-		assert.Equal(t, Refused, c.PutWithin(m, true, limits))
-	}
-	assert.LessOrEqual(t, one.countPuts(), 2)
+	onFakeTime(t, func(t *testing.T) {
+		one := newFakeStore(t)
+		one.put = func(*wire.Put, int) *wire.PutReply { return nil }
+		c, _ := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one}, []uint16{0}, []uint16{0}))
+		connected(t, c)
+		limits := Limits{Try: 2 * putPatience, Answer: 20 * time.Millisecond, Hope: soon}
+		began := time.Now()
+		require.Equal(t, Unsure, c.PutWithin(plain(), true, limits))
+		assert.Less(t, time.Since(began), soon/2, "nothing hints that an answer comes")
+		for _, m := range []*wire.Message{plain(), ordered()} {
+			assert.Equal(t, Refused, c.PutWithin(m, true, limits))
+		}
+		assert.LessOrEqual(t, one.countPuts(), 2)
+	})
 }
 
 // The first answer ends the suspicion, and what waited goes on, sooner than the suspicion would have passed by itself.
 func TestPutsGoOnWhenAStoreAnswersAgain(t *testing.T) {
-	one := newFakeStore(t)
-	arrived, release := make(chan struct{}), make(chan struct{})
-	one.put = func(_ *wire.Put, number int) *wire.PutReply {
-		if number == 1 {
-			close(arrived)
-			<-release
+	onFakeTime(t, func(t *testing.T) {
+		one := newFakeStore(t)
+		arrived, release := make(chan struct{}), make(chan struct{})
+		one.put = func(_ *wire.Put, number int) *wire.PutReply {
+			if number == 1 {
+				close(arrived)
+				<-release
+			}
+			return &wire.PutReply{Code: wire.PutKept}
 		}
-		return &wire.PutReply{Code: wire.PutKept}
-	}
-	c, _ := newClient(t)
-	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
-	connected(t, c)
-	go c.Put(plain(), true, soon)
-	<-arrived
-	primary := c.view.Load().primary(0)
-	require.Eventually(t, func() bool { return primary.suspect(c.now()) }, soon, time.Millisecond)
-	suspected := time.Now()
-	second := make(chan Result, 1)
-	go func() { second <- c.PutWithin(plain(), true, Limits{Try: soon}) }()
-	close(release)
-	require.Equal(t, Kept, <-second)
-	assert.Less(t, time.Since(suspected), suspectFor)
-	assert.False(t, primary.suspect(c.now()))
+		c, _ := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+		connected(t, c)
+		go c.Put(plain(), true, soon)
+		<-arrived
+		primary := c.view.Load().primary(0)
+		require.Eventually(t, func() bool { return primary.suspect(c.now()) }, soon, time.Millisecond)
+		suspected := time.Now()
+		second := make(chan Result, 1)
+		go func() { second <- c.PutWithin(plain(), true, Limits{Try: soon}) }()
+		close(release)
+		require.Equal(t, Kept, <-second)
+		assert.Less(t, time.Since(suspected), suspectFor)
+		assert.False(t, primary.suspect(c.now()))
+	})
 }
 
 // A store that keeps other messages is slow, not gone: its answer is worth waiting for.
 func TestAnswersOfASlowStoreAreHopedFor(t *testing.T) {
-	one := newFakeStore(t)
-	one.put = func(_ *wire.Put, number int) *wire.PutReply {
-		if number > 1 {
-			time.Sleep(putPatience * 2 / 3)
+	onFakeTime(t, func(t *testing.T) {
+		one := newFakeStore(t)
+		one.put = func(_ *wire.Put, number int) *wire.PutReply {
+			if number > 1 {
+				time.Sleep(putPatience * 2 / 3)
+			}
+			return &wire.PutReply{Code: wire.PutKept}
 		}
-		return &wire.PutReply{Code: wire.PutKept}
-	}
-	c, _ := newClient(t)
-	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
-	connected(t, c)
-	require.Equal(t, Kept, c.Put(plain(), true, soon))
-	assert.Equal(t, Kept, c.PutWithin(plain(), true, Limits{Try: 20 * time.Millisecond, Answer: 20 * time.Millisecond, Hope: soon}))
+		c, _ := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+		connected(t, c)
+		require.Equal(t, Kept, c.Put(plain(), true, soon))
+		assert.Equal(t, Kept, c.PutWithin(plain(), true, Limits{Try: 20 * time.Millisecond, Answer: 20 * time.Millisecond, Hope: soon}))
+	})
 }
--- a/queueclient/queueclient_test.go
+++ b/queueclient/queueclient_test.go
@@ -1,8 +1,10 @@
 package queueclient
 
 import (
+	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -13,7 +15,7 @@
 	"ravendale/wire"
 )
 
-const soon = 3 * time.Second
+const soon = 3 * time.Second // of fake time
 
 // fakeStore is a store that answers as it is told to.
 type fakeStore struct {
@@ -83,10 +85,8 @@
 			reply.Send(answer)
 		}
 	})
-	server, err := rpc.Listen("127.0.0.1:0", rpc.Options{Mux: mux}, nil)
-	require.NoError(t, err)
-	s.server = server
-	t.Cleanup(server.Close)
+	s.server = rpc.Serve(memory.listen(), rpc.Options{Mux: mux}, nil)
+	t.Cleanup(s.server.Close)
 	return s
 }
 
@@ -139,7 +139,7 @@
 func newClient(t *testing.T) (*Client, *heard) {
 	h := &heard{kept: make(map[string]bool)}
 	c := New(Config{
-		Edge: "edge-1", Zone: "z1",
+		Edge: "edge-1", Zone: "z1", Options: rpc.Options{DialContext: memory.dial},
 		Kept:         func(m *wire.Message, granted bool) { h.with(func() { h.kept[m.ID] = granted }) },
 		Granted:      func(g *wire.Grant) { h.with(func() { h.granted = append(h.granted, g.ID) }) },
 		Acknowledged: func(id string) { h.with(func() { h.acknowledged = append(h.acknowledged, id) }) },
@@ -149,6 +149,7 @@
 			return ids
 		},
 	})
+	c.started = c.started.Add(-time.Hour) // no event falls on its start, a time that stands for never
 	t.Cleanup(c.Close)
 	return c, h
 }
@@ -170,8 +171,11 @@
 	return v
 }
 
+// connected waits until the client is connected to all stores and has told them all that there was to tell. What it claims may be told
+// twice then: by the connection that came up, and by the view that was taken.
 func connected(t *testing.T, c *Client) {
 	t.Helper()
+	defer synctest.Wait()
 	require.Eventually(t, func() bool {
 		for _, s := range c.view.Load().stores {
 			if s.conn() == nil {
@@ -182,78 +186,93 @@
 	}, soon, time.Millisecond)
 }
 
+// distinct leaves repeats out that follow one another.
+func distinct(claims []wire.Claim) []wire.Claim {
+	return slices.CompactFunc(claims, func(a, b wire.Claim) bool { return a.Epoch == b.Epoch && slices.Equal(a.IDs, b.IDs) })
+}
+
 func plain() *wire.Message { return &wire.Message{RequestID: "r", Body: []byte("b")} }
 
 func ordered() *wire.Message { return &wire.Message{RequestID: "r", Key: "k", Ordered: true} }
 
 func TestPutGoesToAPartitionOfTheOwnZone(t *testing.T) {
-	one, two := newFakeStore(t), newFakeStore(t)
-	c, h := newClient(t)
-	assert.False(t, c.Usable())
-	c.SetView(placement(1, []*fakeStore{one, two}, []uint16{1, 0}, []uint16{0, 1}, []uint16{1, 0}))
-	connected(t, c)
-	assert.True(t, c.Usable())
-	for range 10 {
-		m := plain()
-		require.Equal(t, Kept, c.Put(m, true, time.Second))
-		partition, ok := wire.PartitionOf(m.ID)
-		assert.True(t, ok)
-		assert.EqualValues(t, 1, partition)
-		h.with(func() { assert.Contains(t, h.kept, m.ID) })
-	}
-	one.with(func() {
-		assert.Len(t, one.puts, 10)
-		assert.EqualValues(t, 1, one.puts[0].Epoch)
-		assert.True(t, one.puts[0].Dispatch)
-		assert.Equal(t, []byte("b"), one.puts[0].Message.Body)
-		assert.Equal(t, wire.Attach{Edge: "edge-1", Zone: "z1"}, one.attaches[0])
+	onFakeTime(t, func(t *testing.T) {
+		one, two := newFakeStore(t), newFakeStore(t)
+		c, h := newClient(t)
+		assert.False(t, c.Usable())
+		c.SetView(placement(1, []*fakeStore{one, two}, []uint16{1, 0}, []uint16{0, 1}, []uint16{1, 0}))
+		connected(t, c)
+		assert.True(t, c.Usable())
+		for range 10 {
+			m := plain()
+			require.Equal(t, Kept, c.Put(m, true, time.Second))
+			partition, ok := wire.PartitionOf(m.ID)
+			assert.True(t, ok)
+			assert.EqualValues(t, 1, partition)
+			h.with(func() { assert.Contains(t, h.kept, m.ID) })
+		}
+		one.with(func() {
+			assert.Len(t, one.puts, 10)
+			assert.EqualValues(t, 1, one.puts[0].Epoch)
+			assert.True(t, one.puts[0].Dispatch)
+			assert.Equal(t, []byte("b"), one.puts[0].Message.Body)
+			assert.Equal(t, wire.Attach{Edge: "edge-1", Zone: "z1"}, one.attaches[0])
+		})
+		assert.Zero(t, two.countPuts())
 	})
-	assert.Zero(t, two.countPuts())
 }
 
 func TestPutThatIsNotForThisEdgeIsNotTold(t *testing.T) {
-	one := newFakeStore(t)
-	c, h := newClient(t)
-	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
-	connected(t, c)
-	require.Equal(t, Kept, c.Put(plain(), false, time.Second))
-	h.with(func() { assert.Empty(t, h.kept) })
+	onFakeTime(t, func(t *testing.T) {
+		one := newFakeStore(t)
+		c, h := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+		connected(t, c)
+		require.Equal(t, Kept, c.Put(plain(), false, time.Second))
+		h.with(func() { assert.Empty(t, h.kept) })
+	})
 }
 
 func TestRefusedPutGoesElsewhereUnderAnotherName(t *testing.T) {
-	one, two := newFakeStore(t), newFakeStore(t)
-	one.put = func(*wire.Put, int) *wire.PutReply { return &wire.PutReply{Code: wire.PutRefused} }
-	c, h := newClient(t)
-	c.SetView(placement(1, []*fakeStore{one, two}, []uint16{0}, []uint16{1}))
-	connected(t, c)
-	m := plain()
-	require.Equal(t, Kept, c.Put(m, true, time.Second))
-	partition, _ := wire.PartitionOf(m.ID)
-	assert.EqualValues(t, 1, partition)
-	h.with(func() { assert.Len(t, h.kept, 1) })
-	one.with(func() { assert.NotEqual(t, one.puts[0].Message.ID, m.ID) })
+	onFakeTime(t, func(t *testing.T) {
+		one, two := newFakeStore(t), newFakeStore(t)
+		one.put = func(*wire.Put, int) *wire.PutReply { return &wire.PutReply{Code: wire.PutRefused} }
+		c, h := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one, two}, []uint16{0}, []uint16{1}))
+		connected(t, c)
+		m := plain()
+		require.Equal(t, Kept, c.Put(m, true, time.Second))
+		partition, _ := wire.PartitionOf(m.ID)
+		assert.EqualValues(t, 1, partition)
+		h.with(func() { assert.Len(t, h.kept, 1) })
+		one.with(func() { assert.NotEqual(t, one.puts[0].Message.ID, m.ID) })
+	})
 }
 
 func TestPutThatAllRefuseIsRefused(t *testing.T) {
-	for _, code := range []wire.PutCode{wire.PutStale, wire.PutNotPrimary, wire.PutRefused} {
-		one := newFakeStore(t)
-		one.put = func(*wire.Put, int) *wire.PutReply { return &wire.PutReply{Code: code} }
-		c, _ := newClient(t)
-		c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
-		connected(t, c)
-		assert.Equal(t, Refused, c.Put(plain(), true, 100*time.Millisecond))
-		assert.Equal(t, Refused, c.Put(ordered(), true, 100*time.Millisecond))
-		assert.Less(t, one.countPuts(), 40, "without a pause")
-	}
+	onFakeTime(t, func(t *testing.T) {
+		for _, code := range []wire.PutCode{wire.PutStale, wire.PutNotPrimary, wire.PutRefused} {
+			one := newFakeStore(t)
+			one.put = func(*wire.Put, int) *wire.PutReply { return &wire.PutReply{Code: code} }
+			c, _ := newClient(t)
+			c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+			connected(t, c)
+			assert.Equal(t, Refused, c.Put(plain(), true, 100*time.Millisecond))
+			assert.Equal(t, Refused, c.Put(ordered(), true, 100*time.Millisecond))
+			assert.Less(t, one.countPuts(), 40, "without a pause")
+		}
+	})
 }
 
 func TestPutWithoutStoresIsRefused(t *testing.T) {
-	c, _ := newClient(t)
-	assert.Equal(t, Refused, c.Put(plain(), true, 60*time.Millisecond))
-	one := newFakeStore(t)
-	one.server.Close()
-	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
-	assert.Equal(t, Refused, c.Put(plain(), true, 60*time.Millisecond))
+	onFakeTime(t, func(t *testing.T) {
+		c, _ := newClient(t)
+		assert.Equal(t, Refused, c.Put(plain(), true, 60*time.Millisecond))
+		one := newFakeStore(t)
+		one.server.Close()
+		c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+		assert.Equal(t, Refused, c.Put(plain(), true, 60*time.Millisecond))
+	})
 }
 
 func TestPutWithoutAClearAnswerIsUnsure(t *testing.T) {
@@ -270,378 +289,412 @@
 	for name, answer := range answers {
 		for _, m := range []*wire.Message{plain(), ordered()} {
 			t.Run(name, func(t *testing.T) {
-				one := newFakeStore(t)
-				one.put = answer
-				c, _ := newClient(t)
-				c.last = 50 * time.Millisecond
-				c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
-				connected(t, c)
-				assert.Equal(t, Unsure, c.Put(m, true, 100*time.Millisecond))
+				onFakeTime(t, func(t *testing.T) {
+					one := newFakeStore(t)
+					one.put = answer
+					c, _ := newClient(t)
+					c.last = 50 * time.Millisecond
+					c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+					connected(t, c)
+					assert.Equal(t, Unsure, c.Put(m, true, 100*time.Millisecond))
+				})
 			})
 		}
 	}
 }
 
 func TestPutLeavesASilentStore(t *testing.T) {
-	one, two := newFakeStore(t), newFakeStore(t)
-	one.put = func(*wire.Put, int) *wire.PutReply { return nil }
-	c, _ := newClient(t)
-	c.SetView(placement(1, []*fakeStore{one, two}, []uint16{0}, []uint16{1}))
-	connected(t, c)
-	began := time.Now()
-	require.Equal(t, Kept, c.Put(plain(), true, time.Second))
-	assert.GreaterOrEqual(t, time.Since(began), putPatience)
-	for range 5 {
-		began = time.Now()
+	onFakeTime(t, func(t *testing.T) {
+		one, two := newFakeStore(t), newFakeStore(t)
+		one.put = func(*wire.Put, int) *wire.PutReply { return nil }
+		c, _ := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one, two}, []uint16{0}, []uint16{1}))
+		connected(t, c)
+		began := time.Now()
 		require.Equal(t, Kept, c.Put(plain(), true, time.Second))
-		assert.Less(t, time.Since(began), putPatience, "the silent store is passed over")
-	}
-	assert.Equal(t, 1, one.countPuts())
+		assert.GreaterOrEqual(t, time.Since(began), putPatience)
+		for range 5 {
+			began = time.Now()
+			require.Equal(t, Kept, c.Put(plain(), true, time.Second))
+			assert.Less(t, time.Since(began), putPatience, "the silent store is passed over")
+		}
+		assert.Equal(t, 1, one.countPuts())
+	})
 }
 
 // A replica that does not sync keeps its primary from answering: the partition's stores are all passed over.
 func TestPutPassesOverTheStoresOfASilentPartition(t *testing.T) {
-	one, two, three := newFakeStore(t), newFakeStore(t), newFakeStore(t)
-	one.put = func(p *wire.Put, _ int) *wire.PutReply {
-		if p.Partition == 0 {
-			return nil
+	onFakeTime(t, func(t *testing.T) {
+		one, two, three := newFakeStore(t), newFakeStore(t), newFakeStore(t)
+		one.put = func(p *wire.Put, _ int) *wire.PutReply {
+			if p.Partition == 0 {
+				return nil
+			}
+			return &wire.PutReply{Code: wire.PutKept}
 		}
-		return &wire.PutReply{Code: wire.PutKept}
-	}
-	c, _ := newClient(t)
-	c.SetView(placement(1, []*fakeStore{one, two, three}, []uint16{0, 1}, []uint16{2}))
-	connected(t, c)
-	require.Equal(t, Kept, c.Put(plain(), true, time.Second))
-	assert.True(t, c.view.Load().stores[1].suspect(c.now()))
-	assert.Equal(t, 1, three.countPuts())
+		c, _ := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one, two, three}, []uint16{0, 1}, []uint16{2}))
+		connected(t, c)
+		require.Equal(t, Kept, c.Put(plain(), true, time.Second))
+		assert.True(t, c.view.Load().stores[1].suspect(c.now()))
+		assert.Equal(t, 1, three.countPuts())
+	})
 }
 
 // All stores are slow: more copies of the same message would only make them slower, and a late answer is better than none.
 func TestPutWaitsForSlowStores(t *testing.T) {
-	for _, m := range []*wire.Message{plain(), ordered()} {
-		one, two := newFakeStore(t), newFakeStore(t)
-		for _, s := range []*fakeStore{one, two} {
-			s.put = func(*wire.Put, int) *wire.PutReply {
-				time.Sleep(2 * putPatience)
-				return &wire.PutReply{Code: wire.PutKept}
+	onFakeTime(t, func(t *testing.T) {
+		for _, m := range []*wire.Message{plain(), ordered()} {
+			one, two := newFakeStore(t), newFakeStore(t)
+			for _, s := range []*fakeStore{one, two} {
+				s.put = func(*wire.Put, int) *wire.PutReply {
+					time.Sleep(2 * putPatience)
+					return &wire.PutReply{Code: wire.PutKept}
+				}
 			}
+			c, h := newClient(t)
+			c.SetView(placement(1, []*fakeStore{one, two}, []uint16{0, 1}, []uint16{1, 0}))
+			connected(t, c)
+			assert.Equal(t, Kept, c.Put(m, true, putPatience/2))
+			assert.Equal(t, 1, one.countPuts()+two.countPuts())
+			h.with(func() { assert.Len(t, h.kept, 1) })
 		}
-		c, h := newClient(t)
-		c.SetView(placement(1, []*fakeStore{one, two}, []uint16{0, 1}, []uint16{1, 0}))
-		connected(t, c)
-		assert.Equal(t, Kept, c.Put(m, true, putPatience/2))
-		assert.Equal(t, 1, one.countPuts()+two.countPuts())
-		h.with(func() { assert.Len(t, h.kept, 1) })
-	}
+	})
 }
 
 func TestPatienceGrowsWithTheAnswers(t *testing.T) {
-	c, _ := newClient(t)
-	assert.Equal(t, putPatience, c.patience())
-	for range 50 {
-		c.sawAnswer(100 * time.Millisecond)
-	}
-	assert.InDelta(t, 400, c.patience().Milliseconds(), 10)
-	for range 50 {
-		c.sawAnswer(time.Minute)
-	}
-	assert.Equal(t, mostPatience, c.patience())
+	onFakeTime(t, func(t *testing.T) {
+		c, _ := newClient(t)
+		assert.Equal(t, putPatience, c.patience())
+		for range 50 {
+			c.sawAnswer(100 * time.Millisecond)
+		}
+		assert.InDelta(t, 400, c.patience().Milliseconds(), 10)
+		for range 50 {
+			c.sawAnswer(time.Minute)
+		}
+		assert.Equal(t, mostPatience, c.patience())
+	})
 }
 
 func TestLateKeptIsDropped(t *testing.T) {
-	one, two := newFakeStore(t), newFakeStore(t)
-	var late rpc.Reply
-	mux := rpc.NewMux()
-	arrived := make(chan wire.Put, 1)
-	rpc.Handle(mux, wire.MethodPut, func(_ *rpc.Conn, m *wire.Put, reply rpc.Reply) {
-		late = reply
-		arrived <- *m
-	})
-	dropped := make(chan wire.Report, 1)
-	rpc.Handle(mux, wire.MethodReport, func(_ *rpc.Conn, m *wire.Report, reply rpc.Reply) {
-		dropped <- *m
-		reply.Send(&wire.ReportReply{Code: wire.PutKept})
+	onFakeTime(t, func(t *testing.T) {
+		one, two := newFakeStore(t), newFakeStore(t)
+		var late rpc.Reply
+		mux := rpc.NewMux()
+		arrived := make(chan wire.Put, 1)
+		rpc.Handle(mux, wire.MethodPut, func(_ *rpc.Conn, m *wire.Put, reply rpc.Reply) {
+			late = reply
+			arrived <- *m
+		})
+		dropped := make(chan wire.Report, 1)
+		rpc.Handle(mux, wire.MethodReport, func(_ *rpc.Conn, m *wire.Report, reply rpc.Reply) {
+			dropped <- *m
+			reply.Send(&wire.ReportReply{Code: wire.PutKept})
+		})
+		slow := rpc.Serve(memory.listen(), rpc.Options{Mux: mux}, nil)
+		defer slow.Close()
+		one.server.Close()
+		one.server = slow
+		c, h := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one, two}, []uint16{0}, []uint16{1}))
+		connected(t, c)
+		m := plain()
+		require.Equal(t, Kept, c.Put(m, true, time.Second))
+		first := <-arrived
+		late.Send(&wire.PutReply{Code: wire.PutKept})
+		report := <-dropped
+		assert.Equal(t, first.Message.ID, report.ID)
+		assert.Equal(t, wire.ReportDropped, report.Kind)
+		h.with(func() { assert.Len(t, h.kept, 1); assert.Contains(t, h.kept, m.ID) })
 	})
-	slow, err := rpc.Listen("127.0.0.1:0", rpc.Options{Mux: mux}, nil)
-	require.NoError(t, err)
-	defer slow.Close()
-	one.server.Close()
-	one.server = slow
-	c, h := newClient(t)
-	c.SetView(placement(1, []*fakeStore{one, two}, []uint16{0}, []uint16{1}))
-	connected(t, c)
-	m := plain()
-	require.Equal(t, Kept, c.Put(m, true, time.Second))
-	first := <-arrived
-	late.Send(&wire.PutReply{Code: wire.PutKept})
-	report := <-dropped
-	assert.Equal(t, first.Message.ID, report.ID)
-	assert.Equal(t, wire.ReportDropped, report.Kind)
-	h.with(func() { assert.Len(t, h.kept, 1); assert.Contains(t, h.kept, m.ID) })
 }
 
 func TestOrderedPutKeepsItsNameAndFollowsThePrimary(t *testing.T) {
-	one, two := newFakeStore(t), newFakeStore(t)
-	one.put = func(*wire.Put, int) *wire.PutReply { return &wire.PutReply{Code: wire.PutNotPrimary} }
-	two.put = func(*wire.Put, int) *wire.PutReply { return &wire.PutReply{Code: wire.PutKept, Granted: true} }
-	c, h := newClient(t)
-	stores := []*fakeStore{one, two}
-	c.SetView(placement(1, stores, []uint16{0, 1}))
-	connected(t, c)
-	time.AfterFunc(60*time.Millisecond, func() { c.SetView(placement(2, stores, []uint16{1, 0})) })
-	m := ordered()
-	require.Equal(t, Kept, c.Put(m, true, time.Second))
-	one.with(func() {
-		for _, p := range one.puts {
-			assert.Equal(t, m.ID, p.Message.ID)
-		}
-		assert.NotEmpty(t, one.puts)
-	})
-	two.with(func() {
-		require.Len(t, two.puts, 1)
-		assert.Equal(t, m.ID, two.puts[0].Message.ID)
-		assert.EqualValues(t, 2, two.puts[0].Epoch)
+	onFakeTime(t, func(t *testing.T) {
+		one, two := newFakeStore(t), newFakeStore(t)
+		one.put = func(*wire.Put, int) *wire.PutReply { return &wire.PutReply{Code: wire.PutNotPrimary} }
+		two.put = func(*wire.Put, int) *wire.PutReply { return &wire.PutReply{Code: wire.PutKept, Granted: true} }
+		c, h := newClient(t)
+		stores := []*fakeStore{one, two}
+		c.SetView(placement(1, stores, []uint16{0, 1}))
+		connected(t, c)
+		time.AfterFunc(60*time.Millisecond, func() { c.SetView(placement(2, stores, []uint16{1, 0})) })
+		m := ordered()
+		require.Equal(t, Kept, c.Put(m, true, time.Second))
+		one.with(func() {
+			for _, p := range one.puts {
+				assert.Equal(t, m.ID, p.Message.ID)
+			}
+			assert.NotEmpty(t, one.puts)
+		})
+		two.with(func() {
+			require.Len(t, two.puts, 1)
+			assert.Equal(t, m.ID, two.puts[0].Message.ID)
+			assert.EqualValues(t, 2, two.puts[0].Epoch)
+		})
+		h.with(func() { assert.Equal(t, map[string]bool{m.ID: true}, h.kept) })
 	})
-	h.with(func() { assert.Equal(t, map[string]bool{m.ID: true}, h.kept) })
 }
 
 // The answer to a put is lost with the connection; the repeat's comes after the grant.
 func TestGrantThatOvertakesTheAnswer(t *testing.T) {
-	one := newFakeStore(t)
-	c, h := newClient(t)
-	one.put = func(p *wire.Put, _ int) *wire.PutReply {
-		_ = one.conns[len(one.conns)-1].Notify(wire.MethodGrant, &wire.Grant{ID: p.Message.ID})
-		return &wire.PutReply{Code: wire.PutKept}
-	}
-	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
-	connected(t, c)
-	m := ordered()
-	require.Equal(t, Kept, c.Put(m, true, time.Second))
-	h.with(func() {
-		assert.Equal(t, map[string]bool{m.ID: true}, h.kept)
-		assert.Empty(t, h.granted)
+	onFakeTime(t, func(t *testing.T) {
+		one := newFakeStore(t)
+		c, h := newClient(t)
+		one.put = func(p *wire.Put, _ int) *wire.PutReply {
+			_ = one.conns[len(one.conns)-1].Notify(wire.MethodGrant, &wire.Grant{ID: p.Message.ID})
+			return &wire.PutReply{Code: wire.PutKept}
+		}
+		c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+		connected(t, c)
+		m := ordered()
+		require.Equal(t, Kept, c.Put(m, true, time.Second))
+		h.with(func() {
+			assert.Equal(t, map[string]bool{m.ID: true}, h.kept)
+			assert.Empty(t, h.granted)
+		})
 	})
 }
 
 func TestGrantsReachTheEdge(t *testing.T) {
-	one := newFakeStore(t)
-	c, h := newClient(t)
-	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
-	require.Eventually(t, func() bool {
-		one.mu.Lock()
-		defer one.mu.Unlock()
-		return len(one.conns) == 1
-	}, soon, time.Millisecond)
-	one.with(func() { _ = one.conns[0].Notify(wire.MethodGrant, &wire.Grant{ID: "0.x", Whole: true}) })
-	require.Eventually(t, func() bool {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		return len(h.granted) == 1
-	}, soon, time.Millisecond)
+	onFakeTime(t, func(t *testing.T) {
+		one := newFakeStore(t)
+		c, h := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+		require.Eventually(t, func() bool {
+			one.mu.Lock()
+			defer one.mu.Unlock()
+			return len(one.conns) == 1
+		}, soon, time.Millisecond)
+		one.with(func() { _ = one.conns[0].Notify(wire.MethodGrant, &wire.Grant{ID: "0.x", Whole: true}) })
+		require.Eventually(t, func() bool {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return len(h.granted) == 1
+		}, soon, time.Millisecond)
+	})
 }
 
 func TestReportIsRepeatedUntilAcknowledged(t *testing.T) {
-	one := newFakeStore(t)
-	codes := []wire.PutCode{wire.PutStale, wire.PutUnknown, wire.PutNotPrimary, wire.PutKept}
-	one.report = func(_ *wire.Report, number int) wire.PutCode { return codes[number-1] }
-	c, h := newClient(t)
-	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
-	connected(t, c)
-	c.Report(wire.Report{ID: "0.x", Kind: wire.ReportDone, Signature: "s"})
-	assert.Equal(t, 1, c.Pending())
-	require.Eventually(t, func() bool { return c.Pending() == 0 }, soon, time.Millisecond)
-	assert.Equal(t, 4, one.countReports())
-	require.Eventually(t, func() bool {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		return len(h.acknowledged) == 1
-	}, soon, time.Millisecond)
+	onFakeTime(t, func(t *testing.T) {
+		one := newFakeStore(t)
+		codes := []wire.PutCode{wire.PutStale, wire.PutUnknown, wire.PutNotPrimary, wire.PutKept}
+		one.report = func(_ *wire.Report, number int) wire.PutCode { return codes[number-1] }
+		c, h := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+		connected(t, c)
+		c.Report(wire.Report{ID: "0.x", Kind: wire.ReportDone, Signature: "s"})
+		assert.Equal(t, 1, c.Pending())
+		require.Eventually(t, func() bool { return c.Pending() == 0 }, soon, time.Millisecond)
+		assert.Equal(t, 4, one.countReports())
+		require.Eventually(t, func() bool {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return len(h.acknowledged) == 1
+		}, soon, time.Millisecond)
+	})
 }
 
 func TestReportFollowsThePrimary(t *testing.T) {
-	one, two := newFakeStore(t), newFakeStore(t)
-	one.report = func(*wire.Report, int) wire.PutCode { return wire.PutUnknown }
-	c, _ := newClient(t)
-	stores := []*fakeStore{one, two}
-	c.SetView(placement(1, stores, []uint16{0, 1}))
-	connected(t, c)
-	c.Report(wire.Report{ID: "0.x", Kind: wire.ReportDone, Signature: "s"})
-	require.Eventually(t, func() bool { return one.countReports() > 0 }, soon, time.Millisecond)
-	c.SetView(placement(2, stores, []uint16{1, 0}))
-	require.Eventually(t, func() bool { return c.Pending() == 0 }, soon, time.Millisecond)
-	two.with(func() {
-		assert.EqualValues(t, 2, two.reports[0].Epoch)
-		assert.Equal(t, "s", two.reports[0].Signature)
+	onFakeTime(t, func(t *testing.T) {
+		one, two := newFakeStore(t), newFakeStore(t)
+		one.report = func(*wire.Report, int) wire.PutCode { return wire.PutUnknown }
+		c, _ := newClient(t)
+		stores := []*fakeStore{one, two}
+		c.SetView(placement(1, stores, []uint16{0, 1}))
+		connected(t, c)
+		c.Report(wire.Report{ID: "0.x", Kind: wire.ReportDone, Signature: "s"})
+		require.Eventually(t, func() bool { return one.countReports() > 0 }, soon, time.Millisecond)
+		c.SetView(placement(2, stores, []uint16{1, 0}))
+		require.Eventually(t, func() bool { return c.Pending() == 0 }, soon, time.Millisecond)
+		two.with(func() {
+			assert.EqualValues(t, 2, two.reports[0].Epoch)
+			assert.Equal(t, "s", two.reports[0].Signature)
+		})
 	})
 }
 
 func TestReportsOfAMessageGoInTurn(t *testing.T) {
-	one := newFakeStore(t)
-	one.report = func(_ *wire.Report, number int) wire.PutCode {
-		if number == 1 {
-			return wire.PutUnknown
-		}
-		return wire.PutKept
-	}
-	c, h := newClient(t)
-	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
-	connected(t, c)
-	c.Report(wire.Report{ID: "0.x", Kind: wire.ReportFailed, Failed: 1})
-	c.Report(wire.Report{ID: "0.x", Kind: wire.ReportDone, Failed: 1, Signature: "s"})
-	require.Eventually(t, func() bool { return c.Pending() == 0 }, soon, time.Millisecond)
-	var kinds []wire.ReportKind
-	one.with(func() {
-		for _, r := range one.reports {
-			kinds = append(kinds, r.Kind)
+	onFakeTime(t, func(t *testing.T) {
+		one := newFakeStore(t)
+		one.report = func(_ *wire.Report, number int) wire.PutCode {
+			if number == 1 {
+				return wire.PutUnknown
+			}
+			return wire.PutKept
 		}
+		c, h := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+		connected(t, c)
+		c.Report(wire.Report{ID: "0.x", Kind: wire.ReportFailed, Failed: 1})
+		c.Report(wire.Report{ID: "0.x", Kind: wire.ReportDone, Failed: 1, Signature: "s"})
+		require.Eventually(t, func() bool { return c.Pending() == 0 }, soon, time.Millisecond)
+		var kinds []wire.ReportKind
+		one.with(func() {
+			for _, r := range one.reports {
+				kinds = append(kinds, r.Kind)
+			}
+		})
+		assert.Equal(t, []wire.ReportKind{wire.ReportFailed, wire.ReportFailed, wire.ReportDone}, kinds)
+		require.Eventually(t, func() bool {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return len(h.acknowledged) == 1
+		}, soon, time.Millisecond)
 	})
-	assert.Equal(t, []wire.ReportKind{wire.ReportFailed, wire.ReportFailed, wire.ReportDone}, kinds)
-	require.Eventually(t, func() bool {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		return len(h.acknowledged) == 1
-	}, soon, time.Millisecond)
 }
 
 func TestReportSurvivesALostConnection(t *testing.T) {
-	one := newFakeStore(t)
-	one.report = func(_ *wire.Report, number int) wire.PutCode {
-		if number == 1 {
-			one.conns[0].Close()
+	onFakeTime(t, func(t *testing.T) {
+		one := newFakeStore(t)
+		one.report = func(_ *wire.Report, number int) wire.PutCode {
+			if number == 1 {
+				one.conns[0].Close()
+			}
+			return wire.PutKept
 		}
-		return wire.PutKept
-	}
-	c, _ := newClient(t)
-	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
-	connected(t, c)
-	require.Eventually(t, func() bool { return one.countClaims() > 0 }, soon, time.Millisecond)
-	c.Report(wire.Report{ID: "0.x", Kind: wire.ReportDone})
-	require.Eventually(t, func() bool { return c.Pending() == 0 }, soon, time.Millisecond)
-	assert.GreaterOrEqual(t, one.countReports(), 2)
+		c, _ := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+		connected(t, c)
+		require.Eventually(t, func() bool { return one.countClaims() > 0 }, soon, time.Millisecond)
+		c.Report(wire.Report{ID: "0.x", Kind: wire.ReportDone})
+		require.Eventually(t, func() bool { return c.Pending() == 0 }, soon, time.Millisecond)
+		assert.GreaterOrEqual(t, one.countReports(), 2)
+	})
 }
 
 func TestClaimsNameWhatThePrimaryShouldKnow(t *testing.T) {
-	one, two := newFakeStore(t), newFakeStore(t)
-	c, h := newClient(t)
-	h.held = []string{"0.a", "1.b", "1.c"}
-	two.claim = func(m *wire.Claim) *wire.ClaimReply {
-		if len(m.IDs) == 0 {
-			return &wire.ClaimReply{}
+	onFakeTime(t, func(t *testing.T) {
+		one, two := newFakeStore(t), newFakeStore(t)
+		c, h := newClient(t)
+		h.held = []string{"0.a", "1.b", "1.c"}
+		two.claim = func(m *wire.Claim) *wire.ClaimReply {
+			if len(m.IDs) == 0 {
+				return &wire.ClaimReply{}
+			}
+			return &wire.ClaimReply{Unknown: []string{"1.c", "1.stranger"}}
 		}
-		return &wire.ClaimReply{Unknown: []string{"1.c", "1.stranger"}}
-	}
-	stores := []*fakeStore{one, two}
-	c.SetView(placement(1, stores, []uint16{0, 1}, []uint16{1, 0}))
-	require.Eventually(t, func() bool { return one.countClaims() > 0 && two.countClaims() > 0 }, soon, time.Millisecond)
-	one.with(func() { assert.Equal(t, wire.Claim{Epoch: 1, IDs: []string{"0.a"}}, one.claims[0]) })
-	two.with(func() { assert.Equal(t, wire.Claim{Epoch: 1, IDs: []string{"1.b", "1.c"}}, two.claims[0]) })
-	require.Eventually(t, func() bool {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		return len(h.unknown) > 0
-	}, soon, time.Millisecond)
-	h.with(func() { assert.Equal(t, []string{"1.c"}, h.unknown) })
-	claims := one.countClaims()
-	c.SetView(placement(2, stores, []uint16{0, 1}, []uint16{0, 1}))
-	require.Eventually(t, func() bool { return one.countClaims() > claims }, soon, time.Millisecond)
-	one.with(func() {
-		last := one.claims[len(one.claims)-1]
-		assert.EqualValues(t, 2, last.Epoch)
-		assert.ElementsMatch(t, []string{"0.a", "1.b", "1.c"}, last.IDs)
+		stores := []*fakeStore{one, two}
+		c.SetView(placement(1, stores, []uint16{0, 1}, []uint16{1, 0}))
+		connected(t, c)
+		one.with(func() { assert.Equal(t, []wire.Claim{{Epoch: 1, IDs: []string{"0.a"}}}, distinct(one.claims)) })
+		two.with(func() { assert.Equal(t, []wire.Claim{{Epoch: 1, IDs: []string{"1.b", "1.c"}}}, distinct(two.claims)) })
+		h.with(func() { assert.Equal(t, []string{"1.c"}, slices.Compact(h.unknown)) })
+		claims := one.countClaims()
+		c.SetView(placement(2, stores, []uint16{0, 1}, []uint16{0, 1}))
+		require.Eventually(t, func() bool { return one.countClaims() > claims }, soon, time.Millisecond)
+		one.with(func() {
+			last := one.claims[len(one.claims)-1]
+			assert.EqualValues(t, 2, last.Epoch)
+			assert.ElementsMatch(t, []string{"0.a", "1.b", "1.c"}, last.IDs)
+		})
 	})
 }
 
 func TestClaimIsRepeatedToAStoreThatIsBehind(t *testing.T) {
-	one := newFakeStore(t)
-	calls := 0
-	one.claim = func(*wire.Claim) *wire.ClaimReply {
-		if calls++; calls < 3 {
-			return &wire.ClaimReply{Code: wire.PutStale}
+	onFakeTime(t, func(t *testing.T) {
+		one := newFakeStore(t)
+		calls := 0
+		one.claim = func(*wire.Claim) *wire.ClaimReply {
+			if calls++; calls < 3 {
+				return &wire.ClaimReply{Code: wire.PutStale}
+			}
+			return &wire.ClaimReply{}
 		}
-		return &wire.ClaimReply{}
-	}
-	c, _ := newClient(t)
-	c.SetView(placement(4, []*fakeStore{one}, []uint16{0}))
-	require.Eventually(t, func() bool { return one.countClaims() >= 3 }, soon, time.Millisecond)
+		c, _ := newClient(t)
+		c.SetView(placement(4, []*fakeStore{one}, []uint16{0}))
+		require.Eventually(t, func() bool { return one.countClaims() >= 3 }, soon, time.Millisecond)
+	})
 }
 
 func TestOlderViewsAreNotTaken(t *testing.T) {
-	one := newFakeStore(t)
-	c, _ := newClient(t)
-	c.SetView(placement(4, []*fakeStore{one}, []uint16{0}))
-	c.SetView(placement(3, []*fakeStore{one}, []uint16{0}, []uint16{0}))
-	assert.EqualValues(t, 4, c.view.Load().Epoch)
+	onFakeTime(t, func(t *testing.T) {
+		one := newFakeStore(t)
+		c, _ := newClient(t)
+		c.SetView(placement(4, []*fakeStore{one}, []uint16{0}))
+		c.SetView(placement(3, []*fakeStore{one}, []uint16{0}, []uint16{0}))
+		assert.EqualValues(t, 4, c.view.Load().Epoch)
+	})
 }
 
 func TestStoreWithAnotherDiskIsAnother(t *testing.T) {
-	one := newFakeStore(t)
-	c, _ := newClient(t)
-	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
-	connected(t, c)
-	before := c.view.Load().stores[0]
-	next := placement(2, []*fakeStore{one}, []uint16{0})
-	next.Stores[0].Disk = "other"
-	c.SetView(next)
-	connected(t, c)
-	assert.NotSame(t, before, c.view.Load().stores[0])
-	assert.Equal(t, Kept, c.Put(plain(), true, time.Second))
+	onFakeTime(t, func(t *testing.T) {
+		one := newFakeStore(t)
+		c, _ := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+		connected(t, c)
+		before := c.view.Load().stores[0]
+		next := placement(2, []*fakeStore{one}, []uint16{0})
+		next.Stores[0].Disk = "other"
+		c.SetView(next)
+		connected(t, c)
+		assert.NotSame(t, before, c.view.Load().stores[0])
+		assert.Equal(t, Kept, c.Put(plain(), true, time.Second))
+	})
 }
 
 func TestDrainTellsTheStores(t *testing.T) {
-	one := newFakeStore(t)
-	c, _ := newClient(t)
-	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
-	connected(t, c)
-	c.Drain()
-	require.Eventually(t, func() bool {
-		one.mu.Lock()
-		defer one.mu.Unlock()
-		return len(one.attaches) > 0 && one.attaches[len(one.attaches)-1].Draining
-	}, soon, time.Millisecond)
+	onFakeTime(t, func(t *testing.T) {
+		one := newFakeStore(t)
+		c, _ := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+		connected(t, c)
+		c.Drain()
+		require.Eventually(t, func() bool {
+			one.mu.Lock()
+			defer one.mu.Unlock()
+			return len(one.attaches) > 0 && one.attaches[len(one.attaches)-1].Draining
+		}, soon, time.Millisecond)
+	})
 }
 
 func TestFind(t *testing.T) {
-	one, two, three := newFakeStore(t), newFakeStore(t), newFakeStore(t)
-	c, _ := newClient(t)
-	_, err := c.Find("0.x", false)
-	assert.ErrorIs(t, err, ErrNoAnswer)
-	c.SetView(placement(1, []*fakeStore{one, two, three}, []uint16{0, 1}))
-	connected(t, c)
-
-	for _, id := range []string{"x", "", "0.", "zzzz.x", "7.x"} {
-		_, err = c.Find(id, false)
-		assert.ErrorIs(t, err, ErrNotFound, id)
-	}
-	_, err = c.Find("0.x", false)
-	assert.ErrorIs(t, err, ErrNotFound, "all said so")
-
-	found := &wire.FindReply{Found: true, State: wire.StateDone, Signature: "s"}
-	three.with(func() { three.find = func(*wire.Find) *wire.FindReply { return found } })
-	reply, err := c.Find("0.x", false)
-	require.NoError(t, err)
-	assert.Equal(t, found, reply)
-
-	one.with(func() { one.find = func(*wire.Find) *wire.FindReply { return nil } }) // silent
-	two.with(func() {
-		two.find = func(f *wire.Find) *wire.FindReply {
-			return &wire.FindReply{Found: true, Body: []byte("b"), State: wire.StatePending}
+	onFakeTime(t, func(t *testing.T) {
+		one, two, three := newFakeStore(t), newFakeStore(t), newFakeStore(t)
+		c, _ := newClient(t)
+		_, err := c.Find("0.x", false)
+		assert.ErrorIs(t, err, ErrNoAnswer)
+		c.SetView(placement(1, []*fakeStore{one, two, three}, []uint16{0, 1}))
+		connected(t, c)
+
+		for _, id := range []string{"x", "", "0.", "zzzz.x", "7.x"} {
+			_, err = c.Find(id, false)
+			assert.ErrorIs(t, err, ErrNotFound, id)
 		}
+		_, err = c.Find("0.x", false)
+		assert.ErrorIs(t, err, ErrNotFound, "all said so")
+
+		found := &wire.FindReply{Found: true, State: wire.StateDone, Signature: "s"}
+		three.with(func() { three.find = func(*wire.Find) *wire.FindReply { return found } })
+		reply, err := c.Find("0.x", false)
+		require.NoError(t, err)
+		assert.Equal(t, found, reply)
+
+		one.with(func() { one.find = func(*wire.Find) *wire.FindReply { return nil } }) // silent
+		two.with(func() {
+			two.find = func(f *wire.Find) *wire.FindReply {
+				return &wire.FindReply{Found: true, Body: []byte("b"), State: wire.StatePending}
+			}
+		})
+		began := time.Now()
+		reply, err = c.Find("0.x", true)
+		require.NoError(t, err)
+		assert.Equal(t, []byte("b"), reply.Body)
+		assert.Less(t, time.Since(began), 2*findPatience)
 	})
-	began := time.Now()
-	reply, err = c.Find("0.x", true)
-	require.NoError(t, err)
-	assert.Equal(t, []byte("b"), reply.Body)
-	assert.Less(t, time.Since(began), 2*findPatience)
 }
 
 func TestFindWithoutTheWordOfAllIsNoAnswer(t *testing.T) {
-	one, two := newFakeStore(t), newFakeStore(t)
-	one.find = func(*wire.Find) *wire.FindReply { return nil }
-	c, _ := newClient(t)
-	c.SetView(placement(1, []*fakeStore{one, two}, []uint16{0, 1}))
-	connected(t, c)
-	began := time.Now()
-	_, err := c.Find("0.x", false)
-	assert.ErrorIs(t, err, ErrNoAnswer)
-	assert.Less(t, time.Since(began), 2*time.Second, "askers wait two seconds")
+	onFakeTime(t, func(t *testing.T) {
+		one, two := newFakeStore(t), newFakeStore(t)
+		one.find = func(*wire.Find) *wire.FindReply { return nil }
+		c, _ := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one, two}, []uint16{0, 1}))
+		connected(t, c)
+		began := time.Now()
+		_, err := c.Find("0.x", false)
+		assert.ErrorIs(t, err, ErrNoAnswer)
+		assert.Less(t, time.Since(began), 2*time.Second, "askers wait two seconds")
+	})
 }
--- a/queueclient/races_test.go
+++ b/queueclient/races_test.go
@@ -14,48 +14,52 @@
 
 // The store that keeps a message answers while a claim is being made: the message was in no list of the held when that was made.
 func TestClaimNamesWhatIsKeptWhileItIsMade(t *testing.T) {
-	one := newFakeStore(t)
-	answer, kept := make(chan struct{}), make(chan string, 1)
-	one.put = func(*wire.Put, int) *wire.PutReply {
-		<-answer
-		return &wire.PutReply{Code: wire.PutKept}
-	}
-	c, _ := newClient(t)
-	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
-	connected(t, c)
-	require.Eventually(t, func() bool { return one.countClaims() == 1 }, soon, time.Millisecond)
-	go func() {
-		m := plain()
-		c.Put(m, true, time.Second)
-		kept <- m.ID
-	}()
-	require.Eventually(t, func() bool { return len(c.putting()) == 1 }, soon, time.Millisecond)
-	var id string
-	c.config.Held = func() []string {
-		close(answer)
-		id = <-kept
-		return nil // as it was before
-	}
-	c.SetView(placement(2, []*fakeStore{one}, []uint16{0}))
-	require.Eventually(t, func() bool { return one.countClaims() == 2 }, soon, time.Millisecond)
-	one.with(func() { assert.Equal(t, wire.Claim{Epoch: 2, IDs: []string{id}}, one.claims[1]) })
+	onFakeTime(t, func(t *testing.T) {
+		one := newFakeStore(t)
+		answer, kept := make(chan struct{}), make(chan string, 1)
+		one.put = func(*wire.Put, int) *wire.PutReply {
+			<-answer
+			return &wire.PutReply{Code: wire.PutKept}
+		}
+		c, _ := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+		connected(t, c)
+		claims := one.countClaims()
+		go func() {
+			m := plain()
+			c.Put(m, true, time.Second)
+			kept <- m.ID
+		}()
+		require.Eventually(t, func() bool { return len(c.putting()) == 1 }, soon, time.Millisecond)
+		var id string
+		c.config.Held = func() []string {
+			close(answer)
+			id = <-kept
+			return nil // as it was before
+		}
+		c.SetView(placement(2, []*fakeStore{one}, []uint16{0}))
+		require.Eventually(t, func() bool { return one.countClaims() == claims+1 }, soon, time.Millisecond)
+		one.with(func() { assert.Equal(t, wire.Claim{Epoch: 2, IDs: []string{id}}, one.claims[claims]) })
+	})
 }
 
 // A grant comes over another connection while the edge is being told that the message is kept.
 func TestGrantWhileTheEdgeIsTold(t *testing.T) {
-	one := newFakeStore(t)
-	c, h := newClient(t)
-	told := c.config.Kept
-	c.config.Kept = func(m *wire.Message, granted bool) {
-		c.granted(c.view.Load().stores[0].conn(), &wire.Grant{ID: m.ID})
-		h.with(func() { assert.Empty(t, h.granted, "before the message is known") })
-		told(m, granted)
-	}
-	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
-	connected(t, c)
-	m := ordered()
-	require.Equal(t, Kept, c.Put(m, true, time.Second))
-	h.with(func() { assert.Equal(t, []string{m.ID}, h.granted) })
+	onFakeTime(t, func(t *testing.T) {
+		one := newFakeStore(t)
+		c, h := newClient(t)
+		told := c.config.Kept
+		c.config.Kept = func(m *wire.Message, granted bool) {
+			c.granted(c.view.Load().stores[0].conn(), &wire.Grant{ID: m.ID})
+			h.with(func() { assert.Empty(t, h.granted, "before the message is known") })
+			told(m, granted)
+		}
+		c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+		connected(t, c)
+		m := ordered()
+		require.Equal(t, Kept, c.Put(m, true, time.Second))
+		h.with(func() { assert.Equal(t, []string{m.ID}, h.granted) })
+	})
 }
 
 // heldBack is a store that answers reports when it is told to.
@@ -87,138 +91,152 @@
 		s.reports = append(s.reports, *m)
 		s.replies = append(s.replies, reply)
 	})
-	server, err := rpc.Listen("127.0.0.1:0", rpc.Options{Mux: mux}, nil)
-	require.NoError(t, err)
+	server := rpc.Serve(memory.listen(), rpc.Options{Mux: mux}, nil)
 	t.Cleanup(server.Close)
 	return s, &fakeStore{server: server}
 }
 
 // A release is sent twice. The store takes the first and hands the message back to the same edge; the second is still on its way.
 func TestMessageIsNotTakenWhileItsReleaseIsOnItsWay(t *testing.T) {
-	s, store := newHeldBack(t)
-	c, h := newClient(t)
-	c.SetView(placement(1, []*fakeStore{store}, []uint16{0}))
-	connected(t, c)
-	require.Eventually(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.conn != nil }, soon, time.Millisecond)
-	c.Report(wire.Report{ID: "0.1", Kind: wire.ReportReleased})
-	c.reports.resend()
-	require.Eventually(t, func() bool { return s.count() == 2 }, soon, time.Millisecond)
-	s.replies[0].Send(&wire.ReportReply{Code: wire.PutKept})
-	grant := &wire.Grant{ID: "0.1", Whole: true}
-	require.NoError(t, s.conn.Notify(wire.MethodGrant, grant))
-	require.Eventually(t, func() bool { return s.count() == 3 }, soon, time.Millisecond, "it is given back once more")
-	assert.Equal(t, wire.ReportReleased, s.reports[2].Kind)
-	h.with(func() { assert.Empty(t, h.granted) })
-	s.replies[1].Send(&wire.ReportReply{Code: wire.PutKept})
-	s.replies[2].Send(&wire.ReportReply{Code: wire.PutKept})
-	require.NoError(t, s.conn.Notify(wire.MethodGrant, grant))
-	require.Eventually(t, func() bool { h.mu.Lock(); defer h.mu.Unlock(); return len(h.granted) == 1 }, soon, time.Millisecond)
-	assert.Zero(t, c.Pending())
-	assert.Empty(t, c.reports.waiting)
+	onFakeTime(t, func(t *testing.T) {
+		s, store := newHeldBack(t)
+		c, h := newClient(t)
+		c.SetView(placement(1, []*fakeStore{store}, []uint16{0}))
+		connected(t, c)
+		require.Eventually(t, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.conn != nil }, soon, time.Millisecond)
+		c.Report(wire.Report{ID: "0.1", Kind: wire.ReportReleased})
+		c.reports.resend()
+		require.Eventually(t, func() bool { return s.count() == 2 }, soon, time.Millisecond)
+		s.replies[0].Send(&wire.ReportReply{Code: wire.PutKept})
+		grant := &wire.Grant{ID: "0.1", Whole: true}
+		require.NoError(t, s.conn.Notify(wire.MethodGrant, grant))
+		require.Eventually(t, func() bool { return s.count() == 3 }, soon, time.Millisecond, "it is given back once more")
+		assert.Equal(t, wire.ReportReleased, s.reports[2].Kind)
+		h.with(func() { assert.Empty(t, h.granted) })
+		s.replies[1].Send(&wire.ReportReply{Code: wire.PutKept})
+		s.replies[2].Send(&wire.ReportReply{Code: wire.PutKept})
+		require.NoError(t, s.conn.Notify(wire.MethodGrant, grant))
+		require.Eventually(t, func() bool { h.mu.Lock(); defer h.mu.Unlock(); return len(h.granted) == 1 }, soon, time.Millisecond)
+		assert.Zero(t, c.Pending())
+		assert.Empty(t, c.reports.waiting)
+	})
 }
 
 // A store that is stopped does not know what became of a put, and the message is kept elsewhere under another name. The one that
 // took the store's place may have the first, too, and nobody would hold it.
 func TestWhatMayHaveBeenKeptTwiceIsDropped(t *testing.T) {
-	one, two := newFakeStore(t), newFakeStore(t)
-	one.put = func(*wire.Put, int) *wire.PutReply { return &wire.PutReply{Code: wire.PutUnknown} }
-	c, _ := newClient(t)
-	c.SetView(placement(1, []*fakeStore{one, two}, []uint16{0, 1}, []uint16{1, 0}))
-	connected(t, c)
-	m := plain()
-	require.Equal(t, Kept, c.Put(m, true, soon))
-	require.Eventually(t, func() bool { return one.countReports() == one.countPuts() }, soon, time.Millisecond)
-	one.with(func() {
-		require.NotEmpty(t, one.puts)
-		for i, r := range one.reports {
-			assert.Equal(t, wire.ReportDropped, r.Kind)
-			assert.NotEqual(t, m.ID, r.ID)
-			assert.Equal(t, one.puts[i].Message.ID, r.ID)
-		}
-	})
-	assert.Zero(t, two.countReports())
-}
-
-// Nothing was promised to the client: two tries that may both have been kept would run the message twice.
-func TestWhatIsUnsureIsDropped(t *testing.T) {
-	for _, m := range []*wire.Message{plain(), ordered()} {
-		one := newFakeStore(t)
+	onFakeTime(t, func(t *testing.T) {
+		one, two := newFakeStore(t), newFakeStore(t)
 		one.put = func(*wire.Put, int) *wire.PutReply { return &wire.PutReply{Code: wire.PutUnknown} }
 		c, _ := newClient(t)
-		c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+		c.SetView(placement(1, []*fakeStore{one, two}, []uint16{0, 1}, []uint16{1, 0}))
 		connected(t, c)
-		require.Equal(t, Unsure, c.Put(m, true, 60*time.Millisecond))
-		names := make(map[string]bool)
-		one.with(func() {
-			for _, p := range one.puts {
-				names[p.Message.ID] = true
-			}
-		})
-		require.Eventually(t, func() bool { return one.countReports() == len(names) }, soon, time.Millisecond)
+		m := plain()
+		require.Equal(t, Kept, c.Put(m, true, soon))
+		require.Eventually(t, func() bool { return one.countReports() == one.countPuts() }, soon, time.Millisecond)
 		one.with(func() {
-			for _, r := range one.reports {
+			require.NotEmpty(t, one.puts)
+			for i, r := range one.reports {
 				assert.Equal(t, wire.ReportDropped, r.Kind)
-				assert.True(t, names[r.ID])
+				assert.NotEqual(t, m.ID, r.ID)
+				assert.Equal(t, one.puts[i].Message.ID, r.ID)
 			}
 		})
-	}
+		assert.Zero(t, two.countReports())
+	})
+}
+
+// Nothing was promised to the client: two tries that may both have been kept would run the message twice.
+func TestWhatIsUnsureIsDropped(t *testing.T) {
+	onFakeTime(t, func(t *testing.T) {
+		for _, m := range []*wire.Message{plain(), ordered()} {
+			one := newFakeStore(t)
+			one.put = func(*wire.Put, int) *wire.PutReply { return &wire.PutReply{Code: wire.PutUnknown} }
+			c, _ := newClient(t)
+			c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+			connected(t, c)
+			require.Equal(t, Unsure, c.Put(m, true, 60*time.Millisecond))
+			names := make(map[string]bool)
+			one.with(func() {
+				for _, p := range one.puts {
+					names[p.Message.ID] = true
+				}
+			})
+			require.Eventually(t, func() bool { return one.countReports() == len(names) }, soon, time.Millisecond)
+			one.with(func() {
+				for _, r := range one.reports {
+					assert.Equal(t, wire.ReportDropped, r.Kind)
+					assert.True(t, names[r.ID])
+				}
+			})
+		}
+	})
 }
 
 // A store that was the primary hands a message out while the one that took its place does, too.
 func TestGrantsOfAPrimaryThatWasReplacedDoNotCount(t *testing.T) {
-	one, two := newFakeStore(t), newFakeStore(t)
-	stores := []*fakeStore{one, two}
-	c, h := newClient(t)
-	c.SetView(placement(5, stores, []uint16{0, 1}))
-	connected(t, c)
-	require.Eventually(t, func() bool { return one.countClaims() == 1 && two.countClaims() == 1 }, soon, time.Millisecond)
-	c.SetView(placement(6, stores, []uint16{1, 0}))
-	one.with(func() {
-		_ = one.conns[0].Notify(wire.MethodGrant, &wire.Grant{Epoch: 5, ID: "0.old", Whole: true})
-		_ = one.conns[0].Notify(wire.MethodGrant, &wire.Grant{Epoch: 7, ID: "0.new", Whole: true})
+	onFakeTime(t, func(t *testing.T) {
+		one, two := newFakeStore(t), newFakeStore(t)
+		stores := []*fakeStore{one, two}
+		c, h := newClient(t)
+		c.SetView(placement(5, stores, []uint16{0, 1}))
+		connected(t, c)
+		require.NotZero(t, one.countClaims())
+		require.NotZero(t, two.countClaims())
+		c.SetView(placement(6, stores, []uint16{1, 0}))
+		one.with(func() {
+			_ = one.conns[0].Notify(wire.MethodGrant, &wire.Grant{Epoch: 5, ID: "0.old", Whole: true})
+			_ = one.conns[0].Notify(wire.MethodGrant, &wire.Grant{Epoch: 7, ID: "0.new", Whole: true})
+		})
+		two.with(func() { _ = two.conns[0].Notify(wire.MethodGrant, &wire.Grant{Epoch: 6, ID: "0.right", Whole: true}) })
+		require.Eventually(t, func() bool { h.mu.Lock(); defer h.mu.Unlock(); return len(h.granted) == 2 }, soon, time.Millisecond)
+		h.with(func() { assert.ElementsMatch(t, []string{"0.new", "0.right"}, h.granted) })
 	})
-	two.with(func() { _ = two.conns[0].Notify(wire.MethodGrant, &wire.Grant{Epoch: 6, ID: "0.right", Whole: true}) })
-	require.Eventually(t, func() bool { h.mu.Lock(); defer h.mu.Unlock(); return len(h.granted) == 2 }, soon, time.Millisecond)
-	h.with(func() { assert.ElementsMatch(t, []string{"0.new", "0.right"}, h.granted) })
 }
 
 // What was handed out over a connection that has been replaced was not claimed on the new one: the store takes it back.
 func TestGrantsOfAnEarlierConnectionDoNotCount(t *testing.T) {
-	one := newFakeStore(t)
-	c, h := newClient(t)
-	c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
-	connected(t, c)
-	earlier := c.view.Load().stores[0].conn()
-	earlier.Close()
-	require.Eventually(t, func() bool {
-		conn := c.view.Load().stores[0].conn()
-		return conn != nil && conn != earlier
-	}, soon, time.Millisecond)
-	c.granted(earlier, &wire.Grant{Epoch: 1, ID: "0.x", Whole: true})
-	h.with(func() { assert.Empty(t, h.granted) })
+	onFakeTime(t, func(t *testing.T) {
+		one := newFakeStore(t)
+		c, h := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+		connected(t, c)
+		earlier := c.view.Load().stores[0].conn()
+		earlier.Close()
+		require.Eventually(t, func() bool {
+			conn := c.view.Load().stores[0].conn()
+			return conn != nil && conn != earlier
+		}, soon, time.Millisecond)
+		c.granted(earlier, &wire.Grant{Epoch: 1, ID: "0.x", Whole: true})
+		h.with(func() { assert.Empty(t, h.granted) })
+	})
 }
 
 // The end of a message, or that it is to be dropped, has not been heard when another store takes over: it must not hand it out.
 func TestClaimNamesWhatIsReported(t *testing.T) {
-	one, two := newFakeStore(t), newFakeStore(t)
-	for _, s := range []*fakeStore{one, two} {
-		s.report = func(*wire.Report, int) wire.PutCode { return wire.PutStale }
-	}
-	stores := []*fakeStore{one, two}
-	c, h := newClient(t)
-	two.claim = func(m *wire.Claim) *wire.ClaimReply { return &wire.ClaimReply{Code: wire.PutKept, Unknown: m.IDs} }
-	c.SetView(placement(1, stores, []uint16{0, 1}))
-	connected(t, c)
-	c.Report(wire.Report{ID: "0.done", Kind: wire.ReportDone})
-	c.Report(wire.Report{ID: "0.drop", Kind: wire.ReportDropped})
-	h.with(func() { h.held = []string{"0.done"} })
-	require.Eventually(t, func() bool { return two.countClaims() == 1 && one.countReports() >= 2 }, soon, time.Millisecond)
-	c.SetView(placement(2, stores, []uint16{1, 0}))
-	require.Eventually(t, func() bool { return two.countClaims() == 2 }, soon, time.Millisecond)
-	two.with(func() {
-		assert.ElementsMatch(t, []string{"0.done", "0.drop"}, two.claims[1].IDs)
-		assert.GreaterOrEqual(t, len(two.reports), 2, "they are told first")
+	onFakeTime(t, func(t *testing.T) {
+		one, two := newFakeStore(t), newFakeStore(t)
+		for _, s := range []*fakeStore{one, two} {
+			s.report = func(*wire.Report, int) wire.PutCode { return wire.PutStale }
+		}
+		stores := []*fakeStore{one, two}
+		c, h := newClient(t)
+		two.claim = func(m *wire.Claim) *wire.ClaimReply { return &wire.ClaimReply{Code: wire.PutKept, Unknown: m.IDs} }
+		c.SetView(placement(1, stores, []uint16{0, 1}))
+		connected(t, c)
+		c.Report(wire.Report{ID: "0.done", Kind: wire.ReportDone})
+		c.Report(wire.Report{ID: "0.drop", Kind: wire.ReportDropped})
+		h.with(func() { h.held = []string{"0.done"} })
+		require.Eventually(t, func() bool { return one.countReports() >= 2 }, soon, time.Millisecond)
+		claims := two.countClaims()
+		require.NotZero(t, claims)
+		c.SetView(placement(2, stores, []uint16{1, 0}))
+		require.Eventually(t, func() bool { return two.countClaims() == claims+1 }, soon, time.Millisecond)
+		two.with(func() {
+			assert.ElementsMatch(t, []string{"0.done", "0.drop"}, two.claims[claims].IDs)
+			assert.GreaterOrEqual(t, len(two.reports), 2, "they are told first")
+		})
+		require.Eventually(t, func() bool { h.mu.Lock(); defer h.mu.Unlock(); return len(h.unknown) == 1 }, soon, time.Millisecond)
+		h.with(func() { assert.Equal(t, []string{"0.done"}, h.unknown) })
 	})
-	require.Eventually(t, func() bool { h.mu.Lock(); defer h.mu.Unlock(); return len(h.unknown) == 1 }, soon, time.Millisecond)
-	h.with(func() { assert.Equal(t, []string{"0.done"}, h.unknown) })
 }
--- a/rpc/conn.go
+++ b/rpc/conn.go
@@ -61,6 +61,8 @@
 	// the defaults.
 	PingAfter, SilentAfter time.Duration
 	ConnectTimeout         time.Duration
+	// DialContext makes the connection under a Conn; nil: TCP.
+	DialContext func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Defaults of Options.
@@ -83,6 +85,12 @@
 	if o.Mux == nil {
 		o.Mux = NewMux()
 	}
+	if o.DialContext == nil {
+		dialer := net.Dialer{Timeout: o.ConnectTimeout, KeepAlive: -1}
+		o.DialContext = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp4", address)
+		}
+	}
 	return o
 }
 
@@ -128,8 +136,7 @@
 // Dial connects to a peer.
 func Dial(ctx context.Context, address string, options Options) (*Conn, error) {
 	options = options.withDefaults()
-	dialer := net.Dialer{Timeout: options.ConnectTimeout, KeepAlive: -1}
-	socket, err := dialer.DialContext(ctx, "tcp4", address)
+	socket, err := options.DialContext(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -26,9 +26,14 @@
 	if err != nil {
 		return nil, err
 	}
+	return Serve(listener, options, onConn), nil
+}
+
+// Serve starts a server on a listener, which it closes at its end.
+func Serve(listener net.Listener, options Options, onConn func(*Conn)) *Server {
 	s := &Server{listener: listener, options: options.withDefaults(), onConn: onConn, conns: make(map[*Conn]struct{})}
 	go s.accept()
-	return s, nil
+	return s
 }
 
 // Address is where the server listens.
