Give a repeat that is older than the history no clear answer, instead of a refusal

An order that was taken must never be refused when it comes again. Orders are known again by a digest of kind, base and bytes, of which the newest 8,192 are kept; an older repeat was not found, met another version and got 412. Dropping the bound was ruled out (memory grows with each change), so was a longer one (the same fault later). Versions climb, so an order that was dropped builds on a version below the one that the oldest kept order made: such an order, if it is not found, now has the outcome 'unsure', which the API answers with 504 (it may or may not be in force). A loser that old gets it too.

--- a/control/api/answers.go
+++ b/control/api/answers.go
@@ -39,6 +39,11 @@
 		c.Set(fiber.HeaderRetryAfter, retryAfter)
 		return answer(c, fiber.StatusServiceUnavailable, "unavailable: nothing was changed")
 	}
+	return answerUndecided(c)
+}
+
+// answerUndecided promises nothing: the order may have been taken, or be taken later.
+func answerUndecided(c *fiber.Ctx) error {
 	return answer(c, fiber.StatusGatewayTimeout, "not decided in time: it may or may not take effect")
 }
 
--- a/control/api/api.go
+++ b/control/api/api.go
@@ -73,6 +73,12 @@
 type Server struct {
 	options Options
 	app     *fiber.App
+	faults  faults
+}
+
+// faults are mistakes that tests make on purpose, to see that they would be caught.
+type faults struct {
+	current func() uint64 // orders on another version than this process has applied are refused here, not by the chain; nil: none are
 }
 
 // New returns a server that does not listen yet.
--- a/control/api/config.go
+++ b/control/api/config.go
@@ -62,6 +62,9 @@
 // change has an order decided and answers it. What is wrong with an order by itself was answered before: that can't meet one that was
 // taken, since an order that was taken had been found right by the same check.
 func (s *Server) change(c *fiber.Ctx, o order) error {
+	if s.faults.current != nil && s.faults.current() != o.base {
+		return answer(c, fiber.StatusPreconditionFailed, state.OutcomeRefusedVersion.String())
+	}
 	ctx, cancel := bound(len(o.body))
 	defer cancel()
 	result, err := s.submit(ctx, o.command)
@@ -78,6 +81,9 @@
 		return c.Status(fiber.StatusPreconditionFailed).JSON(errorAnswer{Error: result.Outcome.String(), Version: &result.Version})
 	case state.OutcomeInvalid:
 		return s.answerInvalid(c, o, result.CatalogFindings())
+	case state.OutcomeUnsure:
+		s.options.Log.Warn("order not decided", "order", o.name, "base", o.base, "reason", result.Outcome)
+		return answerUndecided(c)
 	}
 	s.options.Log.Error("order not understood", "order", o.name, "outcome", result.Outcome, "findings", result.CatalogFindings())
 	return answer(c, fiber.StatusInternalServerError, result.Outcome.String())
--- a/control/state/history.go
+++ b/control/state/history.go
@@ -10,7 +10,8 @@
 //msgp:tuple entry
 //msgp:ignore history
 
-// historyLength is how many of the newest orders that were taken are known again when they are repeated.
+// historyLength is how many of the newest orders that were taken are known again when they are repeated. An older one can't be told
+// from one that never was taken: history.mayHaveForgotten.
 const historyLength = 8192
 
 // digestSize is the length of a digest in bytes.
@@ -40,16 +41,26 @@
 type history struct {
 	entries []entry
 	next    int // where the next one goes once all are in use
+	limit   int // most entries kept
 }
 
 func (h *history) add(d digest, version uint64) {
 	taken := entry{Digest: d, Version: version}
-	if len(h.entries) < historyLength {
+	if len(h.entries) < h.limit {
 		h.entries = append(h.entries, taken)
 		return
 	}
 	h.entries[h.next] = taken
-	h.next = (h.next + 1) % historyLength
+	h.next = (h.next + 1) % h.limit
+}
+
+// mayHaveForgotten says whether an order that is not found may have been taken all the same, so long ago that it was dropped. Taken is
+// how many ever were. Versions climb, so an order that was dropped builds on a version below the one that the oldest kept entry made.
+func (h *history) mayHaveForgotten(base, taken uint64) bool {
+	if taken <= uint64(len(h.entries)) {
+		return false
+	}
+	return len(h.entries) == 0 || base < h.entries[h.next%len(h.entries)].Version
 }
 
 func (h *history) find(d digest) (version uint64, ok bool) {
--- a/control/state/image.go
+++ b/control/state/image.go
@@ -77,7 +77,10 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.taken = history{entries: content.Taken}
+	m.taken = history{entries: content.Taken, limit: m.taken.limit}
+	if m.faults.dropsHistory {
+		m.taken.entries = nil
+	}
 	m.current.Store(&Snapshot{
 		Document:  content.Document,
 		Version:   content.Version,
--- a/control/state/machine.go
+++ b/control/state/machine.go
@@ -37,11 +37,19 @@
 	mu      sync.Mutex // held by Apply, Snapshot and Restore
 	current atomic.Pointer[Snapshot]
 	taken   history
+	faults  faults
+}
+
+// faults are mistakes that tests make on purpose, to see that they would be caught.
+type faults struct {
+	digest       func(kind Kind, base uint64, body []byte) digest // by which orders are known again; nil: digestOf
+	dropsHistory bool                                             // a snapshot is restored without the orders that were taken
+	refusesOld   bool                                             // an order older than the history is refused
 }
 
 // NewMachine returns a machine in its first state: without configuration, leader and placement.
 func NewMachine() *Machine {
-	m := &Machine{}
+	m := &Machine{taken: history{limit: historyLength}}
 	m.current.Store(&Snapshot{})
 	return m
 }
@@ -93,14 +101,17 @@
 }
 
 // configure is the compare-and-set of the configuration. The look for a repeat comes first: an order that was taken is never
-// refused later.
+// refused later. One so old that it may have been forgotten is neither acknowledged nor refused.
 func (m *Machine) configure(kind Kind, base uint64, body []byte) *Result {
-	digest := digestOf(kind, base, body)
+	digest := m.digestOf(kind, base, body)
 	if version, ok := m.taken.find(digest); ok {
 		return &Result{Outcome: OutcomeRepeated, Version: version}
 	}
 	now := m.Current()
 	if base != now.Version {
+		if m.taken.mayHaveForgotten(base, now.Sequence) && !m.faults.refusesOld {
+			return &Result{Outcome: OutcomeUnsure}
+		}
 		return &Result{Outcome: OutcomeRefusedVersion}
 	}
 	config, err := build(kind, now, body)
@@ -116,6 +127,13 @@
 	return &Result{Outcome: OutcomeTaken}
 }
 
+func (m *Machine) digestOf(kind Kind, base uint64, body []byte) digest {
+	if m.faults.digest != nil {
+		return m.faults.digest(kind, base, body)
+	}
+	return digestOf(kind, base, body)
+}
+
 func build(kind Kind, now *Snapshot, body []byte) (*catalog.Config, error) {
 	config, err := read(kind, now, body)
 	if err != nil {
--- a/control/state/result.go
+++ b/control/state/result.go
@@ -18,6 +18,7 @@
 	OutcomeStaleTerm                         // there is a newer leader
 	OutcomeStaleEpoch                        // the placement is not that of the next epoch
 	OutcomeMalformed                         // not a command that this machine knows
+	OutcomeUnsure                            // too old an order to tell whether it was taken: it changes nothing now
 )
 
 // String names the outcome for logs.
@@ -37,6 +38,8 @@
 		return "not the next epoch"
 	case OutcomeMalformed:
 		return "malformed"
+	case OutcomeUnsure:
+		return "too old to tell whether it was taken"
 	}
 	return "unknown"
 }
