--- a/control/core/node.go
+++ b/control/core/node.go
@@ -52,6 +52,7 @@
 	minority   bool // a view is decided by a single voter
 	unsyncedOK bool // what waits for the disk does not
 	forgetful  bool // a voter that starts takes it that it granted nothing
+	alone      bool // a member commits what it alone has on its disk
 }
 
 // post is a message to send. Its type tells the method.
@@ -380,6 +381,9 @@
 		n.drain(now)
 		n.marks = n.marks[1:]
 	}
+	if n.config.faults.alone {
+		n.chain.OnAck(&chain.Ack{Epoch: n.view.Epoch, Committed: n.chain.Synced()})
+	}
 	for len(n.held) > 0 && n.held[0].batch <= batch {
 		n.deliver(n.held[0].post)
 		n.held = n.held[1:]
--- a/control/core/simulation_test.go
+++ b/control/core/simulation_test.go
@@ -26,6 +26,8 @@
 	minorityView
 	noMargin
 	keptIdentity
+	lingeringLeader
+	loneCommit
 )
 
 // register is a machine that holds one number and changes it by compare-and-set. It counts what it applies, and shows that to the
@@ -253,8 +255,11 @@
 	drawn := 0
 	random := rand.New(rand.NewPCG(m.idSeed, uint64(m.life)))
 	terms := lease.DefaultTerms
-	if m.s.mutant == noMargin {
+	switch m.s.mutant {
+	case noMargin:
 		terms.Margin = 0
+	case lingeringLeader:
+		terms.Margin = -terms.Length
 	}
 	config := nodeConfig{
 		Address: m.address, Zone: m.zone, Seeds: m.s.seeds(), Bootstrap: m.fresh && snapshot == nil, Disk: true, Candidate: true,
@@ -266,7 +271,7 @@
 			}
 			return random.Uint64()
 		},
-		faults: faults{minority: m.s.mutant == minorityView, unsyncedOK: m.s.mutant == unsyncedAck, forgetful: m.s.mutant == forgetfulVoter},
+		faults: faults{minority: m.s.mutant == minorityView, unsyncedOK: m.s.mutant == unsyncedAck, forgetful: m.s.mutant == forgetfulVoter, alone: m.s.mutant == loneCommit},
 	}
 	node, err := newNode(m.clock(), config, snapshot, records)
 	if err != nil {
