Test that a leader whose lease is over serves nobody

Renewals, subscriptions, fetches and orders are refused by the lease alone, before its context ends: as a leader that is cut off or frozen has it.

--- a/control/leader/leader_test.go
+++ b/control/leader/leader_test.go
@@ -157,16 +157,7 @@
 
 // lead has a control process lead until the test ends or it is stopped.
 func (f *fleet) lead(c *control) {
-	ctx, cancel := context.WithCancel(context.Background())
-	c.stop, c.done = cancel, make(chan struct{})
-	f.mu.Lock()
-	f.leads = c.address
-	f.mu.Unlock()
-	go func() {
-		defer close(c.done)
-		c.service.Lead(ctx, func() bool { return ctx.Err() == nil })
-	}()
-	f.t.Cleanup(c.depose)
+	f.leadWhile(c, func() bool { return true })
 }
 
 func (c *control) depose() {
