Have members ask control processes in turn, so that those cut off don't hold a start up

A member that looks for the leader drew the next control process by lot, and asked one that had just been silent again (0.35 s each time), or followed a name for a leader that was cut off time after time. A longer memory of who is silent was ruled out: a control process that restarts would be passed over.

--- /dev/null
+++ b/member/cutoff_test.go
@@ -0,0 +1,86 @@
+package member
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravendale/wire"
+)
+
+// control is a control process as a member sees it.
+type control int
+
+const (
+	leads  control = iota
+	silent         // it can't be reached, or says nothing
+	cutOff         // it is reached, but is cut off from the core: it leads no more and knows nobody who does
+	refers         // it names the leader
+	stale          // it names one that is silent
+)
+
+const roundTrip = 4 * ms
+
+// findLeader plays a session that starts with some control processes, until it holds a lease; it returns when that was.
+func findLeader(seed uint64, controls map[string]control, seeds []string, until time.Duration) time.Duration {
+	s := newSession(rand.New(rand.NewPCG(seed, 3)), 1200*ms, seeds)
+	now, leader, mute := time.Duration(0), addressOf(controls, leads), addressOf(controls, silent)
+	for !s.leased(now) && now < until {
+		reached := s.target != "" && controls[s.target] != silent
+		if !s.tick(now, reached) {
+			now = max(now+ms, s.next())
+			continue
+		}
+		sentAt := now
+		now += roundTrip
+		switch controls[s.target] {
+		case leads:
+			s.replied(now, sentAt, s.target, grant(2400*ms))
+		case cutOff:
+			s.replied(now, sentAt, s.target, &wire.RenewReply{})
+		case refers:
+			s.replied(now, sentAt, s.target, &wire.RenewReply{Leader: leader})
+		case stale:
+			s.replied(now, sentAt, s.target, &wire.RenewReply{Leader: mute})
+		}
+	}
+	return now
+}
+
+func addressOf(controls map[string]control, wanted control) string {
+	for address, kind := range controls {
+		if kind == wanted {
+			return address
+		}
+	}
+	return ""
+}
+
+// TestTheCoreIsFoundThoughTheFirstSeedsAreCutOff has seeds that begin with processes that are cut off.
+func TestTheCoreIsFoundThoughTheFirstSeedsAreCutOff(t *testing.T) {
+	for name, c := range map[string]struct {
+		controls map[string]control
+		bound    time.Duration
+	}{
+		"one is silent":            {map[string]control{"a": silent, "b": leads, "c": refers}, 600 * ms},
+		"one leads no more":        {map[string]control{"a": cutOff, "b": refers, "c": leads}, 300 * ms},
+		"two of five are silent":   {map[string]control{"a": silent, "b": silent, "c": refers, "d": leads, "e": refers}, 1200 * ms},
+		"two of five lead no more": {map[string]control{"a": cutOff, "b": cutOff, "c": refers, "d": leads, "e": refers}, 500 * ms},
+		"one names one cut off":    {map[string]control{"a": silent, "b": stale, "c": leads}, 1600 * ms},
+		"only the last is reached": {map[string]control{"a": silent, "b": silent, "c": silent, "d": silent, "e": leads}, 2400 * ms},
+	} {
+		t.Run(name, func(t *testing.T) {
+			seeds := []string{"a", "b", "c", "d", "e"}[:len(c.controls)]
+			var slowest, sum time.Duration
+			const starts = 2000
+			for seed := range uint64(starts) {
+				took := findLeader(seed, c.controls, seeds, 30*time.Second)
+				slowest, sum = max(slowest, took), sum+took
+			}
+			t.Logf("%v at most, %v on average", slowest, sum/starts)
+			require.LessOrEqual(t, slowest, c.bound)
+		})
+	}
+}
--- a/member/session.go
+++ b/member/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"ravendale/wire"
@@ -24,6 +25,7 @@
 	heartbeat time.Duration
 	seeds     []string
 	core      []string
+	failures  map[string]int // of control processes, since the last grant
 
 	target  string
 	leader  string // who granted last
@@ -39,22 +41,24 @@
 }
 
 func newSession(random *rand.Rand, heartbeat time.Duration, seeds []string) *session {
-	s := &session{random: random, heartbeat: heartbeat, seeds: seeds}
+	s := &session{random: random, heartbeat: heartbeat, seeds: seeds, failures: make(map[string]int)}
 	s.target = s.candidate()
 	return s
 }
 
-// candidate picks a control process other than the target, if there is one.
+// candidate picks a control process other than the target, if there is one: any of those that failed least often. So those that are
+// cut off are not asked again before all others were.
 func (s *session) candidate() string {
-	candidates := union(s.core, s.seeds)
+	candidates := slices.DeleteFunc(union(s.core, s.seeds), func(address string) bool { return address == s.target })
 	if len(candidates) == 0 {
-		return ""
+		return s.target
 	}
-	pick := s.random.IntN(len(candidates))
-	if candidates[pick] == s.target {
-		pick = (pick + 1) % len(candidates)
+	least := s.failures[candidates[0]]
+	for _, address := range candidates {
+		least = min(least, s.failures[address])
 	}
-	return candidates[pick]
+	candidates = slices.DeleteFunc(candidates, func(address string) bool { return s.failures[address] > least })
+	return candidates[s.random.IntN(len(candidates))]
 }
 
 func union(lists ...[]string) []string {
@@ -128,6 +132,7 @@
 	if from != s.target {
 		return
 	}
+	s.failures[from]++
 	s.target = s.candidate()
 	s.pause(now)
 }
@@ -174,7 +179,7 @@
 	if from != s.target || !s.waiting {
 		return
 	}
-	if reply.Leader == "" || reply.Leader == from || s.hops >= hopsAllowed {
+	if !s.follows(from, reply.Leader) {
 		s.failed(now, from)
 		return
 	}
@@ -183,12 +188,19 @@
 	s.sent, s.due = false, now+answerWithin
 }
 
+// follows says whether the leader that a control process names is to be asked. One that failed before may be cut off, and named by who has
+// not noticed: it is asked again at once, but not time after time.
+func (s *session) follows(from, leader string) bool {
+	return leader != "" && leader != from && s.hops < hopsAllowed && s.failures[leader] <= s.failures[from]+1
+}
+
 func (s *session) granted(now, sentAt time.Duration, from string, reply *wire.RenewReply) {
 	if sentAt >= s.renewed || s.lease == 0 {
 		s.renewed = sentAt
 		s.lease = time.Duration(reply.LeaseMillis) * time.Millisecond
 	}
 	s.leader = from
+	clear(s.failures)
 	if from != s.target {
 		return
 	}
