Let a grant that comes after its own lease name no versions as the newest

A leader that is frozen or cut off may have its answer arrive long after it leads no more. Now it counts only within the lease that it grants, counted from when it was asked for.

--- a/member/agent.go
+++ b/member/agent.go
@@ -199,9 +199,10 @@
 		a.session.failed(a.now(), address)
 		return
 	}
-	a.session.replied(a.now(), sentAt, address, reply)
-	if !reply.Granted {
-		return
+	now := a.now()
+	a.session.replied(now, sentAt, address, reply)
+	if !reply.Granted || now >= sentAt+leaseOf(reply) {
+		return // or so late that who granted it may lead no more: the versions that it names may be old
 	}
 	a.granted(conn, reply)
 	if leaving {
--- a/member/cutoff_test.go
+++ b/member/cutoff_test.go
@@ -84,3 +84,16 @@
 		})
 	}
 }
+
+// TestAGrantThatComesTooLateNamesNothing has the answer of a leader that stood still, or was cut off, come when its lease is over.
+func TestAGrantThatComesTooLateNamesNothing(t *testing.T) {
+	l := newLeader(t)
+	a := l.agent(t, nil)
+	late := &wire.RenewReply{Granted: true, LeaseMillis: 300, Heads: make([]wire.Version, wire.TopicCount)}
+	a.replied(nil, a.session.target, a.now()-300*ms, false, late, nil)
+	require.False(t, a.Current(), "what it named may be old")
+	require.False(t, a.Leased())
+	a.replied(nil, a.session.target, a.now(), false, late, nil)
+	require.True(t, a.Current())
+	require.True(t, a.Leased())
+}
--- a/member/session.go
+++ b/member/session.go
@@ -194,10 +194,14 @@
 	return leader != "" && leader != from && s.hops < hopsAllowed && s.failures[leader] <= s.failures[from]+1
 }
 
+func leaseOf(reply *wire.RenewReply) time.Duration {
+	return time.Duration(reply.LeaseMillis) * time.Millisecond
+}
+
 func (s *session) granted(now, sentAt time.Duration, from string, reply *wire.RenewReply) {
 	if sentAt >= s.renewed || s.lease == 0 {
 		s.renewed = sentAt
-		s.lease = time.Duration(reply.LeaseMillis) * time.Millisecond
+		s.lease = leaseOf(reply)
 	}
 	s.leader = from
 	clear(s.failures)
