Have a control process without a disk submit to members that are not cut off

It gave a command to the leader it knew, else to the first address that had a connection, with all of the caller's time. A member that was cut off from the others but not from this process, and first by its address, took each order for the length of the cut and answered none. Now members come in the order in which they likely get a command committed (heard, leading, in the chain, missing few others, newest view), and while others are left one gets half of the time.

--- a/control/core/links.go
+++ b/control/core/links.go
@@ -124,18 +124,12 @@
 	}
 }
 
-// any returns the connections that are open, those to the preferred address first.
-func (l *links) any(preferred string, addresses []string) []*rpc.Conn {
+// opened returns the connections to addresses that are open, in the order of the addresses.
+func (l *links) opened(addresses []string) []*rpc.Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var conns []*rpc.Conn
-	if conn := l.conn(preferred); preferred != "" && conn != nil {
-		conns = append(conns, conn)
-	}
 	for _, address := range addresses {
-		if address == preferred || address == l.core.address {
-			continue
-		}
 		if conn := l.conn(address); conn != nil {
 			conns = append(conns, conn)
 		}
--- a/control/core/peers.go
+++ b/control/core/peers.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -210,6 +211,35 @@
 	return addresses
 }
 
+// takers lists the other processes of the core, those first that most likely get a command committed: the leader, then who was heard lately,
+// follows the chain, misses few others and knows the newest view. One that is cut off from the others comes late.
+func (n *node) takers(now time.Duration) []string {
+	leader := n.leaderAddress(now)
+	rank := func(address string) [5]uint64 {
+		p := n.peers[address]
+		if p == nil || !p.contacted {
+			return [5]uint64{1, 1}
+		}
+		silent := now-p.heard >= silentAfter || p.refused
+		return [5]uint64{
+			bit(silent), bit(address != leader), bit(!p.beat.Attached), uint64(len(p.beat.Missing)), math.MaxUint64 - p.beat.Epoch,
+		}
+	}
+	addresses := slices.DeleteFunc(n.Addresses(), func(address string) bool { return address == n.self.Address })
+	slices.SortStableFunc(addresses, func(a, b string) int {
+		first, second := rank(a), rank(b)
+		return slices.Compare(first[:], second[:])
+	})
+	return addresses
+}
+
+func bit(condition bool) uint64 {
+	if condition {
+		return 1
+	}
+	return 0
+}
+
 // found proposes the first view, once all seeds are there, at the one with the lowest address. Since only that one ever proposes
 // it, and has it on disk before it tells, it is decided.
 func (n *node) found(now time.Duration) {
--- a/control/core/submit.go
+++ b/control/core/submit.go
@@ -73,10 +73,11 @@
 	defer cancel()
 	for {
 		c.mu.Lock()
-		leader, addresses := c.node.leaderAddress(c.now()), c.node.Addresses()
+		takers := c.node.takers(c.now())
 		c.mu.Unlock()
-		for _, conn := range c.links.any(leader, addresses) {
-			result, err := c.ask(ctx, conn, command)
+		conns := c.links.opened(takers)
+		for i, conn := range conns {
+			result, err := c.ask(ctx, conn, command, i+1 < len(conns))
 			if !errors.Is(err, ErrUnavailable) {
 				return result, err
 			}
@@ -89,14 +90,18 @@
 	}
 }
 
-func (c *Core) ask(ctx context.Context, conn *rpc.Conn, command []byte) ([]byte, error) {
+// ask has one member submit the command. If there are others, that one gets half of the time that is left.
+func (c *Core) ask(ctx context.Context, conn *rpc.Conn, command []byte, others bool) ([]byte, error) {
 	deadline, _ := ctx.Deadline()
 	left := time.Until(deadline)
 	if left <= 0 || conn.Err() != nil {
 		return nil, ErrUnavailable
 	}
-	left -= left / 8 // for the way back
-	request := &forward{WaitMillis: uint32(left / time.Millisecond), Command: command}
+	wait := left - left/8 // for the way back
+	if others {
+		wait = left / 2
+	}
+	request := &forward{WaitMillis: uint32(wait / time.Millisecond), Command: command}
 	var reply forwardReply
 	if err := conn.Call(ctx, methodForward, request, &reply); err != nil {
 		return nil, errors.Join(ErrUnknown, err)
