--- a/control/core/peers.go
+++ b/control/core/peers.go
@@ -16,8 +16,8 @@
 	}
 	if !known {
 		n.deliver(post{m.Member.Address, n.beat(now)})
-		n.prepareLate(m.Member)
 	}
+	n.prepareLate(m.Member)
 	if m.Member.ID != 0 {
 		n.chain.OnBeat(now, m.Member.ID, chain.Beat{Epoch: m.Epoch, Attached: m.Attached, Synced: m.Synced, Committed: m.Committed})
 	}
--- a/control/core/views.go
+++ b/control/core/views.go
@@ -140,9 +140,10 @@
 	return heard >= n.view.Majority()
 }
 
-// prepareLate asks a voter that has just come for the promise that is being gathered.
+// prepareLate asks a voter that has just been heard for the promise that is being gathered, unless it has given it: it may have started
+// since the question was sent, or have missed it.
 func (n *node) prepareLate(member view.Member) {
-	if n.proposer != nil && n.proposer.Gathering() && n.isVoter(member.ID) {
+	if n.proposer != nil && n.proposer.Lacks(member.ID) {
 		n.deliver(post{member.Address, n.proposer.Prepare()})
 	}
 }
--- a/control/lease/lease.go
+++ b/control/lease/lease.go
@@ -215,6 +215,9 @@
 // Asked is when the current round was begun, and whether it got a majority.
 func (h *Holder) Asked() (at time.Duration, granted bool) { return h.asked, h.done }
 
+// Outdated says whether the current round was begun in another epoch and has no majority: nobody will answer it any more.
+func (h *Holder) Outdated(epoch uint64) bool { return !h.done && h.epoch != epoch }
+
 // Asking says whether a round has been begun whose answers still count.
 func (h *Holder) Asking() bool { return h.given != nil }
 
--- a/control/view/proposer.go
+++ b/control/view/proposer.go
@@ -36,6 +36,12 @@
 // Gathering says whether promises are still waited for.
 func (p *Proposer) Gathering() bool { return p.value == nil }
 
+// Lacks says whether a voter's promise is waited for.
+func (p *Proposer) Lacks(id ID) bool {
+	_, voter := p.view.Voter(id)
+	return voter && p.Gathering() && p.promises[id] == nil
+}
+
 // Epoch is that of the view whose successor is sought.
 func (p *Proposer) Epoch() uint64 { return p.view.Epoch }
 
