Apply what a member missed in batches, and keep its log short

A control machine that came back applied 118 of them in one step of 1.1 s, said nothing to the others meanwhile, was left out of the chain, taken in and left out again; after a kill of the whole core each member had some hundred to apply again before anybody led, 4.7 s after the start. The machine whose state was current 10.3 s after its start was restarted while it was cut off, and refused with 503 until the cut ended: as it must.

Now a member hands out at most 4 committed entries in a step and goes on to speak in between. What is committed is told and acknowledged before it is applied here, so that a tail that is behind holds nobody up. And a log holds at most 64 records before an image is written, however small they are. A cache of the parsed configuration was ruled out for now: it costs memory at the peak and saves half.

--- a/control/chain/chain.go
+++ b/control/chain/chain.go
@@ -3,6 +3,7 @@
 package chain
 
 import (
+	"math"
 	"time"
 
 	"ravendale/control/view"
@@ -15,6 +16,10 @@
 	GapAgain    = 50 * time.Millisecond
 )
 
+// commitBatch is how many entries are handed out to be applied in one step: between two steps a member that has many of them to apply
+// goes on to speak to the others.
+const commitBatch = 4
+
 // Send is a message to another member: *Attach, *Fill, *Append, *Ack or *Gap.
 type Send struct {
 	To      view.ID
@@ -43,10 +48,12 @@
 	snapshot func() []byte // of the machine, as it is after the last commit
 
 	state     State
-	committed uint64
+	committed uint64 // known to be committed, of which some may not be handed out yet
+	handedOut uint64 // to be applied: so far the machine's snapshot reaches
 	synced    uint64
 	fork      uint64 // climbs when entries are thrown away
 	actions   Actions
+	batch     uint64 // most entries handed out in one step
 
 	epoch    uint64
 	members  []view.ID
@@ -68,12 +75,15 @@
 
 // New makes a member from what is on its disk. It takes no part before Adopt.
 func New(self view.ID, state State, snapshot func() []byte) *Chain {
-	c := &Chain{self: self, snapshot: snapshot, state: state, position: -1, waiting: make(map[view.ID]*Attach)}
-	c.committed = state.Base
+	c := &Chain{self: self, snapshot: snapshot, state: state, position: -1, waiting: make(map[view.ID]*Attach), batch: commitBatch}
+	c.committed, c.handedOut = state.Base, state.Base
 	c.synced = c.Last()
 	return c
 }
 
+// Unbounded has all entries handed out at once, which only tests of tests may ask for.
+func (c *Chain) Unbounded() { c.batch = math.MaxUint32 }
+
 // Replay applies a write that was read from disk.
 func (s *State) Replay(w *Write) {
 	if w.Cut && w.Keep >= s.Base && w.Keep-s.Base < uint64(len(s.Entries)) {
@@ -92,13 +102,13 @@
 	}
 }
 
-// State is what has to be on disk, the machine's snapshot apart. It drops the committed entries, which that covers.
+// State is what has to be on disk, the machine's snapshot apart. It drops the entries that were handed out, which that covers.
 func (c *Chain) State() State {
-	if c.committed > c.state.Base {
-		epoch := c.epochAt(c.committed)
-		kept := c.state.Entries[c.committed-c.state.Base:]
+	if c.handedOut > c.state.Base {
+		epoch := c.epochAt(c.handedOut)
+		kept := c.state.Entries[c.handedOut-c.state.Base:]
 		c.state.Entries = append([]Entry(nil), kept...)
-		c.state.Base, c.state.BaseEpoch = c.committed, epoch
+		c.state.Base, c.state.BaseEpoch = c.handedOut, epoch
 	}
 	return c.state
 }
@@ -109,7 +119,7 @@
 // Synced is up to where the log is on disk.
 func (c *Chain) Synced() uint64 { return c.synced }
 
-// Committed is up to where entries have been committed and handed out.
+// Committed is up to where entries are known to be committed.
 func (c *Chain) Committed() uint64 { return c.committed }
 
 // Attached says whether the member follows the chain of its epoch: then it may order, pass on and commit.
@@ -156,8 +166,12 @@
 // Seal ends the member's part in its epoch, after it has promised another.
 func (c *Chain) Seal() { c.sealed = true }
 
-// Tick sends again what may have been lost.
+// Behind says whether entries are known to be committed that were not handed out yet: Tick does so.
+func (c *Chain) Behind() bool { return c.handedOut < c.committed }
+
+// Tick hands out what is left to be applied, and sends again what may have been lost.
 func (c *Chain) Tick(now time.Duration) {
+	c.handOut()
 	if c.position > 0 && !c.taken && !c.sealed && now-c.attachAt >= AttachAgain {
 		c.attach(now)
 	}
@@ -269,7 +283,7 @@
 	case c.has(message.Committed):
 		fill.From = message.Committed
 	default:
-		fill.Whole, fill.Snapshot, fill.From = true, c.snapshot(), c.committed
+		fill.Whole, fill.Snapshot, fill.From = true, c.snapshot(), c.handedOut
 	}
 	fill.FromEpoch = c.epochAt(fill.From)
 	fill.Entries = c.between(fill.From, c.synced)
@@ -311,7 +325,7 @@
 
 func (c *Chain) install(message *Fill) {
 	c.state = State{Base: message.From, BaseEpoch: message.FromEpoch, Entries: message.Entries}
-	c.committed = message.From
+	c.committed, c.handedOut = message.From, message.From
 	c.fork++
 	c.synced = message.From
 	c.actions = Actions{Install: message}
@@ -437,13 +451,23 @@
 	if to = min(to, c.Last()); to <= c.committed {
 		return
 	}
-	c.actions.Commits = append(c.actions.Commits, c.between(c.committed, to)...)
 	c.committed = to
+	c.handOut()
 	if c.position > 0 {
 		c.send(c.members[c.position-1], &Ack{Epoch: c.epoch, Committed: to})
 	}
 }
 
+// handOut gives the next batch of committed entries to be applied. The others do not wait for it: they hear what is committed.
+func (c *Chain) handOut() {
+	to := min(c.committed, c.handedOut+c.batch)
+	if to <= c.handedOut {
+		return
+	}
+	c.actions.Commits = append(c.actions.Commits, c.between(c.handedOut, to)...)
+	c.handedOut = to
+}
+
 func (c *Chain) write(write Write) { c.actions.Writes = append(c.actions.Writes, write) }
 
 func (c *Chain) send(to view.ID, message any) {
--- a/control/core/core.go
+++ b/control/core/core.go
@@ -108,7 +108,7 @@
 	config := nodeConfig{
 		Address: c.address, Zone: settings.Zone, Seeds: settings.SeedAddresses(), Bootstrap: settings.Bootstrap,
 		Disk: settings.DataDir != "", Candidate: c.config.Lead != nil, Durability: durability(settings),
-		GoneAfter: max(leastGoneAfter, 2*durationOf(settings.Bounds.CatchupS)), Terms: lease.DefaultTerms, LeastLog: leastLog,
+		GoneAfter: max(leastGoneAfter, 2*durationOf(settings.Bounds.CatchupS)), Terms: lease.DefaultTerms, LeastLog: leastLog, MostRecords: mostRecords,
 		Machine: c.config.Machine, Random: c.random,
 	}
 	var snapshot []byte
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -28,6 +28,7 @@
 	absentGap    = 400 * time.Millisecond // a member that was not run for so long judges nobody at first
 	forgetAfter  = 10 * time.Second       // a stranger that is silent for longer is forgotten
 	leastLog     = 64 << 10               // of nodeConfig.LeastLog
+	mostRecords  = 64                     // of nodeConfig.MostRecords: each may take some 10 ms to apply again
 )
 
 // nodeConfig is what a node must know from the start.
@@ -42,9 +43,12 @@
 	GoneAfter  time.Duration // a voter that is down for longer may be given up
 	Terms      lease.Terms
 	LeastLog   int // bytes of log before a snapshot is taken
-	Machine    Machine
-	Random     func() uint64
-	faults     faults
+	// MostRecords are in the log before a snapshot is taken, however short they are: a member that starts applies them again, and until
+	// then neither answers nor leads.
+	MostRecords int
+	Machine     Machine
+	Random      func() uint64
+	faults      faults
 }
 
 // faults are mistakes that tests make on purpose, to see that they would be caught.
@@ -53,6 +57,7 @@
 	unsyncedOK bool // what waits for the disk does not
 	forgetful  bool // a voter that starts takes it that it granted nothing
 	alone      bool // a member commits what it alone has on its disk
+	unbounded  bool // a member that is behind applies all at once
 }
 
 // post is a message to send. Its type tells the method.
@@ -130,6 +135,7 @@
 	records   [][]byte
 	whole     bool // the next write is the whole image
 	logBytes  int
+	logged    int // records since the snapshot
 	imageSize int
 	busySince time.Duration // since when a write is under way
 }
@@ -186,6 +192,9 @@
 	}
 	n.self.ID, n.founder, n.view, n.vote = kept.ID, kept.Founders, kept.View, kept.Vote
 	n.chain = chain.New(n.self.ID, kept.Chain, config.Machine.Snapshot)
+	if config.faults.unbounded {
+		n.chain.Unbounded()
+	}
 	if config.faults.forgetful {
 		kept.Lease = lease.Past{}
 	}
@@ -219,7 +228,9 @@
 			return nil, fmt.Errorf("core: record %d on disk: %w", i, err)
 		}
 		kept.replay(&change)
+		n.logBytes += len(data)
 	}
+	n.logged = len(records)
 	n.imageSize = len(snapshot)
 	if len(kept.Machine) > 0 {
 		if err := n.config.Machine.Restore(kept.Machine); err != nil {
@@ -335,6 +346,7 @@
 	}
 	n.records = append(n.records, data)
 	n.logBytes += len(data)
+	n.logged++
 }
 
 // flush gives the changes of this step to the disk.
@@ -342,7 +354,7 @@
 	if !n.whole && len(n.records) == 0 {
 		return
 	}
-	if n.logBytes > max(n.config.LeastLog, 2*n.imageSize) {
+	if n.logBytes > max(n.config.LeastLog, 2*n.imageSize) || n.logged > n.config.MostRecords {
 		n.whole = true
 	}
 	if n.batch == n.lasting {
@@ -352,7 +364,7 @@
 	write := diskWrite{Batch: n.batch, Records: n.records}
 	if n.whole {
 		write.Records, write.Image = nil, n.image()
-		n.imageSize, n.logBytes = len(write.Image), 0
+		n.imageSize, n.logBytes, n.logged = len(write.Image), 0, 0
 	}
 	n.whole, n.records = false, nil
 	n.out.Writes = append(n.out.Writes, write)
@@ -550,6 +562,9 @@
 // next is when something is due: often while something is under way, else with the next beat.
 func (n *node) next(now time.Duration) time.Duration {
 	const brisk = 20 * time.Millisecond
+	if n.chain.Behind() {
+		return now + time.Millisecond
+	}
 	at := max(n.beatAt, now+brisk)
 	busy := n.proposer != nil || n.wanted >= 0 || n.seeking(now) || n.chain.Position() >= 0 && !n.chain.Attached()
 	if busy {
--- a/control/core/simulation_test.go
+++ b/control/core/simulation_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -28,6 +29,7 @@
 	keptIdentity
 	lingeringLeader
 	loneCommit
+	applyAll
 )
 
 // register is a machine that holds one number and changes it by compare-and-set. It counts what it applies, and shows that to the
@@ -75,19 +77,21 @@
 
 // simulation is a whole core in simulated time.
 type simulation struct {
-	random    *rand.Rand
-	mutant    mutant
-	now       time.Duration
-	queue     []event // heap by time, then by order of making
-	made      uint64
-	members   []*simulated
-	byAddr    map[string]*simulated
-	cut       map[[2]string]bool // from, to
-	loss      float64
-	lossy     bool
-	lost      int // LostNodes
-	slowDisks bool
-	leastLog  int // bytes of log before a snapshot
+	random      *rand.Rand
+	mutant      mutant
+	now         time.Duration
+	queue       []event // heap by time, then by order of making
+	made        uint64
+	members     []*simulated
+	byAddr      map[string]*simulated
+	cut         map[[2]string]bool // from, to
+	loss        float64
+	lossy       bool
+	lost        int // LostNodes
+	slowDisks   bool
+	leastLog    int           // bytes of log before a snapshot
+	mostRecords int           // in the log before a snapshot; zero: as many as fit with leastLog
+	applyTime   time.Duration // for which a member stands still to apply a command
 
 	operations map[string]*operation // by command
 	order      []string              // of commands, as the first to apply each saw it
@@ -132,6 +136,7 @@
 	writing bool
 	calls   map[uint64]string // commands by number
 	changes []change          // of the chain, as told
+	counted int               // commands applied, of which the time has been taken
 }
 
 func newSimulation(seed uint64, members, lost int, m mutant) *simulation {
@@ -263,7 +268,7 @@
 	}
 	config := nodeConfig{
 		Address: m.address, Zone: m.zone, Seeds: m.s.seeds(), Bootstrap: m.fresh && snapshot == nil, Disk: true, Candidate: true,
-		Durability: view.Durability{Copies: m.s.lost + 1}, GoneAfter: 10 * time.Second, Terms: terms, LeastLog: m.s.leastLog, Machine: m.machine,
+		Durability: view.Durability{Copies: m.s.lost + 1}, GoneAfter: 10 * time.Second, Terms: terms, LeastLog: m.s.leastLog, MostRecords: cmp.Or(m.s.mostRecords, m.s.leastLog/4), Machine: m.machine,
 		Random: func() uint64 {
 			drawn++
 			if drawn == 2 && m.s.mutant == keptIdentity { // the first draw names the life, the second the disk
@@ -271,7 +276,7 @@
 			}
 			return random.Uint64()
 		},
-		faults: faults{minority: m.s.mutant == minorityView, unsyncedOK: m.s.mutant == unsyncedAck, forgetful: m.s.mutant == forgetfulVoter, alone: m.s.mutant == loneCommit},
+		faults: faults{minority: m.s.mutant == minorityView, unsyncedOK: m.s.mutant == unsyncedAck, forgetful: m.s.mutant == forgetfulVoter, alone: m.s.mutant == loneCommit, unbounded: m.s.mutant == applyAll},
 	}
 	node, err := newNode(m.clock(), config, snapshot, records)
 	if err != nil {
@@ -310,6 +315,23 @@
 	}
 	m.write()
 	m.s.checkLease()
+	m.takeTime()
+}
+
+// takeTime has the member stand still for as long as what it has just applied takes.
+func (m *simulated) takeTime() {
+	applied := m.machine.count - m.counted
+	m.counted = m.machine.count
+	if m.s.applyTime == 0 || applied <= 0 || m.frozen {
+		return
+	}
+	m.frozen = true
+	life := m.life
+	m.s.after(time.Duration(applied)*m.s.applyTime, func() {
+		if m.life == life {
+			m.thaw()
+		}
+	})
 }
 
 func (m *simulated) write() {
