Judge the bound on answers by the time allowed, not by the clock of a busy machine

TestAnswersAreBounded failed once on a machine with a load of 58: 1.6 s passed where the bound was 0.85 s, and the test allowed 1 s. Now it looks at the deadline that the server gives the core, and at what is answered once that passes: as strict, and no clock decides. A member whose disk is stuck does not wake each millisecond to hand out entries.

--- a/control/api/api_test.go
+++ b/control/api/api_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -29,10 +30,15 @@
 	after   error
 	applied int
 	hang    bool
+	allowed time.Duration // for a command that hung
 }
 
 func (c *chain) Submit(ctx context.Context, command []byte) ([]byte, error) {
 	if c.hang {
+		c.allowed = math.MaxInt64
+		if deadline, bounded := ctx.Deadline(); bounded {
+			c.allowed = time.Until(deadline)
+		}
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
@@ -184,9 +190,8 @@
 func TestAnswersAreBounded(t *testing.T) {
 	f := newFixture(t)
 	f.chain.hang = true
-	start := time.Now()
 	f.set(504, "0", document(5))
-	require.Less(t, time.Since(start), time.Second)
+	require.LessOrEqual(t, f.chain.allowed, timeFor(len(document(5))))
 	require.Less(t, timeFor(100<<10), time.Second)
 	require.Equal(t, answerWithin+2*time.Second, timeFor(2<<20))
 	require.Equal(t, longestAnswer, timeFor(maxBody))
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -537,13 +537,18 @@
 		n.grace = now + silentAfter
 	}
 	n.ticked = now
-	if n.ready() && (n.batch == n.lasting || now-n.busySince < stuckAfter) {
+	if n.ready() && !n.stuck(now) {
 		n.work(now)
 	}
 	n.finish(now)
 	return n.next(now)
 }
 
+// stuck says whether the disk takes so long that the member falls silent.
+func (n *node) stuck(now time.Duration) bool {
+	return n.batch != n.lasting && now-n.busySince >= stuckAfter
+}
+
 func (n *node) work(now time.Duration) {
 	n.watch(now)
 	if now >= n.beatAt {
@@ -562,7 +567,7 @@
 // next is when something is due: often while something is under way, else with the next beat.
 func (n *node) next(now time.Duration) time.Duration {
 	const brisk = 20 * time.Millisecond
-	if n.chain.Behind() {
+	if n.chain.Behind() && !n.stuck(now) {
 		return now + time.Millisecond
 	}
 	at := max(n.beatAt, now+brisk)
--- a/relay/node_test.go
+++ b/relay/node_test.go
@@ -128,6 +128,26 @@
 	require.Zero(t, middle.got.Load())
 }
 
+// TestAChildOfAParentThatIsCutOffFollowsTheLeader has a parent that lives, goes on to speak and has old state, as one that is cut off from the
+// core with the leader of before.
+func TestAChildOfAParentThatIsCutOffFollowsTheLeader(t *testing.T) {
+	newLeader, cutOff := serve(t, true, nil), serve(t, true, nil)
+	direct, err := rpc.Dial(t.Context(), newLeader.address, rpc.Options{})
+	require.NoError(t, err)
+	defer direct.Close()
+	cutOff.publishWorkers(1)
+	child := serve(t, false, func() *rpc.Conn { return direct })
+	child.SetParents([]string{cutOff.address})
+	child.eventually(t, 1)
+	newLeader.publishWorkers(3)
+	child.Named(Versions{wire.TopicWorkers: version(3)}.List()) // as its renewal at the new leader says
+	child.eventually(t, 3)
+	cutOff.publishWorkers(2)
+	newLeader.publishWorkers(4)
+	child.Named(Versions{wire.TopicWorkers: version(4)}.List())
+	child.eventually(t, 4)
+}
+
 func TestANodeIsNotItsOwnParent(t *testing.T) {
 	node := serve(t, false, nil)
 	conn, err := rpc.Dial(t.Context(), node.address, rpc.Options{})
