--- a/control/core/behind_test.go
+++ b/control/core/behind_test.go
@@ -67,3 +67,34 @@
 	require.Greater(t, len(s.order), 5*mostRecords)
 	require.Empty(t, s.broken)
 }
+
+// restartWithMuchToApply has all of a core killed at once, when a log without bound would hold 250 commands that take 8 ms each to apply.
+// It returns how long it took to a leader and an answer.
+func restartWithMuchToApply(t *testing.T, seed uint64, m mutant, records int) time.Duration {
+	s := newSimulation(seed, 5, 2, m)
+	s.leastLog, s.mostRecords = 1<<20, records
+	s.run(1500 * time.Millisecond)
+	s.load(20 * time.Millisecond)
+	s.until(time.Minute, func() bool { return len(s.order) >= 250 })
+	s.run(s.now + 200*time.Millisecond)
+	s.applyTime = 8 * time.Millisecond
+	s.restart(s.members, 50*time.Millisecond)
+	s.run(s.now + 50*time.Millisecond)
+	back := s.now
+	s.until(30*time.Second, func() bool { return s.newest > back && len(s.holders()) == 1 })
+	require.Empty(t, s.broken, "seed %d", seed)
+	return s.now - back
+}
+
+// TestARestartedCoreWithMuchToApplyServesSoon is the end of the day scpwlb-grown mix 500943057247.
+func TestARestartedCoreWithMuchToApplyServesSoon(t *testing.T) {
+	var slowest time.Duration
+	for seed := range uint64(20) {
+		slowest = max(slowest, restartWithMuchToApply(t, seed, sound, mostRecords))
+	}
+	t.Logf("at most %v", slowest)
+	require.Less(t, slowest, 1500*time.Millisecond)
+	long := restartWithMuchToApply(t, 0, applyAll, 1<<20)
+	t.Logf("%v with a log without bound that is applied at once", long)
+	require.Greater(t, long, 2*time.Second)
+}
