Wait for events, not for times, in tests that a busy machine broke

TestIdleConnectionIsClosedBeforeTheWorkerDoes (worker) and "yesterday's disk" (fleettest) failed once each at loads of 74 and 40.

Cause: the first gave the client 40 ms of real time to close an idle connection.

Change: - The worker's idle connection and the silent worker are played on a clock that stands still while anything is done, with a pipe in memory, and are held to the exact times: 150 ms of the 200 ms that a worker keeps a connection, and limit and slack. - A second answer and the end of an idle connection are waited for on the socket, not for 20 ms. Requests in other tests have a minute, and connects no limit: at load 57 "garbled" was once found unreachable after the 300 ms of a connect. - "await told NAME" in scripts of fleettest: another's record says that a member's is as far as it is now (audit.Told).

--- a/audit/read.go
+++ b/audit/read.go
@@ -293,6 +293,19 @@
 	a.Findings = slices.Compact(a.Findings)
 }
 
+// Told is how far a member's record was by the furthest word of it in the others' records.
+func (a *Audit) Told(member string) (furthest Head) {
+	for _, by := range a.Members {
+		for i := range a.records[by].Entries {
+			head := a.records[by].Entries[i].Seen[member].Head
+			if head.Incarnation > furthest.Incarnation || head.Incarnation == furthest.Incarnation && head.Seq > furthest.Seq {
+				furthest = head
+			}
+		}
+	}
+	return furthest
+}
+
 func (a *Audit) find(kind FindingKind, member, place, text string, args ...any) {
 	f := Finding{kind, member, place, fmt.Sprintf(text, args...)}
 	if !slices.Contains(a.Findings, f) {
--- a/fleettest/bench.go
+++ b/fleettest/bench.go
@@ -308,6 +308,7 @@
 //	await acts|shut|marked|dead NAMES  standing as they tell (who acts votes too), or the process has ended
 //	await epoch N NAMES                what they act under
 //	await NAME sees STATE NAMES        how a member sees others
+//	await told NAME                    another's record says that its record is as far as it is now
 //	roll-out N floor=F [within=D] [build=B] [settings=JSON] via NAME [refused]
 //	cut A>B, cut A|B, heal             one direction (lists of names), both, or all well again
 //	delay A>B D, corrupt A>B, duplicate A>B, reset A>B
@@ -476,6 +477,9 @@
 			return true, ""
 		})
 	}
+	if len(words) == 2 && words[0] == "told" {
+		return b.awaitTold(words[1])
+	}
 	some, err := b.pick(words[len(words)-1])
 	if err != nil {
 		return err
@@ -515,6 +519,22 @@
 	return nil
 }
 
+// awaitTold waits until another member's record says that a member's record is as far as it is now.
+func (b *Bench) awaitTold(member string) error {
+	s, err := b.Status(member)
+	if err != nil {
+		return err
+	}
+	return b.until(func() (bool, string) {
+		records, err := audit.Read(b.Records()...)
+		if err != nil {
+			return false, err.Error()
+		}
+		furthest := records.Told(member)
+		return furthest.Incarnation == s.Head.Incarnation && furthest.Seq >= s.Head.Seq, fmt.Sprintf("%+v, and it is at %+v", furthest, s.Head)
+	})
+}
+
 func (b *Bench) rollOut(words []string) error {
 	if len(words) < 2 {
 		return errWords
--- a/fleettest/fleet_test.go
+++ b/fleettest/fleet_test.go
@@ -197,7 +197,7 @@
 			save c
 			roll-out 1 floor=1 via a
 			await epoch 1 all
-			pass 700ms                             # peers are told how far its record is
+			await told c
 			kill c
 			start c old
 			await epoch 1 c
@@ -209,7 +209,7 @@
 			await acts all
 			roll-out 1 floor=1 via a
 			await epoch 1 all
-			pass 700ms
+			await told c
 			kill c
 			start c empty
 			await epoch 1 c
--- a/worker/client.go
+++ b/worker/client.go
@@ -9,6 +9,7 @@
 // Client has the connections to all workers. Its methods may be called by any goroutine.
 type Client struct {
 	started time.Time
+	dial    func(ctx context.Context, address string) (*connection, error)
 
 	mu     sync.Mutex
 	pools  map[string]*pool
@@ -27,7 +28,7 @@
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	return &Client{started: time.Now(), pools: make(map[string]*pool)}
+	return &Client{started: time.Now(), dial: dialWithin(connectTimeout), pools: make(map[string]*pool)}
 }
 
 func (c *Client) now() time.Duration { return time.Since(c.started) }
@@ -168,7 +169,7 @@
 		}
 		c.give(d.Worker, conn, 0)
 	}
-	conn, err := dial(ctx, d.Address)
+	conn, err := c.dial(ctx, d.Address)
 	if err != nil {
 		c.unreserve(d.Worker)
 		return nil, Unreachable
--- a/worker/client_test.go
+++ b/worker/client_test.go
@@ -2,16 +2,21 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // script plays a worker: it gets each connection and its number.
@@ -58,10 +63,17 @@
 	})
 }
 
+// patientClient waits for connections for as long as they take on a busy machine.
+func patientClient() *Client {
+	client := NewClient()
+	client.dial = dialWithin(0)
+	return client
+}
+
 func delivery(address string) *Delivery {
 	return &Delivery{
 		Worker: "i-1", Address: address, Instance: "i-1", Method: "POST", Host: "a.example", Target: "/p//q/../r?x=%2f&&y",
-		RequestID: "id-1", Body: []byte("hello"), Limit: 300 * time.Millisecond,
+		RequestID: "id-1", Body: []byte("hello"), Limit: time.Minute,
 	}
 }
 
@@ -108,10 +120,12 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			client := NewClient()
+			client := patientClient()
 			defer client.Close()
 			d := delivery(answering(t, c.answer))
-			d.Limit = 100 * time.Millisecond
+			if c.want == Silent {
+				d.Limit = 100 * time.Millisecond
+			}
 			result := deliver(client, d)
 			assert.Equal(t, c.want, result.Outcome)
 			if c.want == Done {
@@ -127,7 +141,7 @@
 	for _, part := range []string{"", "HTTP/1.1 200", doneAnswer, "HTTP/1.1 200 OK\r\nSignature: s\r\nRequest-Id: id-1\r\nContent-Length: 5\r\n\r\nhe",
 		"HTTP/1.1 200 OK\r\nSignature: s\r\nRequest-Id: id-1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"} {
 		t.Run(fmt.Sprintf("%d bytes", len(part)), func(t *testing.T) {
-			client := NewClient()
+			client := patientClient()
 			defer client.Close()
 			address := script(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
 				_, _, _ = readRequest(reader)
@@ -151,13 +165,13 @@
 		seen <- head + string(body)
 		_, _ = io.WriteString(conn, doneAnswer+"\r\n")
 	})
-	client := NewClient()
+	client := patientClient()
 	defer client.Close()
 	d := delivery(address)
 	d.OrderKey, d.ContentType = "k", "text/x"
 	require.Equal(t, Done, deliver(client, d).Outcome)
 	assert.Equal(t, "POST /p//q/../r?x=%2f&&y HTTP/1.1\r\nHost: a.example\r\nRequest-Id: id-1\r\nOrder-Key: k\r\n"+
-		"Content-Type: text/x\r\nExpect-Instance: i-1\r\nDeadline-Ms: 300\r\nContent-Length: 5\r\n\r\nhello", <-seen)
+		"Content-Type: text/x\r\nExpect-Instance: i-1\r\nDeadline-Ms: 60000\r\nContent-Length: 5\r\n\r\nhello", <-seen)
 }
 
 func TestLargeBodyGoesOutWhole(t *testing.T) {
@@ -167,7 +181,7 @@
 		size <- len(body)
 		_, _ = io.WriteString(conn, doneAnswer+"\r\n")
 	})
-	client := NewClient()
+	client := patientClient()
 	defer client.Close()
 	d := delivery(address)
 	d.Body = make([]byte, 200<<10)
@@ -186,7 +200,7 @@
 			_, _ = io.WriteString(conn, doneAnswer+"\r\n")
 		}
 	})
-	client := NewClient()
+	client := patientClient()
 	defer client.Close()
 	for range 5 {
 		require.Equal(t, Done, deliver(client, delivery(address)).Outcome)
@@ -194,30 +208,50 @@
 	assert.EqualValues(t, 1, conns.Load())
 }
 
+// awaitWord waits until something has come on the connection to a worker that lies idle, its end included.
+func awaitWord(t *testing.T, client *Client) {
+	t.Helper()
+	client.mu.Lock()
+	idle := slices.Clone(client.pools["i-1"].idle)
+	client.mu.Unlock()
+	for _, conn := range idle {
+		require.NoError(t, conn.raw.Read(func(fd uintptr) bool {
+			var one [1]byte
+			_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK)
+			return !errors.Is(err, unix.EAGAIN)
+		}))
+	}
+}
+
 // What comes after an answer belongs to no request: the connection is given up, not read on.
 func TestSecondAnswerIsNotTakenForTheNext(t *testing.T) {
-	for name, pause := range map[string]time.Duration{"at once": 0, "later": 30 * time.Millisecond} {
-		t.Run(name, func(t *testing.T) {
+	for _, later := range []bool{false, true} {
+		t.Run(fmt.Sprintf("later %v", later), func(t *testing.T) {
 			var requests atomic.Int32
+			answered := make(chan struct{})
 			address := script(t, func(number int, conn net.Conn, reader *bufio.Reader) {
+				const stray = "HTTP/1.1 422 Never\r\nRequest-Id: id-1\r\nContent-Length: 0\r\n\r\n"
 				for {
 					if _, _, err := readRequest(reader); err != nil {
 						return
 					}
 					requests.Add(1)
 					answer := doneAnswer + "\r\n"
-					if number == 0 {
-						_, _ = io.WriteString(conn, answer)
-						time.Sleep(pause)
-						answer = "HTTP/1.1 422 Never\r\nRequest-Id: id-1\r\nContent-Length: 0\r\n\r\n"
+					if number == 0 && !later {
+						answer += stray
 					}
 					_, _ = io.WriteString(conn, answer)
+					if number == 0 && later {
+						<-answered
+						_, _ = io.WriteString(conn, stray)
+					}
 				}
 			})
-			client := NewClient()
+			client := patientClient()
 			defer client.Close()
 			require.Equal(t, Done, deliver(client, delivery(address)).Outcome)
-			time.Sleep(pause + 20*time.Millisecond)
+			close(answered)
+			awaitWord(t, client)
 			assert.Equal(t, Done, deliver(client, delivery(address)).Outcome)
 			assert.EqualValues(t, 2, requests.Load())
 		})
@@ -230,32 +264,47 @@
 			_, _ = io.WriteString(conn, doneAnswer+"\r\n")
 		}
 	})
-	client := NewClient()
+	client := patientClient()
 	defer client.Close()
 	for range 3 {
 		require.Equal(t, Done, deliver(client, delivery(address)).Outcome)
-		time.Sleep(20 * time.Millisecond)
+		awaitWord(t, client)
 	}
 }
 
+// onFakeTime plays a worker's end of a single connection in memory, on a clock that stands still while anything is being done. Over is
+// closed once that has been played.
+func onFakeTime(t *testing.T, play func(conn net.Conn, reader *bufio.Reader), test func(t *testing.T, client *Client, over <-chan struct{})) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		over := make(chan struct{})
+		go func() {
+			defer close(over)
+			defer func() { _ = far.Close() }()
+			play(far, bufio.NewReader(far))
+		}()
+		client := patientClient()
+		defer client.Close()
+		client.dial = func(context.Context, string) (*connection, error) { return &connection{socket: near}, nil }
+		test(t, client, over)
+	})
+}
+
 func TestIdleConnectionIsClosedBeforeTheWorkerDoes(t *testing.T) {
-	closed := make(chan struct{})
-	address := script(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+	var kept time.Duration
+	onFakeTime(t, func(conn net.Conn, reader *bufio.Reader) {
 		_, _, _ = readRequest(reader)
+		answered := time.Now()
 		_, _ = io.WriteString(conn, doneAnswer+"Keep-Alive: timeout=0.2\r\n\r\n")
-		_ = conn.SetReadDeadline(time.Now().Add(190 * time.Millisecond))
-		if _, err := reader.ReadByte(); err == io.EOF {
-			close(closed)
-		}
+		_, err := reader.ReadByte()
+		assert.Equal(t, io.EOF, err)
+		kept = time.Since(answered)
+	}, func(t *testing.T, client *Client, over <-chan struct{}) {
+		require.Equal(t, Done, deliver(client, delivery("")).Outcome)
+		<-over
+		assert.Equal(t, 150*time.Millisecond, kept, "the worker's time less a quarter")
 	})
-	client := NewClient()
-	defer client.Close()
-	require.Equal(t, Done, deliver(client, delivery(address)).Outcome)
-	select {
-	case <-closed:
-	case <-time.After(time.Second):
-		t.Fatal("the worker had to close the idle connection")
-	}
 }
 
 func TestKeepAliveField(t *testing.T) {
@@ -268,18 +317,16 @@
 }
 
 func TestSilentWorkerIsWaitedForToTheLimit(t *testing.T) {
-	address := script(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+	onFakeTime(t, func(_ net.Conn, reader *bufio.Reader) {
 		_, _, _ = readRequest(reader)
 		_, _ = reader.ReadByte()
+	}, func(t *testing.T, client *Client, _ <-chan struct{}) {
+		d := delivery("")
+		d.Limit = 150 * time.Millisecond
+		result := deliver(client, d)
+		assert.Equal(t, Silent, result.Outcome)
+		assert.Equal(t, d.Limit+answerSlack, result.Took)
 	})
-	client := NewClient()
-	defer client.Close()
-	d := delivery(address)
-	d.Limit = 150 * time.Millisecond
-	result := deliver(client, d)
-	assert.Equal(t, Silent, result.Outcome)
-	assert.GreaterOrEqual(t, result.Took, d.Limit)
-	assert.Less(t, result.Took, d.Limit+answerSlack+200*time.Millisecond)
 }
 
 func TestResetIsUnknown(t *testing.T) {
@@ -287,7 +334,7 @@
 		_, _, _ = readRequest(reader)
 		_ = conn.(*net.TCPConn).SetLinger(0)
 	})
-	client := NewClient()
+	client := patientClient()
 	defer client.Close()
 	assert.Equal(t, Broken, deliver(client, delivery(address)).Outcome)
 }
@@ -297,7 +344,7 @@
 	require.NoError(t, err)
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
-	client := NewClient()
+	client := patientClient()
 	defer client.Close()
 	assert.Equal(t, Unreachable, deliver(client, delivery(address)).Outcome)
 	assert.Zero(t, client.pools["i-1"].open)
@@ -311,11 +358,10 @@
 		_, _ = reader.ReadByte()
 		close(closed)
 	})
-	client := NewClient()
+	client := patientClient()
 	defer client.Close()
 	result := make(chan Result, 1)
 	d := delivery(address)
-	d.Limit = 5 * time.Second
 	call := client.Start(d, func(r Result) { result <- r })
 	<-began
 	call.Cancel()
@@ -330,13 +376,12 @@
 		<-hold
 		_, _ = io.WriteString(conn, doneAnswer+"\r\n")
 	})
-	client := NewClient()
+	client := patientClient()
 	defer client.Close()
 	client.Limit(map[string]int{"i-1": 2})
 	results := make(chan Result, 3)
 	for range 3 {
 		d := delivery(address)
-		d.Limit = 5 * time.Second
 		client.Start(d, func(r Result) { results <- r })
 	}
 	assert.Equal(t, NoRoom, (<-results).Outcome)
@@ -353,7 +398,7 @@
 		_, _ = reader.ReadByte()
 		close(closed)
 	})
-	client := NewClient()
+	client := patientClient()
 	defer client.Close()
 	client.Limit(map[string]int{"i-1": 0})
 	require.Equal(t, Done, deliver(client, delivery(address)).Outcome)
--- a/worker/connection.go
+++ b/worker/connection.go
@@ -30,17 +30,20 @@
 
 var requests = sync.Pool{New: func() any { return new([]byte) }}
 
-func dial(ctx context.Context, address string) (*connection, error) {
-	dialer := net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: setUserTimeout}
-	socket, err := dialer.DialContext(ctx, "tcp4", address)
-	if err != nil {
-		return nil, err
-	}
-	c := &connection{socket: socket}
-	if raw, ok := socket.(syscall.Conn); ok {
-		c.raw, _ = raw.SyscallConn()
+// dialWithin returns what connects to an address within a time, 0 for no bound.
+func dialWithin(limit time.Duration) func(ctx context.Context, address string) (*connection, error) {
+	dialer := net.Dialer{Timeout: limit, KeepAlive: -1, Control: setUserTimeout}
+	return func(ctx context.Context, address string) (*connection, error) {
+		socket, err := dialer.DialContext(ctx, "tcp4", address)
+		if err != nil {
+			return nil, err
+		}
+		c := &connection{socket: socket}
+		if raw, ok := socket.(syscall.Conn); ok {
+			c.raw, _ = raw.SyscallConn()
+		}
+		return c, nil
 	}
-	return c, nil
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
