Keep what a leader said of the core when one that does not lead says otherwise

A control process that is cut off names the core that it knows. A member took that list in the place of the leader's, and after replacements forgot addresses that only the leader had told. Both are tried now.

--- a/member/cutoff_test.go
+++ b/member/cutoff_test.go
@@ -85,6 +85,22 @@
 	}
 }
 
+// TestOneThatIsCutOffTakesNoAddressAway has the core replaced, all but one process that is cut off and names the core of before.
+func TestOneThatIsCutOffTakesNoAddressAway(t *testing.T) {
+	s := testSession("old")
+	s.tick(0, true)
+	s.replied(1*ms, 0, "old", grant(600*ms, "old", "new"))
+	s.tick(s.next(), true)
+	s.replied(s.next(), s.next(), "old", &wire.RenewReply{Core: []string{"old", "gone"}})
+	seen := map[string]bool{s.target: true}
+	for range 4 {
+		s.failed(s.next(), s.target)
+		seen[s.target] = true
+	}
+	require.True(t, seen["new"], "as the leader said")
+	require.True(t, seen["gone"], "it may be right")
+}
+
 // TestAGrantThatComesTooLateNamesNothing has the answer of a leader that stood still, or was cut off, come when its lease is over.
 func TestAGrantThatComesTooLateNamesNothing(t *testing.T) {
 	l := newLeader(t)
--- a/member/session.go
+++ b/member/session.go
@@ -24,7 +24,8 @@
 	random    *rand.Rand
 	heartbeat time.Duration
 	seeds     []string
-	core      []string
+	core      []string       // as a leader, or the topic of members, named it last
+	told      []string       // as one that does not lead named it last: it may be cut off
 	failures  map[string]int // of control processes, since the last grant
 
 	target  string
@@ -49,7 +50,7 @@
 // candidate picks a control process other than the target, if there is one: any of those that failed least often. So those that are
 // cut off are not asked again before all others were.
 func (s *session) candidate() string {
-	candidates := slices.DeleteFunc(union(s.core, s.seeds), func(address string) bool { return address == s.target })
+	candidates := slices.DeleteFunc(union(s.core, s.told, s.seeds), func(address string) bool { return address == s.target })
 	if len(candidates) == 0 {
 		return s.target
 	}
@@ -169,8 +170,10 @@
 
 // replied takes the answer to a renewal that was sent at a time.
 func (s *session) replied(now, sentAt time.Duration, from string, reply *wire.RenewReply) {
-	if len(reply.Core) > 0 {
+	if len(reply.Core) > 0 && reply.Granted {
 		s.core = reply.Core
+	} else if len(reply.Core) > 0 {
+		s.told = reply.Core
 	}
 	if reply.Granted {
 		s.granted(now, sentAt, from, reply)
