--- /dev/null
+++ b/storage/slots/export_test.go
@@ -0,0 +1,4 @@
+package slots
+
+// Faults are the mistakes that tests may make.
+var Faults = &faults
--- a/storage/slots/files.go
+++ b/storage/slots/files.go
@@ -41,7 +41,14 @@
 
 // Open implements Folder.
 func (d OSFolder) Open(name string, size int64) (File, error) {
-	file, err := os.OpenFile(filepath.Join(string(d), name), os.O_RDWR|os.O_CREATE, fileMode)
+	path := filepath.Join(string(d), name)
+	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, fileMode)
+	if errors.Is(err, fs.ErrNotExist) { // there was no room for the folder before
+		if err := os.MkdirAll(string(d), folderMode); err != nil {
+			return nil, err
+		}
+		file, err = os.OpenFile(path, os.O_RDWR|os.O_CREATE, fileMode)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/storage/slots/slotstest/folder.go
+++ b/storage/slots/slotstest/folder.go
@@ -34,7 +34,7 @@
 	return &Folder{files: make(map[string]*content), removed: make(map[string]*content), countdown: -1}
 }
 
-// Break makes all operations fail that come after so many more that write or sync.
+// Break makes all operations fail that come after so many more that write or sync; a write that fails leaves half of it. Negative: all work.
 func (d *Folder) Break(after int) { d.countdown = after }
 
 func (d *Folder) count() error {
@@ -177,13 +177,14 @@
 }
 
 func (h *handle) Write(data []byte) (int, error) {
-	if err := h.folder.count(); err != nil {
-		return 0, err
+	err := h.folder.count()
+	if err != nil {
+		data = data[:len(data)/2]
 	}
 	from := len(h.file.data)
 	h.file.data = append(h.file.data, data...)
 	h.file.writes = append(h.file.writes, span{from, len(h.file.data)})
-	return len(data), nil
+	return len(data), err
 }
 
 func (h *handle) Sync() error {
