Have a control process whose disk fails step aside and come back, and keep damaged disks

A disk that stalled only made the member silent: it held its lease on. Change: after a failed write, or one that takes over a second, the member gives the lease back, ends what waits (unknown, or unavailable and then forwarded), orders, takes and promises nothing, and says so in its beats (it names itself as missing: an older process reads that as nothing), so the others change the chain at once and keep its vote for the usual time. All stays in memory; every 0.5 s it is written as one whole image, and once that is on disk the member is back. A start on a disk that can be read and not written is the same. Orders given to such a process are forwarded. Log, Status and ravendalectl status say so. A damaged disk was erased, and a loss of power on the way could leave the older generation looking whole; its files are now renamed to damaged-*, slots first, and dropped when a write fails. ravendalectl disk inspect reads them too. The image's layout stands once: core.ReadImage; ravendalectl's copy is gone. Ruled out: ending the process and waiting at the start (restarts count, and the operator hears nothing); going on without a disk under another identity (the vote would be given up at once).

--- a/cmd/ravendale-control/control.go
+++ b/cmd/ravendale-control/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"time"
@@ -53,7 +52,7 @@
 	return c, nil
 }
 
-// run serves until the context ends, or until the core fails.
+// run serves until the context ends.
 func (c *control) run(ctx context.Context) error {
 	s := c.env.Settings
 	server, err := again(func() (*rpc.Server, error) {
@@ -71,14 +70,11 @@
 	var group sync.WaitGroup
 	group.Go(func() { _ = c.api.Serve(admin) })
 	group.Go(func() { c.env.WatchSettings(ctx, c.leader.SetSettings) })
-	err = c.core.Run(ctx)
+	c.core.Run(ctx)
 	stop, cancel := context.WithTimeout(context.Background(), stopWithin)
 	defer cancel()
 	_ = c.api.Shutdown(stop)
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return err
+	return nil
 }
 
 // again tries to listen until it works, or until listenFor has passed.
--- a/cmd/ravendalectl/disk.go
+++ b/cmd/ravendalectl/disk.go
@@ -65,6 +65,10 @@
 	}
 	damaged := 0
 	for _, report := range reports {
+		if report.SetAside {
+			_, _ = fmt.Fprintf(env.out, "%s: has files of a damaged disk that were set aside\n", report.Folder)
+			continue
+		}
 		if !report.Damaged() {
 			_, _ = fmt.Fprintf(env.out, "%s: all that was synced can be read\n", report.Folder)
 			continue
@@ -98,6 +102,9 @@
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	line := func(format string, arguments ...any) { _, _ = fmt.Fprintf(table, format+"\n", arguments...) }
 	line("disk\t%s", r.Folder)
+	if r.SetAside {
+		line("SET ASIDE\tthe process found this damaged, and went on as a new member")
+	}
 	for _, file := range r.Files {
 		line("  file\t%s\t%d of %d bytes good\t%d records\t%s", file.Name, file.Good, file.Bytes, file.Records, file.Fate)
 	}
--- a/cmd/ravendalectl/internal/disks/core.go
+++ b/cmd/ravendalectl/internal/disks/core.go
@@ -6,7 +6,9 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 
+	"ravendale/control/core"
 	"ravendale/control/state"
 	"ravendale/storage/slots"
 )
@@ -29,22 +31,40 @@
 	Older     bool     `json:"older"`     // the newest state is lost, and this is the one before
 }
 
-// pairs are the files of the two generations that are kept in turn: a state, and the records that follow it.
-var pairs = [2]struct{ slot, log string }{{"slot-0", "log-0"}, {"slot-1", "log-1"}}
+// pair is the files of the generations of one parity: a state, and the records that follow it.
+type pair struct{ slot, log string }
+
+var pairs = [2]pair{pairOf(0), pairOf(1)}
+
+func pairOf(parity int) pair {
+	slot, log := slots.Names(parity)
+	return pair{slot, log}
+}
 
 func coreFile(name string) bool {
 	return name == pairs[0].slot || name == pairs[1].slot || name == pairs[0].log || name == pairs[1].log
 }
 
+// damagedFile says whether a file was set aside by a control process that found its disk damaged.
+func damagedFile(name string) bool {
+	return slices.ContainsFunc(pairs[:], func(p pair) bool { return name == slots.DamagedName(p.slot) || name == slots.DamagedName(p.log) })
+}
+
+// fileName is the name of a file as it is, rather than as a store asks for it.
+type fileName func(name string) string
+
+func asItIs(name string) string { return name }
+
 // frozen is a folder of which some files are seen, and none is changed. It notes where a store would go on writing.
 type frozen struct {
 	dir    string
+	named  fileName
 	hidden map[string]bool
 	opened map[string]int64 // size by name
 }
 
-func freeze(dir string, hidden ...string) *frozen {
-	f := &frozen{dir: dir, hidden: make(map[string]bool), opened: make(map[string]int64)}
+func freeze(dir string, named fileName, hidden ...string) *frozen {
+	f := &frozen{dir: dir, named: named, hidden: make(map[string]bool), opened: make(map[string]int64)}
 	for _, name := range hidden {
 		f.hidden[name] = true
 	}
@@ -56,7 +76,7 @@
 	if f.hidden[name] {
 		return nil, fs.ErrNotExist
 	}
-	return os.ReadFile(filepath.Join(f.dir, name))
+	return os.ReadFile(filepath.Join(f.dir, f.named(name)))
 }
 
 // Open implements slots.Folder.
@@ -68,6 +88,9 @@
 // Remove implements slots.Folder.
 func (f *frozen) Remove(string) error { return nil }
 
+// Sync implements slots.Folder.
+func (f *frozen) Rename(string, string) error { return nil }
+
 // Sync implements slots.Folder.
 func (f *frozen) Sync() error { return nil }
 
@@ -95,31 +118,31 @@
 	return used
 }
 
-func inspectCore(dir string) (*Report, error) {
-	report := &Report{Folder: dir}
-	whole := open(freeze(dir))
+func inspectCore(dir string, named fileName) (*Report, error) {
+	report := &Report{Folder: dir, named: named}
+	whole := open(freeze(dir, named))
 	if whole.err != nil && !errors.Is(whole.err, slots.ErrDamaged) {
 		return nil, whole.err
 	}
 	for i, pair := range pairs {
 		other := pairs[1-i]
-		if err := report.addPair(i, &whole, open(freeze(dir, other.slot, other.log, pair.log)), open(freeze(dir, other.slot, other.log))); err != nil {
+		if err := report.addPair(i, &whole, open(freeze(dir, named, other.slot, other.log, pair.log)), open(freeze(dir, named, other.slot, other.log))); err != nil {
 			return nil, err
 		}
 	}
 	best := &whole
 	if whole.err != nil {
-		report.damage("%v: the process would erase this disk and join the core as a new member", whole.err)
-		best = survivor(dir)
+		report.damage("%v: the process would set this aside and join the core as a new member", whole.err)
+		best = survivor(dir, named)
 	}
 	report.readCore(best, whole.err != nil)
 	return report, nil
 }
 
 // survivor is the older state of a disk that lost its newest.
-func survivor(dir string) *found {
+func survivor(dir string, named fileName) *found {
 	for i := range pairs {
-		only := open(freeze(dir, pairs[1-i].slot, pairs[1-i].log))
+		only := open(freeze(dir, named, pairs[1-i].slot, pairs[1-i].log))
 		if only.err == nil && only.snapshot != nil {
 			return &only
 		}
@@ -130,18 +153,18 @@
 // addPair reports a slot and its log: alone is what a store finds in the slot only, both with the log.
 func (r *Report) addPair(i int, whole *found, alone, both found) error {
 	slot, log := pairs[i].slot, pairs[i].log
-	size, exists, err := sizeOf(r.Folder, slot)
+	size, exists, err := sizeOf(r.Folder, r.named(slot))
 	if err != nil {
 		return err
 	}
 	if exists {
-		r.Files = append(r.Files, slotFile(slot, size, whole, alone, both))
+		r.Files = append(r.Files, r.slotFile(slot, size, whole, alone, both))
 	}
-	size, exists, err = sizeOf(r.Folder, log)
+	size, exists, err = sizeOf(r.Folder, r.named(log))
 	if err != nil || !exists {
 		return err
 	}
-	file := File{Name: log, Bytes: size, Good: both.folder.opened[log], Records: len(both.records), Fate: FateWhole}
+	file := File{Name: r.named(log), Bytes: size, Good: both.folder.opened[log], Records: len(both.records), Fate: FateWhole}
 	switch {
 	case !whole.uses(log):
 		file.Fate = FateOlder
@@ -156,8 +179,8 @@
 	return nil
 }
 
-func slotFile(name string, size int64, whole *found, alone, both found) File {
-	file := File{Name: name, Bytes: size}
+func (r *Report) slotFile(name string, size int64, whole *found, alone, both found) File {
+	file := File{Name: r.named(name), Bytes: size}
 	switch {
 	case errors.Is(both.err, slots.ErrDamaged):
 		file.Fate = FateLost // its log shows that it was there
@@ -193,20 +216,12 @@
 		r.remark("nothing was ever kept here, or nothing of it can be read")
 		return
 	}
-	kept := &coreImage{}
-	if _, err := kept.UnmarshalMsg(from.snapshot); err != nil {
+	kept, err := core.ReadImage(from.snapshot, from.records)
+	if err != nil {
 		r.damage("the state has a content that is not known here: %v", err)
 		return
 	}
-	for i, record := range from.records {
-		var change coreRecord
-		if _, err := change.UnmarshalMsg(record); err != nil {
-			r.damage("record %d has a content that is not known here: %v", i, err)
-			return
-		}
-		kept.replay(&change)
-	}
-	r.Core = kept.render()
+	r.Core = render(kept)
 	r.Core.Older = older
 	machine := state.NewMachine()
 	if len(kept.Machine) > 0 {
@@ -219,22 +234,7 @@
 	r.Core.Version, r.Core.Term, r.Core.Placement, r.Core.Document = now.Version, now.Term, now.Epoch(), now.Document
 }
 
-func (i *coreImage) replay(change *coreRecord) {
-	switch {
-	case change.View != nil:
-		i.Lease = i.Lease.Adopt(&i.View, change.View)
-		i.View = *change.View
-		i.Chain.Follow(i.ID, &i.View)
-	case change.Vote != nil:
-		i.Vote = *change.Vote
-	case change.Write != nil:
-		i.Chain.Replay(change.Write)
-	case change.Lease != nil:
-		i.Lease = *change.Lease
-	}
-}
-
-func (i *coreImage) render() *Core {
+func render(i *core.Image) *Core {
 	c := &Core{
 		Disk: i.ID.String(), Founders: i.Founders, Epoch: i.View.Epoch, Sealed: i.Vote.Sealed(i.View.Epoch),
 		Base: i.Chain.Base, Last: i.Chain.Base, Voters: []string{}, Chain: []string{}, Uncovered: []string{},
--- a/cmd/ravendalectl/internal/disks/disks.go
+++ b/cmd/ravendalectl/internal/disks/disks.go
@@ -8,6 +8,8 @@
 	"os"
 	"path/filepath"
 	"strings"
+
+	"ravendale/storage/slots"
 )
 
 // Fate says what became of a file.
@@ -39,6 +41,10 @@
 	Core    *Core    `json:"core,omitempty"`  // of a control process; nil if it can't be read
 	Store   *Store   `json:"store,omitempty"` // of a store
 	Remarks []string `json:"remarks,omitempty"`
+
+	SetAside bool `json:"setAside,omitempty"` // a control process found it damaged, and went on as a new member
+
+	named fileName
 }
 
 // Damaged says whether something that had been synced can't be read.
@@ -89,10 +95,18 @@
 func inspectOne(folder string, entries []os.DirEntry) ([]*Report, error) {
 	var reports []*Report
 	if holds(entries, func(e os.DirEntry) bool { return coreFile(e.Name()) && !e.IsDir() }) {
-		report, err := inspectCore(folder)
+		report, err := inspectCore(folder, asItIs)
+		if err != nil {
+			return nil, err
+		}
+		reports = append(reports, report)
+	}
+	if holds(entries, func(e os.DirEntry) bool { return damagedFile(e.Name()) && !e.IsDir() }) {
+		report, err := inspectCore(folder, slots.DamagedName)
 		if err != nil {
 			return nil, err
 		}
+		report.SetAside = true
 		reports = append(reports, report)
 	}
 	if journal, ok := journalIn(folder, entries); ok {
--- a/control/core/change.go
+++ b/control/core/change.go
@@ -43,6 +43,8 @@
 		return "its process has ended"
 	case p != nil && p.contacted && p.member.ID != member.ID:
 		return "it has another disk"
+	case p != nil && p.beat.aside():
+		return "its disk fails or stalls"
 	case !n.hears(now, member.ID):
 		return "it is silent"
 	case p != nil && len(p.beat.Missing) > 0:
@@ -51,6 +53,14 @@
 	return "it is behind, or silent to others"
 }
 
+func (c *diskChange) log(log *slog.Logger) {
+	if c.Fault == "" {
+		log.Info("the core's disk takes writes again: this process takes part")
+		return
+	}
+	log.Error("the core's disk fails: this process steps aside", "error", c.Fault)
+}
+
 func (c *change) log(log *slog.Logger) {
 	log.Info("chain changed", "epoch", c.epoch, "chain", c.chain, "joined", c.joined, "left", c.left)
 }
--- a/control/core/core.go
+++ b/control/core/core.go
@@ -20,11 +20,10 @@
 	"ravendale/storage/slots"
 )
 
-// Errors of Submit and Run.
+// Errors of Submit.
 var (
 	ErrUnavailable = errors.New("core: unavailable, the command was not and will not be applied")
 	ErrUnknown     = errors.New("core: the command may or may not be applied")
-	ErrDisk        = errors.New("core: disk failed")
 )
 
 const leastGoneAfter = 10 * time.Second // a member down for less keeps its vote
@@ -51,6 +50,8 @@
 	Lead func(ctx context.Context, lease *Lease)
 	// Applied is called after commands were applied to the local machine, on the goroutine that did it: it must not wait. May be nil.
 	Applied func()
+
+	folder slots.Folder // in place of the data folder, for tests
 }
 
 // Status is what an operator may want to know of the core.
@@ -64,6 +65,7 @@
 	Last      uint64
 	Committed uint64
 	Leader    string // rpc address, empty if unknown
+	DiskFault string // why this process stands aside, empty if it does not
 }
 
 // Core is this process's part of the core.
@@ -71,7 +73,6 @@
 	config  Config
 	address string
 	started time.Time
-	ended   chan error
 
 	mu      sync.Mutex
 	node    *node
@@ -92,7 +93,7 @@
 		config.Log = slog.New(slog.DiscardHandler)
 	}
 	c := &Core{
-		config: config, address: config.Settings.ControlAddress(config.Settings.IP), started: time.Now(), ended: make(chan error, 1),
+		config: config, address: config.Settings.ControlAddress(config.Settings.IP), started: time.Now(),
 		waiting: make(map[uint64]chan ended), disk: diskQueue{wake: make(chan struct{}, 1)},
 	}
 	c.links.init(c)
@@ -115,25 +116,44 @@
 	var records [][]byte
 	var err error
 	if config.Disk {
-		c.store, snapshot, records, err = slots.Open(settings.DataDir)
+		c.store, snapshot, records, err = c.openSlots()
 		if errors.Is(err, slots.ErrDamaged) {
-			c.config.Log.Error("the core's disk is damaged: this process joins anew", "folder", settings.DataDir, "error", err)
+			c.config.Log.Error("the core's disk is damaged: what is left is set aside, and this process joins anew", "folder", settings.DataDir, "error", err)
 			config.Bootstrap = false
-			c.store, snapshot, records, err = slotsAnew(settings.DataDir)
+			c.store, snapshot, records, err = c.slotsAnew()
 		}
 		if err != nil {
 			return fmt.Errorf("core: %w", err)
 		}
+		if err := c.store.Err(); err != nil {
+			config.DiskFault = err.Error()
+		}
 	}
 	c.node, err = newNode(c.now(), config, snapshot, records)
 	return err
 }
 
-func slotsAnew(folder string) (*slots.Store, []byte, [][]byte, error) {
-	if err := slots.Erase(slots.OSFolder(folder)); err != nil {
+func (c *Core) openSlots() (*slots.Store, []byte, [][]byte, error) {
+	if c.config.folder != nil {
+		return slots.OpenFolder(c.config.folder)
+	}
+	return slots.Open(c.config.Settings.DataDir)
+}
+
+// folder is where the store is.
+func (c *Core) folder() slots.Folder {
+	if c.config.folder != nil {
+		return c.config.folder
+	}
+	return slots.OSFolder(c.config.Settings.DataDir)
+}
+
+// slotsAnew sets a damaged disk's files aside.
+func (c *Core) slotsAnew() (*slots.Store, []byte, [][]byte, error) {
+	if err := slots.SetAside(c.folder()); err != nil {
 		return nil, nil, nil, err
 	}
-	return slots.Open(folder)
+	return c.openSlots()
 }
 
 func durability(s *settings.Settings) view.Durability {
@@ -152,9 +172,8 @@
 
 func (c *Core) now() time.Duration { return time.Since(c.started) }
 
-// Run takes part in the core until ctx ends, or the disk fails: then nothing was acknowledged that it does not hold, and the process
-// should end.
-func (c *Core) Run(ctx context.Context) error {
+// Run takes part in the core until ctx ends. While the disk fails or stalls this process stands aside: it only forwards what is submitted.
+func (c *Core) Run(ctx context.Context) {
 	diskDone := make(chan struct{})
 	go func() {
 		defer close(diskDone)
@@ -165,20 +184,20 @@
 	c.due = c.now()
 	c.timer = time.AfterFunc(0, c.tick)
 	c.mu.Unlock()
+	<-ctx.Done()
+	c.step(func(now time.Duration) { c.node.Release(now) })
+	time.Sleep(releasePause)
+	c.stop()
 	select {
-	case <-ctx.Done():
-		c.step(func(now time.Duration) { c.node.Release(now) })
-		time.Sleep(releasePause)
-		c.stop()
-		<-diskDone
-		return nil
-	case err := <-c.ended:
-		c.stop()
-		return err
+	case <-diskDone:
+	case <-time.After(diskPause):
 	}
 }
 
-const releasePause = 20 * time.Millisecond // in which word of the lease that is given back may leave
+const (
+	releasePause = 20 * time.Millisecond // in which word of the lease that is given back may leave
+	diskPause    = time.Second           // for the disk to end what it does
+)
 
 func (c *Core) stop() {
 	c.mu.Lock()
@@ -218,6 +237,9 @@
 	for i := range out.Changes {
 		out.Changes[i].log(c.config.Log)
 	}
+	for i := range out.Disk {
+		out.Disk[i].log(c.config.Log)
+	}
 	c.leading.follow(c, now)
 	c.schedule(now)
 	c.mu.Unlock()
@@ -259,6 +281,6 @@
 	return Status{
 		ID: n.self.ID, Epoch: n.view.Epoch, Voters: append([]view.Member(nil), n.view.Voters...),
 		Chain: append([]view.ID(nil), n.view.Chain...), Attached: n.chain.Attached(), Durable: n.config.Durability.Met(&n.view),
-		Last: n.chain.Last(), Committed: n.chain.Committed(), Leader: n.leaderAddress(c.now()),
+		Last: n.chain.Last(), Committed: n.chain.Committed(), Leader: n.leaderAddress(c.now()), DiskFault: n.aside.from,
 	}
 }
--- /dev/null
+++ b/control/core/image.go
@@ -0,0 +1,62 @@
+package core
+
+import (
+	"fmt"
+
+	"ravendale/control/chain"
+	"ravendale/control/lease"
+	"ravendale/control/view"
+)
+
+//go:generate go run github.com/tinylib/msgp -file image.go -o image_gen.go -tests=false -unexported
+//msgp:tuple Image record
+
+// Image is all that a member keeps on disk: the content of a slot, with the records of the log done to it.
+type Image struct {
+	ID       view.ID
+	Founders []string // rpc addresses of the seeds, if it may found the core
+	View     view.View
+	Vote     view.Vote
+	Chain    chain.State
+	Machine  []byte
+	Lease    lease.Past
+}
+
+// record is one change of the image on disk. One of its parts is set.
+type record struct {
+	View  *view.View
+	Vote  *view.Vote
+	Write *chain.Write
+	Lease *lease.Past
+}
+
+// ReadImage decodes what a member's slots.Store has kept.
+func ReadImage(snapshot []byte, records [][]byte) (*Image, error) {
+	kept := &Image{}
+	if _, err := kept.UnmarshalMsg(snapshot); err != nil {
+		return nil, fmt.Errorf("core: snapshot on disk: %w", err)
+	}
+	for i, data := range records {
+		var change record
+		if _, err := change.UnmarshalMsg(data); err != nil {
+			return nil, fmt.Errorf("core: record %d on disk: %w", i, err)
+		}
+		kept.replay(&change)
+	}
+	return kept, nil
+}
+
+func (i *Image) replay(change *record) {
+	switch {
+	case change.View != nil:
+		i.Lease = i.Lease.Adopt(&i.View, change.View)
+		i.View = *change.View
+		i.Chain.Follow(i.ID, &i.View)
+	case change.Vote != nil:
+		i.Vote = *change.Vote
+	case change.Write != nil:
+		i.Chain.Replay(change.Write)
+	case change.Lease != nil:
+		i.Lease = *change.Lease
+	}
+}
--- a/control/core/messages.go
+++ b/control/core/messages.go
@@ -1,14 +1,12 @@
 package core
 
 import (
-	"ravendale/control/chain"
-	"ravendale/control/lease"
 	"ravendale/control/view"
 	"ravendale/wire"
 )
 
 //go:generate go run github.com/tinylib/msgp -file messages.go -o messages_gen.go -tests=false -unexported
-//msgp:tuple beat decided propose forward forwardReply record image
+//msgp:tuple beat decided propose forward forwardReply
 
 // Methods of the core's messages, all of them notifications but the last.
 const (
@@ -40,7 +38,7 @@
 	Attached  bool
 	Synced    uint64
 	Committed uint64
-	Missing   []view.ID // members that it does not hear
+	Missing   []view.ID // members that it does not hear; itself: its disk takes nothing, and it stands aside
 	Leading   bool      // it holds the leader lease
 	Leader    string    // rpc address of the holder as it knows, empty if it knows none
 }
@@ -77,22 +75,3 @@
 	Outcome outcome
 	Result  []byte
 }
-
-// record is one change of the image on disk. One of its parts is set.
-type record struct {
-	View  *view.View
-	Vote  *view.Vote
-	Write *chain.Write
-	Lease *lease.Past
-}
-
-// image is all that a member keeps on disk.
-type image struct {
-	ID       view.ID
-	Founders []string // rpc addresses of the seeds, if it may found the core
-	View     view.View
-	Vote     view.Vote
-	Chain    chain.State
-	Machine  []byte
-	Lease    lease.Past
-}
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -24,7 +24,8 @@
 	heirPause    = 400 * time.Millisecond // after a start, so long the lease is left to whoever held it last
 	askAgain     = 250 * time.Millisecond // between rounds of a candidate
 	proposeAgain = 200 * time.Millisecond // after which a command that was sent to the head is sent again
-	stuckAfter   = time.Second            // a member whose disk takes longer falls silent
+	stuckAfter   = time.Second            // a member whose disk takes longer steps aside
+	diskRetry    = 500 * time.Millisecond // between attempts at a disk that fails
 	absentGap    = 400 * time.Millisecond // a member that was not run for so long judges nobody at first
 	forgetAfter  = 10 * time.Second       // a stranger that is silent for longer is forgotten
 	leastLog     = 64 << 10               // of nodeConfig.LeastLog
@@ -48,6 +49,7 @@
 	MostRecords int
 	Machine     Machine
 	Random      func() uint64
+	DiskFault   string // what is read can't be synced, and why; empty: it is lasting
 	faults      faults
 }
 
@@ -58,6 +60,7 @@
 	forgetful  bool // a voter that starts takes it that it granted nothing
 	alone      bool // a member commits what it alone has on its disk
 	unbounded  bool // a member that is behind applies all at once
+	staleImage bool // another member's image moves the log's place and not the machine's state
 }
 
 // post is a message to send. Its type tells the method.
@@ -86,6 +89,7 @@
 	Posts   []post
 	Ended   []ended
 	Changes []change
+	Disk    []diskChange
 	Applied bool
 }
 
@@ -138,12 +142,14 @@
 	logged    int // records since the snapshot
 	imageSize int
 	busySince time.Duration // since when a write is under way
+	aside     aside
 }
 
 type peer struct {
 	member    view.Member
 	beat      beat
 	heard     time.Duration
+	well      time.Duration // heard last while it was not aside
 	since     time.Duration // heard without a pause since
 	refused   bool
 	contacted bool // was heard at least once
@@ -206,32 +212,32 @@
 	if snapshot == nil {
 		n.whole, n.unborn = true, true
 	}
+	if config.DiskFault != "" {
+		n.pastBatch = n.batch + 1
+		n.stepAside(now, config.DiskFault)
+		n.aside.tryAt = now + diskRetry
+	}
 	n.finish(now)
 	return n, nil
 }
 
-func (n *node) load(snapshot []byte, records [][]byte) (*image, error) {
-	kept := &image{}
+func (n *node) load(snapshot []byte, records [][]byte) (*Image, error) {
 	if snapshot == nil {
-		kept.ID = view.ID(n.config.Random() | 1)
+		kept := &Image{ID: view.ID(n.config.Random() | 1)}
 		if n.config.Bootstrap && slices.Contains(n.config.Seeds, n.config.Address) {
 			kept.Founders = n.config.Seeds
 		}
 		return kept, nil
 	}
-	if _, err := kept.UnmarshalMsg(snapshot); err != nil {
-		return nil, fmt.Errorf("core: snapshot on disk: %w", err)
-	}
-	for i, data := range records {
-		var change record
-		if _, err := change.UnmarshalMsg(data); err != nil {
-			return nil, fmt.Errorf("core: record %d on disk: %w", i, err)
-		}
-		kept.replay(&change)
-		n.logBytes += len(data)
+	kept, err := ReadImage(snapshot, records)
+	if err != nil {
+		return nil, err
 	}
 	n.logged = len(records)
 	n.imageSize = len(snapshot)
+	for _, data := range records {
+		n.logBytes += len(data)
+	}
 	if len(kept.Machine) > 0 {
 		if err := n.config.Machine.Restore(kept.Machine); err != nil {
 			return nil, fmt.Errorf("core: machine's snapshot on disk: %w", err)
@@ -240,21 +246,6 @@
 	return kept, nil
 }
 
-func (i *image) replay(change *record) {
-	switch {
-	case change.View != nil:
-		i.Lease = i.Lease.Adopt(&i.View, change.View)
-		i.View = *change.View
-		i.Chain.Follow(i.ID, &i.View)
-	case change.Vote != nil:
-		i.Vote = *change.Vote
-	case change.Write != nil:
-		i.Chain.Replay(change.Write)
-	case change.Lease != nil:
-		i.Lease = *change.Lease
-	}
-}
-
 // ready says whether the node's identity is on disk, so that it may speak.
 func (n *node) ready() bool { return !n.unborn }
 
@@ -300,6 +291,10 @@
 }
 
 func (n *node) install(fill *chain.Fill) {
+	if n.config.faults.staleImage {
+		n.whole, n.records = true, nil
+		return
+	}
 	if err := n.config.Machine.Restore(fill.Snapshot); err != nil {
 		panic(fmt.Sprintf("core: snapshot of another member: %v", err)) // its state can't be trusted any more
 	}
@@ -351,7 +346,7 @@
 
 // flush gives the changes of this step to the disk.
 func (n *node) flush(now time.Duration) {
-	if !n.whole && len(n.records) == 0 {
+	if !n.whole && len(n.records) == 0 || n.aside.from != "" && !n.mayTry(now) {
 		return
 	}
 	if n.logBytes > max(n.config.LeastLog, 2*n.imageSize) || n.logged > n.config.MostRecords {
@@ -372,7 +367,7 @@
 }
 
 func (n *node) image() []byte {
-	kept := image{
+	kept := Image{
 		ID: n.self.ID, Founders: n.founder, View: n.view, Vote: n.vote,
 		Chain: n.chain.State(), Machine: n.config.Machine.Snapshot(), Lease: n.voter.Past(),
 	}
@@ -388,6 +383,9 @@
 	n.lasting = max(n.lasting, batch)
 	n.unborn = false
 	n.busySince = now
+	if n.aside.from != "" {
+		n.diskAnswers(now, batch)
+	}
 	for len(n.marks) > 0 && n.marks[0].batch <= batch {
 		n.chain.OnDisk(now, n.marks[0].mark)
 		n.drain(now)
@@ -417,6 +415,9 @@
 
 // sendLasting posts a message once all that was written so far is on disk.
 func (n *node) sendLasting(to string, message msgp.Marshaler) {
+	if n.aside.from != "" {
+		return // it is asked again when this member is back
+	}
 	pending := n.batch
 	if n.whole || len(n.records) > 0 {
 		pending++
@@ -445,6 +446,7 @@
 // Receive takes a message of another member, or of a process without a disk.
 func (n *node) Receive(now time.Duration, from view.Member, message any) {
 	if !n.ready() {
+		n.overhearUnborn(now, message)
 		return
 	}
 	n.dispatch(now, from, message)
@@ -456,6 +458,10 @@
 		n.overhear(now, from, message)
 		return
 	}
+	if n.aside.from != "" {
+		n.dispatchAside(now, from, message)
+		return
+	}
 	switch m := message.(type) {
 	case *beat:
 		n.onBeat(now, m)
@@ -535,20 +541,20 @@
 func (n *node) Tick(now time.Duration) time.Duration {
 	if now-n.ticked > absentGap {
 		n.grace = now + silentAfter
+		n.busySince = now // the process stood still, not the disk
 	}
 	n.ticked = now
-	if n.ready() && !n.stuck(now) {
+	n.watchDisk(now)
+	switch {
+	case n.aside.from != "":
+		n.workAside(now)
+	case n.ready():
 		n.work(now)
 	}
 	n.finish(now)
 	return n.next(now)
 }
 
-// stuck says whether the disk takes so long that the member falls silent.
-func (n *node) stuck(now time.Duration) bool {
-	return n.batch != n.lasting && now-n.busySince >= stuckAfter
-}
-
 func (n *node) work(now time.Duration) {
 	n.watch(now)
 	if now >= n.beatAt {
@@ -567,10 +573,16 @@
 // next is when something is due: often while something is under way, else with the next beat.
 func (n *node) next(now time.Duration) time.Duration {
 	const brisk = 20 * time.Millisecond
-	if n.chain.Behind() && !n.stuck(now) {
+	if n.chain.Behind() && n.aside.from == "" {
 		return now + time.Millisecond
 	}
 	at := max(n.beatAt, now+brisk)
+	if n.aside.from != "" {
+		if !n.writing() {
+			at = min(at, max(n.aside.tryAt, now+brisk))
+		}
+		return at
+	}
 	busy := n.proposer != nil || n.wanted >= 0 || n.seeking(now) || n.chain.Position() >= 0 && !n.chain.Attached()
 	if busy {
 		return now + brisk
--- a/control/core/peers.go
+++ b/control/core/peers.go
@@ -28,11 +28,14 @@
 	p := n.peers[m.Member.Address]
 	known = p != nil && p.contacted && p.member.ID == m.Member.ID
 	if !known {
-		p = &peer{since: now, contacted: true}
+		p = &peer{since: now, well: now, contacted: true}
 		n.peers[m.Member.Address] = p
-	} else if now-p.heard > silentAfter || p.refused {
+	} else if now-p.heard > silentAfter || p.refused || p.beat.aside() {
 		p.since = now
 	}
+	if !m.aside() {
+		p.well = now
+	}
 	p.member, p.beat, p.heard, p.refused = m.Member, *m, now, false
 	n.noteLeader(now, m)
 	return known
@@ -82,7 +85,7 @@
 		refused := n.peers[member.Address] != nil && (n.peers[member.Address].refused || n.peers[member.Address].contacted)
 		return now < n.grace && !refused
 	}
-	return !p.refused && (now-p.heard < silentAfter || now < n.grace)
+	return !p.refused && !p.beat.aside() && (now-p.heard < silentAfter || now < n.grace)
 }
 
 // lives says whether a member is heard by this node, or by another that this node hears.
@@ -94,6 +97,9 @@
 		if p := n.peers[member.Address]; p != nil && (p.refused || p.contacted && p.member.ID != id) {
 			return false // its process has ended
 		}
+		if p := n.find(id); p != nil && p.beat.aside() && now-p.heard < silentAfter {
+			return false // it says so itself
+		}
 	}
 	for _, p := range n.peers {
 		if p.beat.Epoch == n.view.Epoch && p.member.ID != 0 && p.member.ID != id && n.hears(now, p.member.ID) &&
@@ -122,7 +128,7 @@
 		return true
 	}
 	p := n.find(id)
-	if id == 0 || p == nil || p.refused || now-p.heard >= silentAfter {
+	if id == 0 || p == nil || p.refused || p.beat.aside() || now-p.heard >= silentAfter {
 		return false
 	}
 	taken := n.view.Position(id) >= 0       // others judged it sooner
@@ -136,7 +142,7 @@
 	}
 	last := n.started
 	if p := n.find(id); p != nil {
-		last = max(last, p.heard)
+		last = max(last, p.well)
 	}
 	return now-max(last, n.grace-silentAfter) >= n.config.GoneAfter
 }
@@ -169,10 +175,14 @@
 }
 
 func (n *node) beat(now time.Duration) *beat {
+	missing := n.missing
+	if n.aside.from != "" {
+		missing = append(slices.Clone(missing), n.self.ID)
+	}
 	return &beat{
 		Member: n.self, Epoch: n.view.Epoch, Founder: len(n.founder) > 0, Idle: n.idle, Whole: n.chain.Whole(),
 		Attached: n.chain.Attached(), Synced: n.chain.Synced(), Committed: n.chain.Committed(),
-		Missing: n.missing, Leading: n.leads(now), Leader: n.leaderAddress(now),
+		Missing: missing, Leading: n.leads(now), Leader: n.leaderAddress(now),
 	}
 }
 
@@ -220,7 +230,7 @@
 		if p == nil || !p.contacted {
 			return [5]uint64{1, 1}
 		}
-		silent := now-p.heard >= silentAfter || p.refused
+		silent := now-p.heard >= silentAfter || p.refused || p.beat.aside()
 		return [5]uint64{
 			bit(silent), bit(address != leader), bit(!p.beat.Attached), uint64(len(p.beat.Missing)), math.MaxUint64 - p.beat.Epoch,
 		}
@@ -252,7 +262,7 @@
 			continue
 		}
 		p := n.peers[address]
-		if p == nil || !p.contacted || now-p.heard > silentAfter || p.refused {
+		if p == nil || !p.contacted || now-p.heard > silentAfter || p.refused || p.beat.aside() {
 			return
 		}
 		if p.member.ID == 0 {
--- a/control/core/submit.go
+++ b/control/core/submit.go
@@ -17,12 +17,41 @@
 
 // Submit has a command ordered, committed and applied, and returns what Machine.Apply returned for it. It waits for a
 // chain that is being changed. After ErrUnavailable the command surely was not and never will be applied; after any other error it may be.
+// A process that can't take part in the core, without a disk or with one that fails, has another do it.
 func (c *Core) Submit(ctx context.Context, command []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, outcomeWait)
 	defer cancel()
-	if c.store == nil {
-		return c.forward(ctx, command)
+	deadline := time.Now().Add(unsentWait)
+	for {
+		takesPart := c.takesPart()
+		submit := c.forward
+		if takesPart {
+			submit = c.submitHere
+		}
+		result, err := submit(ctx, command)
+		if !errors.Is(err, ErrUnavailable) || takesPart && c.takesPart() {
+			return result, err
+		}
+		left := time.Until(deadline)
+		if left <= 0 {
+			return nil, ErrUnavailable
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ErrUnavailable
+		case <-time.After(min(left, forwardPace)):
+		}
 	}
+}
+
+// takesPart says whether this process has a disk that takes writes.
+func (c *Core) takesPart() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.store != nil && c.node.aside.from == ""
+}
+
+func (c *Core) submitHere(ctx context.Context, command []byte) ([]byte, error) {
 	done := make(chan ended, 1)
 	var number uint64
 	c.step(func(now time.Duration) {
@@ -71,23 +100,17 @@
 func (c *Core) forward(ctx context.Context, command []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, unsentWait)
 	defer cancel()
-	for {
-		c.mu.Lock()
-		takers := c.node.takers(c.now())
-		c.mu.Unlock()
-		conns := c.links.opened(takers)
-		for i, conn := range conns {
-			result, err := c.ask(ctx, conn, command, i+1 < len(conns))
-			if !errors.Is(err, ErrUnavailable) {
-				return result, err
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return nil, ErrUnavailable
-		case <-time.After(forwardPace):
+	c.mu.Lock()
+	takers := c.node.takers(c.now())
+	c.mu.Unlock()
+	conns := c.links.opened(takers)
+	for i, conn := range conns {
+		result, err := c.ask(ctx, conn, command, i+1 < len(conns))
+		if !errors.Is(err, ErrUnavailable) {
+			return result, err
 		}
 	}
+	return nil, ErrUnavailable
 }
 
 // ask has one member submit the command. If there are others, that one gets half of the time that is left.
@@ -116,14 +139,14 @@
 }
 
 func (c *Core) onForward(_ *rpc.Conn, message *forward, reply rpc.Reply) {
-	if c.store == nil {
+	if !c.takesPart() {
 		reply.Send(&forwardReply{Outcome: outcomeUnavailable})
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(message.WaitMillis)*time.Millisecond)
 		defer cancel()
-		result, err := c.Submit(ctx, message.Command)
+		result, err := c.submitHere(ctx, message.Command)
 		switch {
 		case err == nil:
 			reply.Send(&forwardReply{Outcome: outcomeDone, Result: result})
--- a/control/core/submitting.go
+++ b/control/core/submitting.go
@@ -6,6 +6,9 @@
 func (n *node) Submit(now time.Duration, text []byte) uint64 {
 	n.number++
 	n.pending[n.number] = &command{number: n.number, command: text}
+	if n.aside.from != "" {
+		n.end(n.pending[n.number], nil, ErrUnavailable)
+	}
 	n.submitAll(now)
 	n.finish(now)
 	return n.number
@@ -27,7 +30,7 @@
 // submitAll sends what waits to the head, again if that has not helped. Within an epoch the head orders a command once, and a
 // later epoch is only tried when the earlier one is known to have ended without it.
 func (n *node) submitAll(now time.Duration) {
-	if len(n.pending) == 0 || !n.chain.Attached() || n.vote.Sealed(n.view.Epoch) || !n.config.Durability.Met(&n.view) {
+	if len(n.pending) == 0 || n.aside.from != "" || !n.chain.Attached() || n.vote.Sealed(n.view.Epoch) || !n.config.Durability.Met(&n.view) {
 		return
 	}
 	low := n.number
--- a/control/status/status.go
+++ b/control/status/status.go
@@ -25,10 +25,11 @@
 	Disk        string   `json:"disk,omitempty"` // identity of this process's disk; empty if it has none
 	Epoch       uint64   `json:"epoch"`
 	Voters      []Voter  `json:"voters"`
-	Chain       []string `json:"chain"`    // identities of disks, the head first
-	Attached    bool     `json:"attached"` // this process follows the chain
-	Durable     bool     `json:"durable"`  // the chain has enough disks to commit
-	Last        uint64   `json:"last"`     // number of the newest command that this process knows
+	Chain       []string `json:"chain"`               // identities of disks, the head first
+	DiskFault   string   `json:"diskFault,omitempty"` // why the disk takes no writes, and this process stands aside; empty: it does
+	Attached    bool     `json:"attached"`            // this process follows the chain
+	Durable     bool     `json:"durable"`             // the chain has enough disks to commit
+	Last        uint64   `json:"last"`                // number of the newest command that this process knows
 	Committed   uint64   `json:"committed"`
 	Term        uint64   `json:"term"`                  // of the newest leader
 	Leader      string   `json:"leader,omitempty"`      // rpc address; empty if unknown
@@ -104,7 +105,8 @@
 func CoreOf(s core.Status, term uint64) Core {
 	c := Core{
 		Epoch: s.Epoch, Attached: s.Attached, Durable: s.Durable, Last: s.Last, Committed: s.Committed, Term: term, Leader: s.Leader,
-		Voters: make([]Voter, len(s.Voters)), Chain: make([]string, len(s.Chain)),
+		DiskFault: s.DiskFault,
+		Voters:    make([]Voter, len(s.Voters)), Chain: make([]string, len(s.Chain)),
 	}
 	if s.ID != 0 {
 		c.Disk = s.ID.String()
--- a/storage/slots/files.go
+++ b/storage/slots/files.go
@@ -23,7 +23,9 @@
 	// Open opens a file, made if there is none, cuts it to size and appends from there.
 	Open(name string, size int64) (File, error)
 	Remove(name string) error
-	Sync() error // names made and removed are on disk
+	// Rename gives a file another name, with an error that is fs.ErrNotExist if there is none. A file that had that name is gone.
+	Rename(name, to string) error
+	Sync() error // names made, changed and removed are on disk
 }
 
 // OSFolder is a folder of the operating system.
@@ -70,6 +72,11 @@
 	return err
 }
 
+// Rename implements Folder.
+func (d OSFolder) Rename(name, to string) error {
+	return os.Rename(filepath.Join(string(d), name), filepath.Join(string(d), to))
+}
+
 // Sync implements Folder.
 func (d OSFolder) Sync() error {
 	folder, err := os.Open(string(d))
--- a/storage/slots/slotstest/folder.go
+++ b/storage/slots/slotstest/folder.go
@@ -82,6 +82,21 @@
 	return nil
 }
 
+// Rename implements slots.Folder. A loss of power before the next sync of the folder may undo it.
+func (d *Folder) Rename(name, to string) error {
+	if err := d.count(); err != nil {
+		return err
+	}
+	file, ok := d.files[name]
+	if !ok {
+		return fs.ErrNotExist
+	}
+	d.removed[name] = file
+	delete(d.files, name)
+	d.files[to] = file
+	return nil
+}
+
 // Sync implements slots.Folder.
 func (d *Folder) Sync() error {
 	if err := d.count(); err != nil {
@@ -111,10 +126,16 @@
 // PowerLoss leaves of each file what its last sync covered, and of what was written later some, none or torn parts. It mends a broken disk.
 func (d *Folder) PowerLoss(random *rand.Rand) {
 	d.countdown = -1
-	for name, file := range d.removed {
-		if random.IntN(2) == 0 {
-			d.files[name] = file
+	for _, name := range sorted(d.removed) {
+		if random.IntN(2) > 0 {
+			continue
+		}
+		for other, file := range d.files {
+			if file == d.removed[name] {
+				delete(d.files, other) // it was renamed
+			}
 		}
+		d.files[name] = d.removed[name]
 	}
 	d.removed = make(map[string]*content)
 	clean := random.IntN(3) == 0
