Bound commands, documents and the log, and bring about members that are far behind

Cause: the operator's interface took bodies of 64 MB, a frame among processes has 32: one large order, or some at once, made an Append or a Fill that no connection carries, which is sent again for ever, so no order after it is committed. The log's bound followed the image, in which entries that are not known to be committed let it grow from restart to restart (816 KB for a state of 12 KB). The log's bound follows the machine's state. Ruled out: messages in parts (more code on each member for documents that nobody has).

--- a/control/api/api.go
+++ b/control/api/api.go
@@ -11,6 +11,7 @@
 
 	"github.com/gofiber/fiber/v2"
 
+	"ravendale/control/state"
 	"ravendale/control/status"
 )
 
@@ -41,9 +42,9 @@
 
 // Bounds of the server.
 const (
-	maxBody        = 64 << 20 // bytes
-	readBuffer     = 4096     // bytes; request line and headers have to fit in
-	writeBuffer    = 1024     // bytes
+	maxBody        = state.MaxDocument // bytes
+	readBuffer     = 4096              // bytes; request line and headers have to fit in
+	writeBuffer    = 1024              // bytes
 	maxConnections = 1024
 	readTimeout    = 60 * time.Second // for a request whole, body included
 	writeTimeout   = 30 * time.Second
--- a/control/api/api_test.go
+++ b/control/api/api_test.go
@@ -194,7 +194,7 @@
 	require.LessOrEqual(t, f.chain.allowed, timeFor(len(document(5))))
 	require.Less(t, timeFor(100<<10), time.Second)
 	require.Equal(t, answerWithin+2*time.Second, timeFor(2<<20))
-	require.Equal(t, longestAnswer, timeFor(maxBody))
+	require.Equal(t, longestAnswer, timeFor(64<<20))
 }
 
 func TestAMachineIsRetired(t *testing.T) {
--- a/control/chain/chain.go
+++ b/control/chain/chain.go
@@ -20,6 +20,10 @@
 // goes on to speak to the others.
 const commitBatch = 4
 
+// MaxUncommitted bounds the commands that are ordered and not committed, in bytes, the newest one apart: a head that has more takes no
+// other. So a message among members, which carries them in one piece, stays under the bound of a frame.
+const MaxUncommitted = 4 << 20
+
 // Send is a message to another member: *Attach, *Fill, *Append, *Ack or *Gap.
 type Send struct {
 	To      view.ID
@@ -54,6 +58,7 @@
 	fork      uint64 // climbs when entries are thrown away
 	actions   Actions
 	batch     uint64 // most entries handed out in one step
+	eager     bool   // commits are learnt before the member is attached
 
 	epoch    uint64
 	members  []view.ID
@@ -84,6 +89,9 @@
 // Unbounded has all entries handed out at once, which only tests of tests may ask for.
 func (c *Chain) Unbounded() { c.batch = math.MaxUint32 }
 
+// Eager has commits learnt before the log follows the predecessor's, which only tests of tests may ask for.
+func (c *Chain) Eager() { c.eager = true }
+
 // Replay applies a write that was read from disk.
 func (s *State) Replay(w *Write) {
 	if w.Cut && w.Keep >= s.Base && w.Keep-s.Base < uint64(len(s.Entries)) {
@@ -187,7 +195,7 @@
 // Order appends a command, at the head. False: this member can't, now, and has not. A command ordered before in the epoch is not
 // ordered again; below the origin's low none will be submitted again.
 func (c *Chain) Order(now time.Duration, origin, number, low uint64, command []byte) bool {
-	if c.position != 0 || !c.attached || c.sealed || !c.durable {
+	if c.position != 0 || !c.attached || c.sealed || !c.durable || c.uncommitted() > MaxUncommitted {
 		return false
 	}
 	if c.ordered[origin] == nil {
@@ -200,6 +208,15 @@
 	return true
 }
 
+// uncommitted is how many bytes of commands wait to be committed.
+func (c *Chain) uncommitted() int {
+	size := 0
+	for i := c.committed - c.state.Base; i < uint64(len(c.state.Entries)); i++ {
+		size += len(c.state.Entries[i].Command)
+	}
+	return size
+}
+
 // numbers are those of an origin's commands that were ordered in the epoch.
 type numbers struct {
 	low   uint64 // all below were ordered, or never will be submitted
@@ -442,7 +459,7 @@
 
 // learn takes what another member of the epoch says is committed.
 func (c *Chain) learn(committed uint64) {
-	if c.attached {
+	if c.attached || c.eager {
 		c.commit(min(committed, c.synced))
 	}
 }
--- a/control/core/aside_test.go
+++ b/control/core/aside_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -206,3 +207,64 @@
 	}
 	require.Fail(t, "not caught")
 }
+
+// TestAMemberThatMissedTenThousandChangesCatchesUp has a member away for 10,000 commands: it neither leads nor answers before it has them all.
+func TestAMemberThatMissedTenThousandChangesCatchesUp(t *testing.T) {
+	const missed = 10000
+	s := newSimulation(1, 3, 1, sound)
+	s.run(1500 * time.Millisecond)
+	s.load(4 * time.Millisecond)
+	s.run(3 * time.Second)
+	member := s.pick()
+	member.kill()
+	from := len(s.order)
+	s.until(10*time.Minute, func() bool { return len(s.order) >= from+missed })
+	require.Empty(t, s.broken)
+	member.start()
+	started := s.now
+	behind := len(s.order)
+	s.until(10*time.Second, func() bool {
+		if member.node.chain.Attached() {
+			return true
+		}
+		require.False(t, member.node.leads(member.clock()), "it is not attached")
+		require.LessOrEqual(t, member.node.chain.Committed(), member.node.chain.Synced())
+		return false
+	})
+	require.GreaterOrEqual(t, member.machine.count, behind, "it is attached with all that it missed")
+	t.Logf("attached %v after its start", s.now-started)
+	s.run(s.now + time.Second)
+	s.expectService("after the return", 500*time.Millisecond)
+	s.checkHistory()
+	require.Empty(t, s.broken)
+}
+
+// TestAnImageCutMidwayIsTakenAgain has a member lose power each time it writes the image that it was sent, at any step of that.
+func TestAnImageCutMidwayIsTakenAgain(t *testing.T) {
+	cuts := 0
+	for seed := range uint64(12) {
+		s := newSimulation(seed, 3, 1, sound)
+		s.run(1500 * time.Millisecond)
+		s.load(10 * time.Millisecond)
+		s.run(3 * time.Second)
+		member := s.pick()
+		member.kill()
+		s.run(s.now + 4*time.Second)
+		for range 6 {
+			member.start()
+			s.until(2*time.Second, func() bool {
+				return slices.ContainsFunc(member.writes, func(w diskWrite) bool { return w.Image != nil })
+			})
+			if len(member.writes) > 0 {
+				cuts++
+			}
+			member.powerLoss()
+		}
+		member.start()
+		s.run(s.now + 3*time.Second)
+		s.expectService("after the cuts", 500*time.Millisecond)
+		s.checkHistory()
+		require.Empty(t, s.broken, "seed %d", seed)
+	}
+	require.Greater(t, cuts, 30)
+}
--- a/control/core/core.go
+++ b/control/core/core.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"ravendale/control/chain"
 	"ravendale/control/lease"
 	"ravendale/control/view"
 	"ravendale/rpc"
@@ -24,8 +25,18 @@
 var (
 	ErrUnavailable = errors.New("core: unavailable, the command was not and will not be applied")
 	ErrUnknown     = errors.New("core: the command may or may not be applied")
+	ErrTooLong     = errors.New("core: the command is too long, it was not and will not be applied")
 )
 
+// MaxCommand bounds a command, in bytes.
+const MaxCommand = 5 << 20
+
+// mostEntries bounds the commands in one message of the chain: those that waited when the last snapshot was taken, the log after it, and
+// what came with its last write. A Fill with a snapshot has only those that wait.
+const mostEntries = 2*(chain.MaxUncommitted+MaxCommand) + mostLog
+
+const _ = uint(rpc.MaxFrame - mostEntries - 1<<20) // they fit a frame, with room for what is around them
+
 const leastGoneAfter = 10 * time.Second // a member down for less keeps its vote
 
 // Machine is the state that is kept alike at all members. Its methods are called one at a time, on goroutines of the core's, and must depend on
--- a/control/core/core_test.go
+++ b/control/core/core_test.go
@@ -56,6 +56,7 @@
 type process struct {
 	settings settings.Settings
 	folder   slots.Folder // nil: that of the settings
+	machine  core.Machine // nil: list
 	core     *core.Core
 	list     *list
 	server   *rpc.Server
@@ -92,8 +93,12 @@
 	mux := rpc.NewMux()
 	p.list, p.leads, p.ended = &list{}, make(chan *core.Lease, 8), make(chan struct{})
 	settings := p.settings
+	machine := p.machine
+	if machine == nil {
+		machine = p.list
+	}
 	config := core.Config{
-		Settings: &settings, Machine: p.list, Mux: mux, Applied: func() {},
+		Settings: &settings, Machine: machine, Mux: mux, Applied: func() {},
 		Lead: func(ctx context.Context, lease *core.Lease) {
 			p.leads <- lease
 			<-ctx.Done()
@@ -330,3 +335,78 @@
 	require.NoError(t, err)
 	require.NotEmpty(t, kept)
 }
+
+// counter is a machine that only counts what it applies, and holds something large.
+type counter struct {
+	mu    sync.Mutex
+	count int
+}
+
+func (c *counter) Apply([]byte) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.count++
+	return fmt.Append(nil, c.count)
+}
+
+const counterPadding = 4 << 20
+
+func (c *counter) Snapshot() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append(fmt.Append(nil, c.count, " "), make([]byte, counterPadding)...)
+}
+
+func (c *counter) Restore(snapshot []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(snapshot) < counterPadding {
+		return errors.New("it is cut short")
+	}
+	_, err := fmt.Sscan(string(snapshot[:len(snapshot)-counterPadding]), &c.count)
+	return err
+}
+
+func (c *counter) value() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.count
+}
+
+// TestCommandsOfMoreThanAFrameReachAllMembers has more bytes of commands submitted at once than one message among members may have, and a
+// member join that needs the image after them.
+func TestCommandsOfMoreThanAFrameReachAllMembers(t *testing.T) {
+	const commands, size = 9, 4 << 20
+	require.Greater(t, commands*size, rpc.MaxFrame)
+	processes := plan(t, 3)[:3]
+	for _, p := range processes {
+		p.machine = &counter{}
+		p.start(t)
+	}
+	var group sync.WaitGroup
+	for i := range commands {
+		group.Go(func() {
+			for { // until it surely was taken: on a slow disk the chain may refuse for a while
+				_, err := processes[i%2].core.Submit(context.Background(), make([]byte, size))
+				if !errors.Is(err, core.ErrUnavailable) {
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+	counts := func(p *process, count int) func() bool {
+		return func() bool { return p.machine.(*counter).value() == count }
+	}
+	for _, p := range processes {
+		require.Eventually(t, counts(p, commands), 30*time.Second, 10*time.Millisecond)
+	}
+	anew := processes[2]
+	anew.stop()
+	anew.settings.Bootstrap, anew.settings.DataDir, anew.machine = false, filepath.Join(t.TempDir(), "new"), &counter{}
+	anew.start(t)
+	require.Eventually(t, counts(anew, commands), 30*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return anew.core.Status().Attached }, 30*time.Second, 10*time.Millisecond)
+	_, err := anew.core.Submit(t.Context(), make([]byte, core.MaxCommand+1))
+	require.ErrorIs(t, err, core.ErrTooLong)
+}
--- a/control/core/history_test.go
+++ b/control/core/history_test.go
@@ -40,6 +40,7 @@
 	for name, mistake := range map[string]mutant{
 		"acknowledges before the sync": unsyncedAck, "decides views without a majority": minorityView,
 		"leads without the margin": noMargin, "keeps the identity of a lost disk": keptIdentity,
+		"answers before it is attached": eagerMember,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -30,6 +30,7 @@
 	forgetAfter  = 10 * time.Second       // a stranger that is silent for longer is forgotten
 	leastLog     = 64 << 10               // of nodeConfig.LeastLog
 	mostRecords  = 64                     // of nodeConfig.MostRecords: each may take some 10 ms to apply again
+	mostLog      = 8 << 20                // bytes of log after which a snapshot is taken, however large that is
 )
 
 // nodeConfig is what a node must know from the start.
@@ -60,6 +61,7 @@
 	forgetful  bool // a voter that starts takes it that it granted nothing
 	alone      bool // a member commits what it alone has on its disk
 	unbounded  bool // a member that is behind applies all at once
+	eager      bool // a member that is not attached learns what is committed, and so answers
 	staleImage bool // another member's image moves the log's place and not the machine's state
 }
 
@@ -139,8 +141,8 @@
 	records   [][]byte
 	whole     bool // the next write is the whole image
 	logBytes  int
-	logged    int // records since the snapshot
-	imageSize int
+	logged    int           // records since the snapshot
+	stateSize int           // of the machine's newest snapshot
 	busySince time.Duration // since when a write is under way
 	aside     aside
 }
@@ -201,6 +203,9 @@
 	if config.faults.unbounded {
 		n.chain.Unbounded()
 	}
+	if config.faults.eager {
+		n.chain.Eager()
+	}
 	if config.faults.forgetful {
 		kept.Lease = lease.Past{}
 	}
@@ -234,7 +239,7 @@
 		return nil, err
 	}
 	n.logged = len(records)
-	n.imageSize = len(snapshot)
+	n.stateSize = len(kept.Machine)
 	for _, data := range records {
 		n.logBytes += len(data)
 	}
@@ -344,12 +349,13 @@
 	n.logged++
 }
 
-// flush gives the changes of this step to the disk.
+// flush gives the changes of this step to the disk. The log's bound follows the state's size and not the image's, in which the entries that
+// are not known to be committed would let it grow from start to start.
 func (n *node) flush(now time.Duration) {
 	if !n.whole && len(n.records) == 0 || n.aside.from != "" && !n.mayTry(now) {
 		return
 	}
-	if n.logBytes > max(n.config.LeastLog, 2*n.imageSize) || n.logged > n.config.MostRecords {
+	if n.logBytes > min(max(n.config.LeastLog, 2*n.stateSize), mostLog) || n.logged > n.config.MostRecords {
 		n.whole = true
 	}
 	if n.batch == n.lasting {
@@ -359,7 +365,7 @@
 	write := diskWrite{Batch: n.batch, Records: n.records}
 	if n.whole {
 		write.Records, write.Image = nil, n.image()
-		n.imageSize, n.logBytes, n.logged = len(write.Image), 0, 0
+		n.logBytes, n.logged = 0, 0
 	}
 	n.whole, n.records = false, nil
 	n.out.Writes = append(n.out.Writes, write)
@@ -371,6 +377,7 @@
 		ID: n.self.ID, Founders: n.founder, View: n.view, Vote: n.vote,
 		Chain: n.chain.State(), Machine: n.config.Machine.Snapshot(), Lease: n.voter.Past(),
 	}
+	n.stateSize = len(kept.Machine)
 	data, err := kept.MarshalMsg(nil)
 	if err != nil {
 		panic(err) // as for a record
--- a/control/core/simulation_test.go
+++ b/control/core/simulation_test.go
@@ -33,6 +33,7 @@
 	applyAll
 	heedlessDisk
 	staleImage
+	eagerMember
 )
 
 // register is a machine that holds one number and changes it by compare-and-set. It counts what it applies, and shows that to the
@@ -288,7 +289,7 @@
 		DiskFault: fault,
 		faults: faults{
 			minority: m.s.mutant == minorityView, unsyncedOK: m.s.mutant == unsyncedAck, forgetful: m.s.mutant == forgetfulVoter,
-			staleImage: m.s.mutant == staleImage, alone: m.s.mutant == loneCommit, unbounded: m.s.mutant == applyAll,
+			staleImage: m.s.mutant == staleImage, eager: m.s.mutant == eagerMember, alone: m.s.mutant == loneCommit, unbounded: m.s.mutant == applyAll,
 		},
 	}
 	node, err := newNode(m.clock(), config, snapshot, records)
--- a/control/core/submit.go
+++ b/control/core/submit.go
@@ -19,6 +19,9 @@
 // chain that is being changed. After ErrUnavailable the command surely was not and never will be applied; after any other error it may be.
 // A process that can't take part in the core, without a disk or with one that fails, has another do it.
 func (c *Core) Submit(ctx context.Context, command []byte) ([]byte, error) {
+	if len(command) > MaxCommand {
+		return nil, ErrTooLong
+	}
 	ctx, cancel := context.WithTimeout(ctx, outcomeWait)
 	defer cancel()
 	deadline := time.Now().Add(unsentWait)
--- a/control/state/image_test.go
+++ b/control/state/image_test.go
@@ -129,3 +129,30 @@
 		require.Equal(t, one.Snapshot(), restored.Snapshot())
 	})
 }
+
+// repeatAfterImage has orders taken by one machine, and the newest repeated at another that was filled by an image and at one that was not.
+func repeatAfterImage(t *testing.T, orders int, dropsHistory bool) (outcomes [2]Outcome) {
+	t.Helper()
+	first := NewMachine()
+	for base := range orders {
+		require.Equal(t, OutcomeTaken, set(t, first, uint64(base), document(base+1)).Outcome)
+	}
+	second := NewMachine()
+	second.faults.dropsHistory = dropsHistory
+	require.NoError(t, second.Restore(first.Snapshot()))
+	for i, machine := range []*Machine{first, second} {
+		outcomes[i] = set(t, machine, uint64(orders-1), document(orders)).Outcome
+	}
+	return outcomes
+}
+
+// TestAnOrderIsKnownAgainAfterAnImage has a member answer the repeat of an order that it knows from an image alone.
+func TestAnOrderIsKnownAgainAfterAnImage(t *testing.T) {
+	for _, orders := range []int{1, 100, historyLength + 100} {
+		require.Equal(t, [2]Outcome{OutcomeRepeated, OutcomeRepeated}, repeatAfterImage(t, orders, false))
+	}
+}
+
+func TestAnImageWithoutItsHistoryIsCaught(t *testing.T) {
+	require.Equal(t, [2]Outcome{OutcomeRepeated, OutcomeUnsure}, repeatAfterImage(t, 100, true))
+}
--- a/control/state/machine.go
+++ b/control/state/machine.go
@@ -136,11 +136,17 @@
 	return digestOf(kind, base, body)
 }
 
+// MaxDocument bounds a configuration, in bytes, so that the state fits the disks and the messages that carry it.
+const MaxDocument = 4 << 20
+
 func (m *Machine) build(kind Kind, now *Snapshot, body []byte) (*catalog.Config, error) {
 	config, err := m.read(kind, now, body)
 	if err != nil {
 		return nil, err
 	}
+	if size := len(config.Document()); size > MaxDocument {
+		return nil, catalog.Findings{{Place: "document", Reason: fmt.Sprintf("%d bytes are more than the %d that may be", size, MaxDocument)}}
+	}
 	if config.Version <= now.Version {
 		reason := fmt.Sprintf("%d is not above the current version %d", config.Version, now.Version)
 		return nil, catalog.Findings{{Place: "version", Reason: reason}}
