Drop what a damaged disk left only for lack of room, and test the status of a failing disk

Need: any write error removed the files that were set aside, also one that more room does not help. Change: only ENOSPC does; a test on sockets and one of the status line; TestDisksThatFailAgainAndAgainLoseNothing takes its seeds from the flags.

--- a/cmd/ravendalectl/main_test.go
+++ b/cmd/ravendalectl/main_test.go
@@ -269,6 +269,16 @@
 	f.ask(exitUnavailable, "config", "show")
 }
 
+func TestADiskThatFailsIsTold(t *testing.T) {
+	var lines []string
+	line := func(format string, arguments ...any) { lines = append(lines, fmt.Sprintf(format, arguments...)) }
+	renderCore(line, &status.Core{DiskFault: "no space left on device"})
+	require.Contains(t, lines, "DISK\tof the process that answers, which stands aside: no space left on device")
+	lines = nil
+	renderCore(line, &status.Core{})
+	require.NotContains(t, strings.Join(lines, "\n"), "DISK\t")
+}
+
 func TestStatusIsTold(t *testing.T) {
 	f := newFixture(t)
 	f.ask(exitDone, "config", "set", f.file("3.json", configuration(3)))
--- a/control/core/aside_test.go
+++ b/control/core/aside_test.go
@@ -159,7 +159,7 @@
 }
 
 func TestDisksThatFailAgainAndAgainLoseNothing(t *testing.T) {
-	for seed := range uint64(40) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
 		require.Empty(t, failDisks(seed, sound), "seed %d", seed)
 	}
 }
--- a/control/core/core_test.go
+++ b/control/core/core_test.go
@@ -273,6 +273,7 @@
 	}
 	require.Equal(t, "a,", processes[0].submit(t, "a"))
 	leader := waitLeader(t, processes)
+	require.NoError(t, os.WriteFile(filepath.Join(string(disks[leader].OSFolder), slots.DamagedName("slot-0")), []byte("old"), 0o600))
 	disks[leader].full.Store(true)
 	text := "a,"
 	submit := func(command string) {
@@ -289,6 +290,7 @@
 	text = others(processes, leader)[0].submit(t, "b")
 	submit("c")
 	require.Contains(t, leader.core.Status().DiskFault, unix.ENOSPC.Error())
+	require.NoFileExists(t, filepath.Join(string(disks[leader].OSFolder), slots.DamagedName("slot-0")), "it made room")
 
 	leader.stop()
 	leader.start(t) // with the disk still full
--- a/control/core/disk.go
+++ b/control/core/disk.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"ravendale/storage/slots"
 )
 
@@ -53,7 +56,9 @@
 			continue
 		}
 		if err := c.put(writes); err != nil {
-			_ = slots.DropDamaged(c.folder()) // it may be room that is lacking
+			if errors.Is(err, unix.ENOSPC) {
+				_ = slots.DropDamaged(c.folder())
+			}
 			c.step(func(now time.Duration) {
 				c.disk.take() // what follows a write that failed is void
 				c.node.DiskFailed(now, err.Error())
