--- a/control/core/core_test.go
+++ b/control/core/core_test.go
@@ -5,18 +5,23 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"ravendale/control/core"
 	"ravendale/rpc"
 	"ravendale/settings"
+	"ravendale/storage/slots"
 )
 
 // list is a machine that keeps all commands in order.
@@ -50,11 +55,13 @@
 // process is one process of a core on loopback addresses.
 type process struct {
 	settings settings.Settings
+	folder   slots.Folder // nil: that of the settings
+	machine  core.Machine // nil: list
 	core     *core.Core
 	list     *list
 	server   *rpc.Server
 	cancel   context.CancelFunc
-	ended    chan error
+	ended    chan struct{}
 	leads    chan *core.Lease
 }
 
@@ -84,22 +91,29 @@
 
 func (p *process) start(t *testing.T) {
 	mux := rpc.NewMux()
-	p.list, p.leads, p.ended = &list{}, make(chan *core.Lease, 8), make(chan error, 1)
+	p.list, p.leads, p.ended = &list{}, make(chan *core.Lease, 8), make(chan struct{})
 	settings := p.settings
-	opened, err := core.Open(core.Config{
-		Settings: &settings, Machine: p.list, Mux: mux, Applied: func() {},
+	machine := p.machine
+	if machine == nil {
+		machine = p.list
+	}
+	config := core.Config{
+		Settings: &settings, Machine: machine, Mux: mux, Applied: func() {},
 		Lead: func(ctx context.Context, lease *core.Lease) {
 			p.leads <- lease
 			<-ctx.Done()
 		},
-	})
+	}
+	config.SetFolder(p.folder)
+	opened, err := core.Open(config)
 	require.NoError(t, err)
 	p.core = opened
 	p.server, err = rpc.Listen(settings.ControlAddress(settings.IP), rpc.Options{Mux: mux}, nil)
 	require.NoError(t, err)
 	var ctx context.Context
 	ctx, p.cancel = context.WithCancel(context.Background())
-	go func() { p.ended <- opened.Run(ctx) }()
+	go func() { opened.Run(ctx); close(p.ended) }()
+	require.Eventually(t, opened.Running, 10*time.Second, time.Millisecond)
 	t.Cleanup(p.stop)
 }
 
@@ -211,3 +225,190 @@
 	_, ok := processes[0].core.Leader()
 	require.False(t, ok)
 }
+
+// smallDisk is a folder on a disk that may be full.
+type smallDisk struct {
+	slots.OSFolder
+	full atomic.Bool
+}
+
+func newSmallDisk(t *testing.T) *smallDisk { return &smallDisk{OSFolder: slots.OSFolder(t.TempDir())} }
+
+// Open implements slots.Folder.
+func (d *smallDisk) Open(name string, size int64) (slots.File, error) {
+	file, err := d.OSFolder.Open(name, size)
+	return fileOnSmallDisk{file, d}, err
+}
+
+type fileOnSmallDisk struct {
+	slots.File
+	disk *smallDisk
+}
+
+// Write implements slots.File.
+func (f fileOnSmallDisk) Write(data []byte) (int, error) {
+	if !f.disk.full.Load() {
+		return f.File.Write(data)
+	}
+	written, _ := f.File.Write(data[:len(data)/2])
+	return written, unix.ENOSPC
+}
+
+// Sync implements slots.File.
+func (f fileOnSmallDisk) Sync() error {
+	if f.disk.full.Load() {
+		return unix.ENOSPC
+	}
+	return f.File.Sync()
+}
+
+// TestAProcessWithAFullDiskStaysAndForwards has the disk of the leader fill, and that of one that starts.
+func TestAProcessWithAFullDiskStaysAndForwards(t *testing.T) {
+	processes := plan(t, 3)[:3]
+	disks := make(map[*process]*smallDisk)
+	for _, p := range processes {
+		disks[p] = newSmallDisk(t)
+		p.folder = disks[p]
+		p.start(t)
+	}
+	require.Equal(t, "a,", processes[0].submit(t, "a"))
+	leader := waitLeader(t, processes)
+	require.NoError(t, os.WriteFile(filepath.Join(string(disks[leader].OSFolder), slots.DamagedName("slot-0")), []byte("old"), 0o600))
+	disks[leader].full.Store(true)
+	text := "a,"
+	submit := func(command string) {
+		text += command + ","
+		require.Equal(t, text, leader.submit(t, command))
+	}
+	require.Eventually(t, func() bool { // what meets the fault itself may have an unknown end
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_, _ = leader.core.Submit(ctx, []byte("-"))
+		return leader.core.Status().DiskFault != ""
+	}, 3*time.Second, 10*time.Millisecond)
+	waitLeader(t, others(processes, leader))
+	text = others(processes, leader)[0].submit(t, "b")
+	submit("c")
+	require.Contains(t, leader.core.Status().DiskFault, unix.ENOSPC.Error())
+	require.NoFileExists(t, filepath.Join(string(disks[leader].OSFolder), slots.DamagedName("slot-0")), "it made room")
+
+	leader.stop()
+	leader.start(t) // with the disk still full
+	require.NotEmpty(t, leader.core.Status().DiskFault)
+	submit("d")
+	disks[leader].full.Store(false)
+	require.Eventually(t, func() bool {
+		status := leader.core.Status()
+		return status.DiskFault == "" && status.Attached && leader.list.String() == text
+	}, 10*time.Second, 10*time.Millisecond)
+	submit("e")
+}
+
+func others(processes []*process, than *process) []*process {
+	return slices.DeleteFunc(slices.Clone(processes), func(p *process) bool { return p == than })
+}
+
+// TestADamagedDiskIsSetAside has a member's newest slot rot while it is down: it joins anew, as another, and what is left stays.
+func TestADamagedDiskIsSetAside(t *testing.T) {
+	processes := plan(t, 3)[:3]
+	for _, p := range processes {
+		p.start(t)
+	}
+	require.Equal(t, "a,", processes[0].submit(t, "a"))
+	rotten := processes[2]
+	require.Eventually(t, func() bool { return rotten.list.String() == "a," }, 10*time.Second, time.Millisecond)
+	before := rotten.core.Status().ID
+	rotten.stop()
+	for parity := range 2 {
+		slot, _ := slots.Names(parity)
+		path := filepath.Join(rotten.settings.DataDir, slot)
+		data, err := os.ReadFile(path)
+		if os.IsNotExist(err) {
+			continue
+		}
+		require.NoError(t, err)
+		data[len(data)-1] ^= 1
+		require.NoError(t, os.WriteFile(path, data, 0o600))
+	}
+	rotten.start(t)
+	require.NotEqual(t, before, rotten.core.Status().ID)
+	require.Eventually(t, func() bool { return rotten.core.Status().Attached && rotten.list.String() == "a," }, 10*time.Second, time.Millisecond)
+	kept, err := filepath.Glob(filepath.Join(rotten.settings.DataDir, slots.DamagedName("*")))
+	require.NoError(t, err)
+	require.NotEmpty(t, kept)
+}
+
+// counter is a machine that only counts what it applies, and holds something large.
+type counter struct {
+	mu    sync.Mutex
+	count int
+}
+
+func (c *counter) Apply([]byte) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.count++
+	return fmt.Append(nil, c.count)
+}
+
+const counterPadding = 4 << 20
+
+func (c *counter) Snapshot() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append(fmt.Append(nil, c.count, " "), make([]byte, counterPadding)...)
+}
+
+func (c *counter) Restore(snapshot []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(snapshot) < counterPadding {
+		return errors.New("it is cut short")
+	}
+	_, err := fmt.Sscan(string(snapshot[:len(snapshot)-counterPadding]), &c.count)
+	return err
+}
+
+func (c *counter) value() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.count
+}
+
+// TestCommandsOfMoreThanAFrameReachAllMembers has more bytes of commands submitted at once than one message among members may have, and a
+// member join that needs the image after them.
+func TestCommandsOfMoreThanAFrameReachAllMembers(t *testing.T) {
+	const commands, size = 9, 4 << 20
+	require.Greater(t, commands*size, rpc.MaxFrame)
+	processes := plan(t, 3)[:3]
+	for _, p := range processes {
+		p.machine = &counter{}
+		p.start(t)
+	}
+	var group sync.WaitGroup
+	for i := range commands {
+		group.Go(func() {
+			for { // until it surely was taken: on a slow disk the chain may refuse for a while
+				_, err := processes[i%2].core.Submit(context.Background(), make([]byte, size))
+				if !errors.Is(err, core.ErrUnavailable) {
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+	counts := func(p *process, count int) func() bool {
+		return func() bool { return p.machine.(*counter).value() == count }
+	}
+	for _, p := range processes {
+		require.Eventually(t, counts(p, commands), 30*time.Second, 10*time.Millisecond)
+	}
+	anew := processes[2]
+	anew.stop()
+	anew.settings.Bootstrap, anew.settings.DataDir, anew.machine = false, filepath.Join(t.TempDir(), "new"), &counter{}
+	anew.start(t)
+	require.Eventually(t, counts(anew, commands), 30*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return anew.core.Status().Attached }, 30*time.Second, 10*time.Millisecond)
+	_, err := anew.core.Submit(t.Context(), make([]byte, core.MaxCommand+1))
+	require.ErrorIs(t, err, core.ErrTooLong)
+}
--- a/control/core/disk.go
+++ b/control/core/disk.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
-	"fmt"
+	"errors"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
+
+	"ravendale/storage/slots"
 )
 
 // diskQueue holds what waits for the disk, in order.
@@ -52,9 +56,14 @@
 			continue
 		}
 		if err := c.put(writes); err != nil {
-			c.config.Log.Error("the core's disk failed", "error", err)
-			c.ended <- fmt.Errorf("%w: %w", ErrDisk, err)
-			return
+			if errors.Is(err, unix.ENOSPC) {
+				_ = slots.DropDamaged(c.folder())
+			}
+			c.step(func(now time.Duration) {
+				c.disk.take() // what follows a write that failed is void
+				c.node.DiskFailed(now, err.Error())
+			})
+			continue
 		}
 		last := writes[len(writes)-1].Batch
 		c.step(func(now time.Duration) { c.node.OnDisk(now, last) })
--- a/storage/slots/slotstest/folder.go
+++ b/storage/slots/slotstest/folder.go
@@ -34,7 +34,7 @@
 	return &Folder{files: make(map[string]*content), removed: make(map[string]*content), countdown: -1}
 }
 
-// Break makes all operations fail that come after so many more that write or sync.
+// Break makes all operations fail that come after so many more that write or sync; a write that fails leaves half of it. Negative: all work.
 func (d *Folder) Break(after int) { d.countdown = after }
 
 func (d *Folder) count() error {
@@ -82,6 +82,21 @@
 	return nil
 }
 
+// Rename implements slots.Folder. A loss of power before the next sync of the folder may undo it.
+func (d *Folder) Rename(name, to string) error {
+	if err := d.count(); err != nil {
+		return err
+	}
+	file, ok := d.files[name]
+	if !ok {
+		return fs.ErrNotExist
+	}
+	d.removed[name] = file
+	delete(d.files, name)
+	d.files[to] = file
+	return nil
+}
+
 // Sync implements slots.Folder.
 func (d *Folder) Sync() error {
 	if err := d.count(); err != nil {
@@ -111,10 +126,16 @@
 // PowerLoss leaves of each file what its last sync covered, and of what was written later some, none or torn parts. It mends a broken disk.
 func (d *Folder) PowerLoss(random *rand.Rand) {
 	d.countdown = -1
-	for name, file := range d.removed {
-		if random.IntN(2) == 0 {
-			d.files[name] = file
+	for _, name := range sorted(d.removed) {
+		if random.IntN(2) > 0 {
+			continue
+		}
+		for other, file := range d.files {
+			if file == d.removed[name] {
+				delete(d.files, other) // it was renamed
+			}
 		}
+		d.files[name] = d.removed[name]
 	}
 	d.removed = make(map[string]*content)
 	clean := random.IntN(3) == 0
@@ -177,13 +198,14 @@
 }
 
 func (h *handle) Write(data []byte) (int, error) {
-	if err := h.folder.count(); err != nil {
-		return 0, err
+	err := h.folder.count()
+	if err != nil {
+		data = data[:len(data)/2]
 	}
 	from := len(h.file.data)
 	h.file.data = append(h.file.data, data...)
 	h.file.writes = append(h.file.writes, span{from, len(h.file.data)})
-	return len(data), nil
+	return len(data), err
 }
 
 func (h *handle) Sync() error {
