Answer how far a retirement is from the newest placement only

At the word `done` the operator throws the machine's disk away. RetireState answered from what the process happened to have applied: a process that lags, or is cut off, could speak of an earlier store of the same name. It now submits a barrier and answers from a placement that has it; cut off it answers that it can't (503). An order that comes before the queue is placed, or for a store that has a lease and is not listed yet, waits instead of being answered 404, which ends the operator's call for good.

--- a/control/leader/retire.go
+++ b/control/leader/retire.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 
 	"ravendale/control/placement"
+	"ravendale/control/state"
 	"ravendale/rpc"
 	"ravendale/wire"
 )
@@ -103,12 +105,15 @@
 	return reply
 }
 
-// RetireState says whether a node's store that was asked to retire is empty. It goes by what this process has applied, which may
-// lag: a store that is not known to retire is not empty yet.
-func (s *Service) RetireState(node string) (done bool, err error) {
-	view := s.config.State().Placement
+// RetireState says whether a node's store that was asked to retire is empty. It goes by a placement that is no older than the question: at
+// the word that a store is empty its disk is thrown away, and an old placement may speak of an earlier store of the same name.
+func (s *Service) RetireState(ctx context.Context, node string) (done bool, err error) {
+	view, err := s.newestPlacement(ctx)
+	if err != nil {
+		return false, err
+	}
 	if view == nil {
-		return false, ErrUndecided
+		return false, ErrNotLeading
 	}
 	known, _, done := placement.Retirement(view, node)
 	if !known {
@@ -117,6 +122,18 @@
 	return done, nil
 }
 
+// newestPlacement is one that was in force when it was asked for, or later.
+func (s *Service) newestPlacement(ctx context.Context) (*wire.StoreView, error) {
+	result, err := s.submit(ctx, &state.Barrier{})
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotLeading, err)
+	}
+	if err := s.applied(ctx, func(now *state.Snapshot) bool { return now.Epoch() >= result.Epoch }); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotLeading, err)
+	}
+	return s.config.State().Placement, nil
+}
+
 func (t *term) startRetire(ctx context.Context, node string) error {
 	answer := make(chan error, 1)
 	if !t.box.Post(func() { t.retire(ctx, node, answer) }) {
@@ -132,14 +149,21 @@
 	}
 }
 
-// retire marks a node's store as one to be emptied. While another placement is on its way it waits.
+// unplaced says whether a node's store lives and the placement does not list it yet.
+func unplaced(view *wire.StoreView, live []placement.Store, node string) bool {
+	known, _, _ := placement.Retirement(view, node)
+	return !known && slices.ContainsFunc(live, func(s placement.Store) bool { return s.Node == node })
+}
+
+// retire marks a node's store as one to be emptied. While another placement is on its way, or there is none yet, it waits.
 func (t *term) retire(ctx context.Context, node string, answer chan<- error) {
 	if ctx.Err() != nil {
 		answer <- fmt.Errorf("%w: %w", ErrUndecided, ctx.Err())
 		return
 	}
 	view := t.service.config.State().Placement
-	if t.submitting || view != nil && view.Epoch < t.epoch {
+	live := t.live(t.now(), view)
+	if t.submitting || view == nil || view.Epoch < t.epoch || unplaced(view, live, node) {
 		t.work.Go(func() {
 			_ = sleep(t.ctx, statePoll)
 			t.box.Post(func() { t.retire(ctx, node, answer) })
@@ -150,7 +174,7 @@
 		answer <- nil
 		return
 	}
-	next, known, enough := placement.Retire(view, t.live(t.now(), view), placementConfig(t.service.settings.Load()), node)
+	next, known, enough := placement.Retire(view, live, placementConfig(t.service.settings.Load()), node)
 	switch {
 	case !known:
 		answer <- fmt.Errorf("%w: %q", ErrUnknownNode, node)
