Keep count of what dropped stores hold until others are whole

The leader drops a store for a reset of its connections, or as a new leader has not heard of it, though it has lost nothing. Its copy was forgotten at once: when the last whole replica lost its disk before another store was filled, what was accepted was gone, with one loss where one is borne.

- A placement names the former members of a partition that has too few whole ones.
Should all replicas be lost, former and joining members are asked together; until all have told, the primary hands out nothing and answers for nothing that it does not know.
- A whole replica is given up only if enough others may be counted on: they live, were heard of by this leader, and neither retire, stop nor stall.
New parts go to such stores alone.
A retirement waits for that; the order itself is not refused for a store about to stop.
- A joining store that says it is whole is promoted before lost ones are made up for.
- A store whose disk takes nothing is taken out where another is whole and enough others can write.
The status that says so follows.

--- a/control/leader/term.go
+++ b/control/leader/term.go
@@ -452,7 +452,7 @@
 		}
 		live = append(live, placement.Store{
 			Disk: s.Member.Disk, Node: s.Member.Node, Address: s.Member.Address, Zone: s.Member.Zone, Region: s.Member.Region,
-			Leaving: s.Member.Leaving, Epoch: s.Status.Epoch, Synced: s.Status.Synced,
+			Leaving: s.Member.Leaving, Stalled: s.Status.Stalled, Epoch: s.Status.Epoch, Synced: s.Status.Synced,
 		})
 	}
 	if view == nil || now >= storeGrace {
@@ -461,7 +461,9 @@
 	heard := live
 	for _, s := range view.Stores {
 		if !t.disks[s.Disk] && !replaced(s, heard) {
-			live = append(live, placement.Store{Disk: s.Disk, Node: s.Node, Address: s.Address, Zone: s.Zone, Region: s.Region})
+			live = append(live, placement.Store{
+				Disk: s.Disk, Node: s.Node, Address: s.Address, Zone: s.Zone, Region: s.Region, Assumed: true,
+			})
 		}
 	}
 	return live
--- a/control/placement/placement.go
+++ b/control/placement/placement.go
@@ -21,6 +21,15 @@
 	Partitions int  // of a new system
 	Zones      bool // zones may be lost: two copies in one zone count as one
 	Regions    bool // the same of regions
+
+	mutant mutant
+}
+
+// mutant takes guards out. Only tests of this package can.
+type mutant struct {
+	countUncertain bool // stores that are about to stop, or were not heard of, are counted on and given parts
+	emptyAtFirst   bool // a store is emptied once one other holds all
+	forgetFormer   bool // what dropped members have is not asked for
 }
 
 // Store is a store that lives.
@@ -31,6 +40,8 @@
 	Zone    string
 	Region  string
 	Leaving bool // it is being stopped in order, and will come back
+	Stalled bool // its disk takes nothing
+	Assumed bool // it has not been heard of since the leader began
 	Epoch   uint64
 	Synced  []uint16 // partitions that it is joining and holds whole, as of Epoch
 }
@@ -57,10 +68,14 @@
 		return found(live, config)
 	}
 	p := newPlan(current, live, config)
-	p.dropGone()
+	p.dropWiped()
 	p.promote(current.Epoch)
+	p.dropGone()
+	p.forgetFormer()
+	p.rejoin()
 	p.refill()
 	p.spread()
+	p.uncover()
 	p.trim()
 	p.balance()
 	p.choosePrimaries()
@@ -118,7 +133,8 @@
 	return slices.IndexFunc(view.Stores, func(s wire.Store) bool { return s.Node == node })
 }
 
-// remain says whether the stores that live and are not to be emptied can hold all copies.
+// remain says whether the stores that live and are not to be emptied can hold all copies. Those that are about to stop, or whose disks
+// take nothing, will be back: until then nothing is given up for them.
 func remain(view *wire.StoreView, live []Store, config Config) bool {
 	retiring := make(map[string]bool)
 	for _, s := range view.Stores {
@@ -129,6 +145,7 @@
 	var rest []Store
 	for _, s := range live {
 		if !retiring[s.Disk] {
+			s.Leaving, s.Stalled = false, false
 			rest = append(rest, s)
 		}
 	}
@@ -141,7 +158,7 @@
 	if at < 0 {
 		return false, false, false
 	}
-	return true, view.Stores[at].Retiring, view.Stores[at].Retiring && !Holds(view, at)
+	return true, view.Stores[at].Retiring, view.Stores[at].Retiring && !Holds(view, at) && !former(view, at)
 }
 
 // Holds says whether a store of the view, by its index, has a part in any partition.
@@ -155,9 +172,15 @@
 	return false
 }
 
+// former says whether a store of the view, by its index, has what others may lack.
+func former(view *wire.StoreView, store int) bool {
+	return slices.ContainsFunc(view.Partitions, func(p wire.Placement) bool { return slices.Contains(p.Former, uint16(store)) })
+}
+
 func same(a, b *wire.StoreView) bool {
 	samePlace := func(a, b wire.Placement) bool {
-		return slices.Equal(a.Replicas, b.Replicas) && slices.Equal(a.Joining, b.Joining)
+		return slices.Equal(a.Replicas, b.Replicas) && slices.Equal(a.Joining, b.Joining) && slices.Equal(a.Former, b.Former) &&
+			a.Covered == b.Covered && a.Unsure == b.Unsure
 	}
 	return a.Copies == b.Copies && slices.Equal(a.Stores, b.Stores) && slices.EqualFunc(a.Partitions, b.Partitions, samePlace)
 }
--- a/control/placement/plan.go
+++ b/control/placement/plan.go
@@ -13,18 +13,28 @@
 	live    bool
 	gone    bool // its machine came back with another disk: what it held is lost
 	leaving bool
+	stalled bool // its disk takes nothing: it counts only where no other holds all
+	assumed bool // it has not been heard of by this leader
 	epoch   uint64
 	synced  []uint16
 	load    int // partitions in which it has, or is to have, a part
 }
 
-// eligible says whether new parts may be given to a store.
-func (s *store) eligible() bool { return s.live && !s.Retiring && !s.leaving }
+// eligible says whether a store is to keep what it has.
+func (s *store) eligible() bool { return s.live && !s.Retiring && !s.leaving && !s.stalled }
+
+// certain says whether a store's copies may be counted on, and new parts be given to it.
+func (p *plan) certain(s *store) bool {
+	return s.eligible() && !s.assumed || p.config.mutant.countUncertain && s.live && !s.Retiring
+}
 
 type partition struct {
 	replicas []*store
 	joining  []*store
-	home     string // the region where all copies should lie; empty where it does not matter
+	former   []*store // see wire.Placement
+	covered  bool     // see wire.Placement
+	unsure   bool     // see wire.Placement
+	home     string   // the region where all copies should lie; empty where it does not matter
 }
 
 func (p *partition) members() []*store { return slices.Concat(p.replicas, p.joining) }
@@ -53,7 +63,10 @@
 		}
 		p.partitions = make([]partition, len(current.Partitions))
 		for i, place := range current.Partitions {
-			p.partitions[i] = partition{replicas: p.pick(place.Replicas), joining: p.pick(place.Joining)}
+			p.partitions[i] = partition{
+				replicas: p.pick(place.Replicas), joining: p.pick(place.Joining), former: p.pick(place.Former),
+				covered: place.Covered, unsure: place.Unsure,
+			}
 		}
 	}
 	p.count()
@@ -92,7 +105,8 @@
 	}
 	known := p.stores[at]
 	known.Node, known.Address, known.Zone, known.Region = s.Node, s.Address, s.Zone, s.Region
-	known.live, known.gone, known.leaving = true, false, s.Leaving
+	known.live, known.gone = true, false
+	known.leaving, known.stalled, known.assumed = s.Leaving, s.Stalled, s.Assumed
 	known.epoch, known.synced = s.Epoch, s.Synced
 }
 
@@ -125,22 +139,19 @@
 	return len(seen)
 }
 
-// dropGone takes out the stores that are lost. A partition of which no whole replica lives waits for them, unless they are
-// gone for good.
+// dropGone takes out the stores that are lost. A partition of which no whole replica lives waits for them, unless they are gone for
+// good, or all that they had is known to be elsewhere.
 func (p *plan) dropGone() {
+	spares := p.sparesStalled()
 	for i := range p.partitions {
 		part := &p.partitions[i]
-		part.replicas = without(part.replicas, func(s *store) bool { return s.gone })
-		part.joining = without(part.joining, func(s *store) bool { return s.gone })
-		if len(part.replicas) == 0 {
+		if part.mayStartAnew() {
 			p.startAnew(part)
 		}
 		if part.stuck() {
 			continue
 		}
-		dead := func(s *store) bool { return !s.live }
-		part.replicas = without(part.replicas, dead)
-		part.joining = without(part.joining, dead)
+		part.dropDead(spares)
 	}
 	p.count()
 }
@@ -149,27 +160,11 @@
 	return slices.DeleteFunc(slices.Clone(list), out)
 }
 
-// startAnew is for a partition all whole replicas of which have lost their disks: what a joining one got is all there is.
-func (p *plan) startAnew(part *partition) {
-	for i, s := range part.joining {
-		if s.live {
-			part.replicas = []*store{s}
-			part.joining = slices.Delete(part.joining, i, i+1)
-			return
-		}
-	}
-	if s := p.candidate(part, false); s != nil {
-		part.replicas = []*store{s}
-	}
-}
-
-// promote makes whole replicas of those that are joining and say that they hold all.
+// promote makes whole replicas of those that are joining and say that they hold all. It comes before those that are lost are made up
+// for: one that has just been filled by a primary that is lost is whole.
 func (p *plan) promote(epoch uint64) {
 	for i := range p.partitions {
 		part := &p.partitions[i]
-		if part.stuck() {
-			continue
-		}
 		whole := func(s *store) bool {
 			return s.live && s.epoch == epoch && slices.Contains(s.synced, uint16(i))
 		}
@@ -232,7 +227,7 @@
 	}
 	var best *store
 	for _, s := range p.stores {
-		if !s.eligible() || part.has(s) || otherDomain && taken[p.domain(s)] {
+		if !p.certain(s) || part.has(s) || otherDomain && taken[p.domain(s)] {
 			continue
 		}
 		if best == nil || p.better(part, s, best, taken) {
@@ -242,10 +237,14 @@
 	return best
 }
 
+// better says whether a should be given a part in a partition rather than b. A former member has most of it.
 func (p *plan) better(part *partition, a, b *store, taken map[string]bool) bool {
 	if ta, tb := taken[p.domain(a)], taken[p.domain(b)]; ta != tb {
 		return !ta
 	}
+	if fa, fb := slices.Contains(part.former, a), slices.Contains(part.former, b); fa != fb {
+		return fa
+	}
 	if fa, fb := part.foreign(a), part.foreign(b); fa != fb {
 		return !fa
 	}
@@ -270,31 +269,21 @@
 	}
 }
 
-// excess is the whole replica that a partition can do without, if there is one.
+// excess is the whole replica that a partition can do without, if there is one. Fewer than Copies that may be counted on must never be
+// left: a store that is to be emptied stays until then, also if another one of those that would be left is about to stop.
 func (p *plan) excess(part *partition) *store {
-	if len(part.replicas) <= p.config.Copies {
-		return p.emptied(part)
-	}
 	var worst *store
 	for _, s := range part.replicas {
 		if worst == nil || p.worse(part, s, worst) {
 			worst = s
 		}
 	}
-	return worst
-}
-
-// emptied is a replica to be emptied in whose place enough others hold all. Fewer than Copies may be enough only if there are
-// no stores left to make up the number, which Retire rules out.
-func (p *plan) emptied(part *partition) *store {
-	others := without(part.replicas, func(s *store) bool { return s.Retiring })
-	if len(others) < p.config.Copies {
+	if worst == nil || !worst.Retiring && len(part.replicas) <= p.config.Copies {
 		return nil
 	}
-	for _, s := range part.replicas {
-		if s.Retiring {
-			return s
-		}
+	rest := without(part.replicas, func(s *store) bool { return s == worst })
+	if p.enough(rest) || p.config.mutant.emptyAtFirst && len(rest) > 0 {
+		return worst
 	}
 	return nil
 }
@@ -388,7 +377,7 @@
 	before := p.domains(part.replicas)
 	var best *store
 	for _, s := range p.stores {
-		if !s.eligible() || part.has(s) || best != nil && s.load >= best.load {
+		if !p.certain(s) || part.has(s) || best != nil && s.load >= best.load {
 			continue
 		}
 		if part.foreign(s) && !part.foreign(giver) {
@@ -413,7 +402,11 @@
 	}
 	view.Partitions = make([]wire.Placement, len(p.partitions))
 	for i := range p.partitions {
-		view.Partitions[i] = wire.Placement{Replicas: indices(p.partitions[i].replicas), Joining: indices(p.partitions[i].joining)}
+		part := &p.partitions[i]
+		view.Partitions[i] = wire.Placement{
+			Replicas: indices(part.replicas), Joining: indices(part.joining), Former: indices(part.former),
+			Covered: part.covered, Unsure: part.unsure,
+		}
 	}
 	return view
 }
--- a/control/state/machine.go
+++ b/control/state/machine.go
@@ -234,6 +234,12 @@
 				seen[store] = true
 			}
 		}
+		for _, store := range placement.Former {
+			if int(store) >= len(view.Stores) {
+				reason := fmt.Sprintf("former store %d is not listed", store)
+				return catalog.Findings{{Place: fmt.Sprintf("partitions[%d]", i), Reason: reason}}
+			}
+		}
 	}
 	return nil
 }
--- a/queue/core.go
+++ b/queue/core.go
@@ -168,6 +168,7 @@
 	ready     bool          // of a primary: it may hand out
 	members   []*peer       // all others that hold it or are being filled
 	unmerged  []*peer       // replicas that may still know more than the new primary
+	absent    bool          // of a primary that is unsure: former members that may know more are away
 	fillers   []*peer       // joining members
 	syncs     []*filling
 	ops       []*op
@@ -268,7 +269,7 @@
 func (c *Core) nextWake() time.Duration {
 	next := min(c.nextWork, c.nextScrub)
 	for _, p := range c.partitions {
-		if p != nil && p.primary && !p.ready && len(p.unmerged) == 0 {
+		if p != nil && p.primary && !p.ready && !p.untold() {
 			next = min(next, p.since+p.window)
 		}
 	}
--- a/queue/edge.go
+++ b/queue/edge.go
@@ -257,9 +257,12 @@
 	}
 }
 
+// untold says whether other stores may know more of a partition than its primary.
+func (p *partition) untold() bool { return p.absent || len(p.unmerged) > 0 }
+
 // open lets a partition hand out messages, if all is known that the other replicas knew, and edges have claimed.
 func (c *Core) open(p *partition) {
-	if len(p.unmerged) > 0 {
+	if p.untold() {
 		return
 	}
 	if c.now.Steady < p.since+p.window && !c.allClaimed() {
--- a/queue/requests.go
+++ b/queue/requests.go
@@ -109,7 +109,7 @@
 	}
 	e, _ := p.find(m.ID)
 	switch {
-	case e == nil && len(p.unmerged) > 0: // another replica may know the message
+	case e == nil && p.untold(): // another store may know the message
 		reply.Send(&wire.ReportReply{Code: wire.PutUnknown, Epoch: c.epoch()})
 	case e == nil:
 		reply.Send(&wire.ReportReply{Code: wire.PutKept, Epoch: c.epoch()})
--- a/queue/view.go
+++ b/queue/view.go
@@ -99,21 +99,36 @@
 	p.syncs = nil
 	if p.primary {
 		p.released = 0
-		c.lead(p, wasPrimary, c.others(replicas), oldMembers)
+		tellers := c.others(replicas)
+		p.absent = false
+		if place.Unsure {
+			former := c.formerOf(p, place)
+			p.absent = len(former) < len(place.Former)
+			tellers = append(tellers, former...)
+		}
+		c.lead(p, wasPrimary, tellers, oldMembers)
 		return
 	}
 	if wasPrimary {
 		c.step(p)
 	}
-	c.release(p, len(joining) == 0 && len(replicas) >= c.config.Copies)
+	c.release(p, len(joining) == 0 && len(place.Former) == 0 && len(replicas) >= c.config.Copies)
+}
+
+// formerOf are the joining members of a partition that were members before.
+func (c *Core) formerOf(p *partition, place *wire.Placement) []*peer {
+	former := c.others(c.disks(place.Former))
+	return slices.DeleteFunc(slices.Clone(p.fillers), func(to *peer) bool { return !slices.Contains(former, to) })
 }
 
-// lead makes the store the primary of a partition, or goes on with it under a new epoch.
-func (c *Core) lead(p *partition, wasPrimary bool, replicas, oldMembers []*peer) {
+// lead makes the store the primary of a partition, or goes on with it under a new epoch. Tellers are the members that may know more than
+// this store: all replicas, if it has not led until now, and former members that join an unsure primary.
+func (c *Core) lead(p *partition, wasPrimary bool, tellers, oldMembers []*peer) {
 	if wasPrimary {
-		p.unmerged = slices.DeleteFunc(p.unmerged, func(to *peer) bool { return !slices.Contains(replicas, to) })
+		untold := func(to *peer) bool { return slices.Contains(p.unmerged, to) || !slices.Contains(oldMembers, to) }
+		p.unmerged = slices.DeleteFunc(slices.Clone(tellers), func(to *peer) bool { return !untold(to) })
 	} else {
-		p.unmerged = slices.Clone(replicas)
+		p.unmerged = slices.Clone(tellers)
 		p.ready = false
 		p.since = c.now.Steady
 		p.window = c.config.ClaimWindow
--- a/wire/membership.go
+++ b/wire/membership.go
@@ -49,6 +49,7 @@
 	Synced   []uint16 // partitions that it is joining and holds whole
 	Pending  uint64   // messages that have not ended
 	Messages uint64   // messages kept, those that have ended included
+	Stalled  bool     // its disk takes nothing: it is full, or does not answer
 }
 
 // Renew asks for a lease of membership, or for its renewal.
@@ -112,6 +113,13 @@
 type Placement struct {
 	Replicas []uint16 // indices into StoreView.Stores that hold it whole; the first is the primary
 	Joining  []uint16 // indices of those that get all new writes and are being filled with the old ones
+	// Former are indices of members that were dropped while too few others held the partition whole.
+	Former []uint16
+	// Covered says that Former and Joining together have all that was accepted: one of Former was whole when it was dropped, and there
+	// have been enough members since.
+	Covered bool
+	// Unsure says that all replicas were lost, and made up for by others: what joining ones that are Former have is taken over.
+	Unsure bool
 }
 
 // StoreView is the agreed placement of all partitions. A new one has the next epoch.
--- a/wire/membership_gen.go
+++ b/wire/membership_gen.go
@@ -838,8 +838,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -878,13 +878,41 @@
 			return
 		}
 	}
+	var zb0004 uint32
+	zb0004, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Former")
+		return
+	}
+	if cap(z.Former) >= int(zb0004) {
+		z.Former = (z.Former)[:zb0004]
+	} else {
+		z.Former = make([]uint16, zb0004)
+	}
+	for za0003 := range z.Former {
+		z.Former[za0003], err = dc.ReadUint16()
+		if err != nil {
+			err = msgp.WrapError(err, "Former", za0003)
+			return
+		}
+	}
+	z.Covered, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Covered")
+		return
+	}
+	z.Unsure, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Unsure")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Placement) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
+	// array header, size 5
+	err = en.Append(0x95)
 	if err != nil {
 		return
 	}
@@ -912,14 +940,36 @@
 			return
 		}
 	}
+	err = en.WriteArrayHeader(uint32(len(z.Former)))
+	if err != nil {
+		err = msgp.WrapError(err, "Former")
+		return
+	}
+	for za0003 := range z.Former {
+		err = en.WriteUint16(z.Former[za0003])
+		if err != nil {
+			err = msgp.WrapError(err, "Former", za0003)
+			return
+		}
+	}
+	err = en.WriteBool(z.Covered)
+	if err != nil {
+		err = msgp.WrapError(err, "Covered")
+		return
+	}
+	err = en.WriteBool(z.Unsure)
+	if err != nil {
+		err = msgp.WrapError(err, "Unsure")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Placement) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Replicas)))
 	for za0001 := range z.Replicas {
 		o = msgp.AppendUint16(o, z.Replicas[za0001])
@@ -928,6 +978,12 @@
 	for za0002 := range z.Joining {
 		o = msgp.AppendUint16(o, z.Joining[za0002])
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Former)))
+	for za0003 := range z.Former {
+		o = msgp.AppendUint16(o, z.Former[za0003])
+	}
+	o = msgp.AppendBool(o, z.Covered)
+	o = msgp.AppendBool(o, z.Unsure)
 	return
 }
 
@@ -939,8 +995,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -979,13 +1035,41 @@
 			return
 		}
 	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Former")
+		return
+	}
+	if cap(z.Former) >= int(zb0004) {
+		z.Former = (z.Former)[:zb0004]
+	} else {
+		z.Former = make([]uint16, zb0004)
+	}
+	for za0003 := range z.Former {
+		z.Former[za0003], bts, err = msgp.ReadUint16Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Former", za0003)
+			return
+		}
+	}
+	z.Covered, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Covered")
+		return
+	}
+	z.Unsure, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Unsure")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Placement) Msgsize() (s int) {
-	s = 1 + msgp.ArrayHeaderSize + (len(z.Replicas) * (msgp.Uint16Size)) + msgp.ArrayHeaderSize + (len(z.Joining) * (msgp.Uint16Size))
+	s = 1 + msgp.ArrayHeaderSize + (len(z.Replicas) * (msgp.Uint16Size)) + msgp.ArrayHeaderSize + (len(z.Joining) * (msgp.Uint16Size)) + msgp.ArrayHeaderSize + (len(z.Former) * (msgp.Uint16Size)) + msgp.BoolSize + msgp.BoolSize
 	return
 }
 
@@ -1591,8 +1675,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Epoch, err = dc.ReadUint64()
@@ -1628,13 +1712,18 @@
 		err = msgp.WrapError(err, "Messages")
 		return
 	}
+	z.Stalled, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Stalled")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *StoreStatus) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+	// array header, size 5
+	err = en.Append(0x95)
 	if err != nil {
 		return
 	}
@@ -1665,14 +1754,19 @@
 		err = msgp.WrapError(err, "Messages")
 		return
 	}
+	err = en.WriteBool(z.Stalled)
+	if err != nil {
+		err = msgp.WrapError(err, "Stalled")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *StoreStatus) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendUint64(o, z.Epoch)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Synced)))
 	for za0001 := range z.Synced {
@@ -1680,6 +1774,7 @@
 	}
 	o = msgp.AppendUint64(o, z.Pending)
 	o = msgp.AppendUint64(o, z.Messages)
+	o = msgp.AppendBool(o, z.Stalled)
 	return
 }
 
@@ -1691,8 +1786,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
@@ -1728,13 +1823,18 @@
 		err = msgp.WrapError(err, "Messages")
 		return
 	}
+	z.Stalled, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Stalled")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *StoreStatus) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.ArrayHeaderSize + (len(z.Synced) * (msgp.Uint16Size)) + msgp.Uint64Size + msgp.Uint64Size
+	s = 1 + msgp.Uint64Size + msgp.ArrayHeaderSize + (len(z.Synced) * (msgp.Uint16Size)) + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize
 	return
 }
 
