Have a store with a full or stalling disk stay up and step aside

A store whose disk was full ended, and was started again until there was room; with a disk that stalled all its partitions waited.

The leader takes it out where another one is whole, and has it filled once its disk has taken all. At a start without room the store waits.

The rig of queue's tests syncs before it lets a second pass: a store whose disk took nothing for so long now refuses puts.

--- a/cmd/ravendale-store/main.go
+++ b/cmd/ravendale-store/main.go
@@ -13,7 +13,7 @@
 	program.Run("ravendale-store", "Keeps messages until they have ended.",
 		func(ctx context.Context, env program.Environment) error {
 			program.Memory(garbagePercent, env.Settings.MemoryMb)
-			p, err := newProcess(env)
+			p, err := newProcess(ctx, env)
 			if err != nil {
 				return err
 			}
--- a/cmd/ravendale-store/process.go
+++ b/cmd/ravendale-store/process.go
@@ -33,10 +33,10 @@
 	failed chan error
 }
 
-func newProcess(env program.Environment) (*process, error) {
+func newProcess(ctx context.Context, env program.Environment) (*process, error) {
 	s := env.Settings
 	p := &process{env: env, mux: rpc.NewMux(), failed: make(chan error, 1)}
-	opened, disk, err := store.OpenDisk(store.Config{
+	opened, disk, err := store.OpenDisk(ctx, store.Config{
 		Settings: s, Mux: p.mux, Log: env.Log, StatusChanged: func() { p.agent.RenewNow() }, Failed: p.fail,
 	})
 	if err != nil {
--- a/control/registry/registry.go
+++ b/control/registry/registry.go
@@ -57,7 +57,7 @@
 type Changes struct {
 	Members bool // the topic of members
 	Stores  bool // which stores live, or what they say
-	Lost    bool // a store is lost, or is leaving
+	Lost    bool // a store is lost, is leaving, or has a disk that takes nothing
 }
 
 func (c *Changes) add(other Changes) {
@@ -157,14 +157,14 @@
 	}
 	if renew.Member.Storage {
 		changes.Stores = known.member != renew.Member || !sameStatus(known.status, renew.Store)
-		changes.Lost = renew.Member.Leaving && !known.member.Leaving
+		changes.Lost = renew.Member.Leaving && !known.member.Leaving || renew.Store.Stalled && !known.status.Stalled
 	}
 	return changes
 }
 
 // sameStatus compares what the placement goes by.
 func sameStatus(a, b wire.StoreStatus) bool {
-	return a.Epoch == b.Epoch && slices.Equal(a.Synced, b.Synced)
+	return a.Epoch == b.Epoch && a.Stalled == b.Stalled && slices.Equal(a.Synced, b.Synced)
 }
 
 // Broken tells that a connection ended. A store whose last renewal came over it must renew soon. A scheduler has its lease, by which
--- a/queue/apply.go
+++ b/queue/apply.go
@@ -221,7 +221,7 @@
 // write appends a record and returns its bytes, place and position.
 func (c *Core) write(r *Record) (payload []byte, at journal.Location, position uint64) {
 	payload = r.encode()
-	at, position = c.journal.Append(payload)
+	at, position = c.append(payload)
 	return payload, at, position
 }
 
--- a/queue/core.go
+++ b/queue/core.go
@@ -79,6 +79,8 @@
 	// A primary hands out messages only if all members took something from it so recently: one that was frozen, and replaced
 	// meanwhile, finds out first.
 	confirmedFor = 300 * time.Millisecond
+	// A disk that has taken nothing for so long is stalled.
+	stalledAfter = 500 * time.Millisecond
 	refuseAbove  = 85 // percent of the disk: new messages are refused
 	rewriteAbove = 50 // percent of the disk: old segments are rewritten
 )
@@ -110,10 +112,12 @@
 	now     Time
 
 	view       *wire.StoreView
-	fence      uint64 // newest epoch seen: what is older is refused
-	sequence   uint64 // newest given or seen
-	durable    uint64 // position up to which the journal is on disk
-	started    bool   // the first view since the start has come
+	fence      uint64        // newest epoch seen: what is older is refused
+	sequence   uint64        // newest given or seen
+	durable    uint64        // position up to which the journal is on disk
+	waiting    time.Duration // since when what was appended waits for the disk; never: nothing does
+	stalled    bool          // as it was told last
+	started    bool          // the first view since the start has come
 	partitions []*partition
 	peers      map[string]*peer // by disk
 	peerList   []*peer
@@ -141,7 +145,7 @@
 func New(config Config, host Host) *Core {
 	return &Core{
 		config: config.withDefaults(), host: host, peers: make(map[string]*peer), byRemote: make(map[Remote]*peer),
-		edges: make(map[string]*edge), edgeOf: make(map[Remote]*edge), segments: make(map[uint32]int), wake: never,
+		edges: make(map[string]*edge), edgeOf: make(map[Remote]*edge), segments: make(map[uint32]int), wake: never, waiting: never,
 		nextWork: maintenanceEvery, nextScrub: scrubEvery,
 	}
 }
@@ -229,7 +233,7 @@
 
 // Status is what the control plane is told.
 func (c *Core) Status() wire.StoreStatus {
-	status := wire.StoreStatus{Epoch: c.epoch(), Messages: uint64(c.messages)}
+	status := wire.StoreStatus{Epoch: c.epoch(), Messages: uint64(c.messages), Stalled: c.stalled}
 	for _, p := range c.partitions {
 		if p == nil {
 			continue
@@ -256,6 +260,7 @@
 func (c *Core) Tick(now Time) {
 	c.now = now
 	c.wake = never
+	c.watchDisk()
 	c.dropEdges()
 	c.openAll()
 	c.remind()
@@ -268,6 +273,9 @@
 // nextWake is when Tick has something to do.
 func (c *Core) nextWake() time.Duration {
 	next := min(c.nextWork, c.nextScrub)
+	if c.waiting != never && !c.stalled {
+		next = min(next, c.waiting+stalledAfter)
+	}
 	for _, p := range c.partitions {
 		if p != nil && p.primary && !p.ready && !p.untold() {
 			next = min(next, p.since+p.window)
--- a/queue/core_test.go
+++ b/queue/core_test.go
@@ -119,6 +119,7 @@
 	r.same(b)
 	r.attach("e", e)
 	r.claim(e)
+	r.sync()
 	r.pass(time.Second)
 	return r, b, e
 }
--- a/queue/journal/journal.go
+++ b/queue/journal/journal.go
@@ -18,6 +18,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -31,8 +32,9 @@
 	segmentHeader = 8 + 4 // magic, number
 	magic         = "rvnjrnl1"
 	suffix        = ".journal"
-	keptBuffer    = 256 << 10 // larger buffers are given back after use
-	readGuess     = 2 << 10   // bytes read in the hope that they hold a record whole
+	keptBuffer    = 256 << 10              // larger buffers are given back after use
+	roomPause     = 100 * time.Millisecond // a disk without room is tried again
+	readGuess     = 2 << 10                // bytes read in the hope that they hold a record whole
 	scanBuffer    = 64 << 10
 )
 
@@ -56,8 +58,13 @@
 	SegmentBytes int // a segment that is as long takes no more; zero for the default
 	// OnSync is called after each sync with the position up to which all is on disk, by the journal's goroutine.
 	OnSync func(position uint64)
-	// OnError is called once when the disk fails: nothing is synced from then on.
+	// OnError is called once when the disk fails: nothing is synced from then on. A disk without room does not fail: what was
+	// appended waits until there is some.
 	OnError func(error)
+	// OnFull is called when the disk has no room, before the wait for it: once for each.
+	OnFull func()
+
+	write func(file *os.File, data []byte, at int64) error // tests only: in the place of the file's
 }
 
 // chunk is what one write puts into one segment.
@@ -91,6 +98,7 @@
 	err      error
 	closing  bool
 	wake     chan struct{}
+	stop     chan struct{} // closed by Close
 	done     chan struct{}
 }
 
@@ -100,12 +108,15 @@
 	if options.SegmentBytes <= 0 {
 		options.SegmentBytes = DefaultSegmentBytes
 	}
+	if options.write == nil {
+		options.write = writeAt
+	}
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, fmt.Errorf("journal: %w", err)
 	}
 	j := &Journal{
 		dir: dir, options: options, files: make(map[uint32]*os.File), sizes: make(map[uint32]uint32),
-		wake: make(chan struct{}, 1), done: make(chan struct{}),
+		wake: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
 	}
 	if err := j.recover(visit); err != nil {
 		j.closeFiles()
@@ -392,6 +403,7 @@
 	j.mu.Lock()
 	j.closing = true
 	j.mu.Unlock()
+	close(j.stop)
 	j.signal()
 	<-j.done
 	j.closeFiles()
@@ -425,7 +437,7 @@
 	j.queued, j.writing = nil, chunks
 	j.mu.Unlock()
 	for i := range chunks {
-		if err := j.write(&chunks[i]); err != nil {
+		if err := j.writeInTime(&chunks[i]); err != nil {
 			j.fail(err)
 			return false
 		}
@@ -451,6 +463,24 @@
 	}
 }
 
+// writeInTime writes a chunk once there is room for it. The whole chunk is written anew then: nothing of it has been synced.
+func (j *Journal) writeInTime(c *chunk) error {
+	for told := false; ; told = true {
+		err := j.write(c)
+		if !errors.Is(err, unix.ENOSPC) {
+			return err
+		}
+		if !told && j.options.OnFull != nil {
+			j.options.OnFull()
+		}
+		select {
+		case <-j.stop:
+			return err
+		case <-time.After(roomPause):
+		}
+	}
+}
+
 func (j *Journal) write(c *chunk) error {
 	if len(c.data) > 0 {
 		if err := j.writeData(c); err != nil {
@@ -477,7 +507,7 @@
 		file = j.files[c.segment]
 		j.mu.Unlock()
 	}
-	if _, err := file.WriteAt(c.data, int64(c.offset)); err != nil {
+	if err := j.options.write(file, c.data, int64(c.offset)); err != nil {
 		return fmt.Errorf("journal: segment %d: %w", c.segment, err)
 	}
 	if err := syncData(file); err != nil {
@@ -489,6 +519,11 @@
 	return nil
 }
 
+func writeAt(file *os.File, data []byte, at int64) error {
+	_, err := file.WriteAt(data, at)
+	return err
+}
+
 func syncData(file *os.File) error {
 	for {
 		err := unix.Fdatasync(int(file.Fd()))
--- a/queue/journal/journal_test.go
+++ b/queue/journal/journal_test.go
@@ -6,10 +6,12 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // open opens a journal and returns the records found in it, and a channel of synced positions.
@@ -202,3 +204,61 @@
 	}
 	require.NoError(b, j.Close())
 }
+
+// A disk without room is no failure: what was appended waits, is read as before, and is on disk once there is room.
+func TestRecordsWaitForRoom(t *testing.T) {
+	dir := t.TempDir()
+	var full atomic.Bool
+	refused := make(chan struct{}, 100)
+	synced := make(chan uint64, 100)
+	told := make(chan struct{}, 100)
+	options := Options{
+		SegmentBytes: 200,
+		OnFull:       func() { told <- struct{}{} },
+		OnSync:       func(position uint64) { synced <- position },
+		OnError:      func(err error) { t.Error(err) },
+		write: func(file *os.File, data []byte, at int64) error {
+			if !full.Load() {
+				return writeAt(file, data, at)
+			}
+			_ = writeAt(file, data[:len(data)/2], at) // as much as there was room for
+			refused <- struct{}{}
+			return &os.PathError{Op: "write", Path: file.Name(), Err: unix.ENOSPC}
+		},
+	}
+	j, err := Open(dir, options, func(Location, []byte) error { return nil })
+	require.NoError(t, err)
+	full.Store(true)
+	var want []string
+	for i := range 20 {
+		record := fmt.Sprintf("record %d", i)
+		want = append(want, record)
+		at, _ := j.Append([]byte(record))
+		payload, err := j.Read(at)
+		require.NoError(t, err)
+		require.Equal(t, record, string(payload))
+	}
+	<-refused
+	<-refused
+	require.Empty(t, synced, "nothing is called synced")
+	require.Len(t, told, 1)
+	full.Store(false)
+	await(t, synced, j.Position())
+	require.NoError(t, j.Close())
+	again, found, _ := open(t, dir, 200)
+	require.Equal(t, want, found)
+	require.NoError(t, again.Close())
+}
+
+func TestAJournalWithoutRoomCanBeClosed(t *testing.T) {
+	refused := make(chan struct{}, 100)
+	options := Options{OnError: func(error) {}, write: func(*os.File, []byte, int64) error {
+		refused <- struct{}{}
+		return unix.ENOSPC
+	}}
+	j, err := Open(t.TempDir(), options, func(Location, []byte) error { return nil })
+	require.NoError(t, err)
+	j.Append([]byte("record"))
+	<-refused
+	require.ErrorIs(t, j.Close(), unix.ENOSPC)
+}
--- a/queue/maintain.go
+++ b/queue/maintain.go
@@ -130,7 +130,7 @@
 				return
 			}
 			var at journal.Location
-			at, _ = c.journal.Append(payload)
+			at, _ = c.append(payload)
 			c.place(e, at)
 			size += len(payload)
 		}
--- a/queue/member.go
+++ b/queue/member.go
@@ -32,7 +32,7 @@
 			return
 		}
 		if c.changes(r) {
-			at, _ := c.journal.Append(payload)
+			at, _ := c.append(payload)
 			c.apply(r, at, m.Old)
 		}
 	}
--- a/queue/peer.go
+++ b/queue/peer.go
@@ -207,6 +207,7 @@
 func (c *Core) Durable(now Time, position uint64) {
 	c.now = now
 	c.durable = max(c.durable, position)
+	c.synced()
 	n := 0
 	for n < len(c.local) && c.local[n].position <= position {
 		n++
--- a/queue/requests.go
+++ b/queue/requests.go
@@ -48,6 +48,9 @@
 func (c *Core) copies() int { return max(c.config.Copies, int(c.view.Copies)) }
 
 func (c *Core) full() bool {
+	if c.stalled {
+		return true
+	}
 	if c.config.DiskBytes > 0 && c.journal.Used()*100 > c.config.DiskBytes*refuseAbove {
 		return true
 	}
--- /dev/null
+++ b/queue/stall_test.go
@@ -0,0 +1,76 @@
+package queue
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"ravendale/wire"
+)
+
+// A store whose disk takes nothing says so and refuses new messages, surely; once the disk has taken all it goes on.
+func TestAStoreWithAStalledDiskStepsAside(t *testing.T) {
+	r, b, e := primary(t)
+	r.sync()
+	waits := r.put(plain("0.1"), e)
+	r.ack(b)
+	r.pass(stalledAfter - ms)
+	assert.False(t, r.core.Status().Stalled)
+	r.pass(ms)
+	assert.True(t, r.core.Status().Stalled)
+	assert.Nil(t, waits.message, "whether it is kept is not known")
+	records := len(r.records)
+	assert.Equal(t, wire.PutRefused, code(t, r.put(plain("0.2"), e)))
+	assert.Len(t, r.records, records, "nothing of what is refused is kept")
+	r.sync()
+	assert.False(t, r.core.Status().Stalled)
+	assert.Equal(t, wire.PutKept, code(t, waits))
+	kept := r.put(plain("0.2"), e)
+	r.settle(b)
+	assert.Equal(t, wire.PutKept, code(t, kept))
+}
+
+func TestAFullDiskIsToldAtOnce(t *testing.T) {
+	r, b, e := primary(t)
+	r.sync()
+	r.core.DiskFull(r.now)
+	assert.False(t, r.core.Status().Stalled, "there was room meanwhile")
+	waits := r.put(plain("0.1"), e)
+	r.ack(b)
+	r.core.DiskFull(r.now)
+	assert.True(t, r.core.Status().Stalled)
+	assert.Equal(t, wire.PutRefused, code(t, r.put(plain("0.2"), e)))
+	r.sync()
+	assert.False(t, r.core.Status().Stalled)
+	assert.Equal(t, wire.PutKept, code(t, waits))
+}
+
+// A disk that is slow and takes one after another is not stalled.
+func TestASlowDiskIsNotStalled(t *testing.T) {
+	r, b, e := primary(t)
+	r.sync()
+	for i := range 5 {
+		r.put(plain("0.1"+string(rune('a'+i))), e)
+		r.put(plain("0.2"+string(rune('a'+i))), e)
+		r.ack(b)
+		r.pass(stalledAfter - 100*ms)
+		r.core.Durable(r.now, r.Position()-1)
+		assert.False(t, r.core.Status().Stalled)
+	}
+	r.sync()
+	r.pass(10 * time.Second)
+	r.sync()
+	assert.False(t, r.core.Status().Stalled)
+}
+
+// What waited for the disk when others took the store's place is not kept by its word.
+func TestAStalledStoreThatIsReplacedIsUnsureOfWhatWaited(t *testing.T) {
+	r, b, e := primary(t)
+	r.sync()
+	waits := r.put(plain("0.1"), e)
+	r.ack(b)
+	r.pass(stalledAfter)
+	r.view(2, []uint16{1}, []uint16{2})
+	assert.Equal(t, wire.PutUnknown, code(t, waits))
+}
--- a/queue/store/damage.go
+++ b/queue/store/damage.go
@@ -1,23 +1,45 @@
 package store
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
 	"slices"
+	"time"
+
+	"golang.org/x/sys/unix"
 
 	"ravendale/queue/journal"
 )
 
 const (
-	damagedFolder = "damaged" // what was set aside
-	damagedPart   = 8         // it may take one in so many bytes of the disk
+	roomPause     = 200 * time.Millisecond // a disk without room is tried again
+	damagedFolder = "damaged"              // what was set aside
+	damagedPart   = 8                      // it may take one in so many bytes of the disk
 )
 
 // OpenDisk opens the store of a disk, and names the disk's identity. A disk whose journal is damaged is taken for an empty one with a
-// new identity: the other replicas fill it. What was there is kept beside it, as far as there is room.
-func OpenDisk(config Config) (s *Store, disk string, err error) {
+// new identity: the other replicas fill it. What was there is kept beside it, as far as there is room. A disk without room is waited for.
+func OpenDisk(ctx context.Context, config Config) (s *Store, disk string, err error) {
+	for told := false; ; told = true {
+		s, disk, err = openOrBeginAnew(config)
+		if !errors.Is(err, unix.ENOSPC) {
+			return s, disk, err
+		}
+		if !told {
+			logger(&config).Warn("the disk has no room: the store waits for it", "error", err)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, "", err
+		case <-time.After(roomPause):
+		}
+	}
+}
+
+func openOrBeginAnew(config Config) (s *Store, disk string, err error) {
 	s, disk, err = openDisk(config)
 	if !errors.Is(err, journal.ErrDamaged) {
 		return s, disk, err
--- a/queue/store/store.go
+++ b/queue/store/store.go
@@ -89,7 +89,7 @@
 }
 
 func (s *Store) recover() error {
-	options := journal.Options{OnSync: s.synced, OnError: s.fail}
+	options := journal.Options{OnSync: s.synced, OnError: s.fail, OnFull: s.full}
 	if s.config.Settings.DiskMb > 0 {
 		options.SegmentBytes = min(max(s.config.Settings.DiskMb<<20/segmentsOfDisk, leastSegment), journal.DefaultSegmentBytes)
 	}
@@ -134,6 +134,8 @@
 	s.do(func(now queue.Time) { s.core.Durable(now, position) })
 }
 
+func (s *Store) full() { s.do(s.core.DiskFull) }
+
 func (s *Store) fail(err error) {
 	s.mu.Lock()
 	first := s.failure == nil && !s.closed
--- a/queue/store/store_test.go
+++ b/queue/store/store_test.go
@@ -231,7 +231,7 @@
 	var disks []string
 	for range 2 {
 		config.Mux = rpc.NewMux()
-		s, disk, err := OpenDisk(config)
+		s, disk, err := OpenDisk(t.Context(), config)
 		require.NoError(t, err)
 		assert.Zero(t, s.Status().Messages)
 		require.NoError(t, s.Close())
