Accept a message only on enough disks, also when members go meanwhile

Two orders found by exhaustive search of a small queue: - A put under way was answered with success by the last member alone once the placement shrank to it: no member was missing any more. - A new primary answered a repeated put at once for a message that its predecessor left unfinished, while its joining member, or another replica, did not have it yet.

A put ends only with as many members as copies are wanted; it goes on in the next placement. A repeated put is sent to all members first, unless the partition was compared with all and none is joining. Each has a test in queue/core_test.go that fails without its guard.

--- a/queue/core_test.go
+++ b/queue/core_test.go
@@ -573,3 +573,34 @@
 	b.ReportAllocs()
 	fillCore(b, b.N, false)
 }
+
+// A primary that is lost may leave a message at some of the members. A repeat of the put is accepted once it is at all.
+func TestARepeatedPutIsAcceptedOnceAllMembersHaveIt(t *testing.T) {
+	r, b := successor(t, &Record{ID: "0.1", Sequence: 1, Holder: "e", Message: plain("")})
+	e := &heard{}
+	r.attach("e", e)
+	r.sync()
+	again := r.put(plain("0.1"), e)
+	more := r.put(plain("0.1"), e)
+	assert.Nil(t, again.message, "the other replica may not have it")
+	r.ack(b)
+	assert.Equal(t, wire.PutKept, code(t, again))
+	assert.Equal(t, wire.PutKept, code(t, more))
+	r.same(b)
+	assert.Equal(t, wire.PutKept, code(t, r.put(plain("0.1"), e)), "all is compared")
+}
+
+// Members that are lost while a message is being kept don't count: it is accepted once it is on enough disks again.
+func TestAPutIsNotAcceptedOnTooFewDisks(t *testing.T) {
+	r, _, e := primary(t)
+	waits := r.put(plain("0.1"), e)
+	r.sync()
+	r.view(2, []uint16{0}, nil)
+	assert.Nil(t, waits.message, "it is on one disk")
+	c := &heard{}
+	r.view(3, []uint16{0}, []uint16{2})
+	assert.Nil(t, waits.message)
+	r.core.PeerUp(r.now, "c", c)
+	r.ack(c)
+	assert.Equal(t, wire.PutKept, code(t, waits))
+}
--- a/queue/peer.go
+++ b/queue/peer.go
@@ -248,8 +248,8 @@
 
 // complete ends a change if it is on disk everywhere.
 func (c *Core) complete(o *op) {
-	if !o.local || o.missing != 0 || o.index < 0 {
-		return
+	if !o.local || o.missing != 0 || o.index < 0 || o.put && len(o.p.members)+1 < c.copies() {
+		return // with too few members a message is not accepted; the next placement goes on with it
 	}
 	o.p.removeOp(o)
 	o.p.confirmed = max(o.p.confirmed, o.since)
--- a/queue/requests.go
+++ b/queue/requests.go
@@ -80,13 +80,38 @@
 		c.own(p, e, from)
 		c.turn(p, e, true)
 	}
-	if e.live != nil && e.live.putting && e.live.last != nil {
+	if e.live != nil && e.live.last != nil && (e.live.putting || e.live.last.put) {
 		e.live.last.waiters = append(e.live.last.waiters, asks(reply, from))
 		return
 	}
+	if e.pending() && !c.isEverywhere(p) {
+		c.keepEverywhere(p, e, asks(reply, from))
+		return
+	}
 	reply.Send(c.kept(p, e, from))
 }
 
+// isEverywhere says whether all that a primary has is at enough members. What one before it left unfinished may not be.
+func (c *Core) isEverywhere(p *partition) bool {
+	return !p.untold() && len(p.fillers) == 0 && len(p.members)+1 >= c.copies()
+}
+
+// keepEverywhere has all members take a message, and answers then.
+func (c *Core) keepEverywhere(p *partition, e *entry, w waiter) {
+	payload := c.wholeBytes(p, e)
+	if payload == nil {
+		return
+	}
+	position := c.journal.Position()
+	o := c.begin(p, e, position, payload)
+	o.put = true
+	o.waiters = append(o.waiters, w)
+	if c.durable >= position {
+		o.local = true
+		c.complete(o)
+	}
+}
+
 // asks makes the waiter of a Put.
 func asks(reply Replier, from *edge) waiter {
 	w := waiter{reply: reply, put: true, edge: from}
