--- a/queue/sim_test.go
+++ b/queue/sim_test.go
@@ -67,6 +67,7 @@
 	stopped  bool          // no more puts and faults
 	calm     bool          // no faults: nothing may run again after it has ended
 	lag      time.Duration // edges and stores hear of a view so late, at most
+	leader   func()        // who places the partitions; nil: a simple one
 }
 
 type simMessage struct {
@@ -143,14 +144,23 @@
 	sim     *sim
 	records [][]byte
 	first   int // index of the first that was not removed
+	gone    int // index of the first of which the removal was not asked for
 	durable int
+	removes []simRemove
 	owner   *simStore
 	life    int
 	syncing bool
+	stalled time.Duration // until then it takes nothing
 }
 
 const simSegment = 40 // records
 
+// simRemove is the removal of all records before one, once those up to another one are on disk.
+type simRemove struct {
+	first int
+	after int
+}
+
 func (d *simDisk) Append(payload []byte) (journal.Location, uint64) {
 	d.records = append(d.records, slices.Clone(payload))
 	d.sync()
@@ -173,11 +183,13 @@
 		if d.sim.random.IntN(10) == 0 {
 			takes = d.sim.between(5*ms, 40*ms)
 		}
+		takes = max(takes, d.stalled-d.sim.now)
 		d.sim.after(takes, func() {
 			if life != d.life {
 				return
 			}
 			d.durable = max(d.durable, upTo)
+			d.remove()
 			d.syncing = false
 			if d.durable < len(d.records) {
 				d.sync()
@@ -197,13 +209,25 @@
 	return d.records[i], nil
 }
 
-func (d *simDisk) Remove(segment uint32) { d.first = int(segment) * simSegment }
+// Remove takes effect once all that was appended so far is on disk.
+func (d *simDisk) Remove(segment uint32) {
+	d.gone = int(segment) * simSegment
+	d.removes = append(d.removes, simRemove{first: d.gone, after: len(d.records)})
+	d.remove()
+}
+
+func (d *simDisk) remove() {
+	for len(d.removes) > 0 && d.removes[0].after <= d.durable {
+		d.first = d.removes[0].first
+		d.removes = d.removes[1:]
+	}
+}
 
 func (d *simDisk) Segments() (oldest, newest uint32) {
-	return uint32(d.first/simSegment) + 1, uint32(max(len(d.records)-1, 0)/simSegment) + 1
+	return uint32(d.gone/simSegment) + 1, uint32(max(len(d.records)-1, 0)/simSegment) + 1
 }
 
-func (d *simDisk) Used() int64 { return int64(len(d.records)-d.first) * 100 }
+func (d *simDisk) Used() int64 { return int64(len(d.records)-d.gone) * 100 }
 
 // stop ends the life of who uses the disk; without power, part of what was not synced is lost.
 func (d *simDisk) stop(power bool) {
@@ -213,6 +237,7 @@
 		d.records = d.records[:d.durable+d.sim.random.IntN(len(d.records)-d.durable+1)]
 	}
 	d.durable = len(d.records)
+	d.removes, d.gone = nil, d.first
 }
 
 // simConn is a connection; each end notifies the other.
@@ -543,6 +568,10 @@
 
 // lead is the leader: it takes silent stores out, has others join, and promotes those that are whole.
 func (s *sim) lead() {
+	if s.leader != nil {
+		s.leader()
+		return
+	}
 	next := &wire.StoreView{Epoch: s.view.Epoch + 1, Copies: s.view.Copies, Stores: s.view.Stores}
 	for number, place := range s.view.Partitions {
 		next.Partitions = append(next.Partitions, s.place(uint16(number), place))
@@ -553,6 +582,12 @@
 	s.enact(next)
 }
 
+// storeOf is the index of the store that has a disk of a view, by its index there.
+func (s *sim) storeOf(view *wire.StoreView, index uint16) (uint16, bool) {
+	at := slices.IndexFunc(s.stores, func(n *simStore) bool { return n.disk.name == view.Stores[index].Disk })
+	return uint16(max(at, 0)), at >= 0
+}
+
 // enact has a view take effect.
 func (s *sim) enact(next *wire.StoreView) {
 	s.view = next
--- a/queue/simedge_test.go
+++ b/queue/simedge_test.go
@@ -141,13 +141,16 @@
 
 func (e *simEdge) primary(id string) (uint16, bool) {
 	number, _ := wire.PartitionOf(id)
-	return e.view.Partitions[number].Replicas[0], e.view != nil
+	if e.view == nil || len(e.view.Partitions[number].Replicas) == 0 {
+		return 0, false
+	}
+	return e.sim.storeOf(e.view, e.view.Partitions[number].Replicas[0])
 }
 
 func (e *simEdge) claim(i uint16) {
 	claim := &wire.Claim{Epoch: e.view.Epoch}
 	for _, id := range e.names() {
-		if primary, _ := e.primary(id); primary == i {
+		if primary, ok := e.primary(id); ok && primary == i {
 			claim.IDs = append(claim.IDs, id)
 		}
 	}
@@ -412,7 +415,8 @@
 // checkEqual finds out whether all members of each partition know the same.
 func (s *sim) checkEqual() {
 	for number, place := range s.view.Partitions {
-		first := s.stores[place.Replicas[0]].core.at(uint16(number))
+		primary, _ := s.storeOf(s.view, place.Replicas[0])
+		first := s.stores[primary].core.at(uint16(number))
 		if len(place.Joining) > 0 || len(place.Replicas) < int(s.view.Copies) {
 			s.fail("partition %d has not got back its members: %v", number, place)
 		}
@@ -422,10 +426,11 @@
 				s.fail("message %s is left pending:%s", e.id, s.describe(e.id))
 			}
 		}
-		for _, i := range place.Replicas[1:] {
+		for _, replica := range place.Replicas[1:] {
+			i, _ := s.storeOf(s.view, replica)
 			other := s.stores[i].core.at(uint16(number))
 			if first.horizon == other.horizon && first.sums != other.sums {
-				s.fail("partition %d differs at %s and %s", number, s.stores[place.Replicas[0]].disk.name, s.stores[i].disk.name)
+				s.fail("partition %d differs at %s and %s", number, s.stores[primary].disk.name, s.stores[i].disk.name)
 			}
 		}
 	}
--- /dev/null
+++ b/queue/simplan_test.go
@@ -0,0 +1,486 @@
+package queue
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ravendale/control/placement"
+	"ravendale/queue/journal"
+	"ravendale/wire"
+)
+
+// The simulation of this file has the real planner place the partitions. Stores are lost, replaced, retired and added in any overlap, as
+// long as no more of them count as lost at once than may be: a store counts from its loss until catchUp after it is back. What is not a
+// loss comes at any time: a connection that is reset, for which the leader drops a store that has lost nothing; a disk that takes no
+// more; a retirement; a new store.
+
+// catchUp is how long a store counts as lost after its return.
+const catchUp = 4400 * ms
+
+// planMutant breaks the placement on purpose.
+type planMutant struct {
+	forgetFormer bool // what dropped members have is forgotten
+	retireEarly  bool // a retirement is done once one other store holds all
+	takeUnfilled bool // a joining store is called whole though it does not say so
+}
+
+// planned is a simulation under the real planner.
+type planned struct {
+	*sim
+	config  placement.Config
+	mutant  planMutant
+	nodes   []*plannedNode
+	retired []string
+	effects map[string]int
+	trace   func(format string, args ...any) // nil: none
+}
+
+// plannedNode is what the leader and the world know of a machine.
+type plannedNode struct {
+	store   *simStore
+	name    string
+	told    placement.Store // of the last renewal
+	heard   bool            // it holds a lease
+	removed bool            // the machine is gone for good
+	lost    bool            // it counts as lost
+	losses  int
+}
+
+func newPlanned(t *testing.T, seed uint64, m planMutant) *planned {
+	copies := 2 + int(seed%4/3)
+	count := copies + 1 + int(seed/2%2)
+	s := newSim(t, seed, count, 2, 4, copies, mutant{})
+	p := &planned{
+		sim: s, mutant: m, effects: make(map[string]int),
+		config: placement.Config{Copies: copies, Partitions: 4},
+	}
+	s.leader = p.lead
+	for i, store := range s.stores {
+		p.adopt(store, fmt.Sprintf("node%d", i))
+	}
+	var live []placement.Store
+	for _, n := range p.nodes {
+		live = append(live, n.told)
+	}
+	view, founded := placement.Plan(nil, live, p.config)
+	require.True(t, founded)
+	view.Epoch = s.view.Epoch + 1
+	s.enact(view)
+	return p
+}
+
+func (p *planned) adopt(store *simStore, name string) *plannedNode {
+	n := &plannedNode{store: store, name: name, heard: true}
+	n.tell()
+	p.nodes = append(p.nodes, n)
+	return n
+}
+
+// tell is a renewal.
+func (n *plannedNode) tell() {
+	n.told = placement.Store{Disk: n.store.disk.name, Node: n.name, Address: n.name, Zone: n.name, Leaving: n.told.Leaving}
+	if n.store.core != nil {
+		status := n.store.core.Status()
+		n.told.Epoch, n.told.Synced, n.told.Stalled = status.Epoch, status.Synced, status.Stalled
+	}
+}
+
+// lead places the partitions anew if they should be, and has a store that is retired removed with its disk.
+func (p *planned) lead() {
+	var live []placement.Store
+	for _, n := range p.nodes {
+		if n.store.up && n.heard {
+			n.tell()
+		}
+		if n.heard {
+			live = append(live, p.mutated(n.told))
+		}
+	}
+	view := p.view
+	for _, name := range p.retired {
+		view = p.early(view, name)
+	}
+	next, changed := placement.Plan(view, live, p.config)
+	if p.mutant.forgetFormer {
+		for i := range next.Partitions {
+			next.Partitions[i].Former, next.Partitions[i].Unsure = nil, false
+		}
+	}
+	if changed || view != p.view {
+		p.enact(next)
+		p.note("%+v", next.Partitions)
+	}
+	for _, n := range p.nodes {
+		if _, _, done := placement.Retirement(p.view, n.name); done && !n.removed {
+			p.remove(n)
+			p.strike("after retirement")
+		}
+	}
+}
+
+// strike has another store lose its disk right after something has made up for a loss, as often as not.
+func (p *planned) strike(when string) {
+	if p.stopped || p.random.IntN(2) == 0 {
+		return
+	}
+	p.after(p.between(0, 60*ms), func() {
+		if n := p.nodes[p.random.IntN(len(p.nodes))]; p.play("wipe", n) {
+			p.note("wipe %s %s", when, n.name)
+			p.effects["wipe "+when]++
+		}
+	})
+}
+
+func (p *planned) mutated(told placement.Store) placement.Store {
+	if p.mutant.takeUnfilled && told.Epoch == p.view.Epoch {
+		told.Synced = nil
+		for number := range p.view.Partitions {
+			told.Synced = append(told.Synced, uint16(number))
+		}
+	}
+	return told
+}
+
+// early takes a retiring store out once one other replica is whole, as the mutant does.
+func (p *planned) early(view *wire.StoreView, name string) *wire.StoreView {
+	at := slices.IndexFunc(view.Stores, func(s wire.Store) bool { return s.Node == name && s.Retiring })
+	if !p.mutant.retireEarly || at < 0 || !placement.Holds(view, at) {
+		return view
+	}
+	next := *view
+	next.Partitions = slices.Clone(view.Partitions)
+	for i, place := range next.Partitions {
+		rest := slices.DeleteFunc(slices.Clone(place.Replicas), func(s uint16) bool { return int(s) == at })
+		if len(rest) > 0 {
+			next.Partitions[i].Replicas = rest
+		}
+	}
+	return &next
+}
+
+// losing says whether another store may be lost now, and that one counts from now on.
+func (p *planned) losing(n *plannedNode) bool {
+	lost := 0
+	for _, other := range p.nodes {
+		if other.lost {
+			lost++
+		}
+	}
+	if n.lost || n.removed || !n.store.up || lost >= p.config.Copies-1 {
+		return false
+	}
+	n.lost = true
+	n.losses++
+	return true
+}
+
+// found has a store that is back count no more after its time.
+func (p *planned) found(n *plannedNode) {
+	losses := n.losses
+	p.after(catchUp, func() {
+		if n.losses == losses {
+			n.lost = false
+			p.strike("after return")
+		}
+	})
+}
+
+// down stops a store; the leader finds out a little later.
+func (p *planned) down(n *plannedNode, power bool) {
+	n.store.stop(power)
+	life := n.store.disk.life
+	p.after(p.between(150*ms, 700*ms), func() {
+		if n.store.disk.life == life && !n.store.up {
+			n.heard = false
+		}
+	})
+}
+
+func (p *planned) back(n *plannedNode, pause time.Duration) {
+	p.after(pause, func() {
+		if n.removed {
+			return
+		}
+		n.store.start()
+		n.told.Leaving = false
+		p.hear(n, p.between(50*ms, 300*ms))
+		p.found(n)
+	})
+}
+
+func (p *planned) hear(n *plannedNode, pause time.Duration) {
+	life := n.store.disk.life
+	p.after(pause, func() {
+		if n.store.up && n.store.disk.life == life {
+			n.heard = true
+			n.tell()
+		}
+	})
+}
+
+// wipe gives a store that is down an empty disk.
+func (p *planned) wipe(n *plannedNode) {
+	old := n.store.disk
+	n.store.disk = &simDisk{name: fmt.Sprintf("%s+%d", old.name, n.losses), sim: p.sim, owner: n.store, life: old.life}
+	p.checkHeld()
+}
+
+// remove takes a machine away for good, with its disk. An empty one of another name and address comes in its place.
+func (p *planned) remove(n *plannedNode) {
+	n.removed = true
+	if n.store.up {
+		p.down(n, true)
+	}
+	p.after(p.between(0, 2*time.Second), func() {
+		p.add()
+		p.found(n) // it counts until its successor has caught up
+	})
+	p.checkHeld()
+}
+
+func (p *planned) add() *plannedNode {
+	store := newSimStore(p.sim, len(p.stores), p.config.Copies)
+	p.stores = append(p.stores, store)
+	n := p.adopt(store, fmt.Sprintf("node%d", len(p.nodes)))
+	n.heard = false
+	store.start()
+	p.hear(n, p.between(50*ms, 300*ms))
+	return n
+}
+
+// trouble plays events until the end.
+func (p *planned) trouble() {
+	p.after(p.between(100*ms, 1500*ms), func() {
+		if p.stopped {
+			return
+		}
+		p.event()
+		p.trouble()
+	})
+}
+
+func (p *planned) event() {
+	n := p.nodes[p.random.IntN(len(p.nodes))]
+	name := []string{"kill", "power", "wipe", "replace", "reset", "reset", "retire", "leave", "edge", "all", "add", "stall"}[p.random.IntN(12)]
+	if p.play(name, n) {
+		p.note("%s %s", name, n.name)
+		p.effects[name]++
+	}
+}
+
+// note tells what happens to a history that is looked at.
+func (p *planned) note(format string, args ...any) {
+	if p.trace != nil {
+		p.trace("%v "+format, append([]any{p.now}, args...)...)
+	}
+}
+
+// play says whether an event took effect.
+func (p *planned) play(name string, n *plannedNode) bool {
+	switch name {
+	case "kill", "power", "leave":
+		if !p.losing(n) {
+			return false
+		}
+		n.told.Leaving = name == "leave"
+		p.after(p.between(0, 400*ms), func() {
+			p.down(n, name == "power")
+			p.back(n, p.between(100*ms, 3*time.Second))
+		})
+	case "wipe": // now and then all others lose power as well
+		if !p.losing(n) {
+			return false
+		}
+		all := p.random.IntN(3) == 0
+		p.down(n, true)
+		p.wipe(n)
+		p.back(n, p.between(100*ms, 3*time.Second))
+		if all {
+			p.blackout(n)
+		}
+	case "replace":
+		if !p.losing(n) {
+			return false
+		}
+		p.remove(n)
+	case "reset":
+		return p.reset(n)
+	case "stall":
+		n.store.disk.stalled = p.now + p.between(200*ms, 4*time.Second)
+		return n.store.up && !n.removed
+	case "retire":
+		return p.retire(n)
+	case "edge":
+		return p.restartEdge(p.edges[p.random.IntN(len(p.edges))])
+	case "all":
+		if slices.ContainsFunc(p.nodes, func(n *plannedNode) bool { return n.lost }) {
+			return false
+		}
+		p.blackout(nil)
+	case "add":
+		if len(p.nodes) > 8 {
+			return false
+		}
+		p.add()
+	}
+	return true
+}
+
+// blackout has all stores but one lose power. They count as lost until they have caught up.
+func (p *planned) blackout(but *plannedNode) {
+	for _, n := range p.nodes {
+		if n == but || n.removed || !n.store.up {
+			continue
+		}
+		n.lost = true
+		n.losses++
+		p.down(n, true)
+		p.back(n, p.between(100*ms, 800*ms))
+	}
+}
+
+// reset breaks a store's connections: the leader may drop it though it runs on.
+func (p *planned) reset(n *plannedNode) bool {
+	if !n.store.up || n.removed {
+		return false
+	}
+	for _, c := range n.store.conns {
+		c.close()
+	}
+	p.after(150*ms, func() {
+		if n.store.up && !n.removed {
+			n.heard = false
+			p.hear(n, p.between(20*ms, 400*ms))
+		}
+	})
+	return true
+}
+
+func (p *planned) retire(n *plannedNode) bool {
+	var live []placement.Store
+	for _, other := range p.nodes {
+		if other.heard {
+			live = append(live, other.told)
+		}
+	}
+	marked, _, enough := placement.Retire(p.view, live, p.config, n.name)
+	if !enough || slices.Contains(p.retired, n.name) || n.removed {
+		return false
+	}
+	p.retired = append(p.retired, n.name)
+	p.enact(marked)
+	return true
+}
+
+func (p *planned) restartEdge(e *simEdge) bool {
+	if e.up {
+		e.stop()
+		p.after(p.between(100*ms, time.Second), e.start)
+	}
+	return e.up
+}
+
+// checkHeld finds out whether all that was accepted and has not ended is on some disk that is left, of a store that has, or had, a part
+// in its partition.
+func (p *planned) checkHeld() {
+	held := make(map[string]bool)
+	for _, n := range p.nodes {
+		at := slices.IndexFunc(p.view.Stores, func(s wire.Store) bool { return s.Disk == n.store.disk.name })
+		if n.removed || at < 0 {
+			continue
+		}
+		core := n.store.recovered()
+		for number, place := range p.view.Partitions {
+			if !slices.Contains(slices.Concat(place.Replicas, place.Joining, place.Former), uint16(at)) || core.known(uint16(number)) == nil {
+				continue
+			}
+			for _, e := range core.at(uint16(number)).entries {
+				held[e.id] = true
+			}
+		}
+	}
+	for _, id := range p.names {
+		if m := p.messages[id]; m.keptAt > 0 && m.endedAt == 0 && !held[id] {
+			p.fail("message %s was accepted at %v, and no store that counts has it:%s", id, m.keptAt, p.describe(id))
+			return
+		}
+	}
+}
+
+// recovered is what a store would know if it lost power now.
+func (n *simStore) recovered() *Core {
+	core := New(Config{Disk: n.disk.name, Copies: n.copies}, simHost{n, n.disk.life})
+	for i := n.disk.first; i < n.disk.durable; i++ {
+		at := journal.Location{Segment: uint32(i/simSegment) + 1, Offset: uint32(i % simSegment)}
+		if err := core.Recover(n.time(), at, n.disk.records[i]); err != nil {
+			n.sim.fail("recovery: %v", err)
+		}
+	}
+	return core
+}
+
+// playPlanned runs a history under the planner, and returns what went wrong, if anything, and what took effect.
+func playPlanned(t *testing.T, seed uint64, m planMutant) (failure string, effects map[string]int) {
+	p := newPlanned(t, seed, m)
+	if os.Getenv("QUEUE_TRACE") != "" {
+		p.trace = t.Logf
+	}
+	p.trouble()
+	p.run(25 * time.Second)
+	p.stopped = true
+	for _, e := range p.edges { // what only an edge knows is lost
+		p.restartEdge(e)
+	}
+	p.run(45 * time.Second)
+	if p.failure == "" {
+		p.checkHeld()
+		p.check()
+	}
+	return p.failure, p.effects
+}
+
+// plannedHistories are played by default; QUEUE_PLANNED names more, as first-count.
+const plannedHistories = 10
+
+func TestNothingIsLostWhileStoresComeAndGo(t *testing.T) {
+	first, count := uint64(0), uint64(plannedHistories)
+	if text := os.Getenv("QUEUE_PLANNED"); text != "" {
+		_, err := fmt.Sscanf(text, "%d-%d", &first, &count)
+		require.NoError(t, err)
+	}
+	total := make(map[string]int)
+	for seed := first; seed < first+count; seed++ {
+		failure, effects := playPlanned(t, seed, planMutant{})
+		require.Empty(t, failure)
+		for name, times := range effects {
+			total[name] += times
+		}
+	}
+	t.Logf("%d histories, took effect: %v", count, total)
+}
+
+func TestMutantsOfThePlacementAreCaught(t *testing.T) {
+	mutants := map[string]planMutant{
+		"forget former members":        {forgetFormer: true},
+		"retired at the first copy":    {retireEarly: true},
+		"joining store taken unfilled": {takeUnfilled: true},
+	}
+	for name, m := range mutants {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(40) {
+				if failure, _ := playPlanned(t, seed, m); failure != "" {
+					t.Log(failure)
+					return
+				}
+			}
+			assert.Fail(t, "no history shows it")
+		})
+	}
+}
