Let no stalled store stand in for a member that has yet to tell what it has

And a partition stayed unsure though its former member had just told all, when its primary stalled at that moment.

Former members join again once their disks take writes; whom a promotion makes whole is taken off the former ones at once; a primary is chosen among those that can write first.

--- a/control/placement/former.go
+++ b/control/placement/former.go
@@ -64,7 +64,10 @@
 	for _, s := range part.joining {
 		part.addFormer(s)
 	}
-	first := slices.IndexFunc(part.former, func(s *store) bool { return s.live })
+	first := slices.IndexFunc(part.former, func(s *store) bool { return s.live && !s.stalled })
+	if first < 0 {
+		first = slices.IndexFunc(part.former, func(s *store) bool { return s.live })
+	}
 	var primary *store
 	if first >= 0 {
 		primary = part.former[first]
@@ -94,7 +97,7 @@
 			continue
 		}
 		for _, s := range part.former {
-			if s.live && !part.has(s) {
+			if s.live && !s.stalled && !part.has(s) {
 				part.joining = append(part.joining, s)
 				s.load++
 			}
@@ -102,20 +105,24 @@
 	}
 }
 
-// forgetFormer forgets former members that are whole again, and all once enough stores that stay are whole. An unsure primary needs all
-// of them: each has given it what it has once it is whole.
+// tell notes the former members that are whole now: each has given an unsure primary what it has.
+func (p *partition) tell() {
+	p.former = without(p.former, func(s *store) bool { return slices.Contains(p.replicas, s) })
+	p.unsure = p.unsure && len(p.former) > 0
+	p.covered = p.covered && len(p.former) > 0
+}
+
+// forgetFormer forgets the former members of partitions of which enough stores that stay are whole. An unsure primary needs all of them.
 func (p *plan) forgetFormer() {
 	for i := range p.partitions {
 		part := &p.partitions[i]
 		if part.stuck() {
 			continue
 		}
-		part.former = without(part.former, func(s *store) bool { return slices.Contains(part.replicas, s) })
 		if !part.unsure && p.enough(part.replicas) || p.config.mutant.forgetFormer {
 			part.former = nil
 		}
-		part.unsure = part.unsure && len(part.former) > 0
-		part.covered = part.covered && len(part.former) > 0
+		part.tell()
 	}
 }
 
--- a/control/placement/guards_test.go
+++ b/control/placement/guards_test.go
@@ -284,6 +284,45 @@
 	requireEven(t, parts, live, 1)
 }
 
+// A former member whose disk takes nothing is no member yet: it would stand in for one that is filled.
+func TestAStalledFormerMemberDoesNotRejoin(t *testing.T) {
+	live := storesIn(1, 1, 1, 1)
+	c := config(2)
+	view, _ := Plan(nil, live, c)
+	place := &view.Partitions[0]
+	primary, other := view.Stores[place.Replicas[0]].Disk, place.Replicas[1]
+	place.Replicas = place.Replicas[:1]
+	place.Former, place.Unsure = []uint16{other}, true
+	stalled := slices.Clone(live)
+	stalled[slices.IndexFunc(live, func(s Store) bool { return s.Disk == view.Stores[other].Disk })].Stalled = true
+	next, _ := Plan(view, stalled, c)
+	joining := disks(next, next.Partitions[0].Joining)
+	require.Len(t, joining, 1)
+	require.NotContains(t, joining, view.Stores[other].Disk)
+	require.True(t, next.Partitions[0].Unsure, "it has yet to tell")
+	require.Equal(t, []string{primary}, disks(next, next.Partitions[0].Replicas))
+	next, _ = Plan(next, live, c)
+	require.Contains(t, disks(next, next.Partitions[0].Joining), view.Stores[other].Disk)
+	requireWhole(t, settle(t, next, live, c), 2)
+}
+
+// One that has just told all leaves the primary sure, also if the primary's own disk stalls at that moment.
+func TestAPrimaryThatWasToldAllIsSureBeforeItIsDropped(t *testing.T) {
+	live := storesIn(1, 1, 1)
+	c := config(2)
+	view, _ := Plan(nil, live, c)
+	place := &view.Partitions[0]
+	primary, other := place.Replicas[0], place.Replicas[1]
+	place.Replicas = []uint16{primary}
+	place.Joining, place.Former, place.Unsure = []uint16{other}, []uint16{other}, true
+	told := synced(view, live)
+	told[slices.IndexFunc(live, func(s Store) bool { return s.Disk == view.Stores[primary].Disk })].Stalled = true
+	next, _ := Plan(view, told, c)
+	require.Equal(t, []string{view.Stores[other].Disk}, disks(next, next.Partitions[0].Replicas))
+	require.Equal(t, []string{view.Stores[primary].Disk}, disks(next, next.Partitions[0].Former))
+	require.False(t, next.Partitions[0].Unsure)
+}
+
 func TestStalledStoresStayIfTooFewOthersCanWrite(t *testing.T) {
 	live := storesIn(1, 1, 1)
 	c := config(2)
--- a/control/placement/plan.go
+++ b/control/placement/plan.go
@@ -174,6 +174,7 @@
 			}
 		}
 		part.joining = without(part.joining, whole)
+		part.tell()
 	}
 }
 
