--- a/queue/simplan_test.go
+++ b/queue/simplan_test.go
@@ -20,6 +20,10 @@
 // loss comes at any time: a connection that is reset, for which the leader drops a store that has lost nothing; a disk that takes no
 // more; a retirement; a new store.
 
+// plannedKeeps is how long ended messages are known: as in use, much longer than a store that is not a member any more keeps what it
+// had (releasedFor). Else a store that joins with what it had long ago can bring back a message that all others have forgotten.
+const plannedKeeps = 2 * releasedFor
+
 // catchUp is how long a store counts as lost after its return.
 const catchUp = 4400 * ms
 
@@ -77,6 +81,10 @@
 
 func (p *planned) adopt(store *simStore, name string) *plannedNode {
 	n := &plannedNode{store: store, name: name, heard: true}
+	store.keeps = plannedKeeps
+	if store.core != nil {
+		store.core.config.Remember = plannedKeeps
+	}
 	n.tell()
 	p.nodes = append(p.nodes, n)
 	return n
