Let relay, members and the leader run on a host that a test can supply

A simulation of the whole system needs the real parts in virtual time; the relay node, the member agent and the leader's term read the clock, slept and connected by themselves. Package host names what they need (steady clock, random numbers, tasks, mailbox, links), host.System is the machine as before, and rpc.NewCarried is a connection whose frames another part carries. A mailbox can be handled from outside of Run.

Ruled out: synctest, where one clock serves all processes, none can be frozen, and the order of goroutines differs from run to run.

Tests of relay, member, control/leader and rpc pass as before.

--- a/control/leader/leader.go
+++ b/control/leader/leader.go
@@ -12,6 +12,7 @@
 	"ravendale/control/placement"
 	"ravendale/control/state"
 	"ravendale/discovery"
+	"ravendale/host"
 	"ravendale/relay"
 	"ravendale/rpc"
 	"ravendale/settings"
@@ -44,19 +45,21 @@
 	Log      *slog.Logger    // nil: the default
 	// Read reads the platform's list; nil: from the address in the settings.
 	Read func(ctx context.Context, gap time.Duration) (*wire.Workers, int, error)
+	Host host.Host // nil: host.System
 }
 
 // Service answers members, and leads when it is told to. Its methods may be called by any goroutine.
 type Service struct {
 	config   Config
 	log      *slog.Logger
+	host     host.Host
 	settings atomic.Pointer[settings.Settings]
 	current  atomic.Pointer[term] // nil while this process does not lead
 }
 
 // NewService makes a service and registers its handlers on the Mux.
 func NewService(config Config) *Service {
-	s := &Service{config: config, log: config.Log}
+	s := &Service{config: config, log: config.Log, host: host.Or(config.Host)}
 	if s.log == nil {
 		s.log = slog.Default()
 	}
@@ -113,7 +116,7 @@
 func (s *Service) takeTerm(ctx context.Context, valid func() bool) (uint64, error) {
 	for {
 		if !valid() {
-			if err := sleep(ctx, retryPause); err != nil {
+			if err := s.host.Sleep(ctx, retryPause); err != nil {
 				return 0, err
 			}
 			continue
@@ -123,7 +126,7 @@
 		if err == nil && result.Taken() {
 			return result.Term, s.applied(ctx, func(now *state.Snapshot) bool { return now.Term >= result.Term })
 		}
-		if err := sleep(ctx, retryPause); err != nil {
+		if err := s.host.Sleep(ctx, retryPause); err != nil {
 			return 0, err
 		}
 	}
@@ -131,7 +134,7 @@
 
 func (s *Service) applied(ctx context.Context, reached func(*state.Snapshot) bool) error {
 	for !reached(s.config.State()) {
-		if err := sleep(ctx, statePoll); err != nil {
+		if err := s.host.Sleep(ctx, statePoll); err != nil {
 			return err
 		}
 	}
@@ -152,17 +155,6 @@
 	return state.DecodeResult(answer)
 }
 
-func sleep(ctx context.Context, pause time.Duration) error {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Changed tells that this process's state machine has applied commands. It does not wait.
 func (s *Service) Changed() {
 	if t := s.current.Load(); t != nil {
--- a/control/leader/retire.go
+++ b/control/leader/retire.go
@@ -165,7 +165,7 @@
 	live := t.live(t.now(), view)
 	if t.submitting || view == nil || view.Epoch < t.epoch || unplaced(view, live, node) {
 		t.work.Go(func() {
-			_ = sleep(t.ctx, statePoll)
+			_ = t.service.host.Sleep(t.ctx, statePoll)
 			t.box.Post(func() { t.retire(ctx, node, answer) })
 		})
 		return
--- a/control/leader/term.go
+++ b/control/leader/term.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
@@ -15,6 +14,7 @@
 	"ravendale/control/registry"
 	"ravendale/control/state"
 	"ravendale/discovery"
+	"ravendale/host"
 	"ravendale/relay"
 	"ravendale/relay/mailbox"
 	"ravendale/rpc"
@@ -47,10 +47,10 @@
 	valid    func() bool
 	node     *relay.Node
 	box      *mailbox.Mailbox
-	started  time.Time
+	started  time.Duration
 	done     chan struct{}
 	ctx      context.Context
-	work     sync.WaitGroup
+	work     host.Tasks
 	registry *registry.Registry
 	lease    registry.Config
 
@@ -91,8 +91,9 @@
 	heartbeat := settings.Milliseconds(float64(s.settings.Load().HeartbeatMs))
 	lease := registry.DefaultConfig(heartbeat)
 	return &term{
-		service: s, number: number, valid: valid, box: mailbox.New(), started: time.Now(), done: make(chan struct{}),
-		node:     relay.NewNode(relay.NodeConfig{Root: true, Log: s.log}),
+		service: s, number: number, valid: valid, box: mailbox.New(), started: s.host.Now(), done: make(chan struct{}),
+		work:     s.host.Tasks(),
+		node:     relay.NewNode(relay.NodeConfig{Root: true, Log: s.log, Host: s.host}),
 		registry: registry.New(lease), lease: lease,
 		links: make(map[*rpc.Conn]uint64), edges: make(map[string]bool), disks: make(map[string]bool),
 	}
@@ -104,13 +105,13 @@
 	t.work.Go(func() { t.node.Run(ctx) })
 	t.work.Go(func() { t.discover(ctx) })
 	t.inherit()
-	t.box.Run(ctx, t.tick)
+	t.service.host.Serve(ctx, t.box, t.tick)
 	cancel()
 	close(t.done)
 	t.work.Wait()
 }
 
-func (t *term) now() time.Duration { return time.Since(t.started) }
+func (t *term) now() time.Duration { return t.service.host.Now() - t.started }
 
 // inherit counts the schedulers that an earlier leader kept until they have renewed or had the time to: the list may be too long for
 // a while, which is safe.
@@ -411,7 +412,7 @@
 			t.service.log.Warn("the platform's list can't be read", "error", err)
 		}
 		failed = err != nil
-		if sleep(ctx, max(next-t.now(), time.Millisecond)) != nil {
+		if t.service.host.Sleep(ctx, max(next-t.now(), time.Millisecond)) != nil {
 			return
 		}
 	}
--- a/member/agent.go
+++ b/member/agent.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"ravendale/host"
 	"ravendale/relay"
 	"ravendale/relay/mailbox"
 	"ravendale/rpc"
@@ -31,13 +32,15 @@
 	Status   func() wire.StoreStatus // stores only
 	Ready    func() bool             // nil: always
 	Log      *slog.Logger            // nil: the default
+	Host     host.Host               // nil: host.System
 }
 
 // Agent is a process's part in membership and distribution. Its methods may be called by any goroutine, but for OnChange.
 type Agent struct {
 	config   Config
 	log      *slog.Logger
-	started  time.Time
+	host     host.Host
+	started  time.Duration
 	box      *mailbox.Mailbox
 	node     *relay.Node
 	snapshot atomic.Pointer[Snapshot]
@@ -48,7 +51,7 @@
 
 	// The rest belongs to the goroutine of Run.
 	session  *session
-	link     *rpc.Link
+	link     host.Link
 	conn     *rpc.Conn
 	leaving  bool
 	left     []chan struct{} // closed once a leader knows that the process is leaving
@@ -59,16 +62,17 @@
 
 // New makes an agent and registers its handlers on the Mux. Nothing else happens before Run.
 func New(config Config) *Agent {
-	a := &Agent{config: config, log: config.Log, started: time.Now(), box: mailbox.New()}
+	machine := host.Or(config.Host)
+	a := &Agent{config: config, log: config.Log, host: machine, started: machine.Now(), box: mailbox.New()}
 	if a.log == nil {
 		a.log = slog.Default()
 	}
 	a.snapshot.Store(&Snapshot{})
 	heartbeat := settings.Milliseconds(float64(config.Settings.HeartbeatMs))
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	random := rand.New(rand.NewPCG(machine.Uint64(), machine.Uint64()))
 	a.session = newSession(random, heartbeat, config.Settings.SeedAddresses())
 	a.node = relay.NewNode(relay.NodeConfig{
-		Self: config.Self.ID, OnUpdate: a.updated, Leader: a.leader.Load, Log: a.log,
+		Self: config.Self.ID, OnUpdate: a.updated, Leader: a.leader.Load, Log: a.log, Host: machine,
 	})
 	relay.Register(config.Mux, func() *relay.Node { return a.node })
 	return a
@@ -79,16 +83,13 @@
 
 // Run renews the lease and follows the topics until the context ends.
 func (a *Agent) Run(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		a.node.Run(ctx)
-	}()
-	a.box.Run(ctx, a.tick)
+	tasks := a.host.Tasks()
+	tasks.Go(func() { a.node.Run(ctx) })
+	a.host.Serve(ctx, a.box, a.tick)
 	if a.link != nil {
 		a.link.Close()
 	}
-	<-done
+	tasks.Wait()
 }
 
 // Snapshot is the newest state known, never nil.
@@ -128,7 +129,7 @@
 	a.box.Post(func() { a.session.setSeeds(seeds) })
 }
 
-func (a *Agent) now() time.Duration { return time.Since(a.started) }
+func (a *Agent) now() time.Duration { return a.host.Now() - a.started }
 
 func (a *Agent) tick() time.Duration {
 	a.connect()
@@ -155,7 +156,7 @@
 	options := rpc.Options{Mux: a.config.Mux, ConnectTimeout: connectWithin, PingAfter: pingAfter, SilentAfter: silentAfter}
 	up := func(c *rpc.Conn) { a.box.Post(func() { a.connected(c, target) }) }
 	down := func(error) { a.box.Post(func() { a.disconnected(target) }) }
-	a.link = rpc.NewLink(target, options, up, down)
+	a.link = a.host.Connect(target, options, up, down)
 }
 
 func (a *Agent) connected(c *rpc.Conn, address string) {
--- a/relay/mailbox/mailbox.go
+++ b/relay/mailbox/mailbox.go
@@ -18,8 +18,9 @@
 type Mailbox struct {
 	wake chan struct{}
 
-	mu    sync.Mutex
-	queue []func()
+	mu     sync.Mutex
+	queue  []func()
+	posted func() // nil: none
 }
 
 // New returns an empty Mailbox.
@@ -33,7 +34,12 @@
 		return false
 	}
 	m.queue = append(m.queue, event)
+	posted := m.posted
 	m.mu.Unlock()
+	if posted != nil {
+		posted()
+		return true
+	}
 	select {
 	case m.wake <- struct{}{}:
 	default:
@@ -49,6 +55,20 @@
 	return events
 }
 
+// OnPost has a function called after each Post, for those who call Handle themselves and not Run.
+func (m *Mailbox) OnPost(posted func()) {
+	m.mu.Lock()
+	m.posted = posted
+	m.mu.Unlock()
+}
+
+// Handle handles the events that wait.
+func (m *Mailbox) Handle() {
+	for _, event := range m.take() {
+		event()
+	}
+}
+
 // Run handles events until the context ends. After each batch, and when its answer to the last call has passed, it calls tick,
 // which says in how long it wants to be called again; zero or less stands for never.
 func (m *Mailbox) Run(ctx context.Context, tick func() time.Duration) {
@@ -61,9 +81,7 @@
 		case <-timer.C:
 		case <-m.wake:
 		}
-		for _, event := range m.take() {
-			event()
-		}
+		m.Handle()
 		timer.Reset(pause(tick()))
 	}
 }
--- a/relay/node.go
+++ b/relay/node.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"ravendale/host"
 	"ravendale/relay/mailbox"
 	"ravendale/rpc"
 	"ravendale/wire"
@@ -28,19 +29,21 @@
 	OnUpdate func(topic wire.Topic, version wire.Version, payload []byte)
 	Leader   func() *rpc.Conn // a connection to the leader, if there is one; nil: never
 	Log      *slog.Logger
+	Host     host.Host // nil: host.System
 }
 
 // Node is a process's place in the relay tree. Its methods may be called by any goroutine.
 type Node struct {
 	config  NodeConfig
 	box     *mailbox.Mailbox
-	started time.Time
+	host    host.Host
+	started time.Duration
 
 	// The rest belongs to the goroutine of Run.
 	topics   Topics
 	children *Children[*rpc.Conn]
 	uplink   *Uplink
-	link     *rpc.Link
+	link     host.Link
 	beat     time.Duration
 	above    Versions // what the parent said that it has
 	stopped  bool
@@ -55,9 +58,10 @@
 	if config.Root {
 		limit = 0
 	}
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	machine := host.Or(config.Host)
+	random := rand.New(rand.NewPCG(machine.Uint64(), machine.Uint64()))
 	return &Node{
-		config: config, box: mailbox.New(), started: time.Now(),
+		config: config, box: mailbox.New(), host: machine, started: machine.Now(),
 		children: NewChildren[*rpc.Conn](limit), uplink: NewUplink(random),
 	}
 }
@@ -80,7 +84,7 @@
 
 // Run takes part in the tree until the context ends. It lets its children go then.
 func (n *Node) Run(ctx context.Context) {
-	n.box.Run(ctx, n.tick)
+	n.host.Serve(ctx, n.box, n.tick)
 	n.stop()
 }
 
@@ -118,7 +122,7 @@
 	n.box.Post(func() { n.take(update) })
 }
 
-func (n *Node) now() time.Duration { return time.Since(n.started) }
+func (n *Node) now() time.Duration { return n.host.Now() - n.started }
 
 func (n *Node) changed(topic wire.Topic) {
 	n.push()
@@ -222,7 +226,7 @@
 	options := rpc.Options{Mux: n.parentMux(target), ConnectTimeout: joinWithin, PingAfter: pingAfter, SilentAfter: closedAfter}
 	up := func(c *rpc.Conn) { n.box.Post(func() { n.join(c, target) }) }
 	down := func(error) { n.box.Post(func() { n.uplink.Lost(n.now(), target) }) }
-	n.link = rpc.NewLink(target, options, up, down)
+	n.link = n.host.Connect(target, options, up, down)
 }
 
 func (n *Node) parentMux(address string) *rpc.Mux {
--- /dev/null
+++ b/rpc/carrier_test.go
@@ -0,0 +1,42 @@
+package rpc
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ravendale/wire"
+)
+
+// wireTo hands frames on at once.
+type wireTo struct {
+	peer   **Conn
+	closed bool
+}
+
+func (w *wireTo) Carry(frame []byte) { (*w.peer).Deliver(append([]byte(nil), frame...)) }
+
+func (w *wireTo) Close() { w.closed = true }
+
+func TestACarriedConnectionCallsAndEnds(t *testing.T) {
+	mux := NewMux()
+	Handle(mux, wire.MethodFetch, func(_ *Conn, fetch *wire.Fetch, reply Reply) { reply.Send(&wire.Update{Topic: fetch.Topic}) })
+	var near, far *Conn
+	toFar, toNear := &wireTo{peer: &far}, &wireTo{peer: &near}
+	near, far = NewCarried(Options{}, toFar), NewCarried(Options{Mux: mux}, toNear)
+
+	var update wire.Update
+	near.Start(wire.MethodFetch, &wire.Fetch{Topic: wire.TopicStores}, func(payload []byte, err error) {
+		require.NoError(t, err)
+		_, err = update.UnmarshalMsg(payload)
+		require.NoError(t, err)
+	})
+	require.Equal(t, wire.TopicStores, update.Topic)
+	require.Empty(t, near.RemoteAddress())
+
+	ended := errors.New("ended")
+	near.Fail(ended)
+	require.True(t, toFar.closed)
+	near.Start(wire.MethodFetch, &wire.Fetch{}, func(_ []byte, err error) { require.ErrorIs(t, err, ended) })
+}
--- a/rpc/conn.go
+++ b/rpc/conn.go
@@ -97,7 +97,8 @@
 // Conn is a connection to a peer. Its methods may be called by any goroutine.
 type Conn struct {
 	options Options
-	socket  net.Conn
+	socket  net.Conn // nil: the carrier is used
+	carrier Carrier
 	tag     atomic.Value
 	heard   atomic.Int64 // steady time at which something was read last
 	done    chan struct{}
@@ -152,7 +153,12 @@
 func (c *Conn) SetTag(value any) { c.tag.Store(value) }
 
 // RemoteAddress is the peer's address, for logs.
-func (c *Conn) RemoteAddress() string { return c.socket.RemoteAddr().String() }
+func (c *Conn) RemoteAddress() string {
+	if c.socket == nil {
+		return ""
+	}
+	return c.socket.RemoteAddr().String()
+}
 
 // Done is closed once the connection is.
 func (c *Conn) Done() <-chan struct{} { return c.done }
@@ -193,7 +199,11 @@
 	}
 	c.mu.Unlock()
 	close(c.done)
-	_ = c.socket.Close()
+	if c.carrier != nil {
+		c.carrier.Close()
+	} else {
+		_ = c.socket.Close()
+	}
 	for _, done := range calls {
 		done(nil, err)
 	}
@@ -273,6 +283,12 @@
 		c.mu.Unlock()
 		return err
 	}
+	if c.carrier != nil {
+		c.out = out[:at]
+		c.mu.Unlock()
+		c.carrier.Carry(out[at:])
+		return nil
+	}
 	c.out = out
 	over := len(c.out) > MaxQueued
 	c.mu.Unlock()
