Simulate the whole control side in one seeded world of virtual time

The simulation of control/core knows nothing of leaders, the relay tree, members and operators, so a fault that goes through several of them (a cut-off leader whose tree goes on telling an old configuration, a repeat that meets another process) could not be brought about from a seed.

Package simulation runs the real core node, state machine, leader service, registry, placement, relay node, member agent and rpc connections in one event queue, deterministically: what waits is a coroutine, each machine has its own clock and can be frozen, killed, cut off, without power, wiped, replaced. Operators set, patch, race and repeat.

--- a/relay/mailbox/mailbox.go
+++ b/relay/mailbox/mailbox.go
@@ -62,6 +62,13 @@
 	m.mu.Unlock()
 }
 
+// Waiting says whether events wait.
+func (m *Mailbox) Waiting() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.queue) > 0
+}
+
 // Handle handles the events that wait.
 func (m *Mailbox) Handle() {
 	for _, event := range m.take() {
--- /dev/null
+++ b/simulation/faults_test.go
@@ -0,0 +1,556 @@
+package simulation
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// fault is something that goes wrong, or that is done, and ends by itself. It counts what took effect.
+type fault struct {
+	name string
+	play func(w *world, name string)
+}
+
+// faults are the kinds of disruptions that the bench knows and that apply to what is in the world, and some of our own.
+var faults = []fault{
+	{"node_kill control", func(w *world, name string) { w.kill(name, w.anyControl(), false) }},
+	{"node_kill control power", func(w *world, name string) { w.kill(name, w.anyControl(), true) }},
+	{"node_kill edge", func(w *world, name string) { w.kill(name, w.anyProcess(true), false) }},
+	{"node_kill edge power", func(w *world, name string) { w.kill(name, w.anyProcess(true), true) }},
+	{"node_kill store", func(w *world, name string) { w.kill(name, w.anyProcess(false), false) }},
+	{"node_freeze control", func(w *world, name string) { w.freeze(name, w.anyControl()) }},
+	{"node_freeze member", func(w *world, name string) { w.freeze(name, w.anyProcess(w.random.IntN(3) > 0)) }},
+	{"node_freeze leader", func(w *world, name string) {
+		if leader := w.leader(); leader != nil {
+			w.freeze(name, leader.machine)
+		}
+	}},
+	{"node_slow", func(w *world, name string) { w.slow(name, w.anyMachine()) }},
+	{"roll_term control", (*world).rollControls},
+	{"roll_term edge", (*world).rollEdges},
+	{"herd_kill core", func(w *world, name string) { w.herd(name, w.coreMachines(), false) }},
+	{"herd_kill core power", func(w *world, name string) { w.herd(name, w.coreMachines(), true) }},
+	{"herd_kill all power", func(w *world, name string) { w.herd(name, w.machines, true) }},
+	{"herd_kill all power taken", func(w *world, name string) { w.afterAck(func() { w.herd(name, w.machines, true) }) }},
+	{"after_ack_kill", (*world).afterAckKill},
+	{"after_ack_wipe", (*world).afterAckWipe},
+	{"replace_core", func(w *world, name string) { w.replace(name, false) }},
+	{"replace_core planned", func(w *world, name string) { w.replace(name, true) }},
+	{"core_cut", func(w *world, name string) { w.cutCore(name, false, false) }},
+	{"core_cut one_way", func(w *world, name string) { w.cutCore(name, true, false) }},
+	{"core_cut all", func(w *world, name string) { w.cutCore(name, false, true) }},
+	{"core_cut near", (*world).cutNear},
+	{"core_cut leader", (*world).cutLeader},
+	{"core_cut leader", (*world).cutLeader}, // the day that users meet most
+	{"core_cut lure", (*world).lure},
+	{"core_cut seeds", (*world).cutSeeds},
+	{"core_cut both", (*world).cutBoth},
+	{"node_cut", func(w *world, name string) { w.cutNode(name, false) }},
+	{"node_cut all", func(w *world, name string) { w.cutNode(name, true) }},
+	{"seed_turnover", (*world).turnSeeds},
+	{"reset_conns", (*world).resetAll},
+	{"disk_slow", (*world).slowDisk},
+	{"disk_stall", (*world).stallDisk},
+	{"ack_lost", (*world).loseAcks},
+	{"config_race", (*world).raceThrice},
+	{"messages lost", (*world).lose},
+	{"add_nodes", (*world).addEdge},
+}
+
+// later does something after a while, unless calm comes first: then it is not wanted any more.
+func (w *world) later(wait time.Duration, run func()) {
+	period := w.period
+	w.after(wait, func() {
+		if w.period == period {
+			run()
+		}
+	})
+}
+
+// span is how long a disruption lasts: mostly short, now and then long.
+func (w *world) span() time.Duration {
+	if w.random.IntN(5) == 0 {
+		return w.between(6*time.Second, 20*time.Second)
+	}
+	return w.between(50*time.Millisecond, 4*time.Second)
+}
+
+// cutSpan is how long a cut lasts: often so long that another leader has long led, and what it told is old.
+func (w *world) cutSpan() time.Duration {
+	if w.random.IntN(2) == 0 {
+		return w.between(6*time.Second, 20*time.Second)
+	}
+	return w.span()
+}
+
+func (w *world) anyControl() *machine {
+	controls := w.controls()
+	return controls[w.random.IntN(len(controls))].machine
+}
+
+func (w *world) anyProcess(edge bool) *machine {
+	var fit []*machine
+	for _, p := range w.processes() {
+		if p.edge == edge && !p.removed {
+			fit = append(fit, p.machine)
+		}
+	}
+	return fit[w.random.IntN(len(fit))]
+}
+
+func (w *world) anyMachine() *machine {
+	for {
+		if m := w.machines[w.random.IntN(len(w.machines))]; !m.removed {
+			return m
+		}
+	}
+}
+
+func (w *world) coreMachines() []*machine {
+	var machines []*machine
+	for _, c := range w.controls() {
+		machines = append(machines, c.machine)
+	}
+	return machines
+}
+
+func (w *world) others(of []*machine) []*machine {
+	var others []*machine
+	for _, m := range w.machines {
+		if !m.removed && !slices.Contains(of, m) {
+			others = append(others, m)
+		}
+	}
+	return others
+}
+
+func (w *world) leader() *control {
+	for _, c := range w.controls() {
+		if c.holds() {
+			return c
+		}
+	}
+	return nil
+}
+
+// mayLose says whether a machine may be lost now.
+func (w *world) mayLose(m *machine) bool {
+	_, core := m.program.(*control)
+	return !core || w.spare() > 0
+}
+
+func (w *world) kill(name string, m *machine, power bool) {
+	if m.life == nil || !w.mayLose(m) {
+		return
+	}
+	m.end(power)
+	w.took(name)
+	w.later(w.span(), m.start)
+}
+
+func (w *world) freeze(name string, m *machine) {
+	if w.mayLose(m) && m.freeze() {
+		w.took(name)
+		l := m.life
+		w.later(w.span(), func() {
+			if m.life == l {
+				m.thaw()
+			}
+		})
+	}
+}
+
+func (w *world) slow(name string, m *machine) {
+	w.took(name)
+	w.network.slow[m]++
+	m.harm()
+	w.later(w.span(), func() { w.network.slow[m]--; m.harm() })
+}
+
+// rollControls stops one control process after the other in order, and starts it again.
+func (w *world) rollControls(name string) {
+	for i, c := range w.controls() {
+		w.later(time.Duration(i)*time.Second, func() { c.stop(name, w.upTo(time.Second), true) })
+	}
+}
+
+// stop ends a control process in order.
+func (c *control) stop(name string, away time.Duration, back bool) {
+	l := c.life
+	if l == nil || c.frozen {
+		return
+	}
+	c.harm()
+	c.world.took(name)
+	c.step(l, func(now time.Duration) { c.node.Release(now) })
+	c.world.later(20*time.Millisecond, func() { c.endLife(l) })
+	if back {
+		c.world.later(20*time.Millisecond+away, c.machine.start)
+	}
+}
+
+func (w *world) rollEdges(name string) {
+	at := time.Duration(0)
+	for _, p := range w.processes() {
+		if !p.edge || w.random.IntN(2) == 0 {
+			continue
+		}
+		at += w.upTo(time.Second)
+		w.later(at, func() {
+			if p.life == nil || p.frozen || p.removed {
+				return
+			}
+			w.took(name)
+			p.leave()
+			w.later(time.Second+w.upTo(time.Second), p.machine.start)
+		})
+	}
+}
+
+// herd ends many at once.
+func (w *world) herd(name string, machines []*machine, power bool) {
+	w.took(name)
+	for _, m := range slices.Clone(machines) {
+		if m.removed {
+			continue
+		}
+		m.end(power)
+		w.later(w.upTo(time.Second), m.start)
+	}
+}
+
+// afterAck has something done within some milliseconds of the next acknowledgement.
+func (w *world) afterAck(then func()) {
+	newest, until := w.history.newest, w.now+2*time.Second
+	var wait func()
+	wait = func() {
+		switch {
+		case w.history.newest != newest:
+			w.later(w.upTo(4*time.Millisecond), then)
+		case w.now < until:
+			w.later(time.Millisecond, wait)
+		}
+	}
+	wait()
+}
+
+func (w *world) afterAckKill(name string) {
+	w.afterAck(func() {
+		if leader := w.leader(); leader != nil && w.random.IntN(2) == 0 {
+			w.kill(name, leader.machine, true)
+			return
+		}
+		w.kill(name, w.anyControl(), true)
+	})
+}
+
+// afterAckWipe has as many machines as may be lost lose their disks, and others of the core power.
+func (w *world) afterAckWipe(name string) {
+	if !w.whole() {
+		return
+	}
+	w.afterAck(func() {
+		if !w.whole() {
+			return
+		}
+		controls := w.controls()
+		w.random.Shuffle(len(controls), func(i, j int) { controls[i], controls[j] = controls[j], controls[i] })
+		for i, c := range controls {
+			if i < w.settings.lost {
+				w.losing()
+				c.end(true)
+				c.wipe()
+				w.took(name)
+				w.later(w.upTo(2*time.Second), c.machine.start)
+			} else if w.random.IntN(3) == 0 {
+				c.end(true)
+				w.later(w.upTo(time.Second), c.machine.start)
+			}
+		}
+	})
+}
+
+// losing notes that a disk of the core is lost, so that no other one is before the system has caught up.
+func (w *world) losing() {
+	if w.now-w.lostAt >= lossEvery {
+		w.lostDisks = 0
+	}
+	w.lostAt = w.now
+	w.lostDisks++
+}
+
+// replace has a control machine go for good, and an empty one come at another address.
+func (w *world) replace(name string, planned bool) {
+	if !w.whole() || w.replaced >= 2 {
+		return
+	}
+	w.replaced++
+	old := w.anyControl().program.(*control)
+	fresh := w.newControl(w.number(controlNet), old.zone, w.seedsNow(), false)
+	come := func() { fresh.machine.start() }
+	if planned {
+		come()
+		w.later(w.between(500*time.Millisecond, 3*time.Second), func() {
+			old.stop(name, 0, false)
+			old.removed = true
+			w.later(50*time.Millisecond, func() { w.remove(old) })
+		})
+		return
+	}
+	old.end(true)
+	w.remove(old)
+	w.took(name)
+	w.later(time.Second+w.upTo(time.Second), come)
+}
+
+// remove takes a control machine away for good.
+func (w *world) remove(c *control) {
+	w.losing()
+	if c.life != nil {
+		c.end(true)
+	}
+	c.removed = true
+	seeds := w.seedsNow()
+	for _, other := range w.controls() {
+		other.settings.Seeds = seeds
+	}
+	for _, p := range w.processes() {
+		p.settings.Seeds = seeds
+	}
+}
+
+// seedsNow are addresses of control machines that are there.
+func (w *world) seedsNow() []string {
+	var seeds []string
+	for _, c := range w.controls() {
+		if len(seeds) < 3 {
+			seeds = append(seeds, fmt.Sprintf("%s:%d", c.settings.IP, firstPort))
+		}
+	}
+	return seeds
+}
+
+// cutFor holds a cut for a while.
+func (w *world) cutFor(name string, side, others []*machine, oneWay bool) time.Duration {
+	if len(side) == 0 || len(others) == 0 {
+		return 0
+	}
+	w.took(name)
+	span := w.cutSpan()
+	w.network.part(side, others, oneWay, 1)
+	w.later(span, func() { w.network.part(side, others, oneWay, -1) })
+	return span
+}
+
+// minority draws control machines, no more than may be lost now.
+func (w *world) minority() []*machine {
+	core := w.coreMachines()
+	most := min(w.spare(), (len(core)-1)/2)
+	if most == 0 {
+		return nil
+	}
+	w.random.Shuffle(len(core), func(i, j int) { core[i], core[j] = core[j], core[i] })
+	return core[:1+w.random.IntN(most)]
+}
+
+func without(all, some []*machine) []*machine {
+	var rest []*machine
+	for _, m := range all {
+		if !slices.Contains(some, m) {
+			rest = append(rest, m)
+		}
+	}
+	return rest
+}
+
+func (w *world) cutCore(name string, oneWay, all bool) {
+	side := w.minority()
+	others := without(w.coreMachines(), side)
+	if all {
+		others = w.others(side)
+	}
+	if oneWay && w.random.IntN(2) == 0 {
+		side, others = others, side
+	}
+	w.cutFor(name, side, others, oneWay)
+}
+
+// cutNear cuts some off from the rest of the core and from all machines of other zones.
+func (w *world) cutNear(name string) {
+	side := w.minority()
+	if len(side) == 0 {
+		return
+	}
+	var others []*machine
+	for _, m := range w.others(side) {
+		_, core := m.program.(*control)
+		if core || m.zone != side[0].zone {
+			others = append(others, m)
+		}
+	}
+	w.cutFor(name, side, others, false)
+}
+
+// cutLeader cuts the leader off from the core, and leaves it all others.
+func (w *world) cutLeader(name string) {
+	if leader := w.leader(); leader != nil && w.spare() > 0 {
+		side := []*machine{leader.machine}
+		w.cutFor(name, side, without(w.coreMachines(), side), w.random.IntN(4) == 0)
+	}
+}
+
+// lure has some members start anew with seeds that are cut off.
+func (w *world) lure(name string) {
+	side := w.minority()
+	if w.cutFor(name, side, without(w.coreMachines(), side), false) == 0 {
+		return
+	}
+	w.seed(side)
+	for _, p := range w.processes() {
+		if w.random.IntN(3) == 0 && p.life != nil {
+			p.end(false)
+			w.later(w.upTo(500*time.Millisecond), p.machine.start)
+		}
+	}
+}
+
+// seed gives members the seeds of some control machines first.
+func (w *world) seed(first []*machine) {
+	var seeds []string
+	for _, m := range first {
+		seeds = append(seeds, fmt.Sprintf("%s:%d", m.program.(*control).settings.IP, firstPort))
+	}
+	for _, seed := range w.seedsNow() {
+		if !slices.Contains(seeds, seed) {
+			seeds = append(seeds, seed)
+		}
+	}
+	for _, p := range w.processes() {
+		p.settings.Seeds = seeds
+		if p.life != nil && !p.frozen {
+			p.agent.SetSettings(&p.settings)
+		}
+	}
+}
+
+func (w *world) cutSeeds(name string) {
+	side := w.minority()
+	if w.cutFor(name, side, without(w.coreMachines(), side), false) == 0 {
+		return
+	}
+	w.seed(side)
+	for _, p := range w.processes() {
+		if w.random.IntN(2) == 0 && p.life != nil {
+			p.end(false)
+			w.later(w.upTo(time.Second), p.machine.start)
+		}
+	}
+}
+
+// cutBoth restarts those that are cut off, and then the others of the core.
+func (w *world) cutBoth(name string) {
+	side := w.minority()
+	others := without(w.coreMachines(), side)
+	if w.cutFor(name, side, others, false) == 0 {
+		return
+	}
+	for _, m := range side {
+		m.end(false)
+		w.later(w.upTo(500*time.Millisecond), m.start)
+	}
+	w.later(time.Second, func() {
+		for _, m := range others {
+			m.end(false)
+			w.later(w.upTo(500*time.Millisecond), m.start)
+		}
+	})
+}
+
+func (w *world) cutNode(name string, all bool) {
+	side := []*machine{w.anyProcess(w.random.IntN(3) > 0)}
+	others := w.coreMachines()
+	if all {
+		others = w.others(side)
+	}
+	w.cutFor(name, side, others, w.random.IntN(4) == 0)
+}
+
+func (w *world) turnSeeds(name string) {
+	w.took(name)
+	w.seed([]*machine{w.anyControl()})
+}
+
+func (w *world) resetAll(name string) {
+	count := 0
+	for _, m := range slices.Clone(w.machines) {
+		if w.random.IntN(3) == 0 {
+			count += w.network.reset(m, 0.5)
+		}
+	}
+	if count > 0 {
+		w.took(name)
+	}
+}
+
+func (w *world) slowDisk(string) {
+	c := w.anyControl().program.(*control)
+	if !w.mayLose(c.machine) {
+		return
+	}
+	c.slowBy = w.between(20*time.Millisecond, 300*time.Millisecond)
+	c.harm()
+	w.later(w.span(), func() { c.slowBy = 0; c.harm() })
+}
+
+func (w *world) stallDisk(string) {
+	c := w.anyControl().program.(*control)
+	if !w.mayLose(c.machine) {
+		return
+	}
+	c.stalled = true
+	c.harm()
+	w.later(w.span(), func() { c.stalled = false; c.harm() })
+}
+
+func (w *world) loseAcks(string) {
+	w.ackLoss = 70
+	w.later(w.span(), func() { w.ackLoss = 0 })
+}
+
+func (w *world) raceThrice(string) {
+	for i := range 3 {
+		w.later(time.Duration(i)*w.upTo(time.Second), w.race)
+	}
+}
+
+func (w *world) lose(name string) {
+	w.took(name)
+	w.network.lossy = 1 + w.random.IntN(10)
+	w.later(w.upTo(2*time.Second), func() { w.network.lossy = 0; w.coreHarmed = w.now })
+}
+
+func (w *world) addEdge(name string) {
+	if len(w.machines) > 30 {
+		return
+	}
+	w.took(name)
+	number := w.number(edgeNet)
+	w.newProcess(number, w.zone(number), w.seedsNow(), true).machine.start()
+}
+
+// calm ends all disruptions.
+func (w *world) calm() {
+	w.period++
+	n := w.network
+	n.cut, n.slow, n.lossy, w.ackLoss = make(map[[2]*machine]int), make(map[*machine]int), 0, 0
+	w.coreHarmed = w.now
+	for _, m := range slices.Clone(w.machines) {
+		m.harm()
+		m.thaw()
+		if c, ok := m.program.(*control); ok {
+			c.slowBy, c.stalled = 0, false
+		}
+		m.start()
+	}
+}
--- /dev/null
+++ b/simulation/machine_test.go
@@ -0,0 +1,209 @@
+package simulation
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"ravendale/host"
+	"ravendale/relay/mailbox"
+	"ravendale/rpc"
+)
+
+// machine runs one process, in one life after another.
+type machine struct {
+	world   *world
+	name    string
+	zone    string
+	address string // of its process
+	rate    float64
+	offset  time.Duration // of its steady clock
+	life    *life         // nil while no process runs
+	dark    bool          // it has no power: nobody answers for it
+	frozen  bool
+	removed bool // for good
+	program program
+	harmed  time.Duration // when something was last done to it
+	lives   int
+}
+
+// program is what runs on a machine.
+type program interface {
+	// start makes the process of a new life.
+	start(l *life)
+	// ended tells that the process has ended, of a loss of power or a kill.
+	ended(powerLoss bool)
+}
+
+func (w *world) newMachine(name, zone, address string, program program) *machine {
+	m := &machine{
+		world: w, name: name, zone: zone, address: address, rate: 0.965 + 0.07*w.random.Float64(),
+		offset: w.upTo(time.Hour), program: program, harmed: w.now,
+	}
+	w.machines = append(w.machines, m)
+	w.byHost[address] = m
+	return m
+}
+
+// clock is the machine's steady clock.
+func (m *machine) clock() time.Duration {
+	return m.offset + time.Duration(float64(m.world.now)*m.rate)
+}
+
+func (m *machine) start() {
+	if m.life != nil || m.removed {
+		return
+	}
+	m.lives++
+	m.dark, m.frozen = false, false
+	m.harm()
+	l := &life{
+		machine: m, number: m.lives, random: rand.New(rand.NewPCG(m.world.random.Uint64(), 5)), sleeping: make(map[*task]bool),
+	}
+	m.life = l
+	m.world.note("%s starts", m.name)
+	m.program.start(l)
+}
+
+// end ends the process; with a loss of power nobody answers for the machine from then on.
+func (m *machine) end(powerLoss bool) {
+	l := m.life
+	m.harm()
+	m.dark = m.dark || powerLoss
+	if l == nil {
+		return
+	}
+	m.world.note("%s ends, power lost: %v", m.name, powerLoss)
+	m.life, m.frozen = nil, false
+	l.dead, l.thawed = true, nil
+	m.program.ended(powerLoss)
+	l.endTasks()
+	m.world.network.ended(l)
+}
+
+func (m *machine) freeze() bool {
+	if m.life == nil || m.frozen {
+		return false
+	}
+	m.frozen = true
+	m.harm()
+	return true
+}
+
+func (m *machine) thaw() {
+	if !m.frozen {
+		return
+	}
+	m.frozen = false
+	m.harm()
+	l := m.life
+	held := l.thawed
+	l.thawed = nil
+	for _, run := range held {
+		run()
+	}
+}
+
+// harm notes that something is done to the machine.
+func (m *machine) harm() {
+	m.harmed = m.world.now
+	if _, ok := m.program.(*control); ok {
+		m.world.coreHarmed = m.world.now
+	}
+}
+
+// runs says whether a process runs, frozen or not.
+func (m *machine) runs() bool { return m.life != nil }
+
+// life is one process. It implements host.Host.
+type life struct {
+	machine  *machine
+	number   int
+	dead     bool
+	random   *rand.Rand
+	tasks    []*task
+	sleeping map[*task]bool
+	thawed   []func()
+	ends     []*end // of connections, in the order of their making
+}
+
+// guard runs something unless the process has ended; while it is frozen that waits.
+func (l *life) guard(run func()) func() {
+	var guarded func()
+	guarded = func() {
+		switch {
+		case l.dead:
+		case l.machine.frozen:
+			l.thawed = append(l.thawed, guarded)
+		default:
+			run()
+		}
+	}
+	return guarded
+}
+
+// after has the process do something after a while of the world's time.
+func (l *life) after(wait time.Duration, run func()) { l.machine.world.after(wait, l.guard(run)) }
+
+func (l *life) now() time.Duration { return l.machine.clock() }
+
+// real is the world's time for a span of the process's clock.
+func (l *life) real(span time.Duration) time.Duration {
+	return max(0, time.Duration(float64(span)/l.machine.rate)) + time.Microsecond
+}
+
+// Now implements host.Host.
+func (l *life) Now() time.Duration { return l.now() }
+
+// Uint64 implements host.Host.
+func (l *life) Uint64() uint64 { return l.random.Uint64() }
+
+// Sleep implements host.Host.
+func (l *life) Sleep(ctx context.Context, pause time.Duration) error { return l.sleep(ctx, pause) }
+
+// Serve implements host.Host.
+func (l *life) Serve(ctx context.Context, box *mailbox.Mailbox, tick func() time.Duration) {
+	l.serve(ctx, box, tick)
+}
+
+// Tasks implements host.Host.
+func (l *life) Tasks() host.Tasks { return &tasks{life: l} }
+
+// Connect implements host.Host.
+func (l *life) Connect(address string, options rpc.Options, up func(*rpc.Conn), down func(error)) host.Link {
+	return l.machine.world.network.connect(l, address, options, up, down)
+}
+
+// logger passes what a process logs to the trace.
+type logger struct {
+	slog.Handler
+	life *life
+}
+
+func (l *life) log() *slog.Logger { return slog.New(&logger{Handler: slog.DiscardHandler, life: l}) }
+
+// Enabled implements slog.Handler.
+func (h *logger) Enabled(context.Context, slog.Level) bool { return debug != nil }
+
+// Handle implements slog.Handler.
+func (h *logger) Handle(_ context.Context, record slog.Record) error {
+	text := record.Message
+	record.Attrs(func(a slog.Attr) bool {
+		text += " " + a.String()
+		return true
+	})
+	if debug != nil {
+		_, _ = debug.Write([]byte(h.life.machine.world.now.String() + " " + h.life.machine.name + " " + text + "\n"))
+	}
+	return nil
+}
+
+// WithAttrs implements slog.Handler.
+func (h *logger) WithAttrs([]slog.Attr) slog.Handler { return h }
+
+// WithGroup implements slog.Handler.
+func (h *logger) WithGroup(string) slog.Handler { return h }
+
+var errReset = errors.New("simulation: connection reset")
--- /dev/null
+++ b/simulation/network_test.go
@@ -0,0 +1,348 @@
+package simulation
+
+import (
+	"errors"
+	"time"
+
+	"ravendale/host"
+	"ravendale/rpc"
+)
+
+// Times of the network.
+const (
+	leastWay   = 300 * time.Microsecond
+	mostWay    = 4 * time.Millisecond
+	resendWait = 40 * time.Millisecond // of what a cut holds up
+	firstRetry = 30 * time.Millisecond // of a link, as rpc has it
+	lastRetry  = 150 * time.Millisecond
+)
+
+var (
+	errRefused = errors.New("simulation: connection refused")
+	errTimeout = errors.New("simulation: no answer to a connect")
+)
+
+// network says which machines reach which.
+type network struct {
+	world *world
+	cut   map[[2]*machine]int // from, to: how many cuts hold
+	slow  map[*machine]int    // how many slow-downs hold
+	lossy int                 // of messages among control processes, in hundredths
+}
+
+// passes says whether a packet gets from one machine to the other.
+func (n *network) passes(from, to *machine) bool { return n.cut[[2]*machine{from, to}] == 0 }
+
+// way is how long a packet takes.
+func (n *network) way(from, to *machine) time.Duration {
+	way := n.world.between(leastWay, mostWay)
+	if n.slow[from]+n.slow[to] > 0 {
+		way += n.world.upTo(60 * time.Millisecond)
+	}
+	return way
+}
+
+// part cuts the way from each of one side to each of the other, and back unless it is one way only. The cut must be mended by join.
+func (n *network) part(side, others []*machine, oneWay bool, change int) {
+	for _, a := range side {
+		for _, b := range others {
+			if a == b {
+				continue
+			}
+			n.cut[[2]*machine{a, b}] += change
+			if !oneWay {
+				n.cut[[2]*machine{b, a}] += change
+			}
+		}
+	}
+	for _, a := range side {
+		for _, b := range others {
+			n.disturbed(a, b)
+		}
+	}
+}
+
+// disturbed notes what a change of the ways between two machines means for the rules that hold for machines in touch.
+func (n *network) disturbed(a, b *machine) {
+	_, first := a.program.(*control)
+	_, second := b.program.(*control)
+	switch {
+	case first && second:
+		n.world.coreHarmed = n.world.now
+	case first:
+		b.harmed = n.world.now
+	case second:
+		a.harmed = n.world.now
+	}
+}
+
+// end is one end of a connection. It implements rpc.Carrier.
+type end struct {
+	network *network
+	life    *life
+	peer    *end
+	conn    *rpc.Conn
+	link    *link // of the end that connected
+	sent    []packet
+	pumping bool
+	arrives time.Duration // of the packet sent last
+	heard   time.Duration
+	silent  time.Duration // after which it gives the peer up
+	closed  bool
+}
+
+type packet struct {
+	at    time.Duration
+	frame []byte // nil: the end of the connection
+	cause error
+}
+
+// Carry implements rpc.Carrier.
+func (e *end) Carry(frame []byte) {
+	e.send(packet{frame: append([]byte(nil), frame...)})
+}
+
+// Close implements rpc.Carrier.
+func (e *end) Close() {
+	if e.closed {
+		return
+	}
+	e.closed = true
+	e.send(packet{cause: errReset})
+	if e.link != nil {
+		e.link.lost(e)
+	}
+}
+
+func (e *end) send(p packet) {
+	n := e.network
+	p.at = max(e.arrives, n.world.now+n.way(e.life.machine, e.peer.life.machine))
+	e.arrives = p.at
+	e.sent = append(e.sent, p)
+	e.pump()
+}
+
+// pump has the first packet on its way arrive.
+func (e *end) pump() {
+	if e.pumping || len(e.sent) == 0 {
+		return
+	}
+	e.pumping = true
+	e.network.world.after(max(0, e.sent[0].at-e.network.world.now), e.arrive)
+}
+
+func (e *end) arrive() {
+	e.pumping = false
+	n, from, to := e.network, e.life.machine, e.peer.life.machine
+	if e.peer.closed {
+		e.sent = nil
+	}
+	if len(e.sent) == 0 || e.sent[0].at > n.world.now {
+		e.pump()
+		return
+	}
+	if !n.passes(from, to) || to.dark || from.dark {
+		e.sent[0].at = n.world.now + resendWait
+		e.arrives = max(e.arrives, e.sent[0].at)
+		if from.dark && e.life.dead {
+			e.sent = nil // it has forgotten
+			return
+		}
+		e.pump()
+		return
+	}
+	p := e.sent[0]
+	e.sent = e.sent[1:]
+	peer := e.peer
+	deliver := peer.life.guard(func() {
+		if p.frame == nil {
+			peer.conn.Fail(p.cause)
+			return
+		}
+		peer.conn.Deliver(p.frame)
+	})
+	deliver()
+	e.pump()
+}
+
+// watch gives up a peer that is silent.
+func (e *end) watch() {
+	if e.closed || e.life.dead {
+		return
+	}
+	n, peer := e.network, e.peer.life.machine
+	if !e.peer.life.dead && !peer.frozen && n.passes(peer, e.life.machine) {
+		e.heard = n.world.now
+	}
+	if e.peer.life.dead && !peer.dark && n.passes(peer, e.life.machine) && n.passes(e.life.machine, peer) {
+		e.conn.Fail(errReset)
+		return
+	}
+	if n.world.now-e.heard >= e.silent {
+		e.conn.Fail(rpc.ErrSilent)
+		return
+	}
+	e.life.after(watchEvery, e.watch)
+}
+
+const watchEvery = 100 * time.Millisecond
+
+// ended closes the connections of a process that has ended: its system says so to others, unless it has no power.
+func (n *network) ended(l *life) {
+	for _, e := range l.ends {
+		if e.closed {
+			continue
+		}
+		e.closed = true
+		e.sent = nil
+		if !l.machine.dark {
+			e.send(packet{cause: errReset})
+		}
+	}
+}
+
+// link implements host.Link.
+type link struct {
+	network *network
+	life    *life
+	address string
+	options rpc.Options
+	up      func(*rpc.Conn)
+	down    func(error)
+	end     *end
+	retry   time.Duration
+	closed  bool
+}
+
+func (n *network) connect(l *life, address string, options rpc.Options, up func(*rpc.Conn), down func(error)) host.Link {
+	if options.ConnectTimeout <= 0 {
+		options.ConnectTimeout = rpc.DefaultConnectTimeout
+	}
+	k := &link{network: n, life: l, address: address, options: options, up: up, down: down, retry: firstRetry}
+	l.after(0, k.dial)
+	return k
+}
+
+// Address implements host.Link.
+func (k *link) Address() string { return k.address }
+
+// Conn implements host.Link.
+func (k *link) Conn() *rpc.Conn {
+	if k.end == nil {
+		return nil
+	}
+	return k.end.conn
+}
+
+// Close implements host.Link.
+func (k *link) Close() {
+	k.closed = true
+	if k.end != nil {
+		k.end.conn.Close()
+	}
+}
+
+func (k *link) dial() {
+	if k.closed {
+		return
+	}
+	n, from, to := k.network, k.life.machine, k.network.world.byHost[k.address]
+	if to == nil || to.dark || !n.passes(from, to) || !n.passes(to, from) {
+		k.life.after(k.options.ConnectTimeout, func() { k.failed(errTimeout) })
+		return
+	}
+	k.life.after(n.way(from, to)+n.way(to, from), func() {
+		if to.life == nil {
+			k.failed(errRefused)
+			return
+		}
+		k.connected(to)
+	})
+}
+
+func (k *link) failed(err error) {
+	if k.closed {
+		return
+	}
+	k.down(err)
+	k.again()
+}
+
+func (k *link) again() {
+	if k.closed {
+		return
+	}
+	k.life.after(k.retry/2+k.network.world.upTo(k.retry), k.dial)
+	k.retry = min(2*k.retry, lastRetry)
+}
+
+func (k *link) connected(to *machine) {
+	if k.closed {
+		return
+	}
+	k.retry = firstRetry
+	n, now := k.network, k.network.world.now
+	near := &end{network: n, life: k.life, link: k, heard: now, silent: k.options.SilentAfter}
+	far := &end{network: n, life: to.life, heard: now, silent: rpc.DefaultSilentAfter, peer: near}
+	near.peer = far
+	near.conn = rpc.NewCarried(k.options, near)
+	far.conn = rpc.NewCarried(rpc.Options{Mux: to.program.(listener).mux()}, far)
+	k.life.ends, to.life.ends = append(k.life.ends, near), append(to.life.ends, far)
+	k.end = near
+	near.life.after(watchEvery, near.watch)
+	far.life.after(watchEvery, far.watch)
+	k.up(near.conn)
+}
+
+// lost tells that the connection has ended.
+func (k *link) lost(e *end) {
+	if k.end != e {
+		return
+	}
+	k.end = nil
+	if k.closed {
+		return
+	}
+	k.life.after(0, func() {
+		if !k.closed {
+			k.down(errReset)
+			k.again()
+		}
+	})
+}
+
+// listener is a program that others connect to.
+type listener interface{ mux() *rpc.Mux }
+
+// reset breaks some of the connections of a machine.
+func (n *network) reset(m *machine, share float64) (count int) {
+	if m.life == nil {
+		return 0
+	}
+	for _, e := range append([]*end(nil), m.life.ends...) {
+		if e.closed || n.world.random.Float64() >= share {
+			continue
+		}
+		count++
+		e.sent, e.peer.sent = nil, nil
+		ends := []*end{e, e.peer}
+		for _, one := range ends {
+			one.life.after(0, func() { one.conn.Fail(errReset) })
+		}
+	}
+	if count > 0 {
+		m.harm()
+	}
+	return count
+}
+
+// tidy forgets connections that have ended.
+func (l *life) tidy() {
+	kept := l.ends[:0]
+	for _, e := range l.ends {
+		if !e.closed {
+			kept = append(kept, e)
+		}
+	}
+	l.ends = kept
+}
