Give up the vote of a machine that has gone before another may be lost

Found by the simulation of the whole system: of three control machines one goes for good and an empty one comes at another address. The joiner became a voter at once and the one that had gone kept its vote for 10 s, so there were four voters with one down.

GoneAfter is now half of the time to catch up, 1.5 s at least. A vote is only given up where the others can bear more losses without it, so a machine that is down for longer in a core of odd size keeps its vote as before, and one that comes back joins anew.

Ruled out: a shorter silence for all changes of the chain, which is another bound; giving no vote to a joiner until the other is gone, which leaves three voters with one down for as long.

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -37,8 +37,6 @@
 
 const _ = uint(rpc.MaxFrame - mostEntries - 1<<20) // they fit a frame, with room for what is around them
 
-const leastGoneAfter = 10 * time.Second // a member down for less keeps its vote
-
 // Machine is the state that is kept alike at all members. Its methods are called one at a time, on goroutines of the core's, and must depend on
 // nothing but what they are given; they must not call the Core.
 type Machine interface {
@@ -120,7 +118,7 @@
 	config := nodeConfig{
 		Address: c.address, Zone: settings.Zone, Seeds: settings.SeedAddresses(), Bootstrap: settings.Bootstrap,
 		Disk: settings.DataDir != "", Candidate: c.config.Lead != nil, Durability: durability(settings),
-		GoneAfter: max(leastGoneAfter, 2*durationOf(settings.Bounds.CatchupS)), Terms: lease.DefaultTerms, LeastLog: leastLog, MostRecords: mostRecords,
+		GoneAfter: GoneAfter(durationOf(settings.Bounds.CatchupS)), Terms: lease.DefaultTerms, LeastLog: leastLog, MostRecords: mostRecords,
 		Machine: c.config.Machine, Random: c.random,
 	}
 	var snapshot []byte
@@ -144,6 +142,19 @@
 	return err
 }
 
+// Bounds of GoneAfter.
+const (
+	leastGoneAfter = 1500 * time.Millisecond // a member that restarts has been heard again by then
+	partOfCatchup  = 2
+)
+
+// GoneAfter is how long a voter that is down keeps its vote where the others could bear more losses without it, given the time in which the
+// system has to make up for a lost machine. When that is over another may be lost, so by then a machine that has gone must not
+// count among the voters beside the one that came in its place: of three and it, two would be no majority.
+func GoneAfter(catchup time.Duration) time.Duration {
+	return max(leastGoneAfter, catchup/partOfCatchup)
+}
+
 func (c *Core) openSlots() (*slots.Store, []byte, [][]byte, error) {
 	if c.config.folder != nil {
 		return slots.OpenFolder(c.config.folder)
--- a/control/core/simulation_test.go
+++ b/control/core/simulation_test.go
@@ -278,7 +278,7 @@
 	}
 	config := nodeConfig{
 		Address: m.address, Zone: m.zone, Seeds: m.s.seeds(), Bootstrap: m.fresh && snapshot == nil, Disk: true, Candidate: true,
-		Durability: view.Durability{Copies: m.s.lost + 1}, GoneAfter: 10 * time.Second, Terms: terms, LeastLog: m.s.leastLog, MostRecords: cmp.Or(m.s.mostRecords, m.s.leastLog/4), Machine: m.machine,
+		Durability: view.Durability{Copies: m.s.lost + 1}, GoneAfter: GoneAfter(catchupBound), Terms: terms, LeastLog: m.s.leastLog, MostRecords: cmp.Or(m.s.mostRecords, m.s.leastLog/4), Machine: m.machine,
 		Random: func() uint64 {
 			drawn++
 			if drawn == 2 && m.s.mutant == keptIdentity { // the first draw names the life, the second the disk
--- a/simulation/control_test.go
+++ b/simulation/control_test.go
@@ -22,7 +22,6 @@
 // Times of a control process, as its shell has them.
 const (
 	submitWithin = 2 * time.Second
-	goneAfter    = 10 * time.Second
 )
 
 // control is a machine that serves the control plane: a member of the core, its state machine and the leader's service.
@@ -77,13 +76,16 @@
 	c.calls, c.applied = make(map[uint64]func(core.Ended)), make(map[*byte]int)
 	c.state = newRecorder(c)
 	c.box = rpc.NewMux()
-	terms := lease.DefaultTerms
+	terms, gone := lease.DefaultTerms, core.GoneAfter(catchup)
+	if c.world.mutant == keepsVotes {
+		gone = 2 * catchup
+	}
 	if c.world.mutant == noMargin {
 		terms.Margin = 0
 	}
 	config := core.NodeConfig{
 		Address: c.address, Zone: c.zone, Seeds: c.settings.SeedAddresses(), Bootstrap: c.fresh && snapshot == nil, Disk: true, Candidate: true,
-		Durability: view.Durability{Copies: c.world.settings.lost + 1}, GoneAfter: goneAfter, Terms: terms, LeastLog: c.leastLog,
+		Durability: view.Durability{Copies: c.world.settings.lost + 1}, GoneAfter: gone, Terms: terms, LeastLog: c.leastLog,
 		Machine: c.state, Random: l.Uint64,
 	}
 	if c.node, err = core.NewNode(l.now(), config, snapshot, records); err != nil {
--- a/simulation/mutants_test.go
+++ b/simulation/mutants_test.go
@@ -11,18 +11,21 @@
 	for _, mistake := range []struct {
 		name   string
 		mutant mutant
+		only   string // the kind of disruption that brings it about; empty: all kinds
 		seeds  int
 		rule   string // that the mistake breaks, as part of what is said
 	}{
-		{"a leader whose lease is over leads on", leadsOn, 60, "was acknowledged over"},
-		{"an order is refused by what a process has applied", refusesByApplied, 20, "refused when it was sent again"},
-		{"an order of unknown outcome is said to have none", unknownIsNever, 20, "applied more often than it was sent"},
-		{"a holder uses its lease as long as voters grant it", noMargin, 60, "the leader lease is held by"},
-		{"a disk says that it has what it has not written", unsyncedAck, 60, ""},
+		{"a leader whose lease is over leads on", leadsOn, "core_cut leader", 60, "was acknowledged over"},
+		{"an order is refused by what a process has applied", refusesByApplied, "", 40, "refused when it was sent again"},
+		{"an order of unknown outcome is said to have none", unknownIsNever, "", 40, "applied more often than it was sent"},
+		{"a holder uses its lease as long as voters grant it", noMargin, "core_cut leader", 60, "the leader lease is held by"},
+		{"a disk says that it has what it has not written", unsyncedAck, "herd_kill all power taken", 60, ""},
 	} {
 		t.Run(mistake.name, func(t *testing.T) {
 			for seed := range uint64(mistake.seeds) {
-				if w := play(seed+1, mistake.mutant); w.broken != "" {
+				settings := settingsOf(seed + 1)
+				settings.only = mistake.only
+				if w := playIn(seed+1, settings, mistake.mutant); w.broken != "" {
 					t.Logf("seed %d: %s", seed+1, w.broken[:min(300, len(w.broken))])
 					require.Contains(t, w.broken, mistake.rule)
 					return
--- /dev/null
+++ b/simulation/secondloss_test.go
@@ -0,0 +1,45 @@
+package simulation
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// loseTwo has a control machine go for good and an empty one come at another address, and another be lost when the first counts as lost no more.
+// It says how long after that no order was acknowledged.
+func loseTwo(t *testing.T, seed uint64, controls int, planned bool, m mutant) (silence time.Duration, described string) {
+	w := newWorld(seed, worldSettings{controls: controls, edges: 2, stores: 2, zones: 1, lost: 1, heartbeatMs: 600}, m)
+	w.found()
+	w.play(5 * time.Second)
+	w.replace("replaced", planned)
+	require.True(t, w.awaits(10*time.Second, func() bool { return w.counts["replaced"] > 0 }))
+	w.play(lossEvery + 200*time.Millisecond)
+	w.anyControl().end(true)
+	w.play(2 * contact)
+	w.close()
+	require.Empty(t, w.broken)
+	return w.now - w.history.newest, w.describe()
+}
+
+// TestASecondLossAfterAReplacementLeavesAMajority has the second machine go as soon as the first no longer counts as lost.
+func TestASecondLossAfterAReplacementLeavesAMajority(t *testing.T) {
+	for _, controls := range []int{3, 4, 5} {
+		for _, planned := range []bool{false, true} {
+			for seed := range uint64(10) {
+				t.Run(fmt.Sprintf("%d, planned: %v, seed %d", controls, planned, seed+1), func(t *testing.T) {
+					silence, described := loseTwo(t, seed+1, controls, planned, sound)
+					require.Less(t, silence, contact, described)
+				})
+			}
+		}
+	}
+}
+
+// TestAVoteThatIsKeptTooLongIsCaught shows that the test above sees a machine that has gone count as a voter beside the one in its place.
+func TestAVoteThatIsKeptTooLongIsCaught(t *testing.T) {
+	silence, _ := loseTwo(t, 1, 3, false, keepsVotes)
+	require.GreaterOrEqual(t, silence, 2*contact)
+}
--- a/simulation/simulation_test.go
+++ b/simulation/simulation_test.go
@@ -44,22 +44,26 @@
 }
 
 // play is one whole history: founding, disruptions, calm, another disruption right after an acknowledgement, calm.
-func play(seed uint64, m mutant) *world {
-	w := newWorld(seed, settingsOf(seed), m)
+func play(seed uint64, m mutant) *world { return playIn(seed, settingsOf(seed), m) }
+
+func playIn(seed uint64, settings worldSettings, m mutant) *world {
+	w := newWorld(seed, settings, m)
 	w.found()
 	w.play(4 * time.Second)
-	for range 3 + w.random.IntN(5) {
+	kinds, count := faults, 3+w.random.IntN(5)
+	if settings.only != "" {
+		kinds, count = faultsNamed(settings.only), 2*count
+	}
+	for range count {
 		w.play(w.upTo(2500 * time.Millisecond))
-		next := faults[w.random.IntN(len(faults))]
+		next := kinds[w.random.IntN(len(kinds))]
 		next.play(w, next.name)
 	}
 	w.play(w.between(4*time.Second, 10*time.Second))
 	w.calmDown("after disruptions")
 	last := []string{"after_ack_wipe", "herd_kill all power taken", "after_ack_kill", "replace_core"}[w.random.IntN(4)]
-	for _, f := range faults {
-		if f.name == last {
-			f.play(w, f.name)
-		}
+	for _, f := range faultsNamed(last) {
+		f.play(w, f.name)
 	}
 	w.play(w.between(3*time.Second, 5*time.Second))
 	w.calmDown("after the last disruption")
@@ -70,6 +74,16 @@
 	return w
 }
 
+func faultsNamed(name string) []fault {
+	var named []fault
+	for _, f := range faults {
+		if f.name == name {
+			named = append(named, f)
+		}
+	}
+	return named
+}
+
 // calmDown ends all disruptions, and expects service soon.
 func (w *world) calmDown(when string) {
 	w.calm()
--- a/simulation/system_test.go
+++ b/simulation/system_test.go
@@ -14,6 +14,7 @@
 	zones       int
 	lost        int // machines that may be lost at once
 	heartbeatMs int
+	only        string // the name of the disruption that comes again and again; empty: all kinds
 }
 
 // mutant is a guard taken out, which the simulation must notice.
@@ -24,6 +25,7 @@
 	leadsOn                 // a leader that has lost its lease goes on until it hears of another
 	refusesByApplied        // an order is refused by the state that a process happens to have
 	unknownIsNever          // an order whose outcome is not known is said to have had no effect
+	keepsVotes              // a voter that has gone keeps its vote for longer than until another may be lost
 	noMargin                // a holder uses its lease as long as voters grant it
 	unsyncedAck             // a disk says that it has what it has not written yet
 )
@@ -32,8 +34,9 @@
 const (
 	contact   = 4 * time.Second
 	converge  = 3 * time.Second
-	lossEvery = 7 * time.Second // from the loss of a disk of the core to the next: two until another is there, and five to catch up
-	recovery  = 8 * time.Second // from the end of all troubles to service by all
+	catchup   = 5 * time.Second         // from then on a lost machine counts no more
+	lossEvery = catchup + 2*time.Second // from the loss of a disk of the core to the next: two until another is there
+	recovery  = 8 * time.Second         // from the end of all troubles to service by all
 )
 
 const (
