Let the queue's client and the dispatch plane run on a host that a test can supply

Both read the clock, set timers, waited on channels and connected by themselves, so they could not be part of a simulation in virtual time. They go by host.Host now, which gains timers and signals; the plane's workers are an interface that worker.Client meets. Lists that are sent to stores are sorted, so that equal seeds give equal histories.

Tests of queueclient, dispatch and cmd/ravendale-edge pass; one test sets the start of the client's clock by a duration now.

--- a/dispatch/plane.go
+++ b/dispatch/plane.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"ravendale/catalog"
+	"ravendale/host"
 	"ravendale/wire"
 	"ravendale/worker"
 )
@@ -20,16 +20,17 @@
 
 // Plane runs a Core. Its methods may be called by any goroutine and do not wait.
 type Plane struct {
-	client  *worker.Client
+	workers Workers
 	queue   Queue
-	started time.Time
+	host    host.Host
+	started time.Duration
 	index   atomic.Pointer[catalog.Index]
 	changed chan struct{} // capacity 1: something was handled
 
 	mu     sync.Mutex
 	core   *Core
-	calls  map[call]*worker.Call
-	timer  *time.Timer
+	calls  map[call]Call
+	timer  host.Timer
 	wakeAt time.Duration
 	closed bool
 }
@@ -39,21 +40,45 @@
 	attempt int
 }
 
+// Workers carries deliveries out.
+type Workers interface {
+	// Start begins a delivery. Done is called once, not before Start has returned.
+	Start(delivery *worker.Delivery, done func(worker.Result)) Call
+	// Limit says how many connections may be open to each worker.
+	Limit(limits map[string]int)
+}
+
+// Call is a delivery under way.
+type Call interface{ Cancel() }
+
+// overHTTP are the workers that a worker.Client reaches.
+type overHTTP struct{ *worker.Client }
+
+// Start implements Workers.
+func (w overHTTP) Start(delivery *worker.Delivery, done func(worker.Result)) Call {
+	return w.Client.Start(delivery, done)
+}
+
 // NewPlane returns a plane that holds nothing. Start must be called before anything else is.
 func NewPlane(config Config, client *worker.Client) *Plane {
+	return NewPlaneOn(host.System, config, overHTTP{client})
+}
+
+// NewPlaneOn is NewPlane with a host and workers of the caller's.
+func NewPlaneOn(machine host.Host, config Config, workers Workers) *Plane {
 	if config.Seed == 0 {
-		config.Seed = rand.Uint64()
+		config.Seed = machine.Uint64()
 	}
 	return &Plane{
-		client: client, started: time.Now(), changed: make(chan struct{}, 1),
-		core: NewCore(config), calls: make(map[call]*worker.Call),
+		workers: workers, host: machine, started: machine.Now(), changed: make(chan struct{}, 1),
+		core: NewCore(config), calls: make(map[call]Call),
 	}
 }
 
 // Start gives the plane its queue.
 func (p *Plane) Start(queue Queue) { p.queue = queue }
 
-func (p *Plane) now() time.Duration { return time.Since(p.started) }
+func (p *Plane) now() time.Duration { return p.host.Now() - p.started }
 
 // handle has the core handle an event, and carries out what it asks for.
 func (p *Plane) handle(event func(core *Core, now time.Duration) []Action) {
@@ -76,7 +101,7 @@
 	switch a := action.(type) {
 	case Deliver:
 		key := call{a.Job, a.Attempt}
-		p.calls[key] = p.client.Start(&a.Delivery, func(result worker.Result) { p.ended(key, result) })
+		p.calls[key] = p.workers.Start(&a.Delivery, func(result worker.Result) { p.ended(key, result) })
 	case Cancel:
 		if under := p.calls[call{a.Job, a.Attempt}]; under != nil {
 			under.Cancel()
@@ -102,7 +127,7 @@
 	p.wakeAt = next
 	wait := max(next-p.now(), 0)
 	if p.timer == nil {
-		p.timer = time.AfterFunc(wait, p.tick)
+		p.timer = p.host.AfterFunc(wait, p.tick)
 		return
 	}
 	p.timer.Reset(wait)
@@ -139,7 +164,7 @@
 func (p *Plane) Configure(index *catalog.Index) {
 	p.handle(func(core *Core, now time.Duration) []Action {
 		actions := core.Configure(now, index)
-		p.client.Limit(core.Connections())
+		p.workers.Limit(core.Connections())
 		return actions
 	})
 	p.index.Store(index)
@@ -149,7 +174,7 @@
 func (p *Plane) List(workers *wire.Workers) {
 	p.handle(func(core *Core, now time.Duration) []Action {
 		actions := core.List(now, workers)
-		p.client.Limit(core.Connections())
+		p.workers.Limit(core.Connections())
 		return actions
 	})
 }
@@ -158,7 +183,7 @@
 func (p *Plane) Place(edges []wire.Edge) {
 	p.handle(func(core *Core, now time.Duration) []Action {
 		actions := core.Place(now, edges)
-		p.client.Limit(core.Connections())
+		p.workers.Limit(core.Connections())
 		return actions
 	})
 }
--- a/host/host.go
+++ b/host/host.go
@@ -24,6 +24,10 @@
 	Serve(ctx context.Context, box *mailbox.Mailbox, tick func() time.Duration)
 	// Tasks makes an empty group of tasks.
 	Tasks() Tasks
+	// AfterFunc calls a function, on a goroutine of its own, after a while.
+	AfterFunc(pause time.Duration, run func()) Timer
+	// Signal makes a signal that nobody has given.
+	Signal() Signal
 	// Connect keeps a connection to an address; see rpc.NewLink.
 	Connect(address string, options rpc.Options, up func(*rpc.Conn), down func(error)) Link
 }
@@ -38,9 +42,23 @@
 type Link interface {
 	Address() string
 	Conn() *rpc.Conn
+	Hurry()
 	Close()
 }
 
+// Timer is what AfterFunc returns; see time.Timer.
+type Timer interface {
+	Reset(pause time.Duration) bool
+	Stop() bool
+}
+
+// Signal wakes one task that waits for it. One that is given while nobody waits is kept; two are kept as one.
+type Signal interface {
+	Give()
+	// Wait waits for so long at most, and says whether the signal was given.
+	Wait(most time.Duration) bool
+}
+
 // System is the machine that the process runs on.
 var System Host = system{}
 
@@ -82,6 +100,42 @@
 // Tasks implements Host.
 func (system) Tasks() Tasks { return new(sync.WaitGroup) }
 
+// AfterFunc implements Host.
+func (system) AfterFunc(pause time.Duration, run func()) Timer { return time.AfterFunc(pause, run) }
+
+// Signal implements Host.
+func (system) Signal() Signal { return make(signal, 1) }
+
+type signal chan struct{}
+
+// Give implements Signal.
+func (s signal) Give() {
+	select {
+	case s <- struct{}{}:
+	default:
+	}
+}
+
+// Wait implements Signal.
+func (s signal) Wait(most time.Duration) bool {
+	select {
+	case <-s:
+		return true
+	default:
+	}
+	if most <= 0 {
+		return false
+	}
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-s:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
 // Connect implements Host.
 func (system) Connect(address string, options rpc.Options, up func(*rpc.Conn), down func(error)) Link {
 	return rpc.NewLink(address, options, up, down)
--- a/queueclient/put.go
+++ b/queueclient/put.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"ravendale/host"
 	"ravendale/rpc"
 	"ravendale/wire"
 )
@@ -67,7 +68,7 @@
 	client   *Client
 	message  *wire.Message
 	dispatch bool
-	answered chan struct{} // capacity 1: something happened to a try
+	answered host.Signal // something happened to a try
 
 	mu    sync.Mutex
 	tries []*try
@@ -93,9 +94,8 @@
 // name and its partition through all tries; another gets new ones with each. With dispatch Config.Kept is told, before it
 // returns; the message, its body included, must then not change any more.
 func (c *Client) PutWithin(m *wire.Message, dispatch bool, limits Limits) Result {
-	p := &put{client: c, message: m, dispatch: dispatch, answered: make(chan struct{}, 1)}
-	expired := time.NewTimer(limits.Try)
-	defer expired.Stop()
+	p := &put{client: c, message: m, dispatch: dispatch, answered: c.host.Signal()}
+	expired := c.now() + limits.Try
 	for goesOn := true; goesOn; {
 		wait := refusalPause
 		t := p.begin()
@@ -118,12 +118,10 @@
 	if limit <= 0 {
 		return true
 	}
-	expired := time.NewTimer(limit)
-	defer expired.Stop()
+	expired := p.client.now() + limit
 	for !p.isKept() && p.isWaiting() {
-		select {
-		case <-p.answered:
-		case <-expired.C:
+		left := expired - p.client.now()
+		if !p.answered.Wait(left) && left <= 0 {
 			return true
 		}
 	}
@@ -162,24 +160,23 @@
 }
 
 // await waits until a try has an answer, or a time, and says whether the put goes on.
-func (p *put) await(t *try, wait time.Duration, expired *time.Timer) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+func (p *put) await(t *try, wait, expired time.Duration) bool {
+	due := p.client.now() + wait
 	for {
-		select {
-		case <-p.answered:
-			if p.isKept() {
-				return false
-			}
-			if t != nil && p.hasAnswer(t) {
-				return true
-			}
-		case <-timer.C:
-			p.blame(t)
+		now := p.client.now()
+		answered := p.answered.Wait(min(due, expired) - now)
+		switch {
+		case answered && p.isKept():
+			return false
+		case answered && t != nil && p.hasAnswer(t):
 			return true
-		case <-expired.C:
+		case answered:
+		case now >= expired:
 			p.blame(t)
 			return false
+		case now >= due:
+			p.blame(t)
+			return true
 		}
 	}
 }
@@ -345,10 +342,7 @@
 }
 
 func (p *put) poke() {
-	select {
-	case p.answered <- struct{}{}:
-	default:
-	}
+	p.answered.Give()
 }
 
 // keep takes the message as kept by this try, unless it is too late: then the store is to drop it.
@@ -442,5 +436,6 @@
 			ids = append(ids, id)
 		}
 	}
+	slices.Sort(ids)
 	return ids
 }
--- a/queueclient/queueclient.go
+++ b/queueclient/queueclient.go
@@ -4,13 +4,14 @@
 
 import (
 	"log/slog"
-	"math/rand/v2"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"ravendale/host"
 	"ravendale/rpc"
 	"ravendale/wire"
 )
@@ -46,13 +47,15 @@
 	// Held lists the messages that the edge holds.
 	Held func() []string
 
-	Log *slog.Logger // nil: the default
+	Log  *slog.Logger // nil: the default
+	Host host.Host    // nil: host.System
 }
 
 // Client of the queue. Its methods may be called by any goroutine.
 type Client struct {
 	config  Config
-	started time.Time
+	host    host.Host
+	started time.Duration
 	view    atomic.Pointer[view]
 	names   atomic.Uint64
 	answer  atomic.Int64  // mean time of an answer to a put
@@ -72,6 +75,7 @@
 type view struct {
 	*wire.StoreView
 	stores []*store // by index in StoreView.Stores
+	host   host.Host
 	own    []uint16 // partitions whose primary is in the edge's zone
 }
 
@@ -80,8 +84,9 @@
 	if config.Log == nil {
 		config.Log = slog.Default()
 	}
+	machine := host.Or(config.Host)
 	c := &Client{
-		config: config, started: time.Now(), last: lastPatience, life: strconv.FormatUint(rand.Uint64()>>16, 36),
+		config: config, host: machine, started: machine.Now(), last: lastPatience, life: strconv.FormatUint(machine.Uint64()>>16, 36),
 		stores: make(map[string]*store), tries: make(map[string]*try),
 	}
 	c.reports.init(c)
@@ -121,7 +126,7 @@
 	return primary == nil || primary.conn() != conn
 }
 
-func (c *Client) now() time.Duration { return time.Since(c.started) }
+func (c *Client) now() time.Duration { return c.host.Now() - c.started }
 
 // SetView takes a placement, unless a newer one is known.
 func (c *Client) SetView(next *wire.StoreView) {
@@ -130,7 +135,7 @@
 		c.mu.Unlock()
 		return
 	}
-	v := &view{StoreView: next}
+	v := &view{StoreView: next, host: c.host}
 	gone := c.stores
 	c.stores = make(map[string]*store, len(next.Stores))
 	for i := range next.Stores {
@@ -139,8 +144,8 @@
 	v.own = ownPartitions(next, c.config.Zone)
 	c.view.Store(v)
 	c.mu.Unlock()
-	for _, s := range gone {
-		s.link.Close()
+	for _, disk := range slices.Sorted(maps.Keys(gone)) {
+		gone[disk].link.Close()
 	}
 	c.reports.resend() // first: what has ended needs no claim
 	for _, s := range v.stores {
@@ -276,16 +281,16 @@
 	connected := func(p uint16) bool { s := v.primary(p); return s != nil && s.conn() != nil }
 	for _, untried := range []bool{true, false} {
 		skip := func(p uint16) bool { return untried && slices.Contains(tried, p) }
-		if p, ok := draw(len(v.own), own, skip, answers); ok {
+		if p, ok := v.draw(len(v.own), own, skip, answers); ok {
 			return p, true
 		}
-		if p, ok := draw(len(v.Partitions), everywhere, skip, answers); ok {
+		if p, ok := v.draw(len(v.Partitions), everywhere, skip, answers); ok {
 			return p, true
 		}
 		if waiting {
 			break
 		}
-		if p, ok := draw(len(v.Partitions), everywhere, skip, connected); ok {
+		if p, ok := v.draw(len(v.Partitions), everywhere, skip, connected); ok {
 			return p, true
 		}
 	}
@@ -293,11 +298,11 @@
 }
 
 // draw returns the first that will do of count partitions, from a random one on.
-func draw(count int, at func(int) uint16, skip, will func(uint16) bool) (uint16, bool) {
+func (v *view) draw(count int, at func(int) uint16, skip, will func(uint16) bool) (uint16, bool) {
 	if count == 0 {
 		return 0, false
 	}
-	start := rand.IntN(count)
+	start := int(v.host.Uint64() % uint64(count))
 	for i := range count {
 		if p := at((start + i) % count); !skip(p) && will(p) {
 			return p, true
--- a/queueclient/queueclient_test.go
+++ b/queueclient/queueclient_test.go
@@ -149,7 +149,7 @@
 			return ids
 		},
 	})
-	c.started = c.started.Add(-time.Hour) // no event falls on its start, a time that stands for never
+	c.started -= time.Hour // no event falls on its start, a time that stands for never
 	t.Cleanup(c.Close)
 	return c, h
 }
--- a/queueclient/report.go
+++ b/queueclient/report.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"ravendale/host"
 	"ravendale/wire"
 )
 
@@ -14,7 +15,7 @@
 
 	mu      sync.Mutex
 	waiting map[string]*reporting
-	timer   *time.Timer
+	timer   host.Timer
 	wakeAt  time.Duration // 0: the timer does not run
 	stopped bool
 }
@@ -175,6 +176,7 @@
 			ids = append(ids, id)
 		}
 	}
+	slices.Sort(ids)
 	return ids
 }
 
@@ -191,7 +193,7 @@
 	}
 	r.wakeAt = at
 	if wait := max(at-r.client.now(), 0); r.timer == nil {
-		r.timer = time.AfterFunc(wait, r.sendDue)
+		r.timer = r.client.host.AfterFunc(wait, r.sendDue)
 	} else {
 		r.timer.Reset(wait)
 	}
@@ -215,6 +217,7 @@
 		r.wake(next)
 	}
 	r.mu.Unlock()
+	slices.Sort(due)
 	for _, id := range due {
 		r.send(id)
 	}
--- a/queueclient/store.go
+++ b/queueclient/store.go
@@ -1,9 +1,11 @@
 package queueclient
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
+	"ravendale/host"
 	"ravendale/rpc"
 	"ravendale/wire"
 )
@@ -12,7 +14,7 @@
 type store struct {
 	client       *Client
 	address      string
-	link         *rpc.Link
+	link         host.Link
 	suspectUntil atomic.Int64 // steady time of the client
 	unanswered   atomic.Int64 // puts that it owes an answer, as a primary
 	keptAt       atomic.Int64 // steady time of the client at which it kept a message last, as a primary
@@ -20,7 +22,7 @@
 
 func newStore(c *Client, entry *wire.Store) *store {
 	s := &store{client: c, address: entry.Address}
-	s.link = rpc.NewLink(entry.Address, c.config.Options, s.up, nil)
+	s.link = c.host.Connect(entry.Address, c.config.Options, s.up, nil)
 	return s
 }
 
@@ -54,7 +56,7 @@
 		return
 	}
 	putting := s.client.putting() // in the order in which messages go through the lists: none slips by
-	held := s.client.config.Held()
+	held := slices.Sorted(slices.Values(s.client.config.Held()))
 	reporting := s.client.reports.ids()
 	claim := &wire.Claim{Epoch: v.Epoch}
 	kept, claimed := make(map[string]bool), make(map[string]bool)
@@ -84,7 +86,7 @@
 
 func (s *store) claimed(conn *rpc.Conn, v *view, kept map[string]bool, reply *wire.ClaimReply) {
 	if reply.Code != wire.PutKept {
-		time.AfterFunc(claimPause, func() {
+		s.client.host.AfterFunc(claimPause, func() {
 			if conn.Err() == nil && s.client.view.Load() == v { // else there is another claim
 				s.claimOn(conn)
 			}
