Send to a service that has a ceiling and no bound on connections

The room for its jobs is the sum of the connections that may be open, and where no bound is given each counts as zero: the line for tokens never moved.

Room is without a bound now where maxConns is none. Ruled out: a bound made up in connectionShare, which the connections' pool would keep too.

Test: TestAServiceWithACeilingAndNoBoundOnConnectionsIsSentTo fails without the change; tests of dispatch pass.

--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -169,6 +169,15 @@
 	assert.Empty(t, w.core.jobs)
 }
 
+func TestAServiceWithACeilingAndNoBoundOnConnectionsIsSentTo(t *testing.T) {
+	w := newWorld(t)
+	w.config.Services[2].MaxConns = 0
+	w.configure()
+	w.accept("/l/x", "m1")
+	w.pass(time.Second)
+	require.Equal(t, "m1", w.sent().Delivery.RequestID)
+}
+
 func TestFailedAttemptsAreCountedToTheEnd(t *testing.T) {
 	w := newWorld(t)
 	w.accept("/p/", "1")
--- a/dispatch/topology.go
+++ b/dispatch/topology.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -133,10 +134,7 @@
 	}
 	ceiling := Ceiling{RatePerS: config.RatePerS, Window: c.config.Window, Overshoot: c.config.Overshoot}
 	share := ceiling.Divide(s.name, c.config.Topology.Edge, c.config.Topology.Edges)
-	s.room = 0
-	for _, connections := range s.connections(config, max(c.edges.highest(c.now), len(c.config.Topology.Edges))) {
-		s.room += connections
-	}
+	s.room = c.roomAt(s, config)
 	if s.bucket == nil || s.bucket.share != share {
 		s.bucket = newBucket(share, c.now)
 	}
@@ -147,6 +145,18 @@
 	}
 }
 
+// roomAt is how many connections may be open to all workers of a service.
+func (c *Core) roomAt(s *service, config *catalog.Service) int {
+	if config.MaxConns <= 0 {
+		return math.MaxInt // no bound is given
+	}
+	room := 0
+	for _, connections := range s.connections(config, max(c.edges.highest(c.now), len(c.config.Topology.Edges))) {
+		room += connections
+	}
+	return room
+}
+
 // List takes the platform's list of workers.
 func (c *Core) List(now time.Duration, workers *wire.Workers) []Action {
 	c.begin(now)
