--- a/simulation/machine_test.go
+++ b/simulation/machine_test.go
@@ -176,6 +176,75 @@
 	return l.machine.world.network.connect(l, address, options, up, down)
 }
 
+// AfterFunc implements host.Host.
+func (l *life) AfterFunc(pause time.Duration, run func()) host.Timer {
+	t := &timer{life: l, run: run}
+	t.Reset(pause)
+	return t
+}
+
+// Signal implements host.Host.
+func (l *life) Signal() host.Signal { return &signal{life: l} }
+
+// timer implements host.Timer.
+type timer struct {
+	life *life
+	run  func()
+	turn int
+	set  bool
+}
+
+// Reset implements host.Timer.
+func (t *timer) Reset(pause time.Duration) bool {
+	was := t.Stop()
+	t.set = true
+	turn := t.turn
+	t.life.after(t.life.real(pause), func() {
+		if t.turn == turn && t.set {
+			t.set = false
+			t.run()
+		}
+	})
+	return was
+}
+
+// Stop implements host.Timer.
+func (t *timer) Stop() bool {
+	was := t.set
+	t.turn++
+	t.set = false
+	return was
+}
+
+// signal implements host.Signal.
+type signal struct {
+	life   *life
+	given  bool
+	waiter *task
+}
+
+// Give implements host.Signal.
+func (s *signal) Give() {
+	s.given = true
+	if s.waiter != nil {
+		s.waiter.wake(0)
+	}
+}
+
+// Wait implements host.Signal.
+func (s *signal) Wait(most time.Duration) bool {
+	until := s.life.now() + most
+	for !s.given && s.life.now() < until {
+		s.waiter = s.life.machine.world.running
+		s.waiter.wake(s.life.real(until - s.life.now()))
+		s.waiter.pause()
+		s.waiter = nil
+	}
+	given := s.given
+	s.given = false
+	return given
+}
+
 // logger passes what a process logs to the trace.
 type logger struct {
 	slog.Handler
