--- a/simulation/control_test.go
+++ b/simulation/control_test.go
@@ -87,7 +87,7 @@
 	}
 	config := core.NodeConfig{
 		Address: c.address, Zone: c.zone, Seeds: c.settings.SeedAddresses(), Bootstrap: c.fresh && snapshot == nil, Disk: true, Candidate: true,
-		Durability: view.Durability{Copies: c.world.settings.lost + 1}, GoneAfter: gone, Terms: terms, LeastLog: c.leastLog,
+		Durability: view.Durability{Copies: c.world.settings.lost + 1}, GoneAfter: gone, Terms: terms, LeastLog: c.leastLog, MostRecords: c.leastLog / 4,
 		Machine: c.state, Random: l.Uint64,
 	}
 	if c.node, err = core.NewNode(l.now(), config, snapshot, records); err != nil {
