--- a/audit/read.go
+++ b/audit/read.go
@@ -293,17 +293,26 @@
 	a.Findings = slices.Compact(a.Findings)
 }
 
-// Told is how far a member's record was by the furthest word of it in the others' records.
-func (a *Audit) Told(member string) (furthest Head) {
+// AdoptionTold says whether others' records show that a member's was as far as its adoption of an epoch, or farther.
+func (a *Audit) AdoptionTold(member string, epoch uint64) bool {
+	r := a.records[member]
+	if r == nil {
+		return false
+	}
+	adopted := slices.IndexFunc(r.Entries, func(e Placed) bool { return e.Kind == Adopted && e.Epoch != nil && e.Epoch.Number == epoch })
+	if adopted < 0 {
+		return false
+	}
+	entry := r.Entries[adopted]
 	for _, by := range a.Members {
 		for i := range a.records[by].Entries {
 			head := a.records[by].Entries[i].Seen[member].Head
-			if head.Incarnation > furthest.Incarnation || head.Incarnation == furthest.Incarnation && head.Seq > furthest.Seq {
-				furthest = head
+			if head.Incarnation == entry.Incarnation && head.Seq >= entry.Seq {
+				return true
 			}
 		}
 	}
-	return furthest
+	return false
 }
 
 func (a *Audit) find(kind FindingKind, member, place, text string, args ...any) {
--- a/fleettest/bench.go
+++ b/fleettest/bench.go
@@ -308,7 +308,7 @@
 //	await acts|shut|marked|dead NAMES  standing as they tell (who acts votes too), or the process has ended
 //	await epoch N NAMES                what they act under
 //	await NAME sees STATE NAMES        how a member sees others
-//	await told NAME                    another's record says that its record is as far as it is now
+//	await told NAME N                  another's record says that its record is as far as its adoption of that epoch
 //	roll-out N floor=F [within=D] [build=B] [settings=JSON] via NAME [refused]
 //	cut A>B, cut A|B, heal             one direction (lists of names), both, or all well again
 //	delay A>B D, corrupt A>B, duplicate A>B, reset A>B
@@ -379,6 +379,9 @@
 	case "start":
 		switch how {
 		case "empty":
+			if err := b.awaitLaterSecond(record); err != nil {
+				return err
+			}
 			if err := os.RemoveAll(record); err != nil {
 				return err
 			}
@@ -477,8 +480,8 @@
 			return true, ""
 		})
 	}
-	if len(words) == 2 && words[0] == "told" {
-		return b.awaitTold(words[1])
+	if len(words) == 3 && words[0] == "told" {
+		return b.awaitTold(words[1], words[2])
 	}
 	some, err := b.pick(words[len(words)-1])
 	if err != nil {
@@ -519,9 +522,25 @@
 	return nil
 }
 
-// awaitTold waits until another member's record says that a member's record is as far as it is now.
-func (b *Bench) awaitTold(member string) error {
-	s, err := b.Status(member)
+// awaitLaterSecond waits until an empty disk begins with an incarnation above those of a record: it is the second of its start.
+func (b *Bench) awaitLaterSecond(record string) error {
+	files, err := filepath.Glob(filepath.Join(record, "*.audit"))
+	if err != nil {
+		return err
+	}
+	newest := int64(0)
+	for _, file := range files {
+		words := strings.Split(filepath.Base(file), ".") // member, incarnation, number
+		if incarnation, err := strconv.ParseInt(words[1], 10, 64); err == nil {
+			newest = max(newest, incarnation)
+		}
+	}
+	return b.until(func() (bool, string) { return time.Now().Unix() > newest, fmt.Sprintf("it is %d still", newest) })
+}
+
+// awaitTold waits until another member's record says that a member's record is as far as its adoption of an epoch.
+func (b *Bench) awaitTold(member, number string) error {
+	epoch, err := strconv.ParseUint(number, 10, 64)
 	if err != nil {
 		return err
 	}
@@ -530,8 +549,7 @@
 		if err != nil {
 			return false, err.Error()
 		}
-		furthest := records.Told(member)
-		return furthest.Incarnation == s.Head.Incarnation && furthest.Seq >= s.Head.Seq, fmt.Sprintf("%+v, and it is at %+v", furthest, s.Head)
+		return records.AdoptionTold(member, epoch), "no record says so"
 	})
 }
 
--- a/fleettest/fleet_test.go
+++ b/fleettest/fleet_test.go
@@ -191,25 +191,25 @@
 			heal
 			await epoch 1 all
 			await acts all`, verdict{adopted: 1, restarted: []string{"c"}}},
-		"yesterday's disk": {Options{Members: 3, Alone: "stop"}, `
+		"yesterday's disk": {Options{Members: 3, Alone: "stop", Trust: 20 * time.Second}, `
 			start all
 			await acts all
 			save c
 			roll-out 1 floor=1 via a
 			await epoch 1 all
-			await told c
+			await told c 1
 			kill c
 			start c old
 			await epoch 1 c
 			await acts all
 			roll-out 2 floor=2 via c
 			await epoch 2 all`, verdict{adopted: 2, restarted: []string{"c"}, faults: []string{"c rolled back"}}},
-		"an empty disk under an old name": {Options{Members: 3, Alone: "stop"}, `
+		"an empty disk under an old name": {Options{Members: 3, Alone: "stop", Trust: 20 * time.Second}, `
 			start all
 			await acts all
 			roll-out 1 floor=1 via a
 			await epoch 1 all
-			await told c
+			await told c 1
 			kill c
 			start c empty
 			await epoch 1 c
