Compress and pace whole topics, and ask less often for what is on its way

Cause: with 1,200 outside endpoints the configuration is some 600 KB. Change: whole topics of 16 KB and more are compressed (once for each version); whole topics take two fifths of the link at most (limits.bandwidthMbps, no pace where it isn't known); a missing topic is fetched at pauses that double.

--- a/control/leader/term.go
+++ b/control/leader/term.go
@@ -93,7 +93,7 @@
 	return &term{
 		service: s, number: number, valid: valid, box: mailbox.New(), started: s.host.Now(), done: make(chan struct{}),
 		work:     s.host.Tasks(),
-		node:     relay.NewNode(relay.NodeConfig{Root: true, Log: s.log, Host: s.host}),
+		node:     relay.NewNode(relay.NodeConfig{Root: true, Link: s.settings.Load().BytesPerSecond(), Log: s.log, Host: s.host}),
 		registry: registry.New(lease), lease: lease,
 		links: make(map[*rpc.Conn]uint64), edges: make(map[string]bool), disks: make(map[string]bool),
 	}
@@ -303,19 +303,24 @@
 
 // take adopts a topic of an earlier term.
 func (t *term) take(update *wire.Update) {
+	payload, err := relay.Payload(update)
+	if err != nil {
+		t.service.log.Warn("a topic of an earlier term can't be read", "topic", update.Topic, "error", err)
+		return
+	}
 	if update.Topic == wire.TopicMembers {
 		members := new(wire.Members)
-		if _, err := members.UnmarshalMsg(update.Payload); err == nil && t.now() < t.lease.Suspicion() {
+		if _, err := members.UnmarshalMsg(payload); err == nil && t.now() < t.lease.Suspicion() {
 			t.adopted[update.Topic] = update.To
 			t.note(t.registry.Adopt(t.now(), members))
 		}
 		return
 	}
 	workers := new(wire.Workers)
-	if _, err := workers.UnmarshalMsg(update.Payload); err == nil && t.sequences[wire.TopicWorkers] == 0 {
+	if _, err := workers.UnmarshalMsg(payload); err == nil && t.sequences[wire.TopicWorkers] == 0 {
 		t.adopted[update.Topic] = update.To
 		t.workers = workers
-		t.publish(update.Topic, update.To, update.Payload)
+		t.publish(update.Topic, update.To, payload)
 	}
 }
 
--- a/member/agent.go
+++ b/member/agent.go
@@ -72,7 +72,7 @@
 	random := rand.New(rand.NewPCG(machine.Uint64(), machine.Uint64()))
 	a.session = newSession(random, heartbeat, config.Settings.SeedAddresses())
 	a.node = relay.NewNode(relay.NodeConfig{
-		Self: config.Self.ID, OnUpdate: a.updated, Leader: a.leader.Load, Log: a.log, Host: machine,
+		Self: config.Self.ID, Link: config.Settings.BytesPerSecond(), OnUpdate: a.updated, Leader: a.leader.Load, Log: a.log, Host: machine,
 	})
 	relay.Register(config.Mux, func() *relay.Node { return a.node })
 	return a
--- a/relay/node.go
+++ b/relay/node.go
@@ -24,8 +24,9 @@
 
 // NodeConfig says what a Node is and whom it tells.
 type NodeConfig struct {
-	Self     string // Member.ID
-	Root     bool   // it has no parent, and any number of children
+	Self     string  // Member.ID
+	Root     bool    // it has no parent, and any number of children
+	Link     float64 // bytes a second that the machine's link carries; 0: not known, and nothing is paced
 	OnUpdate func(topic wire.Topic, version wire.Version, payload []byte)
 	Leader   func() *rpc.Conn // a connection to the leader, if there is one; nil: never
 	Log      *slog.Logger
@@ -46,6 +47,8 @@
 	link     host.Link
 	beat     time.Duration
 	above    Versions // what the parent said that it has
+	pace     pace
+	held     bool // some update waits for the pace
 	stopped  bool
 }
 
@@ -62,7 +65,7 @@
 	random := rand.New(rand.NewPCG(machine.Uint64(), machine.Uint64()))
 	return &Node{
 		config: config, box: mailbox.New(), host: machine, started: machine.Now(),
-		children: NewChildren[*rpc.Conn](limit), uplink: NewUplink(random),
+		children: NewChildren[*rpc.Conn](limit), uplink: NewUplink(random), pace: newPace(config.Link),
 	}
 }
 
@@ -132,13 +135,18 @@
 }
 
 func (n *Node) push() {
-	for _, send := range n.children.Push(&n.topics) {
+	sends, held := n.children.Push(&n.topics, n.may)
+	n.held = held
+	for _, send := range sends {
 		if err := send.Child.Notify(wire.MethodUpdate, send.Update); err != nil {
 			n.children.Remove(send.Child)
 		}
 	}
 }
 
+// may says whether an update of so many bytes may be sent now.
+func (n *Node) may(size int) bool { return n.pace.take(n.now(), size) }
+
 func (n *Node) subscribe(c *rpc.Conn, subscribe *wire.Subscribe, reply rpc.Reply) {
 	if subscribe.Member == n.config.Self || !n.children.Add(c, VersionsOf(subscribe.Have)) {
 		reply.Send(&wire.SubscribeReply{})
@@ -151,6 +159,9 @@
 
 func (n *Node) answer(fetch *wire.Fetch, reply rpc.Reply) {
 	update := n.topics.Answer(fetch)
+	if !n.may(len(update.Payload)) { // it asks again
+		update = wire.Update{Topic: fetch.Topic}
+	}
 	reply.Send(&update)
 }
 
@@ -176,6 +187,9 @@
 	n.uplink.Tick(now)
 	n.connect()
 	n.sendBeats(now)
+	if n.held && now >= n.pace.next() {
+		n.push()
+	}
 	for _, repair := range n.topics.Repairs(now) {
 		n.fetch(repair)
 	}
@@ -190,6 +204,9 @@
 	if len(n.children.List()) > 0 && (!found || n.beat < next) {
 		next, found = n.beat, true
 	}
+	if n.held && (!found || n.pace.next() < next) {
+		next, found = n.pace.next(), true
+	}
 	if !found {
 		return 0
 	}
--- /dev/null
+++ b/relay/pace.go
@@ -0,0 +1,35 @@
+package relay
+
+import "time"
+
+// Bounds of what whole topics may take of a link: heartbeats and leases use the same one, and must not wait behind them.
+const (
+	pacedFrom  = 4 << 10 // bytes; shorter updates pass at once
+	linkShare  = 0.4     // of the link
+	longestLag = 100 * time.Millisecond
+)
+
+// pace spreads long updates over time, so that they leave room on the link. The zero pace lets all pass.
+type pace struct {
+	bytesPerSecond float64
+	busyUntil      time.Duration
+}
+
+func newPace(linkBytesPerSecond float64) pace {
+	return pace{bytesPerSecond: linkShare * linkBytesPerSecond}
+}
+
+// take says whether an update may be sent now, and counts it if so.
+func (p *pace) take(now time.Duration, size int) bool {
+	if p.bytesPerSecond == 0 || size < pacedFrom {
+		return true
+	}
+	if p.busyUntil > now+longestLag {
+		return false
+	}
+	p.busyUntil = max(p.busyUntil, now) + time.Duration(float64(size)/p.bytesPerSecond*float64(time.Second))
+	return true
+}
+
+// next is when an update that was held up may be sent.
+func (p *pace) next() time.Duration { return p.busyUntil - longestLag }
--- /dev/null
+++ b/relay/pace_test.go
@@ -0,0 +1,109 @@
+package relay
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravendale/wire"
+)
+
+// document is the configuration of a large deployment: many entries that differ in their names alone.
+func document(entries int) []byte {
+	var text bytes.Buffer
+	for i := range entries {
+		fmt.Fprintf(&text, `{"name":"r-%07x","host":"lode17.example","pathPrefix":"/vobo%d/","type":"deferred","timeoutMs":1200},`, i*7919, i)
+	}
+	return text.Bytes()
+}
+
+func TestLongWholesAreCompressed(t *testing.T) {
+	var parent, child Topics
+	whole := document(1000)
+	parent.Publish(wire.TopicConfig, version(1), whole)
+	updates := parent.UpdatesFor(wire.TopicConfig, wire.Version{})
+	require.Len(t, updates, 1)
+	require.True(t, updates[0].Compressed)
+	require.Less(t, len(updates[0].Payload), len(whole)/4)
+	newer, err := child.Apply(&updates[0])
+	require.NoError(t, err)
+	require.True(t, newer)
+	require.Equal(t, whole, child.Whole(wire.TopicConfig))
+
+	changed := append(bytes.Clone(whole), '1')
+	parent.Publish(wire.TopicConfig, version(2), changed)
+	payload, err := Payload(&parent.UpdatesFor(wire.TopicConfig, wire.Version{})[0])
+	require.NoError(t, err)
+	require.Equal(t, changed, payload, "not what was compressed before")
+}
+
+func TestCompressedPayloadsThatAreBrokenChangeNothing(t *testing.T) {
+	var parent, child Topics
+	parent.Publish(wire.TopicConfig, version(1), document(1000))
+	update := parent.UpdatesFor(wire.TopicConfig, wire.Version{})[0]
+	whole := update.Payload
+	for _, cut := range []int{0, 1, len(whole) / 2, len(whole) - 1} {
+		update.Payload = whole[:cut]
+		newer, err := child.Apply(&update)
+		require.Error(t, err, "%d bytes", cut)
+		require.False(t, newer)
+		require.Equal(t, Versions{}, child.Versions())
+	}
+	update.Payload = compress(make([]byte, maxWhole+1))
+	_, err := child.Apply(&update)
+	require.ErrorIs(t, err, ErrTooLong)
+}
+
+// The leader of many who start at once must not fill its link with what they lack: renewals of its lease use the same one.
+func TestLongUpdatesLeaveRoomOnTheLink(t *testing.T) {
+	const link = 1e6 // bytes a second
+	var topics Topics
+	topics.Publish(wire.TopicConfig, version(1), document(3000))
+	topics.Publish(wire.TopicMembers, version(1), payload(1))
+	size := len(topics.UpdatesFor(wire.TopicConfig, wire.Version{})[0].Payload)
+	children := NewChildren[int](0)
+	const count = 50
+	for child := range count {
+		children.Add(child, Versions{})
+	}
+	paced := newPace(link)
+	got, sent, now := make(map[int]bool), 0, time.Duration(0)
+	for held := true; held; now = max(now, paced.next()) {
+		var sends []Send[int]
+		sends, held = children.Push(&topics, func(size int) bool { return paced.take(now, size) })
+		for _, send := range sends {
+			if send.Update.Topic == wire.TopicConfig {
+				require.False(t, got[send.Child])
+				got[send.Child] = true
+				sent += len(send.Update.Payload)
+			} else {
+				require.Zero(t, now, "short updates don't wait")
+			}
+		}
+		require.LessOrEqual(t, float64(sent), linkShare*link*(now+longestLag).Seconds()+float64(size)+1)
+	}
+	require.Len(t, got, count, "all get theirs")
+	require.Greater(t, now, time.Duration(float64((count-2)*size)/link*float64(time.Second)))
+}
+
+func TestWithoutAKnownLinkNothingIsPaced(t *testing.T) {
+	var p pace
+	for range 100 {
+		require.True(t, p.take(0, 1<<20))
+	}
+}
+
+// An answer that is slow to come, since a link is full, is not made slower by asking for it again and again.
+func TestMissingTopicsAreFetchedEverMoreSeldom(t *testing.T) {
+	var topics Topics
+	topics.Named(0, []wire.Version{version(1)})
+	fetches := 0
+	for now := time.Duration(0); now < 10*time.Second; now += 50 * ms {
+		fetches += len(topics.Repairs(now))
+	}
+	require.LessOrEqual(t, fetches, 6)
+	require.GreaterOrEqual(t, fetches, 5)
+}
--- a/relay/topics.go
+++ b/relay/topics.go
@@ -12,7 +12,8 @@
 const (
 	keptDeltas  = 8 // of a topic
 	repairAfter = 300 * time.Millisecond
-	repairAgain = 400 * time.Millisecond
+	repairAgain = 400 * time.Millisecond // doubled with each further fetch of the same topic
+	mostDoubled = 3
 )
 
 // ErrGap is returned for a delta from a version that is not at hand.
@@ -34,6 +35,8 @@
 type topic struct {
 	version wire.Version
 	whole   []byte
+	short   []byte        // the whole, compressed, once it was asked for; nil if that is not shorter
+	tightly bool          // short was made
 	deltas  []wire.Update // in order, the last ends at version
 	head    wire.Version  // the newest that was named
 	tried   int           // fetches since then
@@ -67,10 +70,27 @@
 	} else {
 		topic.deltas = nil
 	}
-	topic.version, topic.whole = version, whole
+	topic.set(version, whole)
 	return true
 }
 
+func (t *topic) set(version wire.Version, whole []byte) {
+	t.version, t.whole = version, whole
+	t.short, t.tightly = nil, false
+}
+
+// update brings the whole.
+func (t *topic) update(which wire.Topic) wire.Update {
+	if !t.tightly && len(t.whole) >= compressFrom {
+		t.short = compress(t.whole)
+	}
+	t.tightly = true
+	if t.short != nil {
+		return wire.Update{Topic: which, To: t.version, Compressed: true, Payload: t.short}
+	}
+	return wire.Update{Topic: which, To: t.version, Payload: t.whole}
+}
+
 func difference(topic *topic, which wire.Topic, version wire.Version, whole []byte) (wire.Update, bool) {
 	if topic.whole == nil {
 		return wire.Update{}, false
@@ -105,8 +125,12 @@
 		return false, nil
 	}
 	if !update.Delta {
+		whole, err := Payload(update)
+		if err != nil {
+			return false, err
+		}
 		topic.deltas, topic.broken = nil, false
-		topic.version, topic.whole = update.To, update.Payload
+		topic.set(update.To, whole)
 		return true, nil
 	}
 	if update.From != topic.version {
@@ -118,7 +142,7 @@
 		return false, err
 	}
 	topic.remember(*update, len(whole))
-	topic.version, topic.whole = update.To, whole
+	topic.set(update.To, whole)
 	return true, nil
 }
 
@@ -133,7 +157,7 @@
 			return topic.deltas[i:]
 		}
 	}
-	return []wire.Update{{Topic: which, To: topic.version, Payload: topic.whole}}
+	return []wire.Update{topic.update(which)}
 }
 
 // Answer replies to a Fetch.
@@ -148,8 +172,7 @@
 	case 1:
 		return updates[0]
 	}
-	topic := &t.topics[fetch.Topic]
-	return wire.Update{Topic: fetch.Topic, To: topic.version, Payload: topic.whole}
+	return t.topics[fetch.Topic].update(fetch.Topic)
 }
 
 // Named takes note of versions that exist somewhere.
@@ -174,7 +197,8 @@
 	Tried int          // fetches of it before
 }
 
-// Repairs lists what has been missing for too long, each again after a while.
+// Repairs lists what has been missing for too long, each again after a while that doubles: an answer that is slow to come is not hastened
+// by another one behind it.
 func (t *Topics) Repairs(now time.Duration) []Repair {
 	var repairs []Repair
 	for i := range t.topics {
@@ -187,8 +211,8 @@
 			repair.Have = topic.version
 		}
 		repairs = append(repairs, repair)
+		topic.next = now + repairAgain<<min(topic.tried, mostDoubled)
 		topic.tried++
-		topic.next = now + repairAgain
 	}
 	return repairs
 }
--- a/relay/topics_test.go
+++ b/relay/topics_test.go
@@ -19,6 +19,8 @@
 	return append(bytes.Repeat([]byte("what stays alike. "), 40), byte(sequence))
 }
 
+func unpaced(int) bool { return true }
+
 func publish(topics *Topics, sequences ...uint64) {
 	for _, sequence := range sequences {
 		topics.Publish(wire.TopicWorkers, version(sequence), payload(sequence))
@@ -144,13 +146,15 @@
 	require.False(t, children.Add("c", Versions{}), "it is full")
 	require.True(t, children.Add("b", Versions{wire.TopicWorkers: version(1)}), "who is in may ask again")
 	publish(&topics, 1)
-	sends := children.Push(&topics)
+	sends, held := children.Push(&topics, unpaced)
+	require.False(t, held)
 	require.Len(t, sends, 1)
 	require.Equal(t, "a", sends[0].Child)
-	require.Empty(t, children.Push(&topics))
+	again, _ := children.Push(&topics, unpaced)
+	require.Empty(t, again)
 	children.Remove("a")
 	publish(&topics, 2)
-	sends = children.Push(&topics)
+	sends, _ = children.Push(&topics, unpaced)
 	require.Len(t, sends, 1)
 	require.Equal(t, "b", sends[0].Child)
 	require.True(t, children.Add("c", Versions{}))
@@ -165,7 +169,8 @@
 		children.Add("child", Versions{})
 		for sequence := range rapid.Uint64Range(1, 20).Draw(t, "versions") {
 			publish(&parent, sequence+1)
-			for _, send := range children.Push(&parent) {
+			sends, _ := children.Push(&parent, unpaced)
+			for _, send := range sends {
 				if rapid.Bool().Draw(t, "arrives") {
 					_, _ = child.Apply(send.Update)
 				}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -42,6 +42,7 @@
 	MemoryMb        int      `properties:"limits.memoryMb,default=256" validate:"min=16"`
 	MaxFds          int      `properties:"limits.maxFds,default=1024" validate:"min=64"`
 	DiskMb          int      `properties:"limits.diskMb,default=0" validate:"min=0"`
+	BandwidthMbps   float64  `properties:"limits.bandwidthMbps,default=0" validate:"min=0"` // of the machine's link; 0: not known
 	LostNodes       int      `properties:"faultTolerance.nodes,default=0" validate:"min=0"`
 	LostZones       int      `properties:"faultTolerance.zones,default=0" validate:"min=0"`
 	LostRegions     int      `properties:"faultTolerance.regions,default=0" validate:"min=0"`
@@ -122,6 +123,9 @@
 // Copies is how many disks must hold what is acknowledged: one more than may be lost at once.
 func (s *Settings) Copies() int { return s.LostNodes + 1 }
 
+// BytesPerSecond is what the machine's link carries; 0 if it is not known.
+func (s *Settings) BytesPerSecond() float64 { return s.BandwidthMbps * 1e6 / 8 }
+
 // Seconds makes a duration of a figure in seconds.
 func Seconds(figure float64) time.Duration { return time.Duration(figure * float64(time.Second)) }
 
--- a/wire/membership.go
+++ b/wire/membership.go
@@ -81,11 +81,12 @@
 
 // Update brings one topic to version To.
 type Update struct {
-	Topic   Topic
-	From    Version // with Delta: the version that the payload applies to
-	To      Version
-	Delta   bool
-	Payload []byte
+	Topic      Topic
+	From       Version // with Delta: the version that the payload applies to
+	To         Version
+	Delta      bool
+	Compressed bool // the payload is a whole topic, compressed
+	Payload    []byte
 }
 
 // Beat tells a child that its parent lives, and what the newest versions are that it has.
--- a/wire/membership_gen.go
+++ b/wire/membership_gen.go
@@ -2341,8 +2341,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	{
@@ -2399,6 +2399,11 @@
 		err = msgp.WrapError(err, "Delta")
 		return
 	}
+	z.Compressed, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Compressed")
+		return
+	}
 	z.Payload, err = dc.ReadBytes(z.Payload)
 	if err != nil {
 		err = msgp.WrapError(err, "Payload")
@@ -2409,8 +2414,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Update) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 5
-	err = en.Append(0x95)
+	// array header, size 6
+	err = en.Append(0x96)
 	if err != nil {
 		return
 	}
@@ -2454,6 +2459,11 @@
 		err = msgp.WrapError(err, "Delta")
 		return
 	}
+	err = en.WriteBool(z.Compressed)
+	if err != nil {
+		err = msgp.WrapError(err, "Compressed")
+		return
+	}
 	err = en.WriteBytes(z.Payload)
 	if err != nil {
 		err = msgp.WrapError(err, "Payload")
@@ -2465,8 +2475,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Update) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendUint8(o, uint8(z.Topic))
 	// array header, size 2
 	o = append(o, 0x92)
@@ -2477,6 +2487,7 @@
 	o = msgp.AppendUint64(o, z.To.Term)
 	o = msgp.AppendUint64(o, z.To.Sequence)
 	o = msgp.AppendBool(o, z.Delta)
+	o = msgp.AppendBool(o, z.Compressed)
 	o = msgp.AppendBytes(o, z.Payload)
 	return
 }
@@ -2489,8 +2500,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	{
@@ -2547,6 +2558,11 @@
 		err = msgp.WrapError(err, "Delta")
 		return
 	}
+	z.Compressed, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Compressed")
+		return
+	}
 	z.Payload, bts, err = msgp.ReadBytesBytes(bts, z.Payload)
 	if err != nil {
 		err = msgp.WrapError(err, "Payload")
@@ -2558,7 +2574,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Update) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + 1 + msgp.Uint64Size + msgp.Uint64Size + 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Payload)
+	s = 1 + msgp.Uint8Size + 1 + msgp.Uint64Size + msgp.Uint64Size + 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Payload)
 	return
 }
 
