Bound what a start applies again also when a member is restarted after each change

Cause: an image taken before the log's entries are known to be committed carries them, and they counted as none: with a restart after each of some hundred changes more than 200 entries were applied again at a start, four a step (found by TestALogIsBoundedAcrossRestarts). Change: entries that an image carries count as records; for the number of records alone an image is made only if it drops half of them, and as soon as all is applied.

--- a/control/chain/chain.go
+++ b/control/chain/chain.go
@@ -177,6 +177,9 @@
 // Behind says whether entries are known to be committed that were not handed out yet: Tick does so.
 func (c *Chain) Behind() bool { return c.handedOut < c.committed }
 
+// Unapplied is how many entries the machine's snapshot does not cover.
+func (c *Chain) Unapplied() int { return int(c.Last() - c.handedOut) }
+
 // Tick hands out what is left to be applied, and sends again what may have been lost.
 func (c *Chain) Tick(now time.Duration) {
 	c.handOut()
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -238,7 +238,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.logged = len(records)
+	n.logged = max(len(records), len(kept.Chain.Entries))
 	n.stateSize = len(kept.Machine)
 	for _, data := range records {
 		n.logBytes += len(data)
@@ -350,12 +350,13 @@
 }
 
 // flush gives the changes of this step to the disk. The log's bound follows the state's size and not the image's, in which the entries that
-// are not known to be committed would let it grow from start to start.
+// are not known to be committed would let it grow from start to start. Entries that an image has to carry count as records, and for the number of
+// records alone an image is only made when it drops half of them: else each start would carry more.
 func (n *node) flush(now time.Duration) {
 	if !n.whole && len(n.records) == 0 || n.aside.from != "" && !n.mayTry(now) {
 		return
 	}
-	if n.logBytes > min(max(n.config.LeastLog, 2*n.stateSize), mostLog) || n.logged > n.config.MostRecords {
+	if n.logBytes > min(max(n.config.LeastLog, 2*n.stateSize), mostLog) || n.logged > n.config.MostRecords && 2*n.chain.Unapplied() <= n.logged {
 		n.whole = true
 	}
 	if n.batch == n.lasting {
@@ -365,7 +366,7 @@
 	write := diskWrite{Batch: n.batch, Records: n.records}
 	if n.whole {
 		write.Records, write.Image = nil, n.image()
-		n.logBytes, n.logged = 0, 0
+		n.logBytes, n.logged = 0, n.chain.Unapplied()
 	}
 	n.whole, n.records = false, nil
 	n.out.Writes = append(n.out.Writes, write)
@@ -571,6 +572,9 @@
 		return
 	}
 	n.found(now)
+	if n.logged > n.config.MostRecords && n.chain.Unapplied() == 0 && !n.writing() {
+		n.whole = true // what was long is applied: the next start need not do it again
+	}
 	n.chain.Tick(now)
 	n.seekView(now)
 	n.seekLease(now)
