--- /dev/null
+++ b/queue/explorestore_test.go
@@ -0,0 +1,128 @@
+package queue
+
+import (
+	"strings"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"ravendale/queue/journal"
+	"ravendale/wire"
+)
+
+// packet is a message on a connection.
+type packet struct {
+	method  wire.Method
+	payload []byte
+	call    string // of a request: what is asked; of an answer: what it is the answer to
+	answer  bool
+}
+
+// modelEnd is one end of a connection, as a core knows it.
+type modelEnd struct {
+	world  *world
+	name   string
+	closed bool
+	out    []packet // on the way to the other end
+}
+
+func (e *modelEnd) Notify(method wire.Method, message msgp.Marshaler) error {
+	payload, err := message.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	if grant, ok := message.(*wire.Grant); ok && e.world.messages[grant.ID].reported {
+		e.world.fault("%s is granted after its end was acknowledged", grant.ID)
+	}
+	if !e.closed {
+		e.out = append(e.out, packet{method: method, payload: payload})
+	}
+	return nil
+}
+
+// modelReply answers a request of an edge.
+type modelReply struct {
+	end  *modelEnd
+	call string
+}
+
+func (r *modelReply) Send(message msgp.Marshaler) {
+	if reply, ok := message.(*wire.PutReply); ok && reply.Code == wire.PutKept {
+		r.end.world.checkCopies(strings.TrimPrefix(r.call, "put "))
+	}
+	payload, _ := message.MarshalMsg(nil)
+	if !r.end.closed {
+		r.end.out = append(r.end.out, packet{payload: payload, call: r.call, answer: true})
+	}
+}
+
+func (r *modelReply) Fail(err error) { r.end.world.fault("%s failed: %v", r.call, err) }
+
+// modelStore is a store with its disk.
+type modelStore struct {
+	world   *world
+	name    string
+	disk    string
+	records [][]byte
+	durable int
+	up      bool
+	heard   bool // the leader counts it among those that live
+	lost    bool // it counts as lost
+	removed bool
+	started time.Duration
+	core    *Core
+	lives   int
+}
+
+func (s *modelStore) Append(payload []byte) (journal.Location, uint64) {
+	s.records = append(s.records, payload)
+	return journal.Location{Segment: 1, Offset: uint32(len(s.records))}, uint64(len(s.records))
+}
+func (s *modelStore) Position() uint64                         { return uint64(len(s.records)) }
+func (s *modelStore) Read(at journal.Location) ([]byte, error) { return s.records[at.Offset-1], nil }
+func (s *modelStore) Remove(uint32)                            {}
+func (s *modelStore) Segments() (uint32, uint32)               { return 1, 1 }
+func (s *modelStore) Used() int64                              { return 0 }
+func (s *modelStore) WakeAt(time.Duration)                     {}
+func (s *modelStore) StatusChanged()                           {}
+func (s *modelStore) Fail(err error)                           { s.world.fault("%s: %v", s.name, err) }
+
+func (s *modelStore) time() Time {
+	return Time{Steady: time.Second + s.world.now - s.started, UnixMs: int64((s.world.now) / time.Millisecond)}
+}
+
+func (s *modelStore) start() {
+	s.up, s.heard = true, true
+	s.started = s.world.now
+	s.lives++
+	s.core = New(Config{Disk: s.disk, Copies: modelCopies, Remember: time.Hour, Log: modelLog}, s)
+	for i, record := range s.records {
+		if err := s.core.Recover(s.time(), journal.Location{Segment: 1, Offset: uint32(i + 1)}, record); err != nil {
+			s.world.fault("recovery of %s: %v", s.name, err)
+		}
+	}
+	s.core.Start(s.time(), s)
+}
+
+// holds says whether a message lies on the store's disk for good.
+func (s *modelStore) holds(id string) bool {
+	held := false
+	for _, payload := range s.records[:s.durable] {
+		r, err := decodeRecord(payload)
+		switch {
+		case err != nil:
+			return false
+		case r.ID == id && r.Kind != RecordDrop:
+			held = true
+		case r.ID == id, r.Kind == RecordWipe:
+			held = false
+		}
+	}
+	return held
+}
+
+// modelLink is a connection: of a store that may lead to another one, or of an edge to a store.
+type modelLink struct {
+	from, to string
+	ends     [2]*modelEnd
+}
--- /dev/null
+++ b/queue/exploreworld_test.go
@@ -0,0 +1,340 @@
+package queue
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"ravendale/control/placement"
+	"ravendale/wire"
+)
+
+// modelEdge is a scheduler.
+type modelEdge struct {
+	name  string
+	epoch uint64 // of the view that it acts under
+	held  map[string]*modelHeld
+}
+
+type modelHeld struct {
+	kept, granted, running, ended bool
+	asked                         bool // a put or a report is under way
+}
+
+// modelMessage is what the client and the worker know.
+type modelMessage struct {
+	accepted bool // the client was told
+	ended    bool // the worker succeeded
+	reported bool // the end was acknowledged
+}
+
+// world is the system that is searched.
+type world struct {
+	config   modelConfig
+	now      time.Duration
+	passes   int
+	wipes    int
+	retired  string
+	view     *wire.StoreView
+	views    map[uint64]*wire.StoreView
+	stores   []*modelStore
+	edges    []*modelEdge
+	links    []*modelLink
+	messages map[string]*modelMessage
+	failure  string
+}
+
+var modelMessages = []string{"0.1", "0.2"}
+
+func newWorld(config modelConfig) *world {
+	w := &world{config: config, messages: make(map[string]*modelMessage), views: make(map[uint64]*wire.StoreView)}
+	for _, id := range modelMessages {
+		w.messages[id] = &modelMessage{}
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		w.stores = append(w.stores, &modelStore{world: w, name: name, disk: name})
+	}
+	var live []placement.Store
+	for _, s := range w.stores {
+		live = append(live, placement.Store{Disk: s.disk, Node: s.name, Address: s.name, Zone: s.name})
+	}
+	view, founded := placement.Plan(nil, live, w.plan())
+	if !founded {
+		w.fault("not founded")
+	}
+	w.view = view
+	w.views[view.Epoch] = view
+	for _, s := range w.stores {
+		s.start()
+		s.core.View(s.time(), view)
+		s.durable = len(s.records)
+		s.core.Durable(s.time(), s.Position())
+	}
+	for _, name := range []string{"e", "f"} {
+		w.edges = append(w.edges, &modelEdge{name: name, epoch: view.Epoch, held: make(map[string]*modelHeld)})
+	}
+	w.connect()
+	w.quiet()
+	w.pass()
+	w.quiet()
+	return w
+}
+
+func (w *world) plan() placement.Config {
+	return placement.Config{Copies: modelCopies, Partitions: 1}
+}
+
+func (w *world) fault(format string, args ...any) {
+	if w.failure == "" {
+		w.failure = fmt.Sprintf(format, args...)
+	}
+}
+
+func (w *world) store(name string) *modelStore {
+	at := slices.IndexFunc(w.stores, func(s *modelStore) bool { return s.name == name })
+	if at < 0 {
+		return nil
+	}
+	return w.stores[at]
+}
+
+func (w *world) edge(name string) *modelEdge {
+	at := slices.IndexFunc(w.edges, func(e *modelEdge) bool { return e.name == name })
+	if at < 0 {
+		return nil
+	}
+	return w.edges[at]
+}
+
+func (w *world) link(from, to string) *modelLink {
+	at := slices.IndexFunc(w.links, func(l *modelLink) bool { return l.from == from && l.to == to })
+	if at < 0 {
+		return nil
+	}
+	return w.links[at]
+}
+
+// connect opens the connections that are wanted and not there.
+func (w *world) connect() {
+	for _, to := range w.stores {
+		if !to.up {
+			continue
+		}
+		for _, from := range w.stores {
+			if from.up && from != to && from.core.peers[to.disk] != nil && w.link(from.name, to.name) == nil {
+				l := w.open(from.name, to.name)
+				from.core.PeerUp(from.time(), to.disk, l.ends[0])
+			}
+		}
+		for _, e := range w.edges {
+			if w.link(e.name, to.name) == nil {
+				l := w.open(e.name, to.name)
+				l.ends[0].request(wire.MethodAttach, &wire.Attach{Edge: e.name}, "attach")
+				w.claim(e, to)
+			}
+		}
+	}
+}
+
+func (w *world) open(from, to string) *modelLink {
+	name := from + ">" + to
+	l := &modelLink{from: from, to: to, ends: [2]*modelEnd{{world: w, name: name + " 0"}, {world: w, name: name + " 1"}}}
+	w.links = append(w.links, l)
+	return l
+}
+
+func (e *modelEnd) request(method wire.Method, message msgp.Marshaler, call string) {
+	payload, _ := message.MarshalMsg(nil)
+	e.out = append(e.out, packet{method: method, payload: payload, call: call})
+}
+
+// primary is the store that leads under an edge's view.
+func (w *world) primary(e *modelEdge) *modelStore {
+	view := w.views[e.epoch]
+	place := view.Partitions[0]
+	if len(place.Replicas) == 0 {
+		return nil
+	}
+	return w.byDisk(view.Stores[place.Replicas[0]].Disk)
+}
+
+func (w *world) byDisk(disk string) *modelStore {
+	at := slices.IndexFunc(w.stores, func(s *modelStore) bool { return s.disk == disk })
+	if at < 0 {
+		return nil
+	}
+	return w.stores[at]
+}
+
+func (w *world) claim(e *modelEdge, to *modelStore) {
+	claim := &wire.Claim{Epoch: e.epoch}
+	if w.primary(e) == to {
+		for _, id := range modelMessages {
+			if e.held[id] != nil {
+				claim.IDs = append(claim.IDs, id)
+			}
+		}
+	}
+	w.link(e.name, to.name).ends[0].request(wire.MethodClaim, claim, fmt.Sprint("claim ", e.epoch))
+}
+
+// Do implements explore.System.
+func (w *world) Do(name string) {
+	words := strings.Fields(name)
+	switch words[0] {
+	case "deliver":
+		w.deliver(w.link(words[1], words[2]), int(words[3][0]-'0'))
+	case "plan":
+		next, _ := w.next()
+		w.enact(next)
+	case "retire":
+		w.retire(words[1])
+	case "pass":
+		w.passes++
+		w.pass()
+	case "put", "again":
+		w.put(words[1])
+	case "run", "finish", "report":
+		w.work(words[0], w.edge(words[1]), words[2])
+	case "view":
+		w.take(words[1])
+	default:
+		w.disturb(words[0], w.store(words[1]))
+	}
+	w.mutate()
+	w.connect()
+	w.forgive()
+}
+
+func (w *world) take(name string) {
+	if e := w.edge(name); e != nil {
+		e.epoch = w.view.Epoch
+		for _, s := range w.stores {
+			if w.link(e.name, s.name) != nil {
+				w.claim(e, s)
+			}
+		}
+		for _, held := range e.held {
+			held.asked = false // what was asked under the old view is asked again
+		}
+		return
+	}
+	s := w.store(name)
+	s.core.View(s.time(), w.view)
+}
+
+func (w *world) retire(name string) {
+	var live []placement.Store
+	for _, s := range w.stores {
+		if s.heard && !s.removed {
+			live = append(live, placement.Store{Disk: s.disk, Node: s.name, Address: s.name, Zone: s.name})
+		}
+	}
+	w.retired = name
+	if marked, _, enough := placement.Retire(w.view, live, w.plan(), name); enough {
+		w.enact(marked)
+	}
+}
+
+func (w *world) disturb(what string, s *modelStore) {
+	switch what {
+	case "sync":
+		s.durable = len(s.records)
+		s.core.Durable(s.time(), s.Position())
+	case "start":
+		s.start()
+	case "miss":
+		s.heard = false
+	case "hear":
+		s.heard = true
+	case "reset":
+		s.heard = false
+	case "power":
+		s.lost = true
+		w.stop(s)
+	case "wipe", "remove":
+		s.lost, s.removed = what == "wipe", what == "remove"
+		if s.removed {
+			w.checkElsewhere(s)
+		}
+		w.stop(s)
+		w.wipes++
+		s.disk += "'"
+		s.records, s.durable = nil, 0
+	}
+}
+
+// stop has a store lose power.
+func (w *world) stop(s *modelStore) {
+	s.up = false
+	s.records = s.records[:s.durable]
+	w.links = slices.DeleteFunc(w.links, func(l *modelLink) bool {
+		if l.from != s.name && l.to != s.name {
+			return false
+		}
+		l.ends[0].closed, l.ends[1].closed = true, true
+		if from := w.store(l.from); from != nil && from != s && from.up {
+			from.core.PeerDown(from.time(), l.ends[0])
+		}
+		if e := w.edge(l.from); e != nil {
+			for _, held := range e.held {
+				held.asked = false
+			}
+		}
+		return true
+	})
+}
+
+// deliver takes what one end has sent to the other.
+func (w *world) deliver(l *modelLink, side int) {
+	from, to := l.ends[side], l.ends[1-side]
+	sent := from.out
+	from.out = nil
+	for _, p := range sent {
+		if side == 0 {
+			w.store(l.to).receive(to, p)
+			continue
+		}
+		if e := w.edge(l.from); e != nil {
+			w.hear(e, l, p)
+			continue
+		}
+		w.store(l.from).answered(to, p)
+	}
+}
+
+func (s *modelStore) receive(from *modelEnd, p packet) {
+	now, reply := s.time(), &modelReply{end: from, call: p.call}
+	switch p.method {
+	case MethodReplicate:
+		s.core.Replicate(now, from, decode[Replicate](p.payload))
+	case MethodCompare:
+		s.core.Compare(now, from, decode[Compare](p.payload))
+	case MethodFetch:
+		s.core.Fetch(now, from, decode[Fetch](p.payload))
+	case MethodFilled:
+		s.core.Filled(now, decode[Filled](p.payload))
+	case wire.MethodAttach:
+		s.core.Attach(now, from, decode[wire.Attach](p.payload), reply)
+	case wire.MethodClaim:
+		s.core.Claim(now, from, decode[wire.Claim](p.payload), reply)
+	case wire.MethodPut:
+		s.core.Put(now, from, decode[wire.Put](p.payload), reply)
+	case wire.MethodReport:
+		s.core.Report(now, from, decode[wire.Report](p.payload), reply)
+	}
+}
+
+func (s *modelStore) answered(from *modelEnd, p packet) {
+	switch p.method {
+	case MethodAcked:
+		s.core.Acked(s.time(), from, decode[Acked](p.payload))
+	case MethodDiffer:
+		s.core.Differ(s.time(), from, decode[Differ](p.payload))
+	case MethodFetched:
+		s.core.Fetched(s.time(), from, decode[Fetched](p.payload))
+	}
+}
