Match workers' answers by message, attempt and connection, early and late ones too

Cause: a reply was matched by Request-Id alone, which all attempts of a message share. A second answer to an earlier attempt, read on a kept connection, counted as that to the next one: one 500 was counted twice, a 503 was taken for a run that went on. A late answer of another message broke the exchange that read it, and a message that ran was sent again. A write that failed hid the answer of a worker that turns long requests away before they are in; one that did not read held its answer up to the deadline. An idle connection was not used again once the deadline of its last exchange had passed (RawConn.Read refuses then): after route time-out and 120 ms each delivery made a new one.

Closing expired connections stood twice.

Ruled out: to close the connection after each 500 or 503 (new connections are priced), and to take 'early' successes for unknown (a worker's answer may overtake the word that the last write went out).

--- a/worker/answer.go
+++ b/worker/answer.go
@@ -37,9 +37,13 @@
 	if err := readFinalHeader(reader, header); err != nil {
 		return answer{}, err
 	}
+	ids := header.PeekAll("Request-Id")
+	if len(ids) > 1 {
+		return answer{}, errGarbled
+	}
 	a := answer{
 		status:      header.StatusCode(),
-		requestID:   string(header.Peek("Request-Id")),
+		requestID:   string(bytes.Join(ids, nil)),
 		signature:   string(header.Peek("Signature")),
 		notExecuted: len(header.Peek("Not-Executed")) > 0,
 		keep:        !header.ConnectionClose(),
@@ -50,6 +54,11 @@
 	return a, err
 }
 
+// isOfAnother says whether an answer names another request.
+func (a *answer) isOfAnother(requestID string) bool {
+	return a.requestID != "" && a.requestID != requestID
+}
+
 func readFinalHeader(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
 	for range maxInterim {
 		if err := header.Read(reader); err != nil {
@@ -158,9 +167,10 @@
 	return int(size), nil
 }
 
-// classify says what an answer means for the message whose id was sent.
-func classify(a answer, requestID string) Outcome {
-	if a.requestID != requestID && a.requestID != "" {
+// classify says what an answer means for the message whose id was sent. One that names no request can be no other's only if it is the
+// first on its connection, and is believed only that the message did not run.
+func classify(a answer, requestID string, first bool) Outcome {
+	if a.isOfAnother(requestID) || a.requestID == "" && !first {
 		return Broken
 	}
 	if a.status == fasthttp.StatusMisdirectedRequest {
--- a/worker/client.go
+++ b/worker/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 )
@@ -10,6 +11,7 @@
 type Client struct {
 	started time.Time
 	dial    func(ctx context.Context, address string) (*connection, error)
+	mutant  mutant
 
 	mu     sync.Mutex
 	pools  map[string]*pool
@@ -147,7 +149,7 @@
 		return Result{Outcome: Cancelled}
 	}
 	idle := a.idle
-	if !a.keep || outcome.MayHaveRun() || outcome == WrongWorker {
+	if !a.keep || outcome.MayHaveRun() || outcome == WrongWorker || len(conn.carried) > mostCarried {
 		idle = 0
 	}
 	c.give(d.Worker, conn, idle)
@@ -157,7 +159,7 @@
 // take returns a connection to a worker: an idle one if it is still open, or a new one.
 func (c *Client) take(ctx context.Context, d *Delivery) (*connection, Outcome) {
 	for {
-		conn, room := c.reserve(d.Worker)
+		conn, room := c.reserve(d.Worker, d.RequestID)
 		if !room {
 			return nil, NoRoom
 		}
@@ -174,31 +176,58 @@
 		c.unreserve(d.Worker)
 		return nil, Unreachable
 	}
+	conn.mutant = c.mutant
 	return conn, Done
 }
 
-// reserve takes an idle connection, or else room for a new one.
-func (c *Client) reserve(name string) (conn *connection, room bool) {
+// reserve takes an idle connection that may carry the message, or else room for a new one.
+func (c *Client) reserve(name, requestID string) (conn *connection, room bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pool(name)
-	now := c.now()
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
-		conn, p.idle = p.idle[last], p.idle[:last]
-		if conn.until > now {
-			return conn, true
-		}
-		_ = conn.socket.Close()
-		p.open--
+	p.closeExpired(c.now())
+	if conn = p.pick(requestID); conn != nil {
+		return conn, true
 	}
 	if p.limit > 0 && p.open >= p.limit {
-		return nil, false
+		if len(p.idle) == 0 {
+			return nil, false
+		}
+		p.closeOldest()
 	}
 	p.open++
 	return nil, true
 }
 
+// pick takes the idle connection that was used last of those that may carry a message; nil: there is none.
+func (p *pool) pick(requestID string) *connection {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if conn := p.idle[i]; conn.mayCarry(requestID) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return conn
+		}
+	}
+	return nil
+}
+
+func (p *pool) closeOldest() {
+	_ = p.idle[0].socket.Close()
+	p.idle = slices.Delete(p.idle, 0, 1)
+	p.open--
+}
+
+// closeExpired closes idle connections whose time has passed.
+func (p *pool) closeExpired(now time.Duration) {
+	p.idle = slices.DeleteFunc(p.idle, func(conn *connection) bool {
+		if conn.until > now {
+			return false
+		}
+		_ = conn.socket.Close()
+		p.open--
+		return true
+	})
+}
+
 func (c *Client) unreserve(name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -247,20 +276,12 @@
 	c.wakeAt = 0
 	now, next := c.now(), time.Duration(0)
 	for _, p := range c.pools {
-		kept := p.idle[:0]
+		p.closeExpired(now)
 		for _, conn := range p.idle {
-			if conn.until <= now {
-				_ = conn.socket.Close()
-				p.open--
-				continue
-			}
-			kept = append(kept, conn)
 			if next == 0 || conn.until < next {
 				next = conn.until
 			}
 		}
-		clear(p.idle[len(kept):])
-		p.idle = kept
 	}
 	if next > 0 {
 		c.wake(next)
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -55,6 +55,7 @@
 	connectTimeout = 300 * time.Millisecond
 	userTimeout    = 600 * time.Millisecond // bytes that nobody acknowledges for so long end the connection
 	answerSlack    = 120 * time.Millisecond // past the limit, for the worker's own word that it stopped
+	overtakenFor   = 5 * time.Millisecond   // for what is left to write of a request that has its answer
 	defaultIdle    = 4 * time.Second        // how long a worker keeps an idle connection that has not said
 	idleMargin     = time.Second            // closed so long before the worker would, a quarter of its time at most
 )
