Keep the calls of a connection in a type of its own, and show how replies are matched

Need: a reply must be matched by its number and its connection, whatever comes late, twice or by the connection that was replaced. The code did so, but for numbers that have come round: a call could be given that of one that still waits, or 0. No test brought it about.

Change: rpc.pending holds the calls of one connection; numbers in use and 0 are passed over.

--- a/rpc/conn.go
+++ b/rpc/conn.go
@@ -104,8 +104,7 @@
 
 	mu      sync.Mutex
 	out     []byte
-	calls   map[uint32]func(payload []byte, err error)
-	next    uint32
+	calls   pending
 	err     error
 	onClose []func(error)
 	wake    chan struct{}
@@ -118,8 +117,7 @@
 
 func newConn(socket net.Conn, options Options) *Conn {
 	c := &Conn{
-		options: options, socket: socket, done: make(chan struct{}),
-		calls: make(map[uint32]func([]byte, error)), wake: make(chan struct{}, 1),
+		options: options, socket: socket, done: make(chan struct{}), wake: make(chan struct{}, 1),
 	}
 	c.heard.Store(steady())
 	return c
@@ -186,8 +184,8 @@
 		return
 	}
 	c.err = err
-	calls, onClose := c.calls, c.onClose
-	c.calls, c.onClose, c.out = nil, nil, nil
+	calls, onClose := c.calls.takeAll(), c.onClose
+	c.onClose, c.out = nil, nil
 	if c.ping != nil {
 		c.ping.Stop()
 	}
@@ -213,16 +211,14 @@
 	c.begin(method, request, done)
 }
 
-func (c *Conn) begin(method wire.Method, request msgp.Marshaler, done func(payload []byte, err error)) uint32 {
+func (c *Conn) begin(method wire.Method, request msgp.Marshaler, done replyFunc) uint32 {
 	c.mu.Lock()
 	if err := c.err; err != nil {
 		c.mu.Unlock()
 		done(nil, err)
 		return 0
 	}
-	c.next++
-	call := c.next
-	c.calls[call] = done
+	call := c.calls.add(done)
 	c.mu.Unlock()
 	if err := c.queue(frameRequest, method, call, request); err != nil {
 		c.settle(call, nil, err)
@@ -233,8 +229,7 @@
 // settle ends a call, if it has not ended.
 func (c *Conn) settle(call uint32, payload []byte, err error) {
 	c.mu.Lock()
-	done := c.calls[call]
-	delete(c.calls, call)
+	done := c.calls.take(call)
 	c.mu.Unlock()
 	if done != nil {
 		done(payload, err)
