Say that a message is absent only under the asker's placement, and remind of lost grants

Where all stores had just started an edge that knew them answered 404 for messages that they had on disk. Find now carries the asker's epoch; a store that does not decide under it is not sure, and the edge says 503 or asks again, inside the two seconds. A placement without partitions is no word either. - An edge lets a grant drop that comes from a store which it does not take for the primary. If that store leads on under a later epoch that it took without stepping down, the message stayed with that edge until its retention was over, pending with workers idle. Grants of whole messages are now reminded of every 4 s, as claims were: an edge gives back what it does not hold. One reminder a message. - A message that was written anew by a comparison had its delay and retention worked out from the time of day, which may have stepped, though the steady clock had counted. They are kept. - A delay of over 2^31 ms came round on the steady clock and ended at once. Delays are cut to that length, as retentions were.

Ruled out: to take back with each claim what it does not name: a grant that is on its way while the claim is made would be taken from an edge that runs it.

--- a/queue/apply.go
+++ b/queue/apply.go
@@ -78,10 +78,15 @@
 		c.endAnew(p, e, r, at)
 		return
 	}
+	var known *live
 	if e != nil {
+		known = e.live
 		c.forget(p, e)
 	}
-	c.insert(p, r, at, old)
+	e = c.insert(p, r, at, old)
+	if known != nil && e.live != nil { // the steady clock has counted since
+		e.live.due, e.live.expires = known.due, known.expires
+	}
 }
 
 // insert adds a message that is not known yet.
@@ -103,6 +108,9 @@
 	return e
 }
 
+// longestSpan is what delays and retentions are cut to, in milliseconds: added to the steady clock they must not come round to now.
+const longestSpan = 1 << 31
+
 // setTimes works out when a message is due and when it ends unrun. For one that is not new the time of day is all there is: it may
 // be wrong, and is not let move a delay past its full length, nor an end before its time.
 func (c *Core) setTimes(e *entry, m *wire.Message, old bool) {
@@ -112,8 +120,8 @@
 		delay = max(delay-age, 0)
 		retention = max(retention-age, 0) + int64(c.config.ClockSlack/time.Millisecond)
 	}
-	e.live.due = c.millis() + uint32(delay)
-	e.live.expires = c.millis() + uint32(min(retention, 1<<31))
+	e.live.due = c.millis() + uint32(min(delay, longestSpan))
+	e.live.expires = c.millis() + uint32(min(retention, longestSpan))
 }
 
 func (c *Core) applyEnd(p *partition, r *Record, at journal.Location) {
--- a/queue/core.go
+++ b/queue/core.go
@@ -131,6 +131,7 @@
 	local      []localWait // changes that wait for the own disk
 	acks       []ackWait   // what is acknowledged once it is on the own disk
 	reminders  []reminder  // by time
+	reminding  map[*entry]bool
 	segments   map[uint32]int
 	messages   int
 	round      uint64
@@ -145,7 +146,8 @@
 func New(config Config, host Host) *Core {
 	return &Core{
 		config: config.withDefaults(), host: host, peers: make(map[string]*peer), byRemote: make(map[Remote]*peer),
-		edges: make(map[string]*edge), edgeOf: make(map[Remote]*edge), segments: make(map[uint32]int), wake: never, waiting: never,
+		edges: make(map[string]*edge), edgeOf: make(map[Remote]*edge), segments: make(map[uint32]int),
+		reminding: make(map[*entry]bool), wake: never, waiting: never,
 		nextWork: maintenanceEvery, nextScrub: scrubEvery,
 	}
 }
--- a/queue/edge.go
+++ b/queue/edge.go
@@ -178,7 +178,7 @@
 	}
 	whole := e.live.whole && e.live.holder == by
 	if e.live.holder == nil {
-		c.remindLater(p, e, by)
+		c.remindLater(p, e)
 	}
 	c.lease(e, by)
 	c.own(p, e, by)
--- a/queue/member.go
+++ b/queue/member.go
@@ -1,6 +1,10 @@
 package queue
 
-import "ravendale/wire"
+import (
+	"errors"
+
+	"ravendale/wire"
+)
 
 // The events of this file come from the primaries of partitions that the store is a member of.
 
@@ -136,6 +140,10 @@
 func (c *Core) Find(now Time, m *wire.Find, reply Replier) {
 	c.now = now
 	answer, err := c.lookUp(m)
+	if errors.Is(err, errAbsence) {
+		reply.Fail(err)
+		return
+	}
 	if err != nil {
 		c.host.Fail(err)
 		reply.Fail(err)
@@ -144,18 +152,21 @@
 	reply.Send(answer)
 }
 
+// errAbsence answers a question about a message that is not here, but may be elsewhere.
+var errAbsence = errors.New("queue: the message is not here, under another placement than the asker's")
+
 func (c *Core) lookUp(m *wire.Find) (*wire.FindReply, error) {
 	number, _ := wire.PartitionOf(m.ID)
 	p := c.known(number)
 	if p == nil || !p.primary && !p.replica {
-		return &wire.FindReply{}, nil
+		return c.absent(m)
 	}
 	e, _ := p.find(m.ID)
 	if e == nil {
-		return &wire.FindReply{}, nil
+		return c.absent(m)
 	}
 	if m.Body && (e.bare || e.state == wire.StateDropped) {
-		return &wire.FindReply{}, nil // no body is here; of a dead message another replica has it
+		return c.absent(m) // no body is here; of a dead message another replica has it
 	}
 	answer := &wire.FindReply{Found: true, State: e.state}
 	kept := e.pending() || e.state == wire.StateDead
@@ -172,3 +183,11 @@
 	}
 	return answer, nil
 }
+
+// absent says that a message is not here. If all stores say so under one placement, no replica of its partition has it.
+func (c *Core) absent(m *wire.Find) (*wire.FindReply, error) {
+	if c.view == nil || m.Epoch != c.view.Epoch || c.fence > c.view.Epoch {
+		return nil, errAbsence
+	}
+	return &wire.FindReply{}, nil
+}
--- a/queue/orphan.go
+++ b/queue/orphan.go
@@ -167,6 +167,7 @@
 	c.round++
 	to.turn = c.round
 	c.own(p, e, to)
+	c.remindLater(p, e)
 	if e.live.last == nil {
 		c.grantWhole(p, e)
 	}
--- a/queue/remind.go
+++ b/queue/remind.go
@@ -6,42 +6,53 @@
 	"ravendale/wire"
 )
 
-// reminder is due for a message that an edge claimed. It may have done so while it put the message, and given up since: nothing
-// tells the store so.
+// reminder is due for a message that an edge claimed or was given. It may not hold it: it gave up the put under which it claimed the
+// message, or did not take the grant, as one of a store that it did not take for the primary. Nothing tells the store so.
 type reminder struct {
 	at time.Duration
 	p  *partition
 	e  *entry
-	by *edge
 }
 
-func (c *Core) remindLater(p *partition, e *entry, by *edge) {
+// remindLater has a message's holder reminded, once for each message.
+func (c *Core) remindLater(p *partition, e *entry) {
+	if c.reminding[e] {
+		return
+	}
+	c.reminding[e] = true
 	at := c.now.Steady + remindEvery
-	c.reminders = append(c.reminders, reminder{at: at, p: p, e: e, by: by})
+	c.reminders = append(c.reminders, reminder{at: at, p: p, e: e})
 	c.wakeAt(at)
 }
 
-// remind grants claimed messages that have not ended to their holders again: an edge gives back what it does not hold.
+// remind grants messages that have not ended to their holders again: an edge gives back what it does not hold.
 func (c *Core) remind() {
 	for len(c.reminders) > 0 && c.reminders[0].at <= c.now.Steady {
 		r := c.reminders[0]
 		c.reminders = c.reminders[1:]
-		if !c.isHeld(r) {
+		delete(c.reminding, r.e)
+		if !r.isHeld() {
 			continue
 		}
-		told := r.e.live.key == nil || r.e.live.granted // else it is granted when its turn comes
-		if r.by.remote != nil && told && c.mayRun(r.p, r.e) {
-			_ = r.by.remote.Notify(wire.MethodGrant, &wire.Grant{Partition: r.p.number, Epoch: c.epoch(), ID: r.e.id, Failed: r.e.failed})
+		if c.wasTold(r) {
+			_ = r.e.live.holder.remote.Notify(wire.MethodGrant, &wire.Grant{Partition: r.p.number, Epoch: c.epoch(), ID: r.e.id, Failed: r.e.failed})
 		}
-		c.remindLater(r.p, r.e, r.by)
+		c.remindLater(r.p, r.e)
 	}
 	if len(c.reminders) == 0 {
 		c.reminders = nil
 	}
 }
 
-// isHeld says whether a message is still there, and with the edge that claimed it.
-func (c *Core) isHeld(r reminder) bool {
+// isHeld says whether a message is still there, and with an edge.
+func (r *reminder) isHeld() bool {
 	current, _ := r.p.find(r.e.id)
-	return current == r.e && r.p.primary && r.e.pending() && r.e.live.holder == r.by && !r.e.live.whole
+	return current == r.e && r.p.primary && r.e.pending() && r.e.live.holder != nil
+}
+
+// wasTold says whether a message's holder is connected and was granted it: else the grant is still to come, with its turn or with the
+// word of all members.
+func (c *Core) wasTold(r reminder) bool {
+	l := r.e.live
+	return l.holder.remote != nil && !l.owed && (l.key == nil || l.granted) && c.mayRun(r.p, r.e)
 }
--- a/queueclient/find.go
+++ b/queueclient/find.go
@@ -14,23 +14,23 @@
 )
 
 // Find asks for the state of a message, and with body for its bytes: the primary of its partition, then the other replicas,
-// and at last all stores. ErrNotFound needs the word of each.
+// and at last all stores. ErrNotFound needs the word of each, under one placement.
 func (c *Client) Find(id string, body bool) (*wire.FindReply, error) {
 	partition, ok := wire.PartitionOf(id)
 	if !ok {
 		return nil, ErrNotFound
 	}
-	s := &search{client: c, request: &wire.Find{ID: id, Body: body}, answers: make(chan findAnswer, maxAsked)}
 	expired := time.NewTimer(findLimit)
 	defer expired.Stop()
 	for {
 		v := c.view.Load()
-		if v == nil {
+		if v == nil || len(v.Partitions) == 0 {
 			return nil, ErrNoAnswer
 		}
 		if int(partition) >= len(v.Partitions) {
 			return nil, ErrNotFound
 		}
+		s := &search{request: &wire.Find{ID: id, Body: body, Epoch: v.Epoch}, answers: make(chan findAnswer, maxAsked)}
 		reply, again, err := s.ask(stages(v, partition), expired)
 		if !again {
 			return reply, err
@@ -41,7 +41,6 @@
 const maxAsked = 256
 
 type search struct {
-	client  *Client
 	request *wire.Find
 	answers chan findAnswer
 }
--- a/wire/queue.go
+++ b/wire/queue.go
@@ -126,10 +126,12 @@
 	Unknown []string
 }
 
-// Find asks for a message's state, and with Body for its bytes. Any replica answers.
+// Find asks for a message's state, and with Body for its bytes. Any replica answers that knows the message. That it does not know it a
+// store says only under the epoch that the asker names: another placement may have the message elsewhere.
 type Find struct {
-	ID   string
-	Body bool
+	ID    string
+	Body  bool
+	Epoch uint64
 }
 
 // FindReply answers a Find.
--- a/wire/queue_gen.go
+++ b/wire/queue_gen.go
@@ -464,8 +464,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.ID, err = dc.ReadString()
@@ -478,13 +478,18 @@
 		err = msgp.WrapError(err, "Body")
 		return
 	}
+	z.Epoch, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z Find) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
 		return
 	}
@@ -498,16 +503,22 @@
 		err = msgp.WrapError(err, "Body")
 		return
 	}
+	err = en.WriteUint64(z.Epoch)
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z Find) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendString(o, z.ID)
 	o = msgp.AppendBool(o, z.Body)
+	o = msgp.AppendUint64(o, z.Epoch)
 	return
 }
 
@@ -519,8 +530,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadStringBytes(bts)
@@ -533,13 +544,18 @@
 		err = msgp.WrapError(err, "Body")
 		return
 	}
+	z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Find) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.BoolSize
+	s = 1 + msgp.StringPrefixSize + len(z.ID) + msgp.BoolSize + msgp.Uint64Size
 	return
 }
 
