Answer those who ask for a message's state half a second before they give up

Cause: a question whose stores are silent was answered after 1.8 s. The limit is 1.5 s now, which still covers the patience with each of the three stages. The tests hold it to three quarters of what askers wait (it was all of it).

--- a/queueclient/find_test.go
+++ b/queueclient/find_test.go
@@ -10,6 +10,9 @@
 	"ravendale/wire"
 )
 
+// askersPatience is how long those who ask for a state wait. A quarter of that is for the way, and for a machine that is busy.
+const askersPatience = 2 * time.Second
+
 func TestFind(t *testing.T) {
 	onFakeTime(t, func(t *testing.T) {
 		one, two, three := newFakeStore(t), newFakeStore(t), newFakeStore(t)
@@ -56,7 +59,7 @@
 		began := time.Now()
 		_, err := c.Find("0.x", false)
 		assert.ErrorIs(t, err, ErrNoAnswer)
-		assert.Less(t, time.Since(began), 2*time.Second, "askers wait two seconds")
+		assert.LessOrEqual(t, time.Since(began), askersPatience*3/4)
 	})
 }
 
@@ -80,7 +83,7 @@
 		began := time.Now()
 		_, err = c.Find("0.x", false)
 		require.ErrorIs(t, err, ErrNoAnswer)
-		assert.Less(t, time.Since(began), 2*time.Second, "askers wait two seconds")
+		assert.LessOrEqual(t, time.Since(began), askersPatience*3/4)
 
 		one.with(func() {
 			one.find = func(*wire.Find) *wire.FindReply {
--- a/queueclient/queueclient.go
+++ b/queueclient/queueclient.go
@@ -26,7 +26,7 @@
 	reportPause    = 50 * time.Millisecond   // before a report that was refused is sent again
 	claimPause     = 50 * time.Millisecond   // before a claim that was refused is sent again
 	findPatience   = 300 * time.Millisecond  // a question without an answer for so long goes to others, too
-	findLimit      = 1800 * time.Millisecond
+	findLimit      = 1500 * time.Millisecond // askers wait two seconds
 )
 
 // Config of a Client. Its functions are called by goroutines that read connections: they must not wait.
