Show what follows on each outcome of a delivery, for each class of message

Need: which outcomes may have run, and what is then sent again, is decided in one place (worker.Outcome.MayHaveRun, dispatch.Core.closes and again); no test had the whole table. Found while writing it: this plane makes no copies at all, as the module wants a word of workers' free room for them, which they do not give. One attempt of a message is out at a time, whatever its class.

Change: tests only, and a switch that only they set: an outcome table over four classes (not idempotent, idempotent, with a ceiling, ordered), no message out twice, one attempt at once after a reset, failures that end a message in time wherever they were counted. Mutants: a reset that counts as not sent, endings that are forgotten; each is caught by a named test. Measured: go test ./dispatch passes.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -37,6 +37,7 @@
 	gone     gone
 	held     int // bytes
 	stopping bool
+	mutant   mutant
 
 	now     time.Duration
 	events  []moduleEvent
@@ -49,6 +50,12 @@
 	event   ravendale.Event
 }
 
+// mutant takes guards away. Only tests set it, to show that they notice.
+type mutant struct {
+	resetIsNotRun  bool // what may have run counts as not sent
+	forgetsEndings bool // what has ended here is run again if it is handed out anew
+}
+
 // job is a message's stay with a module, until the last of its attempts has ended.
 type job struct {
 	id       JobID
@@ -138,6 +145,7 @@
 // repeatEnding reports once more how a message ended here, and says whether it did.
 func (c *Core) repeatEnding(id string) bool {
 	past, ended := c.endings.find(c.now, id)
+	ended = ended && !c.mutant.forgetsEndings
 	if ended {
 		c.act(Report{past})
 	}
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -34,6 +34,9 @@
 }
 
 func (c *Core) ended(j *job, number int, result worker.Result) {
+	if c.mutant.resetIsNotRun && result.Outcome.MayHaveRun() {
+		result.Outcome = worker.Unreachable
+	}
 	j.attempts[number].out = false
 	j.out--
 	if result.Outcome == worker.NoRoom || result.Outcome == worker.Unreachable {
