--- a/cmd/ravendale-edge/edge_test.go
+++ b/cmd/ravendale-edge/edge_test.go
@@ -41,9 +41,10 @@
 }
 
 type rigStore struct {
-	store  *store.Store
-	server *rpc.Server
-	disk   string
+	settings *settings.Settings
+	store    *store.Store
+	server   *rpc.Server
+	disk     string
 }
 
 type rigEdge struct {
@@ -57,6 +58,7 @@
 	mu      sync.Mutex
 	runs    []string
 	bodies  map[string]string
+	keys    map[string]string
 	running map[string]int // by order key
 	overlap bool
 	answer  func(w http.ResponseWriter, r *http.Request, run int) bool // true: it has answered
@@ -68,7 +70,7 @@
 	id, key := r.Header.Get("Request-Id"), r.Header.Get("Order-Key")
 	w.mu.Lock()
 	w.runs = append(w.runs, id)
-	w.bodies[id] = string(body)
+	w.bodies[id], w.keys[id] = string(body), key
 	run := len(w.runs)
 	w.running[key]++
 	w.overlap = w.overlap || key != "" && w.running[key] > 1
@@ -92,6 +94,12 @@
 	return append([]string(nil), w.runs...)
 }
 
+func (w *rigWorker) key(id string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.keys[id]
+}
+
 func (w *rigWorker) body(id string) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -112,7 +120,7 @@
 
 func newRig(t *testing.T, stores, edges int) *rig {
 	r := &rig{t: t, log: slog.New(slog.NewTextHandler(io.Discard, nil))}
-	r.worker = &rigWorker{bodies: make(map[string]string), running: make(map[string]int)}
+	r.worker = &rigWorker{bodies: make(map[string]string), keys: make(map[string]string), running: make(map[string]int)}
 	server := httptest.NewServer(r.worker)
 	t.Cleanup(server.Close)
 	r.worker.address = server.Listener.Addr().String()
@@ -136,19 +144,32 @@
 }
 
 func (r *rig) addStore() {
-	s := r.settings("store")
+	r.stores = append(r.stores, r.startStore(r.settings("store"), "127.0.0.1:0"))
+}
+
+func (r *rig) startStore(s *settings.Settings, address string) *rigStore {
 	disk, err := store.Identity(s.DataDir)
 	require.NoError(r.t, err)
 	mux := rpc.NewMux()
 	opened, err := store.Open(store.Config{Settings: s, Disk: disk, Mux: mux, Failed: func(error) {}, Log: r.log})
 	require.NoError(r.t, err)
-	server, err := rpc.Listen("127.0.0.1:0", rpc.Options{Mux: mux}, func(c *rpc.Conn) {
+	server, err := rpc.Listen(address, rpc.Options{Mux: mux}, func(c *rpc.Conn) {
 		c.OnClose(func(error) { go opened.Closed(c) })
 	})
 	require.NoError(r.t, err)
-	added := &rigStore{store: opened, server: server, disk: disk}
-	r.stores = append(r.stores, added)
-	r.t.Cleanup(added.end)
+	started := &rigStore{settings: s, store: opened, server: server, disk: disk}
+	r.t.Cleanup(started.end)
+	return started
+}
+
+// restartStores has all stores end and start again with their disks. They are told nothing.
+func (r *rig) restartStores() {
+	for _, s := range r.stores {
+		s.end()
+	}
+	for i, s := range r.stores {
+		r.stores[i] = r.startStore(s.settings, s.server.Address())
+	}
 }
 
 func (s *rigStore) end() {
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -153,6 +153,22 @@
 	assert.True(t, s.queue.dispatch[0])
 }
 
+// UNASKED: the key is kept as it came, byte by byte, whether or not its route keeps an order.
+func TestOrderKeyIsKeptAsItCame(t *testing.T) {
+	const key = "K \xe9\xff,\t\"=;:%20/ k"
+	s := newSite(t)
+	for _, path := range []string{"/p/q/", "/p/x"} {
+		got := s.ask(t, "POST "+path+" HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\noRDER-kEY: \t"+key+" \r\nContent-Length: 0\r\n\r\n")
+		require.Equal(t, http.StatusAccepted, got.status)
+	}
+	assert.Equal(t, key, s.queue.messages[0].Key)
+	assert.Equal(t, key, s.queue.messages[1].Key)
+	for _, bad := range []string{"a\x00b", "a\rb", "a\x7fb"} {
+		got := s.ask(t, head+"Order-Key: "+bad+"\r\nContent-Length: 0\r\n\r\n")
+		assert.Equal(t, http.StatusBadRequest, got.status, "%q", bad)
+	}
+}
+
 func TestMessageWithoutAKeyHasNoOrder(t *testing.T) {
 	s := newSite(t)
 	assert.Equal(t, http.StatusAccepted, s.ask(t, "POST /p/q/ HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n").status)
