Test forwarded commands' answers, and bodies of dead letters

Need: a forwarded command may be given to another member only if the one that was asked says that it surely was not applied; silence, a lost connection, an error and an outcome that is not known leave it open; a late answer is no later command's. The body of a dead letter lasts as long as its state. Neither had a test.

--- a/cmd/ravendale-edge/edge_test.go
+++ b/cmd/ravendale-edge/edge_test.go
@@ -404,18 +404,24 @@
 	assert.Equal(t, ids, firsts)
 }
 
+// held has a message under way at the worker, until the channel is closed.
+func (r *rig) held(at *rigEdge) (name string, hold chan struct{}) {
+	hold = make(chan struct{})
+	r.worker.answerBy(func(http.ResponseWriter, *http.Request, int) bool {
+		<-hold
+		return false
+	})
+	name = r.put(at, "/p/x", "running", "", 0)
+	require.Eventually(r.t, func() bool { return len(r.worker.list()) == 1 }, patience, time.Millisecond)
+	return name, hold
+}
+
 func TestPlannedStopHandsOver(t *testing.T) {
 	r := newRig(t, 3, 2)
 	one, two := r.edges[0], r.edges[1]
 	r.awaitReady(one)
 	r.awaitReady(two)
-	hold := make(chan struct{})
-	r.worker.answerBy(func(http.ResponseWriter, *http.Request, int) bool {
-		<-hold
-		return false
-	})
-	running := r.put(one, "/p/x", "running", "", 0)
-	require.Eventually(t, func() bool { return len(r.worker.list()) == 1 }, patience, time.Millisecond)
+	running, hold := r.held(one)
 	delayed := r.put(one, "/p/x", "delayed", "", 1500)
 	began := time.Now()
 	one.stop()
--- a/cmd/ravendale-edge/rules_test.go
+++ b/cmd/ravendale-edge/rules_test.go
@@ -62,13 +62,7 @@
 	one, two := r.edges[0], r.edges[1]
 	r.awaitReady(one)
 	r.awaitReady(two)
-	hold := make(chan struct{})
-	r.worker.answerBy(func(http.ResponseWriter, *http.Request, int) bool {
-		<-hold
-		return false
-	})
-	name := r.put(one, "/p/x", "running", "", 0)
-	require.Eventually(t, func() bool { return len(r.worker.list()) == 1 }, patience, time.Millisecond)
+	name, hold := r.held(one)
 	one.stop()
 	ask := func() int {
 		response, err := http.Get("http://" + one.env.Settings.ListenReady + "/v1/readyz")
--- /dev/null
+++ b/control/core/forward_test.go
@@ -0,0 +1,87 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ravendale/rpc"
+)
+
+// memberThat is the other end of a forwarded command: it does with it what the test says.
+func memberThat(t *testing.T, handles func(c *rpc.Conn, reply rpc.Reply)) *rpc.Conn {
+	mux := rpc.NewMux()
+	mux.Handle(methodForward, func(c *rpc.Conn, _ []byte, reply rpc.Reply) { handles(c, reply) })
+	server, err := rpc.Listen("127.0.0.1:0", rpc.Options{Mux: mux}, nil)
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	conn, err := rpc.Dial(t.Context(), server.Address(), rpc.Options{})
+	require.NoError(t, err)
+	t.Cleanup(conn.Close)
+	return conn
+}
+
+// A command is given to another member only if the one that was asked says that it surely was not applied. Silence, a connection that
+// is lost and an answer that can't be read leave it open.
+func TestForwardedCommandIsGivenToAnotherOnlyIfItWasSurelyNotApplied(t *testing.T) {
+	says := func(r *forwardReply) func(*rpc.Conn, rpc.Reply) {
+		return func(_ *rpc.Conn, reply rpc.Reply) { reply.Send(r) }
+	}
+	cases := map[string]struct {
+		handles func(c *rpc.Conn, reply rpc.Reply)
+		want    error
+	}{
+		"done":              {says(&forwardReply{Outcome: outcomeDone, Result: []byte("taken")}), nil},
+		"surely not":        {says(&forwardReply{Outcome: outcomeUnavailable}), ErrUnavailable},
+		"not known":         {says(&forwardReply{Outcome: outcomeUnknown}), ErrUnknown},
+		"another outcome":   {says(&forwardReply{Outcome: 77}), ErrUnknown},
+		"an error":          {func(_ *rpc.Conn, reply rpc.Reply) { reply.Fail(errors.New("x")) }, ErrUnknown},
+		"a lost connection": {func(c *rpc.Conn, _ rpc.Reply) { c.Close() }, ErrUnknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			result, err := new(Core).ask(ctx, memberThat(t, c.handles), []byte("command"), false)
+			if c.want == nil {
+				require.NoError(t, err)
+				assert.Equal(t, "taken", string(result))
+				return
+			}
+			assert.ErrorIs(t, err, c.want)
+			assert.Equal(t, c.want == ErrUnavailable, errors.Is(err, ErrUnavailable))
+		})
+	}
+}
+
+// The answer that comes after the wait is over counts for no later command on the same connection.
+func TestLateAnswerToAForwardedCommandIsNobodys(t *testing.T) {
+	asked := make(chan rpc.Reply, 2)
+	conn := memberThat(t, func(_ *rpc.Conn, reply rpc.Reply) { asked <- reply })
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	first := make(chan error, 1)
+	go func() {
+		_, err := new(Core).ask(ctx, conn, []byte("first"), false)
+		first <- err
+	}()
+	late := <-asked
+	cancel()
+	require.ErrorIs(t, <-first, ErrUnknown)
+
+	ctx, cancel = context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	second := make(chan string, 1)
+	go func() {
+		result, err := new(Core).ask(ctx, conn, []byte("second"), false)
+		assert.NoError(t, err)
+		second <- string(result)
+	}()
+	own := <-asked
+	late.Send(&forwardReply{Outcome: outcomeDone, Result: []byte("of the first")})
+	own.Send(&forwardReply{Outcome: outcomeDone, Result: []byte("of the second")})
+	assert.Equal(t, "of the second", <-second)
+}
--- a/queue/rules_test.go
+++ b/queue/rules_test.go
@@ -57,6 +57,17 @@
 	return whole, reminders
 }
 
+// grantsAfter has a span pass, and a grant come with its end.
+func (r *rig) grantsAfter(span time.Duration, member, to *heard) {
+	r.t.Helper()
+	r.pass(span - 100*ms)
+	r.settleAll(member)
+	assert.Nil(r.t, last[wire.Grant](to))
+	r.pass(200 * ms)
+	r.settleAll(member)
+	assert.NotNil(r.t, last[wire.Grant](to))
+}
+
 const oddKey = "K\x00\xff é,\"=;%20\t/ k"
 
 // UNASKED: the key of a delivery is the sender's, byte by byte.
@@ -155,12 +166,7 @@
 	}})
 	r.sync()
 	b, e := r.leads(2)
-	r.pass(4900 * ms)
-	r.settleAll(b)
-	assert.Nil(t, last[wire.Grant](e))
-	r.pass(200 * ms)
-	r.settleAll(b)
-	assert.NotNil(t, last[wire.Grant](e))
+	r.grantsAfter(5*time.Second, b, e)
 }
 
 // ORDER: a restart counts what has passed of a delay by the time of day, and no more than that.
@@ -172,12 +178,7 @@
 	r.settle(b)
 	again := r.restarted(2 * time.Second)
 	b, e = again.leads(2)
-	again.pass(2900 * ms)
-	again.settleAll(b)
-	assert.Nil(t, last[wire.Grant](e))
-	again.pass(200 * ms)
-	again.settleAll(b)
-	assert.NotNil(t, last[wire.Grant](e))
+	again.grantsAfter(3*time.Second, b, e)
 }
 
 // LOST: an edge that did not take a grant, as one that it took for another store's, does not hold the message for ever.
@@ -258,3 +259,21 @@
 	r.take(4)
 	assert.ErrorIs(t, ask(r, "0.9", 3).err, errAbsence, "it has heard of a newer one")
 }
+
+// State: the body of a dead letter is there as long as its state is told, after a restart too.
+func TestBodyOfADeadLetterIsThereAsLongAsItsState(t *testing.T) {
+	r, b, e := primary(t)
+	r.put(plain("0.1"), e)
+	r.settle(b)
+	r.report(wire.Report{ID: "0.1", Kind: wire.ReportDead}, e)
+	r.settle(b)
+	want := &wire.FindReply{Found: true, State: wire.StateDead, Body: []byte("body")}
+	r.pass(r.core.config.Remember)
+	assert.Equal(t, want, r.find("0.1", true))
+	again := r.restarted(time.Second)
+	again.leads(2)
+	again.pass(again.core.config.Remember)
+	assert.Equal(t, want, again.find("0.1", true))
+	again.pass(10 * time.Second)
+	assert.Equal(t, &wire.FindReply{}, again.find("0.1", true), "forgotten, some time after")
+}
