Let messages that no worker can be had for hold no others up

Cause: a store gives each edge at most 64 messages whole that have not ended. After a loss of all power every message is handed over so. Those of a service without workers kept these places until their retention was over, and those of other services, due later, were not handed over, with workers idle.

Change: with the first reminder, 4 s after it was given, a message no longer counts. The edge bounds the bytes that it holds by itself and gives back what is over. Ruled out: to have edges give such messages back: they are due first, and would be given out again first.

Test: TestMessagesThatNobodyCanRunDoNotHoldOthersUp, three times 64 of them. Measured: go test ./queue ./queue/store passes.

--- a/queue/edge.go
+++ b/queue/edge.go
@@ -202,12 +202,8 @@
 	if e.live == nil || e.live.holder == nil {
 		return
 	}
-	if e.live.whole {
-		e.live.holder.given--
-		c.unqueue(e.live.holder)
-	}
+	c.uncount(e.live)
 	e.live.holder = nil
-	e.live.whole = false
 	e.live.granted = false
 	e.live.owed = false
 }
--- a/queue/remind.go
+++ b/queue/remind.go
@@ -34,6 +34,7 @@
 		if !r.isHeld() {
 			continue
 		}
+		c.uncount(r.e.live)
 		if c.wasTold(r) {
 			_ = r.e.live.holder.remote.Notify(wire.MethodGrant, &wire.Grant{Partition: r.p.number, Epoch: c.epoch(), ID: r.e.id, Failed: r.e.failed})
 		}
@@ -44,6 +45,17 @@
 	}
 }
 
+// uncount gives the place of a message back that its holder was given long ago: those that no worker can be had for must not keep
+// others from being handed over. What an edge has no room for it gives back by itself.
+func (c *Core) uncount(l *live) {
+	if !l.whole {
+		return
+	}
+	l.whole = false
+	l.holder.given--
+	c.unqueue(l.holder)
+}
+
 // isHeld says whether a message is still there, and with an edge.
 func (r *reminder) isHeld() bool {
 	current, _ := r.p.find(r.e.id)
--- a/queue/rules_test.go
+++ b/queue/rules_test.go
@@ -200,6 +200,31 @@
 	assert.Equal(t, 1, whole)
 }
 
+// LOST: messages that no worker can be had for, more of them than an edge is given at once, do not hold others up.
+func TestMessagesThatNobodyCanRunDoNotHoldOthersUp(t *testing.T) {
+	r, b, e := primary(t)
+	for i := range 3 * maxHandedOver {
+		r.putAs(plain(fmt.Sprintf("0.stuck%d", i)), e, false)
+	}
+	r.putAs(plain("0.1"), e, false)
+	r.settleAll(b)
+	for range 3 {
+		whole, _ := e.grants("0.1")
+		require.Zero(t, whole)
+		r.pass(remindEvery)
+		r.settleAll(b)
+	}
+	whole, _ := e.grants("0.1")
+	assert.Equal(t, 1, whole)
+	assert.Equal(t, 1, r.core.edges["e"].given, "the others have lost their places")
+	for i := range 3 * maxHandedOver {
+		r.report(wire.Report{ID: fmt.Sprintf("0.stuck%d", i), Kind: wire.ReportDone}, e)
+	}
+	r.report(wire.Report{ID: "0.1", Kind: wire.ReportDone}, e)
+	r.settleAll(b)
+	assert.Zero(t, r.core.edges["e"].given)
+}
+
 func TestMessageThatIsGivenBackOftenIsRemindedOfOnce(t *testing.T) {
 	r, b, e := primary(t)
 	r.putAs(plain("0.1"), e, false)
