Keep idle connections shortly where a worker takes fewer than there are edges

Cause: since idle connections are used again after the deadline of their last exchange, edges hold on to them.

--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -555,16 +555,17 @@
 		w.workers.Entries[i].Capacity = 100
 	}
 	w.list()
-	assert.Equal(t, 80, w.core.Connections()["s-0"])
-	assert.Equal(t, 8, w.core.Connections()["10.0.0.9:80"])
+	assert.Equal(t, 80, w.core.Connections()["s-0"].Most)
+	assert.Equal(t, 8, w.core.Connections()["10.0.0.9:80"].Most)
 	w.take(w.core.Place(w.now, edgesOf("e1", "e2", "e3", "e4")))
-	assert.Equal(t, 20, w.core.Connections()["s-0"])
+	assert.Equal(t, 20, w.core.Connections()["s-0"].Most)
 	many := make([]wire.Edge, 300)
 	for i := range many {
 		many[i] = wire.Edge{ID: fmt.Sprintf("e%d", i), Zone: "z1"}
 	}
 	w.take(w.core.Place(w.now, many))
-	assert.Equal(t, 1, w.core.Connections()["s-0"])
+	assert.Equal(t, 1, w.core.Connections()["s-0"].Most)
+	assert.True(t, w.core.Connections()["s-0"].Scarce, "not all edges can have one")
 }
 
 // A list of edges that is short for a moment, as after a change of the leader, frees no connections: the others still have theirs.
@@ -575,20 +576,20 @@
 	w.take(w.core.Place(w.now, edgesOf("e1", "e2", "e3", "e4")))
 	w.pass(time.Second)
 	w.take(w.core.Place(w.now, edgesOf("e1")))
-	assert.Equal(t, 20, w.core.Connections()["s-0"])
+	assert.Equal(t, 20, w.core.Connections()["s-0"].Most)
 	w.pass(time.Second)
 	w.take(w.core.Place(w.now, edgesOf("e1", "e2")))
 	w.pass(edgesCountedFor - 2*time.Second)
 	w.list()
-	assert.Equal(t, 20, w.core.Connections()["s-0"])
+	assert.Equal(t, 20, w.core.Connections()["s-0"].Most)
 	w.pass(2 * time.Second)
 	w.list()
-	assert.Equal(t, 40, w.core.Connections()["s-0"])
+	assert.Equal(t, 40, w.core.Connections()["s-0"].Most)
 }
 
 func TestConnectionsAreBoundByCapacity(t *testing.T) {
 	w := newWorld(t)
-	assert.Equal(t, 4+beyondCapacity, w.core.Connections()["s-0"])
+	assert.Equal(t, 4+beyondCapacity, w.core.Connections()["s-0"].Most)
 }
 
 func TestEndpointGetsNoExpectedInstance(t *testing.T) {
--- a/dispatch/home_test.go
+++ b/dispatch/home_test.go
@@ -54,7 +54,7 @@
 		used[d.Delivery.Worker] = true
 	}
 	assert.Len(t, used, 5, "but not one twice while another has nothing")
-	assert.Equal(t, 4+beyondCapacity, w.core.Connections()["z1-0"])
+	assert.Equal(t, 4+beyondCapacity, w.core.Connections()["z1-0"].Most)
 }
 
 // A zone with less than its part must not be overrun: there the module's own choice is all there is.
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -147,6 +147,11 @@
 	return max(fewestConnection, int(connectionsUsed*float64(maxConns)/float64(max(edges, 1))))
 }
 
+// isScarce says whether a worker takes fewer connections than there are edges. Each may still have one.
+func isScarce(maxConns, edges int) bool {
+	return maxConns > 0 && connectionsUsed*float64(maxConns) < fewestConnection*float64(edges)
+}
+
 // connections is how many connections this edge may have to each worker of a service.
 func (s *service) connections(config *catalog.Service, edges int) map[string]int {
 	share := connectionShare(config.MaxConns, edges)
--- a/dispatch/topology.go
+++ b/dispatch/topology.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -10,6 +9,7 @@
 	"ravendale"
 	"ravendale/catalog"
 	"ravendale/wire"
+	"ravendale/worker"
 )
 
 // Configure takes a configuration. Messages whose route it lacks end.
@@ -184,19 +184,24 @@
 	}
 }
 
-// Connections says how many connections this edge may have to each worker, by name; 0 is no bound.
-func (c *Core) Connections() map[string]int {
-	limits := make(map[string]int)
+// Connections says what this edge may have of each worker's connections, by name.
+func (c *Core) Connections() map[string]worker.Share {
+	shares := make(map[string]worker.Share)
 	if c.index == nil {
-		return limits
+		return shares
 	}
 	edges := max(c.edges.highest(c.now), len(c.config.Topology.Edges))
 	for _, s := range c.services {
-		if config := c.index.Service(s.name); config != nil {
-			maps.Copy(limits, s.connections(config, edges))
+		config := c.index.Service(s.name)
+		if config == nil {
+			continue
+		}
+		scarce := isScarce(config.MaxConns, edges)
+		for name, most := range s.connections(config, edges) {
+			shares[name] = worker.Share{Most: most, Scarce: scarce}
 		}
 	}
-	return limits
+	return shares
 }
 
 // capacities says how many messages workers run at once, by name.
--- a/worker/answers_test.go
+++ b/worker/answers_test.go
@@ -126,7 +126,7 @@
 	address, _ := scripted(t, map[[2]int]string{{0, 0}: failed("id-1"), {1, 0}: done("id-1"), {1, 1}: done("id-2")})
 	client := patientClient()
 	defer client.Close()
-	client.Limit(map[string]int{"i-1": 1})
+	client.Limit(map[string]Share{"i-1": {Most: 1}})
 	assert.Equal(t, Failed, deliver(client, named(address, "id-1")).Outcome)
 	assert.Equal(t, Done, deliver(client, named(address, "id-1")).Outcome)
 	assert.Equal(t, Done, deliver(client, named(address, "id-2")).Outcome, "on the connection that has replaced it")
@@ -346,3 +346,19 @@
 	close(rest)
 	assert.Equal(t, Done, deliver(client, named(address, "id-1")).Outcome)
 }
+
+// Where a worker takes fewer connections than there are senders, one that is idle is soon another's to make.
+func TestIdleConnectionIsKeptShortlyWhereTheyAreScarce(t *testing.T) {
+	address, _ := scripted(t, map[[2]int]string{{0, 0}: done("id-1"), {1, 0}: done("id-1")})
+	for _, scarce := range []bool{false, true} {
+		client := NewClient()
+		client.Limit(map[string]Share{"i-1": {Most: 1, Scarce: scarce}})
+		require.Equal(t, Done, deliver(client, named(address, "id-1")).Outcome)
+		client.mu.Lock()
+		for _, conn := range client.pools["i-1"].idle {
+			assert.Equal(t, !scarce, conn.until-client.now() > scarceIdle)
+		}
+		client.mu.Unlock()
+		client.Close()
+	}
+}
--- a/worker/client.go
+++ b/worker/client.go
@@ -22,7 +22,7 @@
 
 // pool has the connections to one worker.
 type pool struct {
-	limit int // connections that may be open; 0: no bound
+	share Share
 	open  int // connections, and those that are being made
 	idle  []*connection
 	gone  bool // no longer named: what is open is closed after use
@@ -35,13 +35,19 @@
 
 func (c *Client) now() time.Duration { return time.Since(c.started) }
 
-// Limit says how many connections may be open to each worker, by name. Idle connections to workers that it does not name are
+// Share is what a sender may have of a worker's connections.
+type Share struct {
+	Most   int  // connections that may be open; 0: no bound
+	Scarce bool // the worker takes fewer than there are senders: an idle one keeps another sender out
+}
+
+// Limit sets the shares of workers, by name. Idle connections to workers that it does not name are
 // closed, and those in use after their delivery.
-func (c *Client) Limit(limits map[string]int) {
+func (c *Client) Limit(shares map[string]Share) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for name, p := range c.pools {
-		if _, named := limits[name]; named {
+		if _, named := shares[name]; named {
 			continue
 		}
 		p.gone = true
@@ -50,9 +56,9 @@
 			delete(c.pools, name)
 		}
 	}
-	for name, limit := range limits {
+	for name, share := range shares {
 		p := c.pool(name)
-		p.limit, p.gone = limit, false
+		p.share, p.gone = share, false
 	}
 }
 
@@ -189,7 +195,7 @@
 	if conn = p.pick(requestID); conn != nil {
 		return conn, true
 	}
-	if p.limit > 0 && p.open >= p.limit {
+	if p.share.Most > 0 && p.open >= p.share.Most {
 		if len(p.idle) == 0 {
 			return nil, false
 		}
@@ -247,11 +253,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pool(name)
-	if idle <= 0 || p.gone || c.closed || p.limit > 0 && p.open > p.limit {
+	if idle <= 0 || p.gone || c.closed || p.share.Most > 0 && p.open > p.share.Most {
 		_ = conn.socket.Close()
 		c.drop(name)
 		return
 	}
+	if p.share.Scarce {
+		idle = min(idle, scarceIdle)
+	}
 	conn.until = c.now() + idle
 	p.idle = append(p.idle, conn)
 	c.wake(conn.until)
--- a/worker/client_test.go
+++ b/worker/client_test.go
@@ -378,7 +378,7 @@
 	})
 	client := patientClient()
 	defer client.Close()
-	client.Limit(map[string]int{"i-1": 2})
+	client.Limit(map[string]Share{"i-1": {Most: 2}})
 	results := make(chan Result, 3)
 	for range 3 {
 		d := delivery(address)
@@ -400,9 +400,9 @@
 	})
 	client := patientClient()
 	defer client.Close()
-	client.Limit(map[string]int{"i-1": 0})
+	client.Limit(map[string]Share{"i-1": {Most: 0}})
 	require.Equal(t, Done, deliver(client, delivery(address)).Outcome)
-	client.Limit(map[string]int{"i-2": 0})
+	client.Limit(map[string]Share{"i-2": {Most: 0}})
 	<-closed
 	assert.Nil(t, client.pools["i-1"])
 }
