--- a/cmd/ravendale-edge/edge_test.go
+++ b/cmd/ravendale-edge/edge_test.go
@@ -45,6 +45,7 @@
 	store    *store.Store
 	server   *rpc.Server
 	disk     string
+	ended    sync.Once
 }
 
 type rigEdge struct {
@@ -173,8 +174,10 @@
 }
 
 func (s *rigStore) end() {
-	s.server.Close()
-	_ = s.store.Close()
+	s.ended.Do(func() {
+		s.server.Close()
+		_ = s.store.Close()
+	})
 }
 
 // freePort finds a port that nobody listens on.
