--- a/dispatch/plane.go
+++ b/dispatch/plane.go
@@ -45,7 +45,7 @@
 	// Start begins a delivery. Done is called once, not before Start has returned.
 	Start(delivery *worker.Delivery, done func(worker.Result)) Call
 	// Limit says how many connections may be open to each worker.
-	Limit(limits map[string]int)
+	Limit(shares map[string]worker.Share)
 }
 
 // Call is a delivery under way.
