--- a/queue/journal/journal.go
+++ b/queue/journal/journal.go
@@ -398,12 +398,15 @@
 	return payload, nil
 }
 
-// Close writes and syncs what is queued, and closes the files.
+// Close writes and syncs what is queued, and closes the files. It may be called again.
 func (j *Journal) Close() error {
 	j.mu.Lock()
+	again := j.closing
 	j.closing = true
 	j.mu.Unlock()
-	close(j.stop)
+	if !again {
+		close(j.stop)
+	}
 	j.signal()
 	<-j.done
 	j.closeFiles()
--- a/queue/journal/journal_test.go
+++ b/queue/journal/journal_test.go
@@ -262,3 +262,10 @@
 	<-refused
 	require.ErrorIs(t, j.Close(), unix.ENOSPC)
 }
+
+func TestClosingTwiceIsClosingOnce(t *testing.T) {
+	j, _, _ := open(t, t.TempDir(), 200)
+	j.Append([]byte("record"))
+	require.NoError(t, j.Close())
+	require.NoError(t, j.Close())
+}
