Give a newcomer of the core no vote before it takes another's or is filled

A newcomer was a voter as soon as it was heard of, and a voter that was down kept its vote for ten seconds. Once a replacement had ceased to count as a loss (catchupS), a second loss within the tolerance left no majority: three members, one gone for good, its successor there: two of four voters. Four members at the second replacement in a row, five that bear two losses at the first, and planned replacements too.

Ruled out: only a shorter time until a vote is given up: between a newcomer's vote and that moment the loss of the newcomer itself leaves two of four. Voters in even numbers: they bear no more than one fewer does.

Change: a view names learners beside the voters. A newcomer is a learner; it takes the vote of a voter that is down for 1.5 s (0.7 of catchupS at most), that is told to stop, or whose address it has; or two that are whole get votes together. A process that is told to stop says so and ends when a majority of the voters goes on without it, within 1.5 s. A view may say that the leader lease is vacant, so that new voters need not wait for a lease that was given back.

--- a/control/chain/chain.go
+++ b/control/chain/chain.go
@@ -46,10 +46,16 @@
 	taken uint64 // epoch in which the log had been made to follow the predecessor's
 }
 
+// Machine is the state machine that applies what is committed.
+type Machine interface {
+	// Snapshot is the whole state, as it is after the last commit.
+	Snapshot() []byte
+}
+
 // Chain is one member's log and links.
 type Chain struct {
-	self     view.ID
-	snapshot func() []byte // of the machine, as it is after the last commit
+	self    view.ID
+	machine Machine
 
 	state     State
 	committed uint64 // known to be committed, of which some may not be handed out yet
@@ -79,8 +85,8 @@
 }
 
 // New makes a member from what is on its disk. It takes no part before Adopt.
-func New(self view.ID, state State, snapshot func() []byte) *Chain {
-	c := &Chain{self: self, snapshot: snapshot, state: state, position: -1, waiting: make(map[view.ID]*Attach), batch: commitBatch}
+func New(self view.ID, state State, machine Machine) *Chain {
+	c := &Chain{self: self, machine: machine, state: state, position: -1, waiting: make(map[view.ID]*Attach), batch: commitBatch}
 	c.committed, c.handedOut = state.Base, state.Base
 	c.synced = c.Last()
 	return c
@@ -300,7 +306,7 @@
 	case c.has(message.Committed):
 		fill.From = message.Committed
 	default:
-		fill.Whole, fill.Snapshot, fill.From = true, c.snapshot(), c.handedOut
+		fill.Whole, fill.Snapshot, fill.From = true, c.machine.Snapshot(), c.handedOut
 	}
 	fill.FromEpoch = c.epochAt(fill.From)
 	fill.Entries = c.between(fill.From, c.synced)
--- a/control/chain/chain_test.go
+++ b/control/chain/chain_test.go
@@ -26,6 +26,14 @@
 	chain.Send
 }
 
+// applied is the machine of a member: its snapshot is the number of commands.
+type applied struct {
+	rig *rig
+	id  view.ID
+}
+
+func (a applied) Snapshot() []byte { return fmt.Append(nil, len(a.rig.applied[a.id])) }
+
 func newRig(t *testing.T) *rig {
 	return &rig{
 		t: t, members: make(map[view.ID]*chain.Chain), applied: make(map[view.ID][]string),
@@ -34,7 +42,7 @@
 }
 
 func (r *rig) join(id view.ID, state chain.State) *chain.Chain {
-	r.members[id] = chain.New(id, state, func() []byte { return fmt.Append(nil, len(r.applied[id])) })
+	r.members[id] = chain.New(id, state, applied{r, id})
 	return r.members[id]
 }
 
--- a/control/core/bounds_test.go
+++ b/control/core/bounds_test.go
@@ -64,7 +64,7 @@
 	l.machine, l.store = state.NewMachine(), store
 	l.node, err = newNode(l.now, nodeConfig{
 		Address: address, Seeds: []string{address}, Bootstrap: true, Disk: true, Candidate: true, Durability: view.Durability{Copies: 1},
-		GoneAfter: time.Minute, Terms: lease.DefaultTerms, LeastLog: leastLog, Machine: l.machine,
+		DownAfter: time.Minute, GoneAfter: time.Minute, Terms: lease.DefaultTerms, LeastLog: leastLog, Machine: l.machine,
 		Random: func() uint64 { random += 2; return random },
 	}, snapshot, records)
 	require.NoError(l.t, err)
@@ -223,10 +223,15 @@
 	t.Logf("at most %d KB on disk", l.most>>10)
 }
 
+// empty is a machine without state.
+type empty struct{}
+
+func (empty) Snapshot() []byte { return nil }
+
 // TestAHeadBoundsWhatWaits has a head whose successor takes nothing more submit without end.
 func TestAHeadBoundsWhatWaits(t *testing.T) {
 	const size = 1 << 20
-	c := chain.New(1, chain.State{}, func() []byte { return nil })
+	c := chain.New(1, chain.State{}, empty{})
 	c.Adopt(0, &view.View{Epoch: 1, Chain: []view.ID{1, 2}}, true, false)
 	c.Take()
 	c.OnDisk(0, c.Mark())
--- a/control/core/change.go
+++ b/control/core/change.go
@@ -18,7 +18,7 @@
 func (n *node) change(now time.Duration, next *view.View) change {
 	c := change{epoch: next.Epoch}
 	for _, id := range next.Chain {
-		member, _ := next.Voter(id)
+		member, _ := next.Member(id)
 		c.chain = append(c.chain, member.Address)
 		if n.view.Position(id) < 0 {
 			c.joined = append(c.joined, member.Address)
@@ -26,7 +26,7 @@
 	}
 	for _, id := range n.view.Chain {
 		if next.Position(id) < 0 {
-			member, _ := n.view.Voter(id)
+			member, _ := n.view.Member(id)
 			c.left = append(c.left, member.Address+": "+n.absence(now, member))
 		}
 	}
--- a/control/core/core.go
+++ b/control/core/core.go
@@ -36,6 +36,19 @@
 const mostEntries = 2*(chain.MaxUncommitted+MaxCommand) + mostLog
 
 const _ = uint(rpc.MaxFrame - mostEntries - 1<<20) // they fit a frame, with room for what is around them
+// How long a voter may be silent.
+const (
+	downShare      = 0.7                     // of the time that a new machine has to catch up: by then the one that it replaces has no vote
+	mostDownAfter  = 1500 * time.Millisecond // by then a lease that it held has ended, so that the next holder need not wait for the new voters
+	leastGoneAfter = 10 * time.Second
+)
+
+// An orderly end waits for the others to go on without this process.
+const (
+	leaveWithin  = 1500 * time.Millisecond // at most
+	leaveShare   = 0.25                    // and of the time that the process has for its end
+	releasePause = 20 * time.Millisecond   // at least, in which word of the lease that is given back may leave
+)
 
 // Machine is the state that is kept alike at all members. Its methods are called one at a time, on goroutines of the core's, and must depend on
 // nothing but what they are given; they must not call the Core.
@@ -118,7 +131,7 @@
 	config := nodeConfig{
 		Address: c.address, Zone: settings.Zone, Seeds: settings.SeedAddresses(), Bootstrap: settings.Bootstrap,
 		Disk: settings.DataDir != "", Candidate: c.config.Lead != nil, Durability: durability(settings),
-		GoneAfter: GoneAfter(durationOf(settings.Bounds.CatchupS)), Terms: lease.DefaultTerms, LeastLog: leastLog, MostRecords: mostRecords,
+		DownAfter: DownAfter(durationOf(settings.Bounds.CatchupS)), GoneAfter: GoneAfter(durationOf(settings.Bounds.CatchupS)), Terms: lease.DefaultTerms, LeastLog: leastLog, MostRecords: mostRecords,
 		Machine: c.config.Machine, Random: c.random,
 	}
 	var snapshot []byte
@@ -142,19 +155,6 @@
 	return err
 }
 
-// Bounds of GoneAfter.
-const (
-	leastGoneAfter = 1500 * time.Millisecond // a member that restarts has been heard again by then
-	partOfCatchup  = 2
-)
-
-// GoneAfter is how long a voter that is down keeps its vote where the others could bear more losses without it, given the time in which the
-// system has to make up for a lost machine. When that is over another may be lost, so by then a machine that has gone must not
-// count among the voters beside the one that came in its place: of three and it, two would be no majority.
-func GoneAfter(catchup time.Duration) time.Duration {
-	return max(leastGoneAfter, catchup/partOfCatchup)
-}
-
 func (c *Core) openSlots() (*slots.Store, []byte, [][]byte, error) {
 	if c.config.folder != nil {
 		return slots.OpenFolder(c.config.folder)
@@ -185,6 +185,15 @@
 	}
 }
 
+// DownAfter is when a silent voter may lose its vote to another: before its successor counts as reliable, or it would be missed in two
+// places.
+func DownAfter(catchup time.Duration) time.Duration {
+	return min(mostDownAfter, time.Duration(downShare*float64(catchup)))
+}
+
+// GoneAfter is when a silent learner is forgotten.
+func GoneAfter(catchup time.Duration) time.Duration { return max(leastGoneAfter, 2*catchup) }
+
 func durationOf(seconds float64) time.Duration { return settings.Seconds(seconds) }
 
 // random draws numbers that no other process draws, even where sources of chance are alike.
@@ -207,8 +216,7 @@
 	c.timer = time.AfterFunc(0, c.tick)
 	c.mu.Unlock()
 	<-ctx.Done()
-	c.step(func(now time.Duration) { c.node.Release(now) })
-	time.Sleep(releasePause)
+	c.leave()
 	c.stop()
 	select {
 	case <-diskDone:
@@ -217,10 +225,19 @@
 }
 
 const (
-	releasePause = 20 * time.Millisecond // in which word of the lease that is given back may leave
-	diskPause    = time.Second           // for the disk to end what it does
+	diskPause = time.Second // for the disk to end what it does
 )
 
+// leave has the others go on without this process, as far as they can in time.
+func (c *Core) leave() {
+	deadline := c.now() + min(leaveWithin, durationOf(leaveShare*c.config.Settings.Bounds.GraceS))
+	c.step(func(now time.Duration) { c.node.Release(now) })
+	for left := false; !left && c.now() < deadline; {
+		time.Sleep(releasePause)
+		c.step(func(now time.Duration) { left = c.node.Left(now) })
+	}
+}
+
 func (c *Core) stop() {
 	c.mu.Lock()
 	c.running = false
--- a/control/core/leading.go
+++ b/control/core/leading.go
@@ -16,7 +16,7 @@
 )
 
 func (n *node) onLeaseRequest(now time.Duration, from view.Member, m *lease.Request) {
-	if m.Epoch != n.view.Epoch || !n.isVoter(n.self.ID) || !n.isVoter(from.ID) || n.vote.Sealed(n.view.Epoch) {
+	if m.Epoch != n.view.Epoch || !n.isVoter(n.self.ID) || !n.isMember(from.ID) || n.vote.Sealed(n.view.Epoch) {
 		return
 	}
 	granted, changed := n.voter.Grant(now, from.ID, m)
@@ -69,17 +69,36 @@
 // LeaseUntil is when the lease that this node holds ends.
 func (n *node) LeaseUntil() time.Duration { return n.holder.Until() }
 
-// Release gives the lease back, in an orderly end.
+// Release begins an orderly end: it gives the lease back, and has the others go on without this node. Left says when they do.
 func (n *node) Release(now time.Duration) {
+	n.config.Candidate = false
+	n.leaving = !n.config.faults.staying
+	if !n.ready() {
+		return
+	}
 	if n.holder.Valid(now) {
 		n.drop(lossStop)
-		n.beatAt = now
-		n.sendBeats(now)
 	}
-	n.config.Candidate = false
+	n.sendBeats(now)
+	n.seekView(now)
 	n.finish(now)
 }
 
+// Left says whether nothing is gained by waiting any longer for the end: a majority of the voters has a view that does without this node,
+// as far as that can be.
+func (n *node) Left(now time.Duration) bool {
+	if n.view.Epoch == 0 {
+		return true
+	}
+	return n.proposer == nil && !n.wantsView(now) && n.majority(func(id view.ID) bool { return n.follows(now, id) })
+}
+
+// follows says whether a member is known to have this node's view.
+func (n *node) follows(now time.Duration, id view.ID) bool {
+	p := n.find(id)
+	return id == n.self.ID || p != nil && n.hears(now, id) && p.beat.Epoch >= n.view.Epoch
+}
+
 func (n *node) leaderAddress(now time.Duration) string {
 	if n.leads(now) {
 		return n.self.Address
--- a/control/core/messages.go
+++ b/control/core/messages.go
@@ -41,6 +41,7 @@
 	Missing   []view.ID // members that it does not hear; itself: its disk takes nothing, and it stands aside
 	Leading   bool      // it holds the leader lease
 	Leader    string    // rpc address of the holder as it knows, empty if it knows none
+	Leaving   bool      // it is about to end
 }
 
 // decided tells of a view that is decided.
--- a/control/core/messages_gen.go
+++ b/control/core/messages_gen.go
@@ -16,8 +16,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 12 {
+		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
 		return
 	}
 	err = z.Member.DecodeMsg(dc)
@@ -88,13 +88,18 @@
 		err = msgp.WrapError(err, "Leader")
 		return
 	}
+	z.Leaving, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *beat) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 11
-	err = en.Append(0x9b)
+	// array header, size 12
+	err = en.Append(0x9c)
 	if err != nil {
 		return
 	}
@@ -160,14 +165,19 @@
 		err = msgp.WrapError(err, "Leader")
 		return
 	}
+	err = en.WriteBool(z.Leaving)
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *beat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 11
-	o = append(o, 0x9b)
+	// array header, size 12
+	o = append(o, 0x9c)
 	o, err = z.Member.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Member")
@@ -190,6 +200,7 @@
 	}
 	o = msgp.AppendBool(o, z.Leading)
 	o = msgp.AppendString(o, z.Leader)
+	o = msgp.AppendBool(o, z.Leaving)
 	return
 }
 
@@ -201,8 +212,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 12 {
+		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
 		return
 	}
 	bts, err = z.Member.UnmarshalMsg(bts)
@@ -273,6 +284,11 @@
 		err = msgp.WrapError(err, "Leader")
 		return
 	}
+	z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
+	}
 	o = bts
 	return
 }
@@ -283,7 +299,7 @@
 	for za0001 := range z.Missing {
 		s += z.Missing[za0001].Msgsize()
 	}
-	s += msgp.BoolSize + msgp.StringPrefixSize + len(z.Leader)
+	s += msgp.BoolSize + msgp.StringPrefixSize + len(z.Leader) + msgp.BoolSize
 	return
 }
 
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -42,7 +42,8 @@
 	Disk       bool
 	Candidate  bool
 	Durability view.Durability
-	GoneAfter  time.Duration // a voter that is down for longer may be given up
+	DownAfter  time.Duration // a voter that is silent for longer may lose its vote to another
+	GoneAfter  time.Duration // to nobody
 	Terms      lease.Terms
 	LeastLog   int // bytes of log before a snapshot is taken
 	// MostRecords are in the log before a snapshot is taken, however short they are: a member that starts applies them again, and until
@@ -63,6 +64,9 @@
 	unbounded  bool // a member that is behind applies all at once
 	eager      bool // a member that is not attached learns what is committed, and so answers
 	staleImage bool // another member's image moves the log's place and not the machine's state
+	staying    bool // a node that is told to stop keeps its vote
+	voting     bool // a newcomer gets a vote at once
+	hollow     bool // a newcomer counts as whole before it is filled
 }
 
 // post is a message to send. Its type tells the method.
@@ -111,7 +115,8 @@
 	voter *lease.Voter
 	idle  bool // the head, but started in this epoch
 
-	unborn bool // its identity is not on disk yet
+	unborn  bool // its identity is not on disk yet
+	leaving bool // it has been told to stop
 
 	peers    map[string]*peer // by address
 	beatAt   time.Duration
@@ -189,7 +194,7 @@
 	}
 	n.self = view.Member{Address: config.Address, Zone: config.Zone}
 	if !config.Disk {
-		n.chain = chain.New(0, chain.State{}, config.Machine.Snapshot)
+		n.chain = chain.New(0, chain.State{}, config.Machine)
 		n.voter = lease.NewVoter(now, config.Terms, lease.Past{Unknown: true})
 		n.holder = lease.NewHolder(config.Terms, n.origin)
 		return n, nil
@@ -199,7 +204,7 @@
 		return nil, err
 	}
 	n.self.ID, n.founder, n.view, n.vote = kept.ID, kept.Founders, kept.View, kept.Vote
-	n.chain = chain.New(n.self.ID, kept.Chain, config.Machine.Snapshot)
+	n.chain = chain.New(n.self.ID, kept.Chain, config.Machine)
 	if config.faults.unbounded {
 		n.chain.Unbounded()
 	}
@@ -415,7 +420,7 @@
 		n.deliver(post{n.self.Address, message})
 		return
 	}
-	if member, ok := n.view.Voter(to); ok {
+	if member, ok := n.view.Member(to); ok {
 		n.deliver(post{member.Address, message})
 	}
 }
@@ -444,6 +449,12 @@
 	n.out.Posts = append(n.out.Posts, p)
 }
 
+func (n *node) sendMembers(message msgp.Marshaler) {
+	for _, member := range n.view.Members() {
+		n.deliver(post{member.Address, message})
+	}
+}
+
 func (n *node) sendVoters(message msgp.Marshaler) {
 	for _, member := range n.view.Voters {
 		n.deliver(post{member.Address, message})
--- a/control/core/peers.go
+++ b/control/core/peers.go
@@ -81,7 +81,7 @@
 	}
 	p := n.find(id)
 	if p == nil {
-		member, _ := n.view.Voter(id)
+		member, _ := n.view.Member(id)
 		refused := n.peers[member.Address] != nil && (n.peers[member.Address].refused || n.peers[member.Address].contacted)
 		return now < n.grace && !refused
 	}
@@ -93,7 +93,7 @@
 	if n.hears(now, id) {
 		return true
 	}
-	if member, ok := n.view.Voter(id); ok {
+	if member, ok := n.view.Member(id); ok {
 		if p := n.peers[member.Address]; p != nil && (p.refused || p.contacted && p.member.ID != id) {
 			return false // its process has ended
 		}
@@ -136,21 +136,31 @@
 	return taken || starting || now-p.since >= joinAfter
 }
 
-func (n *node) gone(now time.Duration, id view.ID) bool {
+// silence is how long a member has not been heard, zero if it is.
+func (n *node) silence(now time.Duration, id view.ID) time.Duration {
 	if id == n.self.ID || n.lives(now, id) {
-		return false
+		return 0
 	}
 	last := n.started
 	if p := n.find(id); p != nil {
 		last = max(last, p.well)
 	}
-	return now-max(last, n.grace-silentAfter) >= n.config.GoneAfter
+	return now - max(last, n.grace-silentAfter)
+}
+
+// leaves says whether a member has said that it is about to end.
+func (n *node) leaves(id view.ID) bool {
+	if id == n.self.ID {
+		return n.leaving
+	}
+	p := n.find(id)
+	return p != nil && p.beat.Leaving
 }
 
 // watch notes whom the node does not hear, and tells the others at once if that changes.
 func (n *node) watch(now time.Duration) {
 	var missing []view.ID
-	for _, member := range n.view.Voters {
+	for _, member := range n.view.Members() {
 		if !n.hears(now, member.ID) {
 			missing = append(missing, member.ID)
 		}
@@ -160,7 +170,7 @@
 		n.beatAt = now
 	}
 	for address, p := range n.peers {
-		if now-p.heard > forgetAfter && !n.isVoter(p.member.ID) {
+		if now-p.heard > forgetAfter && !n.isMember(p.member.ID) {
 			delete(n.peers, address)
 		}
 	}
@@ -174,6 +184,11 @@
 	return ok
 }
 
+func (n *node) isMember(id view.ID) bool {
+	_, ok := n.view.Member(id)
+	return ok
+}
+
 func (n *node) beat(now time.Duration) *beat {
 	missing := n.missing
 	if n.aside.from != "" {
@@ -182,7 +197,7 @@
 	return &beat{
 		Member: n.self, Epoch: n.view.Epoch, Founder: len(n.founder) > 0, Idle: n.idle, Whole: n.chain.Whole(),
 		Attached: n.chain.Attached(), Synced: n.chain.Synced(), Committed: n.chain.Committed(),
-		Missing: missing, Leading: n.leads(now), Leader: n.leaderAddress(now),
+		Missing: missing, Leading: n.leads(now), Leader: n.leaderAddress(now), Leaving: n.leaving,
 	}
 }
 
@@ -204,7 +219,7 @@
 			addresses = append(addresses, address)
 		}
 	}
-	for _, member := range n.view.Voters {
+	for _, member := range n.view.Members() {
 		add(member.Address)
 	}
 	for _, p := range n.peers {
--- a/control/core/simulation_test.go
+++ b/control/core/simulation_test.go
@@ -33,6 +33,10 @@
 	heedlessDisk
 	staleImage
 	eagerMember
+	lateDown    // a voter that is down keeps its vote as long as one that is gone
+	stayingVote // a member that is told to stop keeps its vote
+	eagerVote   // a newcomer gets a vote at once
+	hollowChain // a newcomer counts as whole before it is filled
 )
 
 // register is a machine that holds one number and changes it by compare-and-set. It counts what it applies, and shows that to the
@@ -95,6 +99,7 @@
 	leastLog    int           // bytes of log before a snapshot
 	mostRecords int           // in the log before a snapshot; zero: as many as fit with leastLog
 	applyTime   time.Duration // for which a member stands still to apply a command
+	catchup     time.Duration // bound of a new machine
 
 	operations map[string]*operation // by command
 	order      []string              // of commands, as the first to apply each saw it
@@ -147,7 +152,7 @@
 func newSimulation(seed uint64, members, lost int, m mutant) *simulation {
 	s := &simulation{
 		random: rand.New(rand.NewPCG(seed, 7)), mutant: m, byAddr: make(map[string]*simulated),
-		cut: make(map[[2]string]bool), lost: lost, operations: make(map[string]*operation),
+		cut: make(map[[2]string]bool), lost: lost, catchup: catchupBound, operations: make(map[string]*operation),
 	}
 	s.slowDisks = s.random.IntN(4) == 0
 	s.leastLog = 300 << s.random.IntN(8)
@@ -172,6 +177,13 @@
 	return seeds
 }
 
+func (s *simulation) downAfter() time.Duration {
+	if s.mutant == lateDown {
+		return GoneAfter(s.catchup)
+	}
+	return DownAfter(s.catchup)
+}
+
 func (s *simulation) after(wait time.Duration, run func()) {
 	s.made++
 	s.queue = append(s.queue, event{s.now + wait, s.made, run})
@@ -277,7 +289,7 @@
 	}
 	config := nodeConfig{
 		Address: m.address, Zone: m.zone, Seeds: m.s.seeds(), Bootstrap: m.fresh && snapshot == nil, Disk: true, Candidate: true,
-		Durability: view.Durability{Copies: m.s.lost + 1}, GoneAfter: GoneAfter(catchupBound), Terms: terms, LeastLog: m.s.leastLog, MostRecords: cmp.Or(m.s.mostRecords, m.s.leastLog/4), Machine: m.machine,
+		Durability: view.Durability{Copies: m.s.lost + 1}, DownAfter: m.s.downAfter(), GoneAfter: GoneAfter(m.s.catchup), Terms: terms, LeastLog: m.s.leastLog, MostRecords: cmp.Or(m.s.mostRecords, m.s.leastLog/4), Machine: m.machine,
 		Random: func() uint64 {
 			drawn++
 			if drawn == 2 && m.s.mutant == keptIdentity { // the first draw names the life, the second the disk
@@ -289,6 +301,7 @@
 		faults: faults{
 			minority: m.s.mutant == minorityView, unsyncedOK: m.s.mutant == unsyncedAck, forgetful: m.s.mutant == forgetfulVoter,
 			staleImage: m.s.mutant == staleImage, eager: m.s.mutant == eagerMember, alone: m.s.mutant == loneCommit, unbounded: m.s.mutant == applyAll,
+			staying: m.s.mutant == stayingVote, voting: m.s.mutant == eagerVote, hollow: m.s.mutant == hollowChain,
 		},
 	}
 	node, err := newNode(m.clock(), config, snapshot, records)
@@ -474,6 +487,23 @@
 	}
 }
 
+// terminate tells the process to stop, in order, and calls done when it has.
+func (m *simulated) terminate(done func()) {
+	m.node.Release(m.clock())
+	m.carryOut()
+	deadline := m.s.now + leaveWithin
+	var wait func()
+	wait = func() {
+		if m.running && m.s.now < deadline && !m.node.Left(m.clock()) {
+			m.s.after(releasePause, wait)
+			return
+		}
+		m.kill()
+		done()
+	}
+	m.s.after(releasePause, wait)
+}
+
 // powerLoss may catch the disk in the middle of a write.
 func (m *simulated) powerLoss() {
 	m.running = false
@@ -800,8 +830,8 @@
 		if n == nil {
 			continue
 		}
-		fmt.Fprintf(&text, "%s id %v running %v epoch %d chain %v voters %d position %d whole %v attached %v sealed %v aside %q idle %v last %d synced %d committed %d missing %v wanted %v proposer %v leader %q\n",
-			member.address, n.self.ID, member.running, n.view.Epoch, n.view.Chain, len(n.view.Voters), n.chain.Position(), n.chain.Whole(), n.chain.Attached(),
+		fmt.Fprintf(&text, "%s id %v running %v epoch %d chain %v voters %d learners %d position %d whole %v attached %v sealed %v aside %q idle %v last %d synced %d committed %d missing %v wanted %v proposer %v leader %q\n",
+			member.address, n.self.ID, member.running, n.view.Epoch, n.view.Chain, len(n.view.Voters), len(n.view.Learners), n.chain.Position(), n.chain.Whole(), n.chain.Attached(),
 			n.vote.Sealed(n.view.Epoch), n.aside.from, n.idle, n.chain.Last(), n.chain.Synced(), n.chain.Committed(), n.missing, n.wanted, n.proposer != nil, n.leaderAddress(member.clock()))
 	}
 	return text.String()
--- a/control/core/views.go
+++ b/control/core/views.go
@@ -12,10 +12,10 @@
 		n.sendLasting(from.Address, &decided{View: n.view})
 		return
 	}
-	if !n.isVoter(n.self.ID) {
+	if !n.isMember(n.self.ID) {
 		return
 	}
-	whole := n.chain.Whole()
+	whole := n.chain.Whole() || n.config.faults.hollow && n.chain.Position() >= 0
 	reply, changed := n.vote.Prepare(n.view.Epoch, m.Ballot)
 	if changed {
 		n.seal()
@@ -36,7 +36,7 @@
 		n.sendLasting(from.Address, &decided{View: n.view})
 		return
 	}
-	if m.Epoch > n.view.Epoch || !n.isVoter(n.self.ID) {
+	if m.Epoch > n.view.Epoch || !n.isMember(n.self.ID) {
 		return
 	}
 	reply, changed := n.vote.Accept(m)
@@ -62,10 +62,10 @@
 	if next == nil {
 		return
 	}
-	old := n.view.Voters
+	old := n.view.Members()
 	n.adopt(now, next)
 	message := &decided{View: *next}
-	for _, member := range append(old, next.Voters...) {
+	for _, member := range append(old, next.Members()...) {
 		if member.ID != n.self.ID {
 			n.deliver(post{member.Address, message})
 		}
@@ -78,7 +78,10 @@
 		Lives:    func(id view.ID) bool { return promised(id) || n.lives(now, id) },
 		Joinable: func(id view.ID) bool { return n.joinable(now, id) },
 		Touch:    func(a, b view.ID) bool { return n.touch(now, a, b) },
-		Gone:     func(id view.ID) bool { return n.gone(now, id) },
+		Down:     func(id view.ID) bool { return n.silence(now, id) >= n.config.DownAfter },
+		Gone:     func(id view.ID) bool { return n.silence(now, id) >= n.config.GoneAfter },
+		Leaving:  n.leaves,
+		Eager:    n.config.faults.voting,
 	}
 	for _, p := range n.peers {
 		if p.contacted && p.member.ID != 0 {
@@ -120,7 +123,7 @@
 }
 
 func (n *node) allHeard() bool {
-	for _, member := range n.view.Voters {
+	for _, member := range n.view.Members() {
 		if member.ID != n.self.ID && n.find(member.ID) == nil {
 			return false
 		}
@@ -131,13 +134,20 @@
 // majorityHeard says whether so many voters were heard of that a view can be decided: else those that come later would miss the
 // question, and wait until the attempt is given up.
 func (n *node) majorityHeard(now time.Duration) bool {
-	heard := 0
+	return n.majority(func(id view.ID) bool {
+		return id == n.self.ID || n.find(id) != nil && n.hears(now, id)
+	})
+}
+
+// majority says whether something holds of a majority of the voters.
+func (n *node) majority(holds func(view.ID) bool) bool {
+	count := 0
 	for _, member := range n.view.Voters {
-		if member.ID == n.self.ID || n.find(member.ID) != nil && n.hears(now, member.ID) {
-			heard++
+		if holds(member.ID) {
+			count++
 		}
 	}
-	return heard >= n.view.Majority()
+	return count >= n.view.Majority()
 }
 
 // prepareLate asks a voter that has just been heard for the promise that is being gathered, unless it has given it: it may have started
@@ -162,10 +172,10 @@
 	return rank
 }
 
-// order lists the voters, those of the chain first.
+// order lists the members, those of the chain first.
 func (n *node) order() []view.ID {
 	order := append([]view.ID(nil), n.view.Chain...)
-	for _, member := range n.view.Voters {
+	for _, member := range n.view.Members() {
 		if n.view.Position(member.ID) < 0 {
 			order = append(order, member.ID)
 		}
@@ -175,7 +185,7 @@
 
 // seekView proposes another view when one has been wanted for long enough.
 func (n *node) seekView(now time.Duration) {
-	if n.view.Epoch == 0 || !n.isVoter(n.self.ID) {
+	if n.view.Epoch == 0 || !n.isMember(n.self.ID) {
 		return
 	}
 	if n.proposer != nil {
@@ -201,7 +211,7 @@
 		n.round = 1
 	}
 	n.proposer = view.NewProposer(now, n.view, view.Ballot{Round: n.round, Proposer: n.self.ID, Life: n.origin}, n.config.faults.minority)
-	n.sendVoters(n.proposer.Prepare())
+	n.sendMembers(n.proposer.Prepare())
 }
 
 // pursue goes on with an attempt, or gives it up for a while.
@@ -221,6 +231,6 @@
 		return view.Plan(&n.view, n.knowledge(now, whole), whole)
 	})
 	if accept != nil {
-		n.sendVoters(accept)
+		n.sendMembers(accept)
 	}
 }
--- a/control/lease/lease.go
+++ b/control/lease/lease.go
@@ -62,6 +62,9 @@
 	if !feared(old, next) {
 		return p
 	}
+	if next.Vacant {
+		return Past{}
+	}
 	return Past{Holder: next.Holder, Unknown: next.Holder == 0}
 }
 
@@ -151,8 +154,13 @@
 
 // Adopt tells of a new view. Past then changes as the view has it: that needs no writing apart from the view.
 func (v *Voter) Adopt(now time.Duration, old, next *view.View) {
-	if feared(old, next) {
-		v.past, v.quiet = v.past.Adopt(old, next), now+v.terms.Length
+	if !feared(old, next) {
+		return
+	}
+	v.past = v.past.Adopt(old, next)
+	v.quiet = now
+	if v.past != (Past{}) {
+		v.quiet += v.terms.Length
 	}
 }
 
--- a/control/lease/lease_test.go
+++ b/control/lease/lease_test.go
@@ -113,3 +113,13 @@
 	require.False(t, grants(v, 2999*ms, c, 7, 1))
 	require.True(t, grants(v, 2001*ms, a, 8, 1))
 }
+
+func TestVotersOfAVacantLeaseNeedNotWait(t *testing.T) {
+	old, next := threeVoters(4, a, b, c), threeVoters(5, a, b)
+	next.Vacant = true
+	require.Equal(t, Past{}, Past{Holder: c}.Adopt(old, next))
+	v := NewVoter(0, testTerms(), Past{Unknown: true})
+	v.Adopt(100*ms, old, next)
+	require.True(t, grants(v, 100*ms, b, 8, 1))
+	require.False(t, grants(v, 101*ms, a, 7, 1))
+}
--- /dev/null
+++ b/control/view/members.go
@@ -0,0 +1,171 @@
+package view
+
+import "slices"
+
+// membership is the voters and learners of the view that is being planned.
+//
+// A newcomer is a learner at first, so that it raises no majority before it can be relied on. It gets a vote in three ways: it takes that
+// of a voter that is down, leaves, or has lost its disk, which leaves the majority as it is; it makes an even number of voters odd, which
+// does so too; or two that are whole become voters together, which raises the majority by one and the losses that are borne by one.
+type membership struct {
+	know     Knowledge
+	whole    func(ID) bool
+	voters   []Member
+	learners []Member
+}
+
+func planMembers(current *View, know Knowledge, whole func(ID) bool) (voters, learners []Member) {
+	m := &membership{know: know, whole: whole}
+	m.keep(current)
+	m.admit()
+	if know.Eager {
+		m.voters, m.learners = append(m.voters, m.learners...), nil
+	}
+	m.replace()
+	m.grow()
+	m.giveUp()
+	m.learners = slices.DeleteFunc(m.learners, func(member Member) bool { return know.Gone(member.ID) })
+	return m.voters, m.learners
+}
+
+// keep keeps the members, except that a new disk replaces the one of its address, vote included.
+func (m *membership) keep(current *View) {
+	for _, member := range current.Voters {
+		if successor, ok := m.successor(member); ok {
+			member = successor
+		}
+		if !m.has(member.ID) {
+			m.voters = append(m.voters, member)
+		}
+	}
+	for _, member := range current.Learners {
+		if _, replaced := m.successor(member); !replaced && !m.has(member.ID) {
+			m.learners = append(m.learners, member)
+		}
+	}
+}
+
+// admit makes those learners that were heard of and are no members.
+func (m *membership) admit() {
+	for _, member := range sortedMembers(m.know.Others) {
+		if !m.has(member.ID) && m.eligible(member) && !m.superseded(member) {
+			m.learners = append(m.learners, member)
+		}
+	}
+}
+
+// replace gives the vote of each voter that is down or leaves to a learner, if there is one that can take it.
+func (m *membership) replace() {
+	for i, member := range m.voters {
+		if !m.know.Down(member.ID) && !m.know.Leaving(member.ID) {
+			continue
+		}
+		if heir := m.best(); heir >= 0 {
+			m.voters[i], m.learners[heir] = m.learners[heir], member
+		}
+	}
+}
+
+// grow makes voters of learners as far as that lets more be lost.
+func (m *membership) grow() {
+	if len(m.voters)%2 == 0 {
+		m.promote(m.best())
+	}
+	for {
+		first := m.bestWhole(-1)
+		second := m.bestWhole(first)
+		if first < 0 || second < 0 {
+			return
+		}
+		m.promote(max(first, second))
+		m.promote(min(first, second))
+	}
+}
+
+func (m *membership) promote(at int) {
+	if at >= 0 {
+		m.voters = append(m.voters, m.learners[at])
+		m.learners = slices.Delete(m.learners, at, at+1)
+	}
+}
+
+// best is the place of the learner that had better get a vote, -1 if there is none that can: a whole one, if there is one.
+func (m *membership) best() int {
+	if at := m.bestWhole(-1); at >= 0 {
+		return at
+	}
+	return slices.IndexFunc(m.learners, m.eligible)
+}
+
+func (m *membership) bestWhole(but int) int {
+	for at, member := range m.learners {
+		if at != but && m.eligible(member) && m.whole(member.ID) {
+			return at
+		}
+	}
+	return -1
+}
+
+func (m *membership) eligible(member Member) bool {
+	return m.know.Joinable(member.ID) && !m.know.Leaving(member.ID)
+}
+
+func (m *membership) has(id ID) bool {
+	_, voter := find(m.voters, id)
+	_, learner := find(m.learners, id)
+	return voter || learner
+}
+
+// successor finds the member that has a voter's or learner's address with another disk.
+func (m *membership) successor(of Member) (Member, bool) {
+	if m.know.Lives(of.ID) {
+		return Member{}, false
+	}
+	for _, other := range m.know.Others {
+		if other.Address == of.Address && other.ID != of.ID && m.eligible(other) && !m.superseded(other) {
+			return other, true
+		}
+	}
+	return Member{}, false
+}
+
+// superseded says whether a member that is heard of shares its address with another that is heard of too: the address tells too little.
+func (m *membership) superseded(member Member) bool {
+	return slices.ContainsFunc(m.know.Others, func(other Member) bool {
+		return other.Address == member.Address && other.ID > member.ID && m.know.Joinable(other.ID)
+	})
+}
+
+// giveUp drops voters that are gone as far as that lets the rest bear more losses.
+func (m *membership) giveUp() {
+	var gone []ID
+	for _, member := range m.voters {
+		if m.know.Gone(member.ID) {
+			gone = append(gone, member.ID)
+		}
+	}
+	best, bestMargin := 0, margin(len(m.voters), len(gone))
+	for drop := 1; drop <= len(gone); drop++ {
+		if left := margin(len(m.voters)-drop, len(gone)-drop); left > bestMargin {
+			best, bestMargin = drop, left
+		}
+	}
+	m.voters = slices.DeleteFunc(m.voters, func(member Member) bool { return slices.Contains(gone[:best], member.ID) })
+}
+
+// margin is how many more voters may be lost with a majority left.
+func margin(voters, down int) int { return (voters-1)/2 - down }
+
+func sortedMembers(members []Member) []Member {
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b Member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		if a.ID > b.ID {
+			return 1
+		}
+		return 0
+	})
+	return sorted
+}
--- a/control/view/proposer.go
+++ b/control/view/proposer.go
@@ -20,7 +20,7 @@
 	minority bool
 }
 
-// NewProposer starts an attempt. The caller sends Prepare to all voters. With minority, which only tests of tests may ask for, a single
+// NewProposer starts an attempt. The caller sends Prepare to all members: learners tell whether they are whole, and count in no majority. With minority, which only tests of tests may ask for, a single
 // voter decides.
 func NewProposer(now time.Duration, current View, ballot Ballot, minority bool) *Proposer {
 	return &Proposer{
@@ -36,10 +36,10 @@
 // Gathering says whether promises are still waited for.
 func (p *Proposer) Gathering() bool { return p.value == nil }
 
-// Lacks says whether a voter's promise is waited for.
+// Lacks says whether a member's promise is waited for.
 func (p *Proposer) Lacks(id ID) bool {
-	_, voter := p.view.Voter(id)
-	return voter && p.Gathering() && p.promises[id] == nil
+	_, member := p.view.Member(id)
+	return member && p.Gathering() && p.promises[id] == nil
 }
 
 // Epoch is that of the view whose successor is sought.
@@ -65,7 +65,7 @@
 	if promise.Epoch != p.view.Epoch || promise.Ballot != p.ballot {
 		return
 	}
-	if _, ok := p.view.Voter(from); !ok {
+	if _, ok := p.view.Member(from); !ok {
 		return
 	}
 	if !promise.Granted {
@@ -83,13 +83,13 @@
 
 // Gathered says whether the second phase may begin: a majority has promised, and either everybody that lives, or time is up.
 func (p *Proposer) Gathered(now time.Duration, lives func(ID) bool) bool {
-	if p.value != nil || len(p.promises) < p.quorum() {
+	if p.value != nil || p.votes() < p.quorum() {
 		return false
 	}
 	if now-p.started >= GatherTime {
 		return true
 	}
-	for _, member := range p.view.Voters {
+	for _, member := range p.view.Members() {
 		if p.promises[member.ID] == nil && lives(member.ID) {
 			return false
 		}
@@ -97,8 +97,19 @@
 	return true
 }
 
+// votes counts the promises of voters.
+func (p *Proposer) votes() int {
+	votes := 0
+	for _, member := range p.view.Voters {
+		if p.promises[member.ID] != nil {
+			votes++
+		}
+	}
+	return votes
+}
+
 // Choose begins the second phase: with the view that a promise has shown to be accepted, else with one that plan makes out of those
-// whole members of the chain that promised. It returns nil if there is none to propose. The caller sends it to all voters.
+// whole members of the chain that promised. It returns nil if there is none to propose. The caller sends it to all members.
 func (p *Proposer) Choose(plan func(whole func(ID) bool) (View, bool)) *Accept {
 	value := p.accepted()
 	if value == nil {
@@ -107,7 +118,7 @@
 			return nil
 		}
 		planned.Epoch = p.view.Epoch + 1
-		planned.Holder = p.holder()
+		planned.Holder, planned.Vacant = p.holder()
 		value = &planned
 	}
 	p.value = value
@@ -133,18 +144,22 @@
 	return promise != nil && promise.Whole && p.view.Position(id) >= 0
 }
 
-// holder is whom all promises that know of a lease name. Since any holder has leases of a majority, nobody else can be one.
-func (p *Proposer) holder() ID {
-	var holder ID
-	for _, promise := range p.promises {
+// holder is whom all promises that know of a lease name. Since any holder has leases of a majority, nobody else can be one. It is
+// vacant if all know, and none names anybody: a majority that has promised grants no more in its epoch.
+func (p *Proposer) holder() (holder ID, vacant bool) {
+	for _, member := range p.view.Voters {
+		promise := p.promises[member.ID]
+		if promise == nil {
+			continue
+		}
 		if promise.Quiet || holder != 0 && promise.Holder != 0 && promise.Holder != holder {
-			return 0
+			return 0, false
 		}
 		if promise.Holder != 0 {
 			holder = promise.Holder
 		}
 	}
-	return holder
+	return holder, holder == 0
 }
 
 // Accepted takes an answer of the second phase. It returns the view once that is decided, and nil before.
--- a/control/view/view.go
+++ b/control/view/view.go
@@ -25,16 +25,31 @@
 
 // View is one configuration of the core. It is never changed once decided.
 type View struct {
-	Epoch  uint64
-	Voters []Member // all members of the core
-	Chain  []ID     // the head first
-	Whole  int      // the first so many of Chain hold all that was committed in earlier epochs
-	Holder ID       // the only one that may hold the leader lease as the view is decided; zero if that is not known
+	Epoch    uint64
+	Voters   []Member // an odd number where there are enough: they decide on the next view, and grant the leader lease
+	Learners []Member // the other members: they may be of the chain, and count in no majority
+	Chain    []ID     // the head first
+	Whole    int      // the first so many of Chain hold all that was committed in earlier epochs
+	Holder   ID       // the only one that may hold the leader lease as the view is decided; zero if that is not known
+	Vacant   bool     // nobody can hold the lease as the view is decided
 }
 
 // Voter finds a voter.
-func (v *View) Voter(id ID) (Member, bool) {
-	for _, member := range v.Voters {
+func (v *View) Voter(id ID) (Member, bool) { return find(v.Voters, id) }
+
+// Member finds a voter or a learner.
+func (v *View) Member(id ID) (Member, bool) {
+	if member, ok := find(v.Voters, id); ok {
+		return member, true
+	}
+	return find(v.Learners, id)
+}
+
+// Members lists the voters, then the learners.
+func (v *View) Members() []Member { return slices.Concat(v.Voters, v.Learners) }
+
+func find(members []Member, id ID) (Member, bool) {
+	for _, member := range members {
 		if member.ID == id {
 			return member, true
 		}
--- a/control/view/view_gen.go
+++ b/control/view/view_gen.go
@@ -970,8 +970,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Epoch, err = dc.ReadUint64()
@@ -999,24 +999,42 @@
 	}
 	var zb0003 uint32
 	zb0003, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Learners")
+		return
+	}
+	if cap(z.Learners) >= int(zb0003) {
+		z.Learners = (z.Learners)[:zb0003]
+	} else {
+		z.Learners = make([]Member, zb0003)
+	}
+	for za0002 := range z.Learners {
+		err = z.Learners[za0002].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Learners", za0002)
+			return
+		}
+	}
+	var zb0004 uint32
+	zb0004, err = dc.ReadArrayHeader()
 	if err != nil {
 		err = msgp.WrapError(err, "Chain")
 		return
 	}
-	if cap(z.Chain) >= int(zb0003) {
-		z.Chain = (z.Chain)[:zb0003]
+	if cap(z.Chain) >= int(zb0004) {
+		z.Chain = (z.Chain)[:zb0004]
 	} else {
-		z.Chain = make([]ID, zb0003)
+		z.Chain = make([]ID, zb0004)
 	}
-	for za0002 := range z.Chain {
+	for za0003 := range z.Chain {
 		{
-			var zb0004 uint64
-			zb0004, err = dc.ReadUint64()
+			var zb0005 uint64
+			zb0005, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "Chain", za0002)
+				err = msgp.WrapError(err, "Chain", za0003)
 				return
 			}
-			z.Chain[za0002] = ID(zb0004)
+			z.Chain[za0003] = ID(zb0005)
 		}
 	}
 	z.Whole, err = dc.ReadInt()
@@ -1025,21 +1043,26 @@
 		return
 	}
 	{
-		var zb0005 uint64
-		zb0005, err = dc.ReadUint64()
+		var zb0006 uint64
+		zb0006, err = dc.ReadUint64()
 		if err != nil {
 			err = msgp.WrapError(err, "Holder")
 			return
 		}
-		z.Holder = ID(zb0005)
+		z.Holder = ID(zb0006)
+	}
+	z.Vacant, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Vacant")
+		return
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *View) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 5
-	err = en.Append(0x95)
+	// array header, size 7
+	err = en.Append(0x97)
 	if err != nil {
 		return
 	}
@@ -1060,15 +1083,27 @@
 			return
 		}
 	}
+	err = en.WriteArrayHeader(uint32(len(z.Learners)))
+	if err != nil {
+		err = msgp.WrapError(err, "Learners")
+		return
+	}
+	for za0002 := range z.Learners {
+		err = z.Learners[za0002].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Learners", za0002)
+			return
+		}
+	}
 	err = en.WriteArrayHeader(uint32(len(z.Chain)))
 	if err != nil {
 		err = msgp.WrapError(err, "Chain")
 		return
 	}
-	for za0002 := range z.Chain {
-		err = en.WriteUint64(uint64(z.Chain[za0002]))
+	for za0003 := range z.Chain {
+		err = en.WriteUint64(uint64(z.Chain[za0003]))
 		if err != nil {
-			err = msgp.WrapError(err, "Chain", za0002)
+			err = msgp.WrapError(err, "Chain", za0003)
 			return
 		}
 	}
@@ -1082,14 +1117,19 @@
 		err = msgp.WrapError(err, "Holder")
 		return
 	}
+	err = en.WriteBool(z.Vacant)
+	if err != nil {
+		err = msgp.WrapError(err, "Vacant")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *View) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendUint64(o, z.Epoch)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Voters)))
 	for za0001 := range z.Voters {
@@ -1099,12 +1139,21 @@
 			return
 		}
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Learners)))
+	for za0002 := range z.Learners {
+		o, err = z.Learners[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Learners", za0002)
+			return
+		}
+	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Chain)))
-	for za0002 := range z.Chain {
-		o = msgp.AppendUint64(o, uint64(z.Chain[za0002]))
+	for za0003 := range z.Chain {
+		o = msgp.AppendUint64(o, uint64(z.Chain[za0003]))
 	}
 	o = msgp.AppendInt(o, z.Whole)
 	o = msgp.AppendUint64(o, uint64(z.Holder))
+	o = msgp.AppendBool(o, z.Vacant)
 	return
 }
 
@@ -1116,8 +1165,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
@@ -1145,24 +1194,42 @@
 	}
 	var zb0003 uint32
 	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Learners")
+		return
+	}
+	if cap(z.Learners) >= int(zb0003) {
+		z.Learners = (z.Learners)[:zb0003]
+	} else {
+		z.Learners = make([]Member, zb0003)
+	}
+	for za0002 := range z.Learners {
+		bts, err = z.Learners[za0002].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Learners", za0002)
+			return
+		}
+	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Chain")
 		return
 	}
-	if cap(z.Chain) >= int(zb0003) {
-		z.Chain = (z.Chain)[:zb0003]
+	if cap(z.Chain) >= int(zb0004) {
+		z.Chain = (z.Chain)[:zb0004]
 	} else {
-		z.Chain = make([]ID, zb0003)
+		z.Chain = make([]ID, zb0004)
 	}
-	for za0002 := range z.Chain {
+	for za0003 := range z.Chain {
 		{
-			var zb0004 uint64
-			zb0004, bts, err = msgp.ReadUint64Bytes(bts)
+			var zb0005 uint64
+			zb0005, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Chain", za0002)
+				err = msgp.WrapError(err, "Chain", za0003)
 				return
 			}
-			z.Chain[za0002] = ID(zb0004)
+			z.Chain[za0003] = ID(zb0005)
 		}
 	}
 	z.Whole, bts, err = msgp.ReadIntBytes(bts)
@@ -1171,13 +1238,18 @@
 		return
 	}
 	{
-		var zb0005 uint64
-		zb0005, bts, err = msgp.ReadUint64Bytes(bts)
+		var zb0006 uint64
+		zb0006, bts, err = msgp.ReadUint64Bytes(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Holder")
 			return
 		}
-		z.Holder = ID(zb0005)
+		z.Holder = ID(zb0006)
+	}
+	z.Vacant, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Vacant")
+		return
 	}
 	o = bts
 	return
@@ -1189,7 +1261,11 @@
 	for za0001 := range z.Voters {
 		s += z.Voters[za0001].Msgsize()
 	}
-	s += msgp.ArrayHeaderSize + (len(z.Chain) * (msgp.Uint64Size)) + msgp.IntSize + msgp.Uint64Size
+	s += msgp.ArrayHeaderSize
+	for za0002 := range z.Learners {
+		s += z.Learners[za0002].Msgsize()
+	}
+	s += msgp.ArrayHeaderSize + (len(z.Chain) * (msgp.Uint64Size)) + msgp.IntSize + msgp.Uint64Size + msgp.BoolSize
 	return
 }
 
--- a/control/view/view_test.go
+++ b/control/view/view_test.go
@@ -38,7 +38,7 @@
 }
 
 func knowing(lives func(view.ID) bool, others ...view.ID) view.Knowledge {
-	know := view.Knowledge{Lives: lives, Joinable: lives, Touch: func(a, b view.ID) bool { return true }, Gone: no}
+	know := view.Knowledge{Lives: lives, Joinable: lives, Touch: func(a, b view.ID) bool { return true }, Down: no, Gone: no, Leaving: no}
 	for _, id := range others {
 		know.Others = append(know.Others, member(id))
 	}
@@ -188,7 +188,7 @@
 func TestAJoinerTakesTheVoteOfOneGone(t *testing.T) {
 	current := of(7, []view.ID{1, 2, 3}, 1, 2, 3)
 	know := knowing(among(1, 2, 4), 1, 2, 4)
-	know.Gone = among(3)
+	know.Down, know.Gone = among(3), among(3)
 	planned, _ := view.Plan(&current, know, yes)
 	require.Len(t, planned.Voters, 3)
 	_, stays := planned.Voter(3)
@@ -200,11 +200,13 @@
 	for _, c := range []struct {
 		promises []view.Promise
 		holder   view.ID
+		vacant   bool
 	}{
-		{[]view.Promise{{Holder: 1}, {}}, 1},
-		{[]view.Promise{{Holder: 1}, {Holder: 2}}, 0},
-		{[]view.Promise{{Holder: 1}, {Quiet: true}}, 0},
-		{[]view.Promise{{}, {}}, 0},
+		{[]view.Promise{{Holder: 1}, {}}, 1, false},
+		{[]view.Promise{{Holder: 1}, {Holder: 2}}, 0, false},
+		{[]view.Promise{{Holder: 1}, {Quiet: true}}, 0, false},
+		{[]view.Promise{{}, {Quiet: true}}, 0, false},
+		{[]view.Promise{{}, {}}, 0, true},
 	} {
 		ballot := view.Ballot{Round: 1, Proposer: 1}
 		p := view.NewProposer(0, current, ballot, false)
@@ -216,6 +218,7 @@
 		require.False(t, p.Failed(view.AttemptTime-time.Millisecond))
 		accept := p.Choose(func(func(view.ID) bool) (view.View, bool) { return current, true })
 		require.Equal(t, c.holder, accept.View.Holder)
+		require.Equal(t, c.vacant, accept.View.Vacant)
 		require.EqualValues(t, 2, accept.View.Epoch)
 	}
 }
--- a/simulation/control_test.go
+++ b/simulation/control_test.go
@@ -78,16 +78,16 @@
 	c.calls, c.applied = make(map[uint64]func(core.Ended)), make(map[*byte]int)
 	c.state = newRecorder(c)
 	c.box = rpc.NewMux()
-	terms, gone := lease.DefaultTerms, core.GoneAfter(catchup)
+	terms, down := lease.DefaultTerms, core.DownAfter(catchup)
 	if c.world.mutant == keepsVotes {
-		gone = 2 * catchup
+		down = 2 * catchup
 	}
 	if c.world.mutant == noMargin {
 		terms.Margin = 0
 	}
 	config := core.NodeConfig{
 		Address: c.address, Zone: c.zone, Seeds: c.settings.SeedAddresses(), Bootstrap: c.fresh && snapshot == nil, Disk: true, Candidate: true,
-		Durability: view.Durability{Copies: c.world.settings.lost + 1}, GoneAfter: gone, Terms: terms, LeastLog: c.leastLog, MostRecords: c.leastLog / 4,
+		Durability: view.Durability{Copies: c.world.settings.lost + 1}, DownAfter: down, GoneAfter: core.GoneAfter(catchup), Terms: terms, LeastLog: c.leastLog, MostRecords: c.leastLog / 4,
 		Machine: c.state, Random: l.Uint64,
 	}
 	if c.node, err = core.NewNode(l.now(), config, snapshot, records); err != nil {
