Keep a deaf head from shutting out the others; free the votes of those that stop

Two faults that searches found. A head that had heard nobody for 0.7 s, was healed and promised while its newest beat still missed all others, was made a chain of its own: the others, who touched one another, were left not whole, and its loss right then left no whole member, within the tolerance. And two members told to stop at once, with both successors there and voters already, took the majority with them if one successor was lost in its first seconds: five voters, two of them gone, one lost.

Change: Plan keeps the longest part of the whole members whose neighbours touch, instead of beginning with the head. Voters that are down or stop become learners where that lets more be lost, without waiting for 10 s; never fewer than three voters stay, for the loss of a single one for good would leave nobody to decide. The test of voters that are given up now gives them as down or leaving; its cases stand.

--- a/control/core/node.go
+++ b/control/core/node.go
@@ -42,8 +42,8 @@
 	Disk       bool
 	Candidate  bool
 	Durability view.Durability
-	DownAfter  time.Duration // a voter that is silent for longer may lose its vote to another
-	GoneAfter  time.Duration // to nobody
+	DownAfter  time.Duration // a voter that is silent for longer may lose its vote
+	GoneAfter  time.Duration // a learner that is silent for longer is forgotten
 	Terms      lease.Terms
 	LeastLog   int // bytes of log before a snapshot is taken
 	// MostRecords are in the log before a snapshot is taken, however short they are: a member that starts applies them again, and until
--- a/control/view/members.go
+++ b/control/view/members.go
@@ -57,7 +57,7 @@
 // replace gives the vote of each voter that is down or leaves to a learner, if there is one that can take it.
 func (m *membership) replace() {
 	for i, member := range m.voters {
-		if !m.know.Down(member.ID) && !m.know.Leaving(member.ID) {
+		if !m.unreliable(member) {
 			continue
 		}
 		if heir := m.best(); heir >= 0 {
@@ -136,21 +136,35 @@
 	})
 }
 
-// giveUp drops voters that are gone as far as that lets the rest bear more losses.
+// leastVoters is how many voters are kept: were there fewer, the loss of one for good could leave nobody to decide, though others come back.
+const leastVoters = 3
+
+// giveUp drops voters that are down or leave as far as that lets the rest bear more losses. They are learners until they come back.
 func (m *membership) giveUp() {
 	var gone []ID
 	for _, member := range m.voters {
-		if m.know.Gone(member.ID) {
+		if m.unreliable(member) {
 			gone = append(gone, member.ID)
 		}
 	}
 	best, bestMargin := 0, margin(len(m.voters), len(gone))
-	for drop := 1; drop <= len(gone); drop++ {
+	for drop := 1; drop <= min(len(gone), len(m.voters)-leastVoters); drop++ {
 		if left := margin(len(m.voters)-drop, len(gone)-drop); left > bestMargin {
 			best, bestMargin = drop, left
 		}
 	}
-	m.voters = slices.DeleteFunc(m.voters, func(member Member) bool { return slices.Contains(gone[:best], member.ID) })
+	m.voters = slices.DeleteFunc(m.voters, func(member Member) bool {
+		dropped := slices.Contains(gone[:best], member.ID)
+		if dropped {
+			m.learners = append(m.learners, member)
+		}
+		return dropped
+	})
+}
+
+// unreliable says whether a voter is down, or about to be.
+func (m *membership) unreliable(member Member) bool {
+	return m.know.Down(member.ID) || m.know.Leaving(member.ID)
 }
 
 // margin is how many more voters may be lost with a majority left.
--- a/control/view/plan.go
+++ b/control/view/plan.go
@@ -7,8 +7,8 @@
 	Lives    func(ID) bool      // it is heard of
 	Joinable func(ID) bool      // it lives, and has for long enough to be taken in
 	Touch    func(a, b ID) bool // messages pass between both, both ways
-	Down     func(ID) bool      // it has been silent for so long that another had better have its vote
-	Gone     func(ID) bool      // it has been down for so long that its vote is better given up, even to nobody
+	Down     func(ID) bool      // it has been silent for so long that its vote had better be another's, or nobody's
+	Gone     func(ID) bool      // it has been down for so long that it is better forgotten
 	Leaving  func(ID) bool      // it lives, and is about to end
 	Others   []Member           // members that were heard of, whether or not they are of the view
 	Eager    bool               // a mistake that tests make on purpose: a newcomer gets a vote at once
@@ -36,13 +36,38 @@
 	return next, true
 }
 
-// keepChain lists those of the chain that live and are whole.
-func keepChain(current, next *View, know Knowledge, whole func(ID) bool) (chain []ID) {
+// keepChain lists those of the chain that live and are whole, but for those that would part too many of the others.
+func keepChain(current, next *View, know Knowledge, whole func(ID) bool) []ID {
+	var kept []ID
 	for _, id := range current.Chain {
-		if _, member := next.Member(id); member && know.Lives(id) && whole(id) && fits(chain, id, know) {
-			chain = append(chain, id)
+		if _, member := next.Member(id); member && know.Lives(id) && whole(id) {
+			kept = append(kept, id)
 		}
 	}
+	return longest(kept, know.Touch)
+}
+
+// longest is the longest part of a list, in its order, whose neighbours touch; of several the one that begins first. One that hears nobody,
+// even the head, must not shut out the others: were it lost then, nobody would be whole.
+func longest(list []ID, touch func(a, b ID) bool) []ID {
+	length, before := make([]int, len(list)), make([]int, len(list))
+	end := -1
+	for i := range list {
+		length[i], before[i] = 1, -1
+		for j := range i {
+			if touch(list[j], list[i]) && length[j]+1 > length[i] {
+				length[i], before[i] = length[j]+1, j
+			}
+		}
+		if end < 0 || length[i] > length[end] {
+			end = i
+		}
+	}
+	var chain []ID
+	for ; end >= 0; end = before[end] {
+		chain = append(chain, list[end])
+	}
+	slices.Reverse(chain)
 	return chain
 }
 
--- a/control/view/view_test.go
+++ b/control/view/view_test.go
@@ -155,6 +155,19 @@
 	require.Equal(t, 2, planned.Whole)
 }
 
+// TestOneThatHearsNobodyDoesNotShutOutTheOthers has the head healed from a one-way cut: it promised, but its last beat misses all.
+func TestOneThatHearsNobodyDoesNotShutOutTheOthers(t *testing.T) {
+	for _, deaf := range []view.ID{1, 2, 3} {
+		current := of(7, []view.ID{1, 2, 3}, 1, 2, 3)
+		know := knowing(yes, 1, 2, 3)
+		know.Touch = func(a, b view.ID) bool { return a != deaf && b != deaf }
+		planned, ok := view.Plan(&current, know, yes)
+		require.True(t, ok)
+		require.Equal(t, 2, planned.Whole, "%d hears nobody", deaf)
+		require.NotContains(t, planned.Chain, deaf)
+	}
+}
+
 func TestANewDiskReplacesTheOneOfItsAddress(t *testing.T) {
 	current := of(7, []view.ID{1, 2, 3}, 1, 2, 3)
 	know := knowing(among(2, 3, 9), 2, 3)
@@ -165,7 +178,7 @@
 	require.Len(t, planned.Voters, 3)
 }
 
-func TestThoseGoneForLongAreGivenUpIfThatHelps(t *testing.T) {
+func TestThoseThatAreDownAreGivenUpIfThatHelps(t *testing.T) {
 	for _, c := range []struct {
 		voters []view.ID
 		gone   []view.ID
@@ -175,13 +188,17 @@
 		{[]view.ID{1, 2, 3, 4}, []view.ID{4}, 3},
 		{[]view.ID{1, 2, 3, 4, 5}, []view.ID{4}, 5},
 		{[]view.ID{1, 2, 3, 4, 5}, []view.ID{4, 5}, 3},
+		{[]view.ID{1, 2, 3}, []view.ID{2, 3}, 3}, // one alone could be lost for good
 	} {
 		current := of(7, c.voters, c.voters...)
 		know := knowing(func(id view.ID) bool { return !among(c.gone...)(id) }, c.voters...)
-		know.Gone = among(c.gone...)
+		know.Down = among(c.gone...)
 		planned, ok := view.Plan(&current, know, yes)
 		require.True(t, ok)
 		require.Len(t, planned.Voters, c.left, "%v", c)
+		know.Down, know.Leaving = no, among(c.gone...)
+		planned, _ = view.Plan(&current, know, yes)
+		require.Len(t, planned.Voters, c.left, "leaving: %v", c)
 	}
 }
 
