Search the core exhaustively in small scope

The core's simulation draws its histories; nothing took every order of events, however small the scope.

Ruled out: beats as messages of their own (they come without end), and merging members (the core ranks them).

--- /dev/null
+++ b/control/core/model_checks_test.go
@@ -0,0 +1,213 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"ravendale/control/chain"
+	"ravendale/control/view"
+)
+
+// observe compares what a node shows with what others have shown.
+func (m *model) observe(at int) {
+	member := m.members[at]
+	n := member.node
+	if n.view.Epoch > 0 {
+		decided := fmt.Sprint(n.view)
+		if known := m.views[n.view.Epoch]; known != "" && known != decided {
+			m.fail("two views of epoch %d: %s and %s", n.view.Epoch, known, decided)
+		}
+		m.views[n.view.Epoch] = decided
+	}
+	for i, command := range member.machine.Applied {
+		switch {
+		case i == len(m.order):
+			m.order = append(m.order, command)
+		case m.order[i] != command:
+			m.fail("%s applied %q as command %d, others %q", member.address, command, i+1, m.order[i])
+		}
+	}
+}
+
+// checkAnswer sees whether an order that is answered lies on as many disks as losses could take, and one more, and has one outcome.
+func (m *model) checkAnswer(number int) {
+	_, command, _ := strings.Cut(m.scope.orders[number], " ")
+	place := slices.Index(m.order, command)
+	if place < 0 {
+		m.fail("order %d was answered %q and never applied", number, m.answers[number])
+		return
+	}
+	machine := &orderLog{}
+	var result []byte
+	for _, applied := range m.order[:place+1] {
+		result = machine.Apply([]byte(applied))
+	}
+	if m.answers[number] != string(result) {
+		m.fail("order %d was answered %q, its place says %q", number, m.answers[number], result)
+	}
+	disks := 0
+	for _, member := range m.members {
+		if member.disk.holds(command) {
+			disks++
+		}
+	}
+	if disks <= m.scope.lost && (disks == 0 || !m.exceeded) {
+		m.fail("order %d was answered with %d disks that hold it", number, disks)
+	}
+}
+
+// holds says whether a command would be found on the disk after a loss of power.
+func (d *modelDisk) holds(command string) bool {
+	if d.snapshot == nil {
+		return false
+	}
+	var kept image
+	if _, err := kept.UnmarshalMsg(d.snapshot); err != nil {
+		panic(err)
+	}
+	for _, data := range d.records {
+		var change record
+		if _, err := change.UnmarshalMsg(data); err != nil {
+			panic(err)
+		}
+		kept.replay(&change)
+	}
+	machine := &orderLog{}
+	if len(kept.Machine) > 0 {
+		_ = machine.Restore(kept.Machine)
+	}
+	for _, entry := range kept.Chain.Entries {
+		if string(entry.Command) == command {
+			return true
+		}
+	}
+	return slices.Contains(machine.Applied, command)
+}
+
+// checkLease sees whether more than one holds the leader lease, frozen ones included, and whether voters may forget it too early.
+func (m *model) checkLease() {
+	holders := 0
+	for at, member := range m.members {
+		if member.node == nil || !member.node.holder.Valid(m.clock(at)) {
+			continue
+		}
+		holders++
+		if free := m.free(&member.node.view, member.node.self.ID); free >= member.node.view.Majority() {
+			m.fail("%s holds the leader lease, and %d voters of its view would grant it to another", member.address, free)
+		}
+	}
+	if holders > 1 {
+		m.fail("%d members hold the leader lease at once", holders)
+	}
+}
+
+// free counts the voters that run and know of no grant to a member.
+func (m *model) free(v *view.View, holder view.ID) int {
+	free := 0
+	for at, member := range m.members {
+		if member.node == nil || member.node.view.Epoch != v.Epoch {
+			continue
+		}
+		if _, voter := v.Voter(member.node.self.ID); !voter {
+			continue
+		}
+		if granted, quiet := member.node.voter.Holder(m.clock(at)); !quiet && granted != holder {
+			free++
+		}
+	}
+	return free
+}
+
+// newest is the latest view that is known to be decided by a member that runs.
+func (m *model) newest() *view.View {
+	newest := &view.View{}
+	for _, member := range m.members {
+		if member.node != nil && member.node.view.Epoch > newest.Epoch {
+			newest = &member.node.view
+		}
+	}
+	return newest
+}
+
+// checkWhole sees whether those that are whole in the latest view hold all that was answered.
+func (m *model) checkWhole() {
+	latest := uint64(0)
+	for epoch := range m.views {
+		latest = max(latest, epoch)
+	}
+	for _, member := range m.members {
+		if member.node == nil || member.node.view.Epoch != latest || !member.node.chain.Whole() {
+			continue
+		}
+		for number, answer := range m.answers {
+			_, command, _ := strings.Cut(m.scope.orders[number], " ")
+			if (answer == "taken" || answer == "refused") && !member.has(command) {
+				m.fail("%s is whole in epoch %d and lacks order %d, which was answered", member.address, latest, number)
+			}
+		}
+	}
+}
+
+func (member *modelMember) has(command string) bool {
+	return slices.Contains(member.machine.Applied, command) ||
+		slices.ContainsFunc(member.node.chain.State().Entries, func(entry chain.Entry) bool { return string(entry.Command) == command })
+}
+
+func (member *modelMember) up() bool {
+	return member.node != nil && !member.frozen && !member.cut && !member.deaf
+}
+
+// lostSlots counts the machines that count as lost: those that have come, but for one whose successor counts in its place.
+func (m *model) lostSlots() int {
+	lost := 0
+	for at, member := range m.members {
+		if member.life == 0 || m.replaced && at == 0 {
+			continue
+		}
+		if !member.up() || m.elapsed < member.soundAt {
+			lost++
+		}
+	}
+	return lost
+}
+
+// checkMargin sees whether a majority and a whole member are up while no more are lost than may be.
+func (m *model) checkMargin() {
+	m.exceeded = m.exceeded || m.lostSlots() > m.scope.lost
+	if m.exceeded {
+		return
+	}
+	v := m.newest()
+	voters, whole := 0, 0
+	for _, member := range m.members {
+		if !member.up() {
+			continue
+		}
+		id := member.node.self.ID
+		if _, voter := v.Voter(id); voter {
+			voters++
+		}
+		if at := v.Position(id); at >= 0 && (at < v.Whole || member.node.view.Epoch == v.Epoch && member.node.chain.Whole()) {
+			whole++
+		}
+	}
+	if voters < v.Majority() {
+		m.fail("%d of %d voters are up, though no more are lost than may be", voters, len(v.Voters))
+	}
+	if whole == 0 {
+		m.fail("no whole member is up, though no more are lost than may be")
+	}
+}
+
+// Check implements explore.System.
+func (m *model) Check() error {
+	if m.broken != "" {
+		return brokenModel(m.broken)
+	}
+	return nil
+}
+
+type brokenModel string
+
+func (b brokenModel) Error() string { return string(b) }
--- /dev/null
+++ b/control/core/model_disk_test.go
@@ -0,0 +1,75 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// modelDisk is what a member finds again after a loss of power.
+type modelDisk struct {
+	snapshot []byte
+	records  [][]byte
+}
+
+func (d *modelDisk) put(write *diskWrite) {
+	if write.Image != nil {
+		d.snapshot, d.records = write.Image, nil
+		return
+	}
+	d.records = append(slices.Clone(d.records), write.Records...)
+}
+
+// orderLog is a machine that takes an order if its base is the number of those taken before, and keeps what it applied.
+type orderLog struct {
+	Applied []string
+	Taken   int
+}
+
+func (l *orderLog) Apply(command []byte) []byte {
+	l.Applied = append(slices.Clone(l.Applied), string(command))
+	var base int
+	var name string
+	if _, err := fmt.Sscan(string(command), &base, &name); err != nil {
+		panic(err)
+	}
+	if base != l.Taken {
+		return []byte("refused")
+	}
+	l.Taken++
+	return []byte("taken")
+}
+
+func (l *orderLog) Snapshot() []byte {
+	return []byte(fmt.Sprint(l.Taken) + "\n" + strings.Join(l.Applied, "\n"))
+}
+
+func (l *orderLog) Restore(snapshot []byte) error {
+	taken, applied, _ := strings.Cut(string(snapshot), "\n")
+	l.Applied = nil
+	if applied != "" {
+		l.Applied = strings.Split(applied, "\n")
+	}
+	_, err := fmt.Sscan(taken, &l.Taken)
+	return err
+}
+
+// sync puts all that waits for a member's disk there.
+func (m *model) sync(at int) {
+	member := m.own(at)
+	last := m.land(member)
+	if m.scope.hasty {
+		return // it has been told
+	}
+	member.node.OnDisk(m.clock(at), last)
+	m.carryOut(at)
+}
+
+func (m *model) land(member *modelMember) (last uint64) {
+	for i := range member.writes {
+		member.disk.put(&member.writes[i])
+		last = member.writes[i].Batch
+	}
+	member.writes = nil
+	return last
+}
--- /dev/null
+++ b/control/core/model_network_test.go
@@ -0,0 +1,78 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"ravendale/control/view"
+)
+
+// modelMessage is on its way. Its content is encoded, as on a connection.
+type modelMessage struct {
+	from, to int
+	sender   view.Member
+	kind     string
+	data     []byte
+	late     bool // it does not hold up time
+}
+
+// post puts a message on its way; beats arrive at once, and anything to where nobody is does not.
+func (m *model) post(at int, p post) {
+	to := slices.IndexFunc(m.members, func(other *modelMember) bool { return other.address == p.To })
+	if to < 0 || !m.reaches(at, to) {
+		return
+	}
+	data, err := p.Message.MarshalMsg(nil)
+	if err != nil {
+		panic(err)
+	}
+	kind := strings.TrimPrefix(strings.TrimPrefix(fmt.Sprintf("%T", p.Message), "*"), "core.")
+	m.mail = append(m.mail, modelMessage{from: at, to: to, sender: m.members[at].node.self, kind: kind, data: data})
+}
+
+func (m *model) reaches(from, to int) bool {
+	a, b := m.members[from], m.members[to]
+	return b.node != nil && !a.cut && !b.cut && !b.deaf
+}
+
+func (m *model) deliver(at int) {
+	message := m.mail[at]
+	m.mail = slices.Delete(m.mail, at, at+1)
+	m.receive(message)
+}
+
+func (m *model) receive(message modelMessage) {
+	if !m.reaches(message.from, message.to) {
+		return
+	}
+	content := emptyOf(message.kind)
+	if _, err := content.UnmarshalMsg(message.data); err != nil {
+		panic(err)
+	}
+	member := m.own(message.to)
+	member.node.Receive(m.clock(message.to), message.sender, content)
+	m.carryOut(message.to)
+}
+
+func emptyOf(name string) msgp.Unmarshaler {
+	for _, kind := range kinds {
+		if empty := kind.empty(); strings.TrimPrefix(strings.TrimPrefix(fmt.Sprintf("%T", empty), "*"), "core.") == name {
+			return empty
+		}
+	}
+	panic(name)
+}
+
+// beats delivers those on their way, which come without end: they are not taken in other orders.
+func (m *model) beats() {
+	for {
+		at := slices.IndexFunc(m.mail, func(message modelMessage) bool { return message.kind == "beat" && !m.members[message.to].frozen })
+		if at < 0 {
+			return
+		}
+		m.deliver(at)
+	}
+}
