Tell the voters of a changed chain, and that a member stops

A change of the votes alone was logged as a change of the chain in which nobody joined or left, and a member that was told to stop as one that does not hear others. The line now lists the voters and says "it stops".

--- a/control/core/change.go
+++ b/control/core/change.go
@@ -11,6 +11,7 @@
 type change struct {
 	epoch  uint64
 	chain  []string // rpc addresses
+	voters []string // the same
 	joined []string
 	left   []string // with why, as far as this node knows
 }
@@ -24,6 +25,9 @@
 			c.joined = append(c.joined, member.Address)
 		}
 	}
+	for _, member := range next.Voters {
+		c.voters = append(c.voters, member.Address)
+	}
 	for _, id := range n.view.Chain {
 		if next.Position(id) < 0 {
 			member, _ := n.view.Member(id)
@@ -45,6 +49,8 @@
 		return "it has another disk"
 	case p != nil && p.beat.aside():
 		return "its disk fails or stalls"
+	case n.leaves(member.ID):
+		return "it stops"
 	case !n.hears(now, member.ID):
 		return "it is silent"
 	case p != nil && len(p.beat.Missing) > 0:
@@ -62,5 +68,5 @@
 }
 
 func (c *change) log(log *slog.Logger) {
-	log.Info("chain changed", "epoch", c.epoch, "chain", c.chain, "joined", c.joined, "left", c.left)
+	log.Info("chain changed", "epoch", c.epoch, "chain", c.chain, "voters", c.voters, "joined", c.joined, "left", c.left)
 }
