--- a/control/core/cutoff_test.go
+++ b/control/core/cutoff_test.go
@@ -43,7 +43,7 @@
 	for _, member := range s.members {
 		if n := member.node; member.running && n.chain.Attached() {
 			place = (place + len(n.view.Chain)) % len(n.view.Chain)
-			if voter, ok := n.view.Voter(n.view.Chain[place]); ok {
+			if voter, ok := n.view.Member(n.view.Chain[place]); ok {
 				return s.byAddr[voter.Address]
 			}
 		}
