--- a/control/view/view_test.go
+++ b/control/view/view_test.go
@@ -38,7 +38,7 @@
 }
 
 func knowing(lives func(view.ID) bool, others ...view.ID) view.Knowledge {
-	know := view.Knowledge{Lives: lives, Joinable: lives, Touch: func(a, b view.ID) bool { return true }, Gone: no}
+	know := view.Knowledge{Lives: lives, Joinable: lives, Touch: func(a, b view.ID) bool { return true }, Down: no, Gone: no, Leaving: no}
 	for _, id := range others {
 		know.Others = append(know.Others, member(id))
 	}
@@ -155,6 +155,19 @@
 	require.Equal(t, 2, planned.Whole)
 }
 
+// TestOneThatHearsNobodyDoesNotShutOutTheOthers has the head healed from a one-way cut: it promised, but its last beat misses all.
+func TestOneThatHearsNobodyDoesNotShutOutTheOthers(t *testing.T) {
+	for _, deaf := range []view.ID{1, 2, 3} {
+		current := of(7, []view.ID{1, 2, 3}, 1, 2, 3)
+		know := knowing(yes, 1, 2, 3)
+		know.Touch = func(a, b view.ID) bool { return a != deaf && b != deaf }
+		planned, ok := view.Plan(&current, know, yes)
+		require.True(t, ok)
+		require.Equal(t, 2, planned.Whole, "%d hears nobody", deaf)
+		require.NotContains(t, planned.Chain, deaf)
+	}
+}
+
 func TestANewDiskReplacesTheOneOfItsAddress(t *testing.T) {
 	current := of(7, []view.ID{1, 2, 3}, 1, 2, 3)
 	know := knowing(among(2, 3, 9), 2, 3)
@@ -165,7 +178,7 @@
 	require.Len(t, planned.Voters, 3)
 }
 
-func TestThoseGoneForLongAreGivenUpIfThatHelps(t *testing.T) {
+func TestThoseThatAreDownAreGivenUpIfThatHelps(t *testing.T) {
 	for _, c := range []struct {
 		voters []view.ID
 		gone   []view.ID
@@ -175,20 +188,24 @@
 		{[]view.ID{1, 2, 3, 4}, []view.ID{4}, 3},
 		{[]view.ID{1, 2, 3, 4, 5}, []view.ID{4}, 5},
 		{[]view.ID{1, 2, 3, 4, 5}, []view.ID{4, 5}, 3},
+		{[]view.ID{1, 2, 3}, []view.ID{2, 3}, 3}, // one alone could be lost for good
 	} {
 		current := of(7, c.voters, c.voters...)
 		know := knowing(func(id view.ID) bool { return !among(c.gone...)(id) }, c.voters...)
-		know.Gone = among(c.gone...)
+		know.Down = among(c.gone...)
 		planned, ok := view.Plan(&current, know, yes)
 		require.True(t, ok)
 		require.Len(t, planned.Voters, c.left, "%v", c)
+		know.Down, know.Leaving = no, among(c.gone...)
+		planned, _ = view.Plan(&current, know, yes)
+		require.Len(t, planned.Voters, c.left, "leaving: %v", c)
 	}
 }
 
 func TestAJoinerTakesTheVoteOfOneGone(t *testing.T) {
 	current := of(7, []view.ID{1, 2, 3}, 1, 2, 3)
 	know := knowing(among(1, 2, 4), 1, 2, 4)
-	know.Gone = among(3)
+	know.Down, know.Gone = among(3), among(3)
 	planned, _ := view.Plan(&current, know, yes)
 	require.Len(t, planned.Voters, 3)
 	_, stays := planned.Voter(3)
@@ -200,11 +217,13 @@
 	for _, c := range []struct {
 		promises []view.Promise
 		holder   view.ID
+		vacant   bool
 	}{
-		{[]view.Promise{{Holder: 1}, {}}, 1},
-		{[]view.Promise{{Holder: 1}, {Holder: 2}}, 0},
-		{[]view.Promise{{Holder: 1}, {Quiet: true}}, 0},
-		{[]view.Promise{{}, {}}, 0},
+		{[]view.Promise{{Holder: 1}, {}}, 1, false},
+		{[]view.Promise{{Holder: 1}, {Holder: 2}}, 0, false},
+		{[]view.Promise{{Holder: 1}, {Quiet: true}}, 0, false},
+		{[]view.Promise{{}, {Quiet: true}}, 0, false},
+		{[]view.Promise{{}, {}}, 0, true},
 	} {
 		ballot := view.Ballot{Round: 1, Proposer: 1}
 		p := view.NewProposer(0, current, ballot, false)
@@ -216,6 +235,7 @@
 		require.False(t, p.Failed(view.AttemptTime-time.Millisecond))
 		accept := p.Choose(func(func(view.ID) bool) (view.View, bool) { return current, true })
 		require.Equal(t, c.holder, accept.View.Holder)
+		require.Equal(t, c.vacant, accept.View.Vacant)
 		require.EqualValues(t, 2, accept.View.Epoch)
 	}
 }
