Hand out a batch of entries once a step while a member is behind

Ruled out: the rule on votes (the voters did not change). Change: while entries wait, only Tick hands out.

--- a/control/chain/chain.go
+++ b/control/chain/chain.go
@@ -477,8 +477,11 @@
 	if to = min(to, c.Last()); to <= c.committed {
 		return
 	}
+	behind := c.Behind()
 	c.committed = to
-	c.handOut()
+	if !behind || c.batch == math.MaxUint32 {
+		c.handOut() // else Tick does, a batch at a time: a step may commit many times
+	}
 	if c.position > 0 {
 		c.send(c.members[c.position-1], &Ack{Epoch: c.epoch, Committed: to})
 	}
