Let stores found a core where no seed has a disk, and let voters leave

A site without a disk on any edge machine had no core: every order ended with 'may or may not be applied', and nothing was served.

The first view is now decided by single-decree Paxos among the seeds, none of which has a disk, in memory and only in their first life; its voters are stores, one per zone as far as possible, 3 for one loss and 5 for two. One store appointed by one seed was ruled out: it does not outlive that seed. Processes without a disk pass decided views on, so that one that has just come finds the core, and voters remember them for ten minutes.

A voter may ask to leave; the others let it go once those that stay are whole, heard and enough copies.

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -49,6 +49,8 @@
 	// Lead is called on a goroutine of its own when this process gets the leader lease, once an earlier call has returned. Its context
 	// ends when the lease is lost, which may be noticed late: before each act it asks lease.Valid. Nil: the lease is never sought.
 	Lead func(ctx context.Context, lease *Lease)
+	// Storage says that the disk is that of a store, which serves as a member where no control process has a disk.
+	Storage bool
 	// Applied is called after commands were applied to the local machine, on the goroutine that did it: it must not wait. May be nil.
 	Applied func()
 }
@@ -107,7 +109,7 @@
 	settings := c.config.Settings
 	config := nodeConfig{
 		Address: c.address, Zone: settings.Zone, Seeds: settings.SeedAddresses(), Bootstrap: settings.Bootstrap,
-		Disk: settings.DataDir != "", Candidate: c.config.Lead != nil, Durability: durability(settings),
+		Disk: settings.DataDir != "", Candidate: c.config.Lead != nil, Storage: c.config.Storage, Durability: DurabilityOf(settings),
 		GoneAfter: max(leastGoneAfter, 2*durationOf(settings.Bounds.CatchupS)), Terms: lease.DefaultTerms, LeastLog: leastLog,
 		Machine: c.config.Machine, Random: c.random,
 	}
@@ -136,7 +138,8 @@
 	return slots.Open(folder)
 }
 
-func durability(s *settings.Settings) view.Durability {
+// DurabilityOf is what the chain must have by the losses that the settings name.
+func DurabilityOf(s *settings.Settings) view.Durability {
 	return view.Durability{
 		Copies: s.Copies(), LostZones: s.LostZones, LostRegions: s.LostRegions,
 		RegionOf: func(zone string) string { return s.Zones[zone] },
@@ -244,6 +247,13 @@
 	return address, address != ""
 }
 
+// Leads says whether this process holds the leader lease.
+func (c *Core) Leads() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.node.leads(c.now())
+}
+
 // Addresses are the rpc addresses of all processes of the core that this one knows.
 func (c *Core) Addresses() []string {
 	c.mu.Lock()
@@ -251,6 +261,25 @@
 	return c.node.Addresses()
 }
 
+// WantsStores says whether this process is to have stores take part in a core that is not founded yet, since no seed has a disk.
+func (c *Core) WantsStores() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.running && c.node.foundsOnStores(c.now())
+}
+
+// Leave has the other members take this one out of the voters as soon as they can spare it.
+func (c *Core) Leave() {
+	c.step(func(now time.Duration) { c.node.Leave(now) })
+}
+
+// LeftOut says whether the others have let this process go after Leave: it may end, and its disk holds nothing that they lack.
+func (c *Core) LeftOut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.node.LeftOut()
+}
+
 // Status tells how this process sees the core.
 func (c *Core) Status() Status {
 	c.mu.Lock()
--- a/control/core/kinds.go
+++ b/control/core/kinds.go
@@ -33,6 +33,7 @@
 	{methodLeaseRequest, func() msgp.Unmarshaler { return new(lease.Request) }},
 	{methodLeaseReply, func() msgp.Unmarshaler { return new(lease.Reply) }},
 	{methodLeaseRelease, func() msgp.Unmarshaler { return new(lease.Release) }},
+	{methodLeaving, func() msgp.Unmarshaler { return new(leaving) }},
 }
 
 // methodOf tells the method of a message.
@@ -68,6 +69,8 @@
 		return methodLeaseReply
 	case *lease.Release:
 		return methodLeaseRelease
+	case *leaving:
+		return methodLeaving
 	}
 	panic(fmt.Sprintf("core: %T has no method", message))
 }
--- a/control/core/messages.go
+++ b/control/core/messages.go
@@ -8,9 +8,9 @@
 )
 
 //go:generate go run github.com/tinylib/msgp -file messages.go -o messages_gen.go -tests=false -unexported
-//msgp:tuple beat decided propose forward forwardReply record image
+//msgp:tuple beat decided propose forward forwardReply leaving record image
 
-// Methods of the core's messages, all of them notifications but the last.
+// Methods of the core's messages, all of them notifications but methodForward.
 const (
 	methodBeat wire.Method = wire.MethodCorePrivate + iota
 	methodPrepare
@@ -28,6 +28,7 @@
 	methodLeaseReply
 	methodLeaseRelease
 	methodForward // forward, forwardReply
+	methodLeaving
 )
 
 // beat is what a process tells all others of the core now and then.
@@ -78,6 +79,11 @@
 	Result  []byte
 }
 
+// leaving tells that a member wishes to be no voter any more.
+type leaving struct {
+	ID view.ID
+}
+
 // record is one change of the image on disk. One of its parts is set.
 type record struct {
 	View  *view.View
@@ -89,7 +95,7 @@
 // image is all that a member keeps on disk.
 type image struct {
 	ID       view.ID
-	Founders []string // rpc addresses of the seeds, if it may found the core
+	Founders []string // rpc addresses of the seeds at the first start of the whole system, if it may found the core
 	View     view.View
 	Vote     view.Vote
 	Chain    chain.State
--- a/control/core/messages_gen.go
+++ b/control/core/messages_gen.go
@@ -773,6 +773,81 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *leaving) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	err = z.ID.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *leaving) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 1
+	err = en.Append(0x91)
+	if err != nil {
+		return
+	}
+	err = z.ID.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *leaving) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o, err = z.ID.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *leaving) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	bts, err = z.ID.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *leaving) Msgsize() (s int) {
+	s = 1 + z.ID.Msgsize()
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *outcome) DecodeMsg(dc *msgp.Reader) (err error) {
 	{
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -14,20 +14,21 @@
 
 // Times by which a member judges others.
 const (
-	beatEvery    = 200 * time.Millisecond
-	silentAfter  = 700 * time.Millisecond // then a member counts as down
-	joinAfter    = 300 * time.Millisecond // so long a member is heard of before it is taken in
-	settleAfter  = 300 * time.Millisecond // after a start, so long is waited for others before the chain is changed
-	startWithin  = 500 * time.Millisecond // after a start, so long others may not have started yet
-	rankPause    = 150 * time.Millisecond // by which each further proposer waits longer
-	leaderPause  = 400 * time.Millisecond // by which each further candidate waits longer
-	heirPause    = 400 * time.Millisecond // after a start, so long the lease is left to whoever held it last
-	askAgain     = 250 * time.Millisecond // between rounds of a candidate
-	proposeAgain = 200 * time.Millisecond // after which a command that was sent to the head is sent again
-	stuckAfter   = time.Second            // a member whose disk takes longer falls silent
-	absentGap    = 400 * time.Millisecond // a member that was not run for so long judges nobody at first
-	forgetAfter  = 10 * time.Second       // a stranger that is silent for longer is forgotten
-	leastLog     = 64 << 10               // of nodeConfig.LeastLog
+	beatEvery           = 200 * time.Millisecond
+	silentAfter         = 700 * time.Millisecond // then a member counts as down
+	joinAfter           = 300 * time.Millisecond // so long a member is heard of before it is taken in
+	settleAfter         = 300 * time.Millisecond // after a start, so long is waited for others before the chain is changed
+	startWithin         = 500 * time.Millisecond // after a start, so long others may not have started yet
+	rankPause           = 150 * time.Millisecond // by which each further proposer waits longer
+	leaderPause         = 400 * time.Millisecond // by which each further candidate waits longer
+	heirPause           = 400 * time.Millisecond // after a start, so long the lease is left to whoever held it last
+	askAgain            = 250 * time.Millisecond // between rounds of a candidate
+	proposeAgain        = 200 * time.Millisecond // after which a command that was sent to the head is sent again
+	stuckAfter          = time.Second            // a member whose disk takes longer falls silent
+	absentGap           = 400 * time.Millisecond // a member that was not run for so long judges nobody at first
+	forgetAfter         = 10 * time.Second       // a stranger that is silent for longer is forgotten
+	forgetDisklessAfter = 10 * time.Minute       // the same of a process without a disk, where stores are the core
+	leastLog            = 64 << 10               // of nodeConfig.LeastLog
 )
 
 // nodeConfig is what a node must know from the start.
@@ -38,6 +39,7 @@
 	Bootstrap  bool
 	Disk       bool
 	Candidate  bool
+	Storage    bool // the disk is a store's: no control process has one
 	Durability view.Durability
 	GoneAfter  time.Duration // a voter that is down for longer may be given up
 	Terms      lease.Terms
@@ -49,6 +51,7 @@
 
 // faults are mistakes that tests make on purpose, to see that they would be caught.
 type faults struct {
+	amnesiac   bool // a seed without a disk votes on the founding in each of its lives
 	minority   bool // a view is decided by a single voter
 	unsyncedOK bool // what waits for the disk does not
 	forgetful  bool // a voter that starts takes it that it granted nothing
@@ -100,6 +103,9 @@
 	voter *lease.Voter
 	idle  bool // the head, but started in this epoch
 
+	founding  *founding // by seeds without a disk, in the first life of the system; nil: not here
+	departing bool      // it wishes to be no voter any more
+
 	unborn bool // its identity is not on disk yet
 
 	peers    map[string]*peer // by address
@@ -141,6 +147,7 @@
 	since     time.Duration // heard without a pause since
 	refused   bool
 	contacted bool // was heard at least once
+	leaving   bool // it wishes to be no voter any more
 }
 
 type command struct {
@@ -178,6 +185,7 @@
 		n.chain = chain.New(0, chain.State{}, config.Machine.Snapshot)
 		n.voter = lease.NewVoter(now, config.Terms, lease.Past{Unknown: true})
 		n.holder = lease.NewHolder(config.Terms, n.origin)
+		n.founding = newFounding(&config)
 		return n, nil
 	}
 	kept, err := n.load(snapshot, records)
@@ -477,6 +485,8 @@
 		n.onLeaseReply(now, from, m)
 	case *lease.Release:
 		n.voter.Release(from.ID, m)
+	case *leaving:
+		n.onLeaving(m)
 	}
 }
 
@@ -485,10 +495,15 @@
 	switch m := message.(type) {
 	case *beat:
 		n.hear(now, m)
+		if m.Epoch < n.view.Epoch {
+			n.deliver(post{m.Member.Address, &decided{View: n.view}}) // to one that has just come, it may be the only way to the core
+		}
 	case *decided:
 		if m.View.Epoch > n.view.Epoch {
 			n.view = m.View
 		}
+	default:
+		n.onFounding(now, from, message)
 	}
 }
 
@@ -538,6 +553,7 @@
 		n.sendBeats(now)
 	}
 	if !n.config.Disk {
+		n.foundOnStores(now)
 		return
 	}
 	n.found(now)
--- a/control/core/peers.go
+++ b/control/core/peers.go
@@ -154,7 +154,7 @@
 		n.beatAt = now
 	}
 	for address, p := range n.peers {
-		if now-p.heard > forgetAfter && !n.isVoter(p.member.ID) {
+		if now-p.heard > n.remembers(p) && !n.isVoter(p.member.ID) {
 			delete(n.peers, address)
 		}
 	}
@@ -163,6 +163,15 @@
 	}
 }
 
+// remembers is how long a stranger may be silent before it is forgotten. The control processes without a disk may know nobody else after
+// a restart.
+func (n *node) remembers(p *peer) time.Duration {
+	if n.config.Storage && p.member.ID == 0 && p.contacted {
+		return forgetDisklessAfter
+	}
+	return forgetAfter
+}
+
 func (n *node) isVoter(id view.ID) bool {
 	_, ok := n.view.Voter(id)
 	return ok
@@ -179,11 +188,27 @@
 func (n *node) sendBeats(now time.Duration) {
 	n.beatAt = now + beatEvery
 	message := n.beat(now)
-	for _, address := range n.Addresses() {
+	for _, address := range n.audience() {
 		if address != n.self.Address {
 			n.deliver(post{address, message})
 		}
 	}
+	if n.departing {
+		n.sendVoters(&leaving{ID: n.self.ID})
+	}
+}
+
+// audience is whom the node's beats go to: all whom it knows. Processes without a disk, of which there may be many, spare one another those, but
+// for the seeds.
+func (n *node) audience() []string {
+	addresses := n.Addresses()
+	if n.config.Disk {
+		return addresses
+	}
+	return slices.DeleteFunc(addresses, func(address string) bool {
+		p := n.peers[address]
+		return p != nil && p.contacted && p.member.ID == 0 && !slices.Contains(n.config.Seeds, address)
+	})
 }
 
 // Addresses are those of all core processes that are known; the seeds count as long as nobody better is.
@@ -239,42 +264,3 @@
 	}
 	return 0
 }
-
-// found proposes the first view, once all seeds are there, at the one with the lowest address. Since only that one ever proposes
-// it, and has it on disk before it tells, it is decided.
-func (n *node) found(now time.Duration) {
-	if n.view.Epoch != 0 || len(n.founder) == 0 {
-		return
-	}
-	members := []view.Member{n.self}
-	for _, address := range n.founder {
-		if address == n.self.Address {
-			continue
-		}
-		p := n.peers[address]
-		if p == nil || !p.contacted || now-p.heard > silentAfter || p.refused {
-			return
-		}
-		if p.member.ID == 0 {
-			continue // without a disk
-		}
-		if !p.beat.Founder || p.beat.Epoch != 0 || address < n.self.Address {
-			return
-		}
-		members = append(members, p.member)
-	}
-	slices.SortFunc(members[1:], func(a, b view.Member) int {
-		if a.Address < b.Address {
-			return -1
-		}
-		return 1
-	})
-	first := view.View{Epoch: 1, Voters: members, Whole: len(members)}
-	for _, member := range members {
-		first.Chain = append(first.Chain, member.ID)
-	}
-	n.adopt(now, &first)
-	for _, member := range members[1:] {
-		n.sendLasting(member.Address, &decided{View: first})
-	}
-}
--- a/control/core/simulation_test.go
+++ b/control/core/simulation_test.go
@@ -81,6 +81,7 @@
 	queue     []event // heap by time, then by order of making
 	made      uint64
 	members   []*simulated
+	fronts    []*simulated // processes without a disk: then they are the seeds, and the members are stores
 	byAddr    map[string]*simulated
 	cut       map[[2]string]bool // from, to
 	loss      float64
@@ -113,25 +114,26 @@
 
 // simulated is one machine.
 type simulated struct {
-	s       *simulation
-	address string
-	zone    string
-	folder  *slotstest.Folder
-	store   *slots.Store
-	node    *node
-	machine *register
-	life    int
-	running bool
-	frozen  bool
-	thawed  []func()
-	rate    float64 // of its steady clock
-	offset  time.Duration
-	fresh   bool // bootstrap
-	idSeed  uint64
-	writes  []diskWrite
-	writing bool
-	calls   map[uint64]string // commands by number
-	changes []change          // of the chain, as told
+	s        *simulation
+	address  string
+	zone     string
+	folder   *slotstest.Folder
+	store    *slots.Store
+	node     *node
+	machine  *register
+	life     int
+	running  bool
+	frozen   bool
+	thawed   []func()
+	rate     float64 // of its steady clock
+	offset   time.Duration
+	fresh    bool // bootstrap
+	diskless bool
+	idSeed   uint64
+	writes   []diskWrite
+	writing  bool
+	calls    map[uint64]string // commands by number
+	changes  []change          // of the chain, as told
 }
 
 func newSimulation(seed uint64, members, lost int, m mutant) *simulation {
@@ -156,7 +158,11 @@
 
 func (s *simulation) seeds() []string {
 	var seeds []string
-	for _, member := range s.members[:min(3, len(s.members))] {
+	seeding := s.members
+	if len(s.fronts) > 0 {
+		seeding = s.fronts
+	}
+	for _, member := range seeding[:min(3, len(seeding))] {
 		seeds = append(seeds, member.address)
 	}
 	return seeds
@@ -243,10 +249,15 @@
 	if m.running {
 		return
 	}
-	store, snapshot, records, err := slots.OpenFolder(m.folder)
-	if err != nil {
-		m.s.fail("%s: %v", m.address, err)
-		return
+	var store *slots.Store
+	var snapshot []byte
+	var records [][]byte
+	if !m.diskless {
+		var err error
+		if store, snapshot, records, err = slots.OpenFolder(m.folder); err != nil {
+			m.s.fail("%s: %v", m.address, err)
+			return
+		}
 	}
 	m.life++
 	m.running, m.frozen, m.thawed = true, false, nil
@@ -262,7 +273,8 @@
 		terms.Margin = -terms.Length
 	}
 	config := nodeConfig{
-		Address: m.address, Zone: m.zone, Seeds: m.s.seeds(), Bootstrap: m.fresh && snapshot == nil, Disk: true, Candidate: true,
+		Address: m.address, Zone: m.zone, Seeds: m.s.seeds(), Bootstrap: m.fresh && snapshot == nil, Disk: !m.diskless, Candidate: true,
+		Storage:    len(m.s.fronts) > 0,
 		Durability: view.Durability{Copies: m.s.lost + 1}, GoneAfter: 10 * time.Second, Terms: terms, LeastLog: m.s.leastLog, Machine: m.machine,
 		Random: func() uint64 {
 			drawn++
@@ -271,7 +283,10 @@
 			}
 			return random.Uint64()
 		},
-		faults: faults{minority: m.s.mutant == minorityView, unsyncedOK: m.s.mutant == unsyncedAck, forgetful: m.s.mutant == forgetfulVoter, alone: m.s.mutant == loneCommit},
+		faults: faults{
+			minority: m.s.mutant == minorityView, unsyncedOK: m.s.mutant == unsyncedAck, forgetful: m.s.mutant == forgetfulVoter,
+			alone: m.s.mutant == loneCommit, amnesiac: m.s.mutant == amnesiacSeed,
+		},
 	}
 	node, err := newNode(m.clock(), config, snapshot, records)
 	if err != nil {
--- a/control/core/views.go
+++ b/control/core/views.go
@@ -79,6 +79,7 @@
 		Joinable: func(id view.ID) bool { return n.joinable(now, id) },
 		Touch:    func(a, b view.ID) bool { return n.touch(now, a, b) },
 		Gone:     func(id view.ID) bool { return n.gone(now, id) },
+		Leaving:  func(id view.ID) bool { return n.spared(now, id) },
 	}
 	for _, p := range n.peers {
 		if p.contacted && p.member.ID != 0 {
--- a/control/view/plan.go
+++ b/control/view/plan.go
@@ -8,6 +8,7 @@
 	Joinable func(ID) bool      // it lives, and has for long enough to be taken in
 	Touch    func(a, b ID) bool // messages pass between both, both ways
 	Gone     func(ID) bool      // it has been down for so long that its vote is better given up
+	Leaving  func(ID) bool      // it wishes to be no voter any more, and the others can spare it; nil: nobody does
 	Others   []Member           // members that were heard of, whether or not they are voters
 }
 
@@ -56,12 +57,12 @@
 func planVoters(current *View, know Knowledge) []Member {
 	var voters []Member
 	for _, member := range current.Voters {
-		if !replaced(member, know) {
+		if !replaced(member, know) && !leaves(member.ID, know) {
 			voters = append(voters, member)
 		}
 	}
 	for _, member := range sortedMembers(know.Others) {
-		if !hasVoter(voters, member.ID) && know.Joinable(member.ID) && !superseded(member, know) {
+		if !hasVoter(voters, member.ID) && know.Joinable(member.ID) && !superseded(member, know) && !leaves(member.ID, know) {
 			voters = append(voters, member)
 		}
 	}
@@ -77,6 +78,8 @@
 	})
 }
 
+func leaves(id ID, know Knowledge) bool { return know.Leaving != nil && know.Leaving(id) }
+
 // superseded says whether a member that is heard of shares its address with another that is heard of too: the address tells too little.
 func superseded(member Member, know Knowledge) bool {
 	return slices.ContainsFunc(know.Others, func(other Member) bool {
@@ -145,3 +148,11 @@
 	}
 	return len(zones) > d.LostZones && (d.LostRegions == 0 || len(regions) > d.LostRegions)
 }
+
+// leastVoters bear the loss of one.
+const leastVoters = 3
+
+// Voters is how many voters bear the losses that are to be borne, if they lie in as many zones.
+func (d Durability) Voters() int {
+	return max(leastVoters, 2*max(d.Copies-1, d.LostZones, d.LostRegions)+1)
+}
