Run the core beside stores where no control process has a disk

Core and leader service are assembled by control/plane, for control processes and for stores. A control process without a disk, while the core is not founded, and later the leader tell stores by HostCore to take part (control/plane: recruiter, pure) or to leave when they retire. Stores in other sites hear nothing, listen nowhere new and keep nothing.

A control process without a disk passes retirement, its state and the system's status on to the leader by rpc, since a leader beside a store can't be called by the operator. A retirement is done only once the store has no vote.

--- a/cmd/ravendale-control/retire.go
+++ b/cmd/ravendale-control/retire.go
@@ -20,8 +20,8 @@
 }
 
 // RetireState says how far a node's store is.
-func (r retirer) RetireState(_ context.Context, node string) (string, error) {
-	done, err := r.leader.RetireState(node)
+func (r retirer) RetireState(ctx context.Context, node string) (string, error) {
+	done, err := r.leader.RetireState(ctx, node)
 	if err != nil {
 		return "", translate(err)
 	}
--- a/cmd/ravendale-control/status.go
+++ b/cmd/ravendale-control/status.go
@@ -1,16 +1,14 @@
 package main
 
 import (
-	"context"
 	"net"
 
-	"ravendale/control/status"
 	"ravendale/settings"
 )
 
 // leaderAdmin is where the leader serves the operator, empty if this process leads; false: none is known.
 func (c *control) leaderAdmin() (host string, ok bool) {
-	address, known := c.core.Leader()
+	address, known := c.plane.Core.Leader()
 	if !known {
 		return "", false
 	}
@@ -33,18 +31,3 @@
 	}
 	return net.JoinHostPort(ip, port), true
 }
-
-// status is how this process sees the system.
-func (c *control) status(ctx context.Context) status.Status {
-	now := c.machine.Current()
-	seen := status.Status{
-		Node:      c.env.Settings.Node,
-		Core:      status.CoreOf(c.core.Status(), now.Term),
-		Config:    status.ConfigOf(now),
-		Placement: status.PlacementOf(now.Placement),
-	}
-	if members, err := c.leader.Members(ctx); err == nil {
-		seen.Members = members
-	}
-	return seen
-}
--- a/cmd/ravendale-store/process.go
+++ b/cmd/ravendale-store/process.go
@@ -30,6 +30,7 @@
 	mux    *rpc.Mux
 	store  *store.Store
 	agent  *member.Agent
+	core   *coreHost
 	failed chan error
 }
 
@@ -51,6 +52,8 @@
 		},
 	})
 	p.agent.OnChange(p.changed)
+	p.core = newCoreHost(s, env.Log)
+	rpc.Handle(p.mux, wire.MethodHostCore, func(_ *rpc.Conn, order *wire.HostCore, _ rpc.Reply) { go p.core.order(order.Host) })
 	return p, nil
 }
 
@@ -92,7 +95,8 @@
 	}
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
-	go p.env.WatchSettings(running, func(s *settings.Settings) { p.agent.SetSettings(s) })
+	p.core.run(running)
+	go p.env.WatchSettings(running, p.setSettings)
 	go p.agent.Run(running)
 	go p.awaitCurrent(running)
 	p.env.Log.Info("store is up", "address", server.Address())
@@ -102,6 +106,7 @@
 		p.leave()
 	}
 	stop()
+	p.core.wait()
 	server.Close()
 	if err != nil {
 		return err
@@ -109,6 +114,11 @@
 	return p.store.Close()
 }
 
+func (p *process) setSettings(s *settings.Settings) {
+	p.agent.SetSettings(s)
+	p.core.setSettings(s)
+}
+
 func (p *process) listen(ctx context.Context) (*rpc.Server, error) {
 	options := rpc.Options{Mux: p.mux}
 	onConn := func(c *rpc.Conn) {
--- a/control/leader/leader.go
+++ b/control/leader/leader.go
@@ -42,6 +42,7 @@
 	Leader   func() (address string, ok bool)
 	Core     func() []string // rpc addresses of the control processes
 	Log      *slog.Logger    // nil: the default
+	Hosting  Hosting         // nil: the core lies with the control processes
 	// Read reads the platform's list; nil: from the address in the settings.
 	Read func(ctx context.Context, gap time.Duration) (*wire.Workers, int, error)
 }
@@ -63,6 +64,7 @@
 	s.settings.Store(config.Settings)
 	rpc.Handle(config.Mux, wire.MethodRenew, s.renew)
 	rpc.Handle(config.Mux, wire.MethodRetire, s.serveRetire)
+	rpc.Handle(config.Mux, wire.MethodRetireState, s.serveRetireState)
 	relay.Register(config.Mux, s.node)
 	return s
 }
@@ -91,6 +93,7 @@
 	if t != nil && t.box.Post(func() { t.renew(c, renew, reply) }) {
 		return
 	}
+	s.order(c, &renew.Member, nil)
 	address, _ := s.config.Leader()
 	reply.Send(&wire.RenewReply{Leader: address, Core: s.config.Core()})
 }
--- a/control/leader/retire.go
+++ b/control/leader/retire.go
@@ -11,9 +11,9 @@
 )
 
 //go:generate go run github.com/tinylib/msgp -file retire.go -o retire_gen.go -tests=false
-//msgp:tuple Retire RetireReply
+//msgp:tuple Retire RetireReply RetireStateReply
 
-// Retire passes the operator's order on to the process that leads.
+// Retire passes the operator's order, or the question how far it is, on to the process that leads.
 type Retire struct {
 	Node string
 }
@@ -36,6 +36,12 @@
 	Reason string
 }
 
+// RetireStateReply answers the question how far a node is. Code is RetireStarted if that is known.
+type RetireStateReply struct {
+	Code RetireCode
+	Done bool
+}
+
 var retireErrors = map[RetireCode]error{
 	RetireUnknownNode: ErrUnknownNode,
 	RetireTooFew:      ErrTooFew,
@@ -103,9 +109,21 @@
 	return reply
 }
 
-// RetireState says whether a node's store that was asked to retire is empty. It goes by what this process has applied, which may
-// lag: a store that is not known to retire is not empty yet.
-func (s *Service) RetireState(node string) (done bool, err error) {
+// RetireState says whether a node's store that was asked to retire is empty, as the leader knows it. It may lag: a store that is not known
+// to retire is not empty yet. A store that has a vote in the core is not empty either.
+func (s *Service) RetireState(ctx context.Context, node string) (done bool, err error) {
+	if s.leading() != nil {
+		return s.retireState(node)
+	}
+	address, known := s.config.Leader()
+	own := s.settings.Load()
+	if !known || address == own.ControlAddress(own.IP) {
+		return false, ErrNotLeading
+	}
+	return askRetireState(ctx, address, node)
+}
+
+func (s *Service) retireState(node string) (done bool, err error) {
 	view := s.config.State().Placement
 	if view == nil {
 		return false, ErrUndecided
@@ -114,7 +132,37 @@
 	if !known {
 		return false, fmt.Errorf("%w: %q", ErrUnknownNode, node)
 	}
-	return done, nil
+	return done && !s.hosts(view, node), nil
+}
+
+// serveRetireState answers another control process, as long as this one leads.
+func (s *Service) serveRetireState(_ *rpc.Conn, question *Retire, reply rpc.Reply) {
+	if s.leading() == nil {
+		reply.Send(&RetireStateReply{Code: RetireNotLeading})
+		return
+	}
+	done, err := s.retireState(question.Node)
+	answer := &RetireStateReply{Done: done}
+	if err != nil {
+		answer.Code = replyOf(err).Code
+	}
+	reply.Send(answer)
+}
+
+func askRetireState(ctx context.Context, address, node string) (done bool, err error) {
+	conn, err := rpc.Dial(ctx, address, rpc.Options{})
+	if err != nil {
+		return false, fmt.Errorf("%w: %w", ErrNotLeading, err)
+	}
+	defer conn.Close()
+	var reply RetireStateReply
+	if err := conn.Call(ctx, wire.MethodRetireState, &Retire{Node: node}, &reply); err != nil {
+		return false, fmt.Errorf("%w: %w", ErrNotLeading, err)
+	}
+	if reply.Code != RetireStarted {
+		return false, retireErrors[reply.Code]
+	}
+	return reply.Done, nil
 }
 
 func (t *term) startRetire(ctx context.Context, node string) error {
--- a/control/leader/retire_gen.go
+++ b/control/leader/retire_gen.go
@@ -223,3 +223,98 @@
 	s = 1 + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Reason)
 	return
 }
+
+// DecodeMsg implements msgp.Decodable
+func (z *RetireStateReply) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	{
+		var zb0002 uint8
+		zb0002, err = dc.ReadUint8()
+		if err != nil {
+			err = msgp.WrapError(err, "Code")
+			return
+		}
+		z.Code = RetireCode(zb0002)
+	}
+	z.Done, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Done")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z RetireStateReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint8(uint8(z.Code))
+	if err != nil {
+		err = msgp.WrapError(err, "Code")
+		return
+	}
+	err = en.WriteBool(z.Done)
+	if err != nil {
+		err = msgp.WrapError(err, "Done")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z RetireStateReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint8(o, uint8(z.Code))
+	o = msgp.AppendBool(o, z.Done)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RetireStateReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	{
+		var zb0002 uint8
+		zb0002, bts, err = msgp.ReadUint8Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Code")
+			return
+		}
+		z.Code = RetireCode(zb0002)
+	}
+	z.Done, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Done")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z RetireStateReply) Msgsize() (s int) {
+	s = 1 + msgp.Uint8Size + msgp.BoolSize
+	return
+}
--- a/control/leader/term.go
+++ b/control/leader/term.go
@@ -218,6 +218,7 @@
 	t.note(changes)
 	if lease > 0 {
 		t.meet(now, renew)
+		t.service.order(c, &renew.Member, t.view)
 		t.adopt(c, relay.VersionsOf(renew.Have))
 	}
 	answer := wire.RenewReply{
--- /dev/null
+++ b/control/plane/plane.go
@@ -0,0 +1,105 @@
+// Package plane assembles the control plane's part of a process: the replicated core, and the leader service that runs on the one that
+// holds the leader lease. Control processes run it, and stores where no control process has a disk.
+package plane
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"time"
+
+	"ravendale/control/core"
+	"ravendale/control/leader"
+	"ravendale/control/state"
+	"ravendale/rpc"
+	"ravendale/settings"
+	"ravendale/wire"
+)
+
+// Listening is tried again for a while: the process before this one may still hold the address.
+const (
+	listenFor   = 3 * time.Second
+	listenPause = 50 * time.Millisecond
+)
+
+// Config of a Plane.
+type Config struct {
+	Settings *settings.Settings
+	DataDir  string // of the core, empty if it has no disk here
+	Storage  bool   // it runs beside a store
+	Log      *slog.Logger
+}
+
+// Plane is the control plane's part of a process.
+type Plane struct {
+	config  Config
+	mux     *rpc.Mux
+	Machine *state.Machine
+	Core    *core.Core
+	Leader  *leader.Service
+}
+
+// Open reads the disk, if there is one. Nothing else happens before Run.
+func Open(config Config) (*Plane, error) {
+	p := &Plane{config: config, mux: rpc.NewMux(), Machine: state.NewMachine()}
+	own := *config.Settings
+	own.DataDir = config.DataDir
+	opened, err := core.Open(core.Config{
+		Settings: &own, Machine: p.Machine, Mux: p.mux, Log: config.Log, Storage: config.Storage,
+		Lead:    func(ctx context.Context, lease *core.Lease) { p.Leader.Lead(ctx, lease.Valid) },
+		Applied: func() { p.Leader.Changed() },
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.Core = opened
+	p.Leader = leader.NewService(leader.Config{
+		Settings: config.Settings, Mux: p.mux, Log: config.Log, Hosting: p.hosting(),
+		Submit: opened.Submit, State: p.Machine.Current, Leader: opened.Leader, Core: opened.Addresses,
+	})
+	rpc.Handle(p.mux, wire.MethodStatus, p.serveStatus)
+	return p, nil
+}
+
+// hosting is nil in a control process with a disk: such a core needs no stores.
+func (p *Plane) hosting() leader.Hosting {
+	if p.config.DataDir != "" && !p.config.Storage {
+		return nil
+	}
+	return newHosting(p.config.Settings, p.Core)
+}
+
+// Run listens for other processes and takes part in the core until the context ends, or until the core fails.
+func (p *Plane) Run(ctx context.Context) error {
+	s := p.config.Settings
+	server, err := Again(func() (*rpc.Server, error) {
+		return rpc.Listen(s.ControlAddress(s.IP), rpc.Options{Mux: p.mux}, nil)
+	})
+	if err != nil {
+		return err
+	}
+	defer server.Close()
+	return p.Core.Run(ctx)
+}
+
+// SetSettings gives the plane settings that were read again.
+func (p *Plane) SetSettings(s *settings.Settings) { p.Leader.SetSettings(s) }
+
+// Again tries to listen until it works, or until some time has passed.
+func Again[T any](listen func() (T, error)) (T, error) {
+	for deadline := time.Now().Add(listenFor); ; time.Sleep(listenPause) {
+		listener, err := listen()
+		if err == nil || time.Now().After(deadline) {
+			return listener, err
+		}
+	}
+}
+
+// controlAddress is where the core listens on the machine of a process that listens at an address.
+func controlAddress(s *settings.Settings, address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return ""
+	}
+	return s.ControlAddress(host)
+}
--- /dev/null
+++ b/control/plane/recruiter_test.go
@@ -0,0 +1,90 @@
+package plane
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravendale/control/view"
+)
+
+// coreOf is a core whose voters lie in zones of the same names; those that are away are voters out of the chain.
+func coreOf(zones []string, away ...int) *membership {
+	m := &membership{retiring: make(map[string]bool)}
+	out := make(map[int]bool)
+	for _, i := range away {
+		out[i] = true
+	}
+	for i, zone := range zones {
+		member := view.Member{ID: view.ID(i + 1), Address: fmt.Sprint("store-", i), Zone: zone}
+		m.voters = append(m.voters, member)
+		if !out[i] {
+			m.chain = append(m.chain, member.ID)
+		}
+	}
+	return m
+}
+
+func TestAtFirstStoresOfAllZonesAreAsked(t *testing.T) {
+	r, nothing := newRecruiter(3), &membership{}
+	require.True(t, r.joins(0, nothing, "a1", "a"))
+	require.False(t, r.joins(time.Millisecond, nothing, "a1", "a"), "it was asked just now")
+	require.False(t, r.joins(time.Millisecond, nothing, "a2", "a"), "another zone may come")
+	require.True(t, r.joins(time.Millisecond, nothing, "b1", "b"))
+	require.True(t, r.joins(zonePatience, nothing, "a2", "a"), "no other zone came")
+	require.False(t, r.joins(zonePatience, nothing, "c1", "c"), "there are enough")
+}
+
+func TestAStoreThatDoesNotComeIsNotCountedOn(t *testing.T) {
+	r, core := newRecruiter(3), coreOf([]string{"a", "b"})
+	require.True(t, r.joins(0, core, "c1", "c"))
+	require.False(t, r.joins(time.Second, core, "d1", "d"))
+	require.True(t, r.joins(answerWithin, core, "d1", "d"))
+}
+
+func TestAStoreWithoutItsDiskIsAskedAtOnce(t *testing.T) {
+	r, core := newRecruiter(3), coreOf([]string{"a", "b", "c"}, 1)
+	require.True(t, r.joins(0, core, "store-1", "b"))
+	require.False(t, r.joins(0, core, "store-0", "a"), "it takes part")
+}
+
+func TestAVoterThatIsAwayForLongGetsASubstitute(t *testing.T) {
+	r, core := newRecruiter(3), coreOf([]string{"a", "b", "c"}, 1)
+	require.False(t, r.joins(0, core, "d1", "d"))
+	require.False(t, r.joins(replaceAfter-1, core, "d1", "d"))
+	require.True(t, r.joins(replaceAfter, core, "d1", "d"))
+	require.False(t, r.joins(replaceAfter, core, "e1", "e"), "one is enough")
+	back := coreOf([]string{"a", "b", "c"})
+	require.False(t, r.joins(replaceAfter+time.Second, back, "e1", "e"), "it is back")
+	require.False(t, r.joins(replaceAfter+2*time.Second, core, "e1", "e"), "that it was away before does not count")
+}
+
+func TestVotersAreBounded(t *testing.T) {
+	r := newRecruiter(3)
+	core := coreOf([]string{"a", "b", "c", "d", "e", "f"}, 0, 1, 2, 3)
+	require.False(t, r.joins(0, core, "g1", "g"))
+	require.False(t, r.joins(2*replaceAfter, core, "g1", "g"))
+}
+
+func TestAStoreThatRetiresLeavesOnceItIsReplaced(t *testing.T) {
+	r, core := newRecruiter(3), coreOf([]string{"a", "b", "c"})
+	require.False(t, r.leaves(0, core, "store-1"), "it does not retire")
+	core.retiring["store-1"] = true
+	require.False(t, r.leaves(0, core, "store-1"), "a substitute may come")
+	require.False(t, r.joins(0, core, "store-1", "b"))
+	require.True(t, r.joins(0, core, "d1", "d"))
+	require.False(t, r.leaves(leavePatience, core, "store-1"), "the substitute is on its way")
+	replaced := coreOf([]string{"a", "b", "c", "d"})
+	replaced.retiring["store-1"] = true
+	require.True(t, r.leaves(leavePatience, replaced, "store-1"))
+	require.False(t, r.leaves(leavePatience, replaced, "store-9"), "it takes no part")
+}
+
+func TestAStoreThatRetiresLeavesIfThereIsNoSubstitute(t *testing.T) {
+	r, core := newRecruiter(3), coreOf([]string{"a", "b", "c"})
+	core.retiring["store-1"] = true
+	require.False(t, r.leaves(0, core, "store-1"))
+	require.True(t, r.leaves(leavePatience, core, "store-1"))
+}
--- a/standin/cluster/spec.go
+++ b/standin/cluster/spec.go
@@ -21,8 +21,9 @@
 	Zones           []string // each has the machines below
 	EdgesPerZone    int
 	StoresPerZone   int
-	ControlsPerZone int // of the edges, from the first; 0: one
-	LostNodes       int // machines that may be lost at once
+	ControlsPerZone int  // of the edges, from the first; 0: one
+	LostNodes       int  // machines that may be lost at once
+	DisklessControl bool // the control processes have no disk
 	Settings        map[string]string
 }
 
@@ -146,7 +147,7 @@
 // surface adds what belongs to the program of a process.
 func (p *Process) surface(lines map[string]string, ports ports) {
 	ip := p.machine.ip
-	counts := p.program != ProgramEdge
+	counts := p.program == ProgramStore || p.program == ProgramControl && !p.cluster.spec.DisklessControl
 	lines["countsForQuorum"] = strconv.FormatBool(counts)
 	if counts {
 		lines["dataDir"] = p.data
--- a/wire/membership.go
+++ b/wire/membership.go
@@ -1,6 +1,6 @@
 package wire
 
-//msgp:tuple Version Member StoreStatus Renew RenewReply Subscribe SubscribeReply Update Beat Fetch
+//msgp:tuple Version Member StoreStatus Renew RenewReply Subscribe SubscribeReply Update Beat Fetch HostCore
 //msgp:tuple Store Placement StoreView Edge Members Worker Workers
 
 // Topic is a kind of state that the control plane gives to all. Of each there is one newest version.
@@ -58,6 +58,11 @@
 	Have   []Version   // by topic
 }
 
+// HostCore has a store take part in the control plane's core, where no control process has a disk, or leave it.
+type HostCore struct {
+	Host bool
+}
+
 // RenewReply grants a lease, or names who can.
 type RenewReply struct {
 	Granted     bool
--- a/wire/membership_gen.go
+++ b/wire/membership_gen.go
@@ -445,6 +445,77 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *HostCore) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.Host, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Host")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z HostCore) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 1
+	err = en.Append(0x91)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Host)
+	if err != nil {
+		err = msgp.WrapError(err, "Host")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z HostCore) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendBool(o, z.Host)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *HostCore) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.Host, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Host")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z HostCore) Msgsize() (s int) {
+	s = 1 + msgp.BoolSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Member) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
