--- a/wire/methods.go
+++ b/wire/methods.go
@@ -5,15 +5,15 @@
 
 // Methods of the membership and distribution planes.
 const (
-	MethodRenew     Method = 1 + iota // Renew, RenewReply: any scheduler or store to the control plane
-	MethodSubscribe                   // Subscribe, SubscribeReply: a child to its parent in the relay tree
-	MethodUpdate                      // Update, notification: a parent to its children
-	MethodBeat                        // Beat, notification: a parent to its children
-	MethodFetch                       // Fetch, Update: a topic asked for outside of the tree
-	MethodRetire                      // an order of the operator: a control process to the one that leads
-	MethodRetireState                 // the operator's question how far that is, to the process that leads
-	MethodStatus                      // the operator's question how the system is, to the process that leads
-	MethodHostCore                    // HostCore, notification: a control process to a store
+	MethodRenew       Method = 1 + iota // Renew, RenewReply: any scheduler or store to the control plane
+	MethodSubscribe                     // Subscribe, SubscribeReply: a child to its parent in the relay tree
+	MethodUpdate                        // Update, notification: a parent to its children
+	MethodBeat                          // Beat, notification: a parent to its children
+	MethodFetch                         // Fetch, Update: a topic asked for outside of the tree
+	MethodRetire                        // an order of the operator: a control process to the one that leads
+	MethodRetireState                   // the operator's question how far that is, to the process that leads
+	MethodStatus                        // the operator's question how the system is, to the process that leads
+	MethodHostCore                      // HostCore, notification: a control process to a store
 )
 
 // Methods of the queue: an edge is the caller unless said otherwise.
