Hand the lease over before a voter leaves, and play stores that hold the core as processes

A change of the voters without a holder of the leader lease has all wait 1.2 s: a member that is told to leave now gives the lease back first, and asks to be left out once another holds it.

A process without a disk forwards to members alone, so that it answers 'unavailable' in time rather than 'may or may not' when it knows none, and its log says why.

Tests: control/plane on loopback (serving, status and retirement passed on, asking stores, a site without stores), systemtest: kill of all processes right after an acknowledgement, each store losing its disk in turn, a voter retired.

--- a/control/core/departing.go
+++ b/control/core/departing.go
@@ -7,14 +7,32 @@
 	"ravendale/control/view"
 )
 
-// Leave has this member ask the others to go on without it.
+// handOver is how long a member that leaves waits for another to hold the leader lease: a change of the voters that names a holder lets
+// that one go on, while one without a holder has all wait for the end of a lease that may be held.
+const handOver = 2 * time.Second
+
+// Leave has this member ask the others to go on without it, once it has given up the leader lease and another has it.
 func (n *node) Leave(now time.Duration) {
-	if n.departing {
+	if n.leaveAt >= 0 {
+		return
+	}
+	n.leaveAt = now
+	n.config.Candidate = false
+	if n.holder.Valid(now) {
+		n.drop(lossLeave)
+		n.sendBeats(now)
+	}
+	n.depart(now)
+	n.finish(now)
+}
+
+// depart tells the others that this member leaves, as soon as it may.
+func (n *node) depart(now time.Duration) {
+	if n.departing || n.leaveAt < 0 || n.leaderAddress(now) == "" && now < n.leaveAt+handOver {
 		return
 	}
 	n.departing = true
 	n.beatAt = now
-	n.finish(now)
 }
 
 func (n *node) onLeaving(m *leaving) {
--- a/control/core/foundingstores_test.go
+++ b/control/core/foundingstores_test.go
@@ -225,6 +225,7 @@
 			}
 			return true
 		})
+		s.reach(t, 300*time.Millisecond, func() bool { return len(s.holders()) == 1 && s.holders()[0] != leaver })
 		leaver.wipe()
 		s.load(60 * time.Millisecond)
 		s.run(s.now + 2*time.Second)
--- a/control/core/leading.go
+++ b/control/core/leading.go
@@ -12,6 +12,7 @@
 	lossSilence = "no majority renewed it in time"
 	lossStop    = "the process stops"
 	lossChain   = "not in the chain any more"
+	lossLeave   = "this member leaves the core"
 )
 
 func (n *node) onLeaseRequest(now time.Duration, from view.Member, m *lease.Request) {
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -103,8 +103,9 @@
 	voter *lease.Voter
 	idle  bool // the head, but started in this epoch
 
-	founding  *founding // by seeds without a disk, in the first life of the system; nil: not here
-	departing bool      // it wishes to be no voter any more
+	founding  *founding     // by seeds without a disk, in the first life of the system; nil: not here
+	leaveAt   time.Duration // when it was told to leave; negative: it was not
+	departing bool          // it asks to be no voter any more
 
 	unborn bool // its identity is not on disk yet
 
@@ -176,7 +177,7 @@
 // that is on disk.
 func newNode(now time.Duration, config nodeConfig, snapshot []byte, records [][]byte) (*node, error) {
 	n := &node{
-		config: config, started: now, ticked: now, grace: now + silentAfter, wanted: -1,
+		config: config, started: now, ticked: now, grace: now + silentAfter, wanted: -1, leaveAt: -1,
 		peers: make(map[string]*peer), pending: make(map[uint64]*command), leaderLost: now,
 		origin: config.Random() | 1, beatAt: now,
 	}
@@ -549,6 +550,7 @@
 
 func (n *node) work(now time.Duration) {
 	n.watch(now)
+	n.depart(now)
 	if now >= n.beatAt {
 		n.sendBeats(now)
 	}
--- a/control/core/peers.go
+++ b/control/core/peers.go
@@ -236,7 +236,7 @@
 	return addresses
 }
 
-// takers lists the other processes of the core, those first that most likely get a command committed: the leader, then who was heard lately,
+// takers lists the members of the core that are known, those first that most likely get a command committed: the leader, then who was heard lately,
 // follows the chain, misses few others and knows the newest view. One that is cut off from the others comes late.
 func (n *node) takers(now time.Duration) []string {
 	leader := n.leaderAddress(now)
@@ -250,7 +250,7 @@
 			bit(silent), bit(address != leader), bit(!p.beat.Attached), uint64(len(p.beat.Missing)), math.MaxUint64 - p.beat.Epoch,
 		}
 	}
-	addresses := slices.DeleteFunc(n.Addresses(), func(address string) bool { return address == n.self.Address })
+	addresses := n.members()
 	slices.SortStableFunc(addresses, func(a, b string) int {
 		first, second := rank(a), rank(b)
 		return slices.Compare(first[:], second[:])
@@ -264,3 +264,18 @@
 	}
 	return 0
 }
+
+// members are the addresses of those with a disk that are known: only they can submit a command.
+func (n *node) members() []string {
+	var addresses []string
+	for _, member := range n.view.Voters {
+		addresses = append(addresses, member.Address)
+	}
+	for address, p := range n.peers {
+		if p.contacted && p.member.ID != 0 && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
--- a/control/core/submit.go
+++ b/control/core/submit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"ravendale/rpc"
@@ -67,6 +68,9 @@
 	return nil, err
 }
 
+// errNobody is why nothing can be forwarded as long as no member was ever heard of.
+var errNobody = fmt.Errorf("%w: no member of the core is known; without a disk on any control machine storage machines hold it", ErrUnavailable)
+
 // forward has a member submit the command. Only while that surely did not, another is asked.
 func (c *Core) forward(ctx context.Context, command []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, unsentWait)
@@ -84,6 +88,9 @@
 		}
 		select {
 		case <-ctx.Done():
+			if len(takers) == 0 {
+				return nil, errNobody
+			}
 			return nil, ErrUnavailable
 		case <-time.After(forwardPace):
 		}
--- /dev/null
+++ b/control/plane/plane_test.go
@@ -0,0 +1,159 @@
+package plane
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravendale/control/core"
+	"ravendale/control/leader"
+	"ravendale/control/state"
+	"ravendale/settings"
+	"ravendale/wire"
+)
+
+const (
+	soon  = 20 * time.Second
+	often = 10 * time.Millisecond
+)
+
+// site is control processes without a disk, which are the seeds, and planes beside stores.
+type site struct {
+	*testing.T
+	port     int
+	seeds    []string
+	controls []*Plane
+	stores   []*Plane
+}
+
+func newSite(t *testing.T) *site {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	s := &site{T: t, port: listener.Addr().(*net.TCPAddr).Port}
+	for i := range 3 {
+		s.seeds = append(s.seeds, controlIP(i)+":1")
+	}
+	return s
+}
+
+func controlIP(i int) string { return fmt.Sprintf("127.0.5.%d", i+10) }
+
+func storeIP(i int) string { return fmt.Sprintf("127.0.5.%d", i+50) }
+
+func (s *site) open(ip, dataDir string, storage bool) *Plane {
+	s.Helper()
+	opened, err := Open(Config{
+		Settings: &settings.Settings{
+			Node: "node-" + ip, IP: ip, Zone: "zone-" + ip, Zones: map[string]string{"zone-" + ip: "r"}, PortRange: []int{s.port, s.port + 3},
+			Seeds: s.seeds, Bootstrap: true, LostNodes: 1, HeartbeatMs: 1000, Bounds: settings.Bounds{CatchupS: 5, DrainMs: 3000}, ProviderRate: 1,
+		},
+		DataDir: dataDir, Storage: storage, Log: slog.New(slog.DiscardHandler),
+	})
+	require.NoError(s, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- opened.Run(ctx) }()
+	s.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return opened
+}
+
+func (s *site) openControls() {
+	for i := range 3 {
+		s.controls = append(s.controls, s.open(controlIP(i), "", false))
+	}
+}
+
+func (s *site) openStores(count int) {
+	for i := range count {
+		s.stores = append(s.stores, s.open(storeIP(i), s.TempDir(), true))
+	}
+}
+
+func (s *site) submit(p *Plane) error {
+	ctx, cancel := context.WithTimeout(s.Context(), soon)
+	defer cancel()
+	command, err := state.Encode(&state.Barrier{})
+	require.NoError(s, err)
+	_, err = p.Core.Submit(ctx, command)
+	return err
+}
+
+func (s *site) leader() *Plane {
+	s.Helper()
+	var leading *Plane
+	require.Eventually(s, func() bool {
+		for _, store := range s.stores {
+			if store.Core.Leads() && store.Machine.Current().Term > 0 {
+				leading = store
+			}
+		}
+		return leading != nil
+	}, soon, often)
+	return leading
+}
+
+func TestControlProcessesWithoutADiskServeByTheStores(t *testing.T) {
+	s := newSite(t)
+	s.openControls()
+	s.openStores(3)
+	for _, control := range s.controls {
+		require.Eventually(t, func() bool { return s.submit(control) == nil }, soon, often)
+	}
+	leading := s.leader()
+	for _, control := range s.controls {
+		require.Eventually(t, func() bool {
+			seen := control.Status(t.Context())
+			return seen.Core.Term == leading.Machine.Current().Term && seen.Members != nil && len(seen.Core.Voters) == 3
+		}, soon, often, "the leader tells")
+		seen := control.Status(t.Context())
+		require.Equal(t, control.config.Settings.Node, seen.Node)
+		require.Empty(t, seen.Core.Disk)
+		require.False(t, seen.Core.Leading)
+		_, err := control.Leader.RetireState(t.Context(), "store-1")
+		require.ErrorIs(t, err, leader.ErrUndecided, "the leader has placed no queue yet")
+		require.ErrorIs(t, control.Leader.StartRetire(t.Context(), "store-1"), leader.ErrUnknownNode)
+	}
+}
+
+func TestTheSeedAsksStoresToHoldTheCore(t *testing.T) {
+	s := newSite(t)
+	s.openControls()
+	first := newHosting(s.controls[0].config.Settings, s.controls[0].Core)
+	ask := func(i int) *wire.HostCore {
+		address := net.JoinHostPort(storeIP(i), fmt.Sprint(s.port+2))
+		return first.Order(&wire.Member{Storage: true, Address: address, Zone: fmt.Sprint("zone-", i)}, nil)
+	}
+	require.Eventually(t, func() bool { return ask(0) != nil }, soon, often)
+	require.Equal(t, &wire.HostCore{Host: true}, ask(1))
+	require.Equal(t, &wire.HostCore{Host: true}, ask(2))
+	require.Nil(t, ask(3), "three bear the loss of one")
+	s.openStores(3)
+	require.NoError(t, s.submit(s.stores[0]))
+	require.Eventually(t, func() bool { return !s.controls[0].Core.WantsStores() }, soon, often)
+	require.Nil(t, ask(3), "it is founded: now the leader asks")
+
+	leading := newHosting(s.leader().config.Settings, s.leader().Core)
+	require.True(t, leading.Hosts(net.JoinHostPort(storeIP(1), "9")))
+	require.False(t, leading.Hosts(net.JoinHostPort(storeIP(3), "9")))
+}
+
+func TestWithoutDisksAndWithoutStoresOrdersAreRefusedWithTheReason(t *testing.T) {
+	s := newSite(t)
+	s.openControls()
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	command, err := state.Encode(&state.Show{})
+	require.NoError(t, err)
+	_, err = s.controls[0].Core.Submit(ctx, command)
+	require.ErrorIs(t, err, core.ErrUnavailable)
+	require.ErrorContains(t, err, "storage machines")
+}
--- a/standin/cluster/process.go
+++ b/standin/cluster/process.go
@@ -40,6 +40,9 @@
 // LogPath is where its standard error goes.
 func (p *Process) LogPath() string { return p.log }
 
+// DataPath is its data folder.
+func (p *Process) DataPath() string { return p.data }
+
 // PID is the id of the operating system's process, or 0.
 func (p *Process) PID() int {
 	p.mutex.Lock()
--- /dev/null
+++ b/systemtest/diskless_test.go
@@ -0,0 +1,117 @@
+package systemtest
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ravendale/control/status"
+	"ravendale/standin/cluster"
+	"ravendale/standin/protocol"
+)
+
+const wholeBound = 30 * time.Second // for a store to be filled, or emptied
+
+// diskless is a cluster whose control processes have no disk, so that stores hold the core.
+func diskless(spec *cluster.Spec) { spec.DisklessControl = true }
+
+// hostsCore says whether a store's disk has a part of the core.
+func hostsCore(store *cluster.Process) bool {
+	_, err := os.Stat(filepath.Join(store.DataPath(), "control"))
+	return err == nil
+}
+
+func TestControlWithoutDisksOutlivesTheKillOfAllProcesses(t *testing.T) {
+	r := startWith(t, diskless)
+	for _, store := range r.system.Stores {
+		assert.True(t, hostsCore(store), store.Name())
+	}
+	wait := r.load(3 * time.Second)
+	r.patch(protocol.Patch{Upsert: protocol.Upsert{Routes: []protocol.Route{extraRoute(r, 700)}}})
+	r.crash(r.system.Processes(), 500*time.Millisecond, nil) // right after an acknowledgement
+	r.showIsNewest()
+	r.patch(protocol.Patch{Upsert: protocol.Upsert{Routes: []protocol.Route{extraRoute(r, 800)}}})
+	wait()
+	r.awaitReady(len(r.system.Edges))
+	over := r.world.Record.Now()
+	r.load(3 * time.Second)()
+	assert.GreaterOrEqual(t, r.acceptedSince(over), served)
+	r.verify()
+}
+
+func TestControlWithoutDisksOutlivesAStoreWithoutItsDisk(t *testing.T) {
+	r := startWith(t, diskless)
+	wait := r.load(10 * time.Second)
+	for i, store := range r.system.Stores { // the leader is one of them
+		r.patch(protocol.Patch{Upsert: protocol.Upsert{Routes: []protocol.Route{extraRoute(r, 500+i)}}})
+		r.crash([]*cluster.Process{store}, 300*time.Millisecond, (*cluster.Process).Wipe)
+		r.showIsNewest()
+		r.awaitWhole(store)
+	}
+	wait()
+	r.verify()
+}
+
+// awaitWhole waits until a store that lost its disk is in the core's chain and holds its part of the queue. The next change is
+// acknowledged only once it holds all of the core.
+func (r *rig) awaitWhole(store *cluster.Process) {
+	r.t.Helper()
+	require.Eventually(r.t, func() bool {
+		answer := r.staff.Call(r.within(ackBound), http.MethodGet, "/v1/status", nil, nil)
+		var seen status.Status
+		if json.Unmarshal(answer.Body, &seen) != nil || seen.Placement == nil {
+			return false
+		}
+		return inChain(&seen.Core, r.system.ControlRPC(store)) && filled(seen.Placement)
+	}, wholeBound, 50*time.Millisecond, "%s is not whole", store.Name())
+}
+
+func inChain(core *status.Core, address string) bool {
+	return slices.ContainsFunc(core.Voters, func(voter status.Voter) bool {
+		return voter.Address == address && slices.Contains(core.Chain, voter.Disk)
+	})
+}
+
+func filled(placement *status.Placement) bool {
+	return placement.UnderStrength == 0 && !slices.ContainsFunc(placement.Stores, func(s status.Store) bool { return s.Joining > 0 })
+}
+
+func TestControlWithoutDisksRetiresAVoter(t *testing.T) {
+	r := startWith(t, func(spec *cluster.Spec) {
+		diskless(spec)
+		spec.StoresPerZone = 2
+	})
+	var voter *cluster.Process
+	for _, store := range r.system.Stores {
+		if hostsCore(store) {
+			voter = store
+		}
+	}
+	require.NotNil(t, voter)
+	wait := r.load(6 * time.Second)
+	answer := r.staff.StartRetire(r.within(ackBound), voter.Node(), 10*time.Second)
+	require.Equal(t, http.StatusOK, answer.Status, "%s", answer.Body)
+	require.Eventually(t, func() bool {
+		state, err := r.staff.RetireState(r.within(ackBound), voter.Node())
+		return err == nil && state == "done"
+	}, wholeBound, 50*time.Millisecond, "it is not emptied")
+	require.Eventually(t, func() bool { return !hostsCore(voter) }, startBound, 20*time.Millisecond, "it kept its part of the core")
+	hosts := 0
+	for _, store := range r.system.Stores {
+		if hostsCore(store) {
+			hosts++
+		}
+	}
+	assert.Equal(t, 3, hosts, "another store has taken its place")
+	require.NoError(t, voter.Kill())
+	r.patch(protocol.Patch{Upsert: protocol.Upsert{Routes: []protocol.Route{extraRoute(r, 700)}}})
+	wait()
+	r.verify()
+}
--- a/systemtest/rig_test.go
+++ b/systemtest/rig_test.go
@@ -144,6 +144,12 @@
 
 // start starts a system with a configuration in force, whose edges are all ready.
 func start(t *testing.T) *rig {
+	t.Helper()
+	return startWith(t, func(*cluster.Spec) {})
+}
+
+// startWith does the same with a cluster that differs from the usual one.
+func startWith(t *testing.T, differ func(spec *cluster.Spec)) *rig {
 	t.Helper()
 	t.Parallel()
 	atOnce <- struct{}{}
@@ -152,10 +158,12 @@
 	require.NoError(t, err)
 	t.Cleanup(world.Close)
 	folder := t.TempDir()
-	system, err := cluster.New(cluster.Spec{
+	spec := cluster.Spec{
 		Programs: programs, Folder: folder, Provider: world.Platform.Address(), ProviderRate: 20,
 		Zones: zones, EdgesPerZone: 1, StoresPerZone: 1, LostNodes: 1, Settings: settingsOfBounds(),
-	})
+	}
+	differ(&spec)
+	system, err := cluster.New(spec)
 	require.NoError(t, err)
 	r := &rig{t: t, world: world, system: system, folder: folder}
 	t.Cleanup(r.end)
