--- a/cmd/ravendale-store/corehost.go
+++ b/cmd/ravendale-store/corehost.go
@@ -157,7 +157,10 @@
 		time.Sleep(leftOutPoll)
 	}
 	err := errors.Join(os.RemoveAll(h.folder), journal.SyncFolder(h.settings.DataDir))
-	h.log.Info("the core runs beside this store no more", "error", err)
+	if err != nil {
+		h.log.Warn("what the core kept beside this store was not removed", "error", err)
+	}
+	h.log.Info("the core runs beside this store no more")
 	h.mu.Lock()
 	h.stop, h.leaving = nil, false
 	h.mu.Unlock()
