Replace the vote of a store that stops or is away before a second loss may come

A replaced store ceases to count once its successor has had catchupS, and a second loss may follow at once: the three voters would then be one, for good if that loss takes a disk. So a store that is told to stop hands its vote to another store, if there is one without, within the stop; a voter that is away for 1.5 s gets a substitute and is given up after 3 s. Where control machines have disks nothing changes.

A leader that stops or retires first gives the lease to another (Abdicate): after a change of the voters a lease that is given back is not believed for 1.2 s.

--- a/cmd/ravendale-store/corehost.go
+++ b/cmd/ravendale-store/corehost.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"ravendale/control/plane"
+	"ravendale/control/view"
 	"ravendale/queue/journal"
 	"ravendale/settings"
 )
@@ -113,6 +114,15 @@
 	return journal.SyncFolder(h.settings.DataDir)
 }
 
+// abdicate has another member lead, if this one does.
+func (h *coreHost) abdicate() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.plane != nil {
+		h.plane.Core.Abdicate()
+	}
+}
+
 // leave has the other members go on without this one, and ends the core here once they do.
 func (h *coreHost) leave() {
 	h.mu.Lock()
@@ -172,6 +182,18 @@
 	return h.plane != nil
 }
 
+// votes says whether this store has a vote in the core, and how many have.
+func (h *coreHost) votes() (has bool, voters int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.plane == nil {
+		return false, 0
+	}
+	status := h.plane.Core.Status()
+	_, has = (&view.View{Voters: status.Voters}).Voter(status.ID)
+	return has, len(status.Voters)
+}
+
 // setSettings gives the core settings that were read again.
 func (h *coreHost) setSettings(s *settings.Settings) {
 	h.mu.Lock()
--- a/cmd/ravendale-store/process.go
+++ b/cmd/ravendale-store/process.go
@@ -18,6 +18,7 @@
 const (
 	leaveTime   = 400 * time.Millisecond // to tell the leader
 	handOffTime = 1500 * time.Millisecond
+	voteTime    = 2500 * time.Millisecond // for another store to take over the vote in the core
 	handOffLook = 50 * time.Millisecond
 	graceMargin = 1500 * time.Millisecond // before the grace is over, the process has ended
 	listenFor   = 3 * time.Second         // the process before this one may still hold the address
@@ -137,11 +138,22 @@
 // leave has the leader move what this store decides to others, and serves until then, or for as long as there is time.
 func (p *process) leave() {
 	grace := max(settings.Seconds(p.env.Settings.Bounds.GraceS)-graceMargin, 0)
-	deadline := time.Now().Add(min(handOffTime, grace))
+	started := time.Now()
 	told, cancel := context.WithTimeout(context.Background(), leaveTime)
 	p.agent.Leave(told)
 	cancel()
-	for p.store.Primary() && time.Now().Before(deadline) {
+	for p.store.Primary() && time.Since(started) < min(handOffTime, grace) {
 		time.Sleep(handOffLook)
 	}
+	p.core.abdicate()
+	for p.replaceable() && time.Since(started) < min(voteTime, grace) {
+		time.Sleep(handOffLook)
+	}
+}
+
+// replaceable says whether this store has a vote in the core that another store may take over: it might not come back.
+func (p *process) replaceable() bool {
+	has, voters := p.core.votes()
+	placed := p.agent.Snapshot().Stores
+	return has && placed != nil && len(placed.Stores) > voters
 }
--- a/control/core/core.go
+++ b/control/core/core.go
@@ -27,7 +27,10 @@
 	ErrDisk        = errors.New("core: disk failed")
 )
 
-const leastGoneAfter = 10 * time.Second // a member down for less keeps its vote
+const (
+	leastGoneAfter  = 10 * time.Second // a member down for less keeps its vote
+	storesGoneAfter = 3 * time.Second  // the same where stores are the core: there a substitute is asked to join sooner
+)
 
 // Machine is the state that is kept alike at all members. Its methods are called one at a time, on goroutines of the core's, and must depend on
 // nothing but what they are given; they must not call the Core.
@@ -113,6 +116,9 @@
 		GoneAfter: max(leastGoneAfter, 2*durationOf(settings.Bounds.CatchupS)), Terms: lease.DefaultTerms, LeastLog: leastLog,
 		Machine: c.config.Machine, Random: c.random,
 	}
+	if config.Storage {
+		config.GoneAfter = storesGoneAfter
+	}
 	var snapshot []byte
 	var records [][]byte
 	var err error
@@ -268,6 +274,11 @@
 	return c.running && c.node.foundsOnStores(c.now())
 }
 
+// Abdicate gives the leader lease, if this process has it, to another, and leaves it to others for a while.
+func (c *Core) Abdicate() {
+	c.step(func(now time.Duration) { c.node.Abdicate(now) })
+}
+
 // Leave has the other members take this one out of the voters as soon as they can spare it.
 func (c *Core) Leave() {
 	c.step(func(now time.Duration) { c.node.Leave(now) })
--- a/control/core/departing.go
+++ b/control/core/departing.go
@@ -7,43 +7,60 @@
 	"ravendale/control/view"
 )
 
-// handOver is how long a member that leaves waits for another to hold the leader lease: a change of the voters that names a holder lets
+// handOver is how long a member that leaves is kept while nobody holds the leader lease: a change of the voters that names a holder lets
 // that one go on, while one without a holder has all wait for the end of a lease that may be held.
 const handOver = 2 * time.Second
 
-// Leave has this member ask the others to go on without it, once it has given up the leader lease and another has it.
-func (n *node) Leave(now time.Duration) {
-	if n.leaveAt >= 0 {
-		return
-	}
-	n.leaveAt = now
-	n.config.Candidate = false
+// abstainFor is how long a member that gave the leader lease up does not seek it.
+const abstainFor = 10 * time.Second
+
+// Abdicate gives the leader lease back and has others take it at once: this member may be about to go.
+func (n *node) Abdicate(now time.Duration) {
+	n.abstainTill = now + abstainFor
 	if n.holder.Valid(now) {
 		n.drop(lossLeave)
-		n.sendBeats(now)
 	}
-	n.depart(now)
+	n.sendBeats(now)
 	n.finish(now)
 }
 
-// depart tells the others that this member leaves, as soon as it may.
-func (n *node) depart(now time.Duration) {
-	if n.departing || n.leaveAt < 0 || n.leaderAddress(now) == "" && now < n.leaveAt+handOver {
+// Leave has this member ask the others to go on without it.
+func (n *node) Leave(now time.Duration) {
+	if n.departing {
 		return
 	}
-	n.departing = true
-	n.beatAt = now
+	n.departing, n.leaveAt = true, now
+	n.config.Candidate = false
+	n.Abdicate(now)
 }
 
-func (n *node) onLeaving(m *leaving) {
-	if m.ID == n.self.ID {
+// tellLeaving goes along with each beat of a member that has abdicated or leaves.
+func (n *node) tellLeaving(now time.Duration) {
+	if n.departing || now < n.abstainTill {
+		n.sendVoters(&leaving{ID: n.self.ID, Vote: n.departing})
+	}
+}
+
+func (n *node) onLeaving(now time.Duration, m *leaving) {
+	p := n.find(m.ID)
+	if m.ID == n.self.ID || p == nil {
 		return
 	}
-	if p := n.find(m.ID); p != nil {
-		p.leaving = true
+	p.abstainTill = now + silentAfter
+	if m.Vote && !p.leaving {
+		p.leaving, p.leavingSince = true, now
 	}
 }
 
+// abstains says whether a member leaves the leader lease to others.
+func (n *node) abstains(now time.Duration, id view.ID) bool {
+	if id == n.self.ID {
+		return now < n.abstainTill
+	}
+	p := n.find(id)
+	return p != nil && now < p.abstainTill
+}
+
 // spared says whether a member wishes to leave and may: those that stay are a chain that lasts, each of them whole and heard by this one.
 func (n *node) spared(now time.Duration, id view.ID) bool {
 	if !n.asksToLeave(id) {
@@ -52,6 +69,9 @@
 	if !n.isVoter(id) {
 		return true
 	}
+	if !n.handedOver(now, id) {
+		return false
+	}
 	rest := view.View{}
 	for _, member := range n.view.Voters {
 		if member.ID == id || n.asksToLeave(member.ID) {
@@ -66,6 +86,20 @@
 	return len(rest.Voters) > 0 && n.config.Durability.Met(&rest)
 }
 
+// handedOver says whether another than a member that leaves holds the leader lease, or nobody takes it.
+func (n *node) handedOver(now time.Duration, id view.ID) bool {
+	leader := n.leaderAddress(now)
+	if leader != "" {
+		member, _ := n.view.Voter(id)
+		return leader != member.Address
+	}
+	since := n.leaveAt
+	if id != n.self.ID {
+		since = n.find(id).leavingSince
+	}
+	return now >= since+handOver
+}
+
 func (n *node) asksToLeave(id view.ID) bool {
 	if id == n.self.ID {
 		return n.departing
--- a/control/core/leading.go
+++ b/control/core/leading.go
@@ -12,7 +12,7 @@
 	lossSilence = "no majority renewed it in time"
 	lossStop    = "the process stops"
 	lossChain   = "not in the chain any more"
-	lossLeave   = "this member leaves the core"
+	lossLeave   = "it was handed over"
 )
 
 func (n *node) onLeaseRequest(now time.Duration, from view.Member, m *lease.Request) {
@@ -92,7 +92,7 @@
 
 // seeking says whether this node may need the lease soon.
 func (n *node) seeking(now time.Duration) bool {
-	return n.config.Candidate && n.chain.Attached() && !n.leads(now) && n.leaderAddress(now) == ""
+	return n.config.Candidate && now >= n.abstainTill && n.chain.Attached() && !n.leads(now) && n.leaderAddress(now) == ""
 }
 
 // seekLease renews the lease, or asks for it when nobody has it: the first of the chain at once, others later.
@@ -145,7 +145,7 @@
 		if id == n.self.ID {
 			return rank
 		}
-		if n.hears(now, id) {
+		if n.hears(now, id) && !n.abstains(now, id) {
 			rank++
 		}
 	}
--- a/control/core/messages.go
+++ b/control/core/messages.go
@@ -79,9 +79,10 @@
 	Result  []byte
 }
 
-// leaving tells that a member wishes to be no voter any more.
+// leaving tells that a member won't seek the leader lease for a while, and whether it wishes to be no voter any more.
 type leaving struct {
-	ID view.ID
+	ID   view.ID
+	Vote bool
 }
 
 // record is one change of the image on disk. One of its parts is set.
--- a/control/core/messages_gen.go
+++ b/control/core/messages_gen.go
@@ -781,8 +781,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
 	err = z.ID.DecodeMsg(dc)
@@ -790,13 +790,18 @@
 		err = msgp.WrapError(err, "ID")
 		return
 	}
+	z.Vote, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Vote")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *leaving) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 1
-	err = en.Append(0x91)
+	// array header, size 2
+	err = en.Append(0x92)
 	if err != nil {
 		return
 	}
@@ -805,19 +810,25 @@
 		err = msgp.WrapError(err, "ID")
 		return
 	}
+	err = en.WriteBool(z.Vote)
+	if err != nil {
+		err = msgp.WrapError(err, "Vote")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *leaving) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
+	// array header, size 2
+	o = append(o, 0x92)
 	o, err = z.ID.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "ID")
 		return
 	}
+	o = msgp.AppendBool(o, z.Vote)
 	return
 }
 
@@ -829,8 +840,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
 	bts, err = z.ID.UnmarshalMsg(bts)
@@ -838,13 +849,18 @@
 		err = msgp.WrapError(err, "ID")
 		return
 	}
+	z.Vote, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Vote")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *leaving) Msgsize() (s int) {
-	s = 1 + z.ID.Msgsize()
+	s = 1 + z.ID.Msgsize() + msgp.BoolSize
 	return
 }
 
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -103,9 +103,10 @@
 	voter *lease.Voter
 	idle  bool // the head, but started in this epoch
 
-	founding  *founding     // by seeds without a disk, in the first life of the system; nil: not here
-	leaveAt   time.Duration // when it was told to leave; negative: it was not
-	departing bool          // it asks to be no voter any more
+	founding    *founding     // by seeds without a disk, in the first life of the system; nil: not here
+	departing   bool          // it asks to be no voter any more
+	leaveAt     time.Duration // since when
+	abstainTill time.Duration // until then it does not seek the leader lease
 
 	unborn bool // its identity is not on disk yet
 
@@ -142,13 +143,15 @@
 }
 
 type peer struct {
-	member    view.Member
-	beat      beat
-	heard     time.Duration
-	since     time.Duration // heard without a pause since
-	refused   bool
-	contacted bool // was heard at least once
-	leaving   bool // it wishes to be no voter any more
+	member       view.Member
+	beat         beat
+	heard        time.Duration
+	since        time.Duration // heard without a pause since
+	refused      bool
+	contacted    bool // was heard at least once
+	leaving      bool // it wishes to be no voter any more
+	leavingSince time.Duration
+	abstainTill  time.Duration // until then it does not seek the leader lease
 }
 
 type command struct {
@@ -177,7 +180,7 @@
 // that is on disk.
 func newNode(now time.Duration, config nodeConfig, snapshot []byte, records [][]byte) (*node, error) {
 	n := &node{
-		config: config, started: now, ticked: now, grace: now + silentAfter, wanted: -1, leaveAt: -1,
+		config: config, started: now, ticked: now, grace: now + silentAfter, wanted: -1,
 		peers: make(map[string]*peer), pending: make(map[uint64]*command), leaderLost: now,
 		origin: config.Random() | 1, beatAt: now,
 	}
@@ -487,7 +490,7 @@
 	case *lease.Release:
 		n.voter.Release(from.ID, m)
 	case *leaving:
-		n.onLeaving(m)
+		n.onLeaving(now, m)
 	}
 }
 
@@ -550,7 +553,6 @@
 
 func (n *node) work(now time.Duration) {
 	n.watch(now)
-	n.depart(now)
 	if now >= n.beatAt {
 		n.sendBeats(now)
 	}
--- a/control/core/peers.go
+++ b/control/core/peers.go
@@ -193,9 +193,7 @@
 			n.deliver(post{address, message})
 		}
 	}
-	if n.departing {
-		n.sendVoters(&leaving{ID: n.self.ID})
-	}
+	n.tellLeaving(now)
 }
 
 // audience is whom the node's beats go to: all whom it knows. Processes without a disk, of which there may be many, spare one another those, but
--- a/control/plane/hosting.go
+++ b/control/plane/hosting.go
@@ -19,27 +19,57 @@
 
 	mu        sync.Mutex
 	recruiter *recruiter
+	stopping  map[string]time.Duration // when a store said last that it stops, by the core's address on its machine
 }
 
+const stopWithin = 5 * time.Second // after which a store that said that it stops is a voter like others, until it is heard of again
+
 func newHosting(s *settings.Settings, c *core.Core) *hosting {
 	wanted := core.DurabilityOf(s).Voters()
-	return &hosting{settings: s, core: c, started: time.Now(), recruiter: newRecruiter(wanted)}
+	return &hosting{settings: s, core: c, started: time.Now(), recruiter: newRecruiter(wanted), stopping: make(map[string]time.Duration)}
 }
 
 // Order implements leader.Hosting.
 func (h *hosting) Order(store *wire.Member, placement *wire.StoreView) *wire.HostCore {
 	address := controlAddress(h.settings, store.Address)
-	if address == "" || store.Leaving {
+	if address == "" {
 		return nil
 	}
 	now := time.Since(h.started)
 	if !h.core.Leads() {
-		if !h.core.WantsStores() {
+		if store.Leaving || !h.core.WantsStores() {
 			return nil
 		}
 		return h.decide(now, &membership{}, address, store.Zone)
 	}
-	return h.decide(now, h.membership(placement), address, store.Zone)
+	known := h.membership(placement)
+	known.stopping = h.stops(now, address, store.Leaving)
+	if address == h.settings.ControlAddress(h.settings.IP) {
+		if known.retiring[address] {
+			h.core.Abdicate() // the next leader has it replaced
+		}
+		return nil
+	}
+	return h.decide(now, known, address, store.Zone)
+}
+
+// stops notes whether a store says that it stops, and lists those that do.
+func (h *hosting) stops(now time.Duration, address string, leaving bool) map[string]bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.stopping, address)
+	if leaving {
+		h.stopping[address] = now
+	}
+	stopping := make(map[string]bool)
+	for address, at := range h.stopping {
+		if now-at >= stopWithin {
+			delete(h.stopping, address)
+			continue
+		}
+		stopping[address] = true
+	}
+	return stopping
 }
 
 func (h *hosting) decide(now time.Duration, core *membership, address, zone string) *wire.HostCore {
--- a/control/plane/recruiter.go
+++ b/control/plane/recruiter.go
@@ -8,12 +8,12 @@
 
 // Times by which stores are asked to take part in the core.
 const (
-	zonePatience  = 700 * time.Millisecond // so long a store of a zone that has none yet is waited for
-	answerWithin  = 3 * time.Second        // after which a store that was asked and has not come is not counted on any more
-	askAgain      = time.Second            // between two questions to the same store
-	replaceAfter  = 10 * time.Second       // a voter that is away for longer gets a substitute
-	leavePatience = 2 * time.Second        // so long a substitute for a store that retires is waited for
-	votersAtMost  = 2                      // times the wanted number: more than that are not asked, whatever is away
+	zonePatience  = 700 * time.Millisecond  // so long a store of a zone that has none yet is waited for
+	answerWithin  = 3 * time.Second         // after which a store that was asked and has not come is not counted on any more
+	askAgain      = time.Second             // between two questions to the same store
+	replaceAfter  = 1500 * time.Millisecond // a voter that is away for longer gets a substitute: a second loss may follow soon
+	leavePatience = 2 * time.Second         // so long a substitute for a store that retires is waited for
+	votersAtMost  = 2                       // times the wanted number: more than that are not asked, whatever is away
 )
 
 // membership is what a process knows of the core.
@@ -21,8 +21,12 @@
 	voters   []view.Member
 	chain    []view.ID
 	retiring map[string]bool // rpc addresses of the core's members on machines that are being emptied
+	stopping map[string]bool // the same of those that were told to stop, and may not come back
 }
 
+// stays says whether a member is counted on.
+func (m *membership) stays(address string) bool { return !m.retiring[address] && !m.stopping[address] }
+
 func (m *membership) voter(address string) (view.Member, bool) {
 	for _, member := range m.voters {
 		if member.Address == address {
@@ -64,7 +68,7 @@
 // joins says whether a store that was just heard of is to be asked to take part.
 func (r *recruiter) joins(now time.Duration, core *membership, address, zone string) bool {
 	r.look(now, core)
-	if core.retiring[address] {
+	if !core.stays(address) {
 		return false
 	}
 	if last, ok := r.asked[address]; ok && now-last.at < askAgain {
@@ -112,7 +116,7 @@
 // count tells how many voters are to stay, and how many of them are in the chain.
 func (r *recruiter) count(core *membership) (staying, attached int) {
 	for _, member := range core.voters {
-		if core.retiring[member.Address] {
+		if !core.stays(member.Address) {
 			continue
 		}
 		staying++
@@ -137,7 +141,7 @@
 // covered says whether a zone has a member already, or one that was asked.
 func (r *recruiter) covered(core *membership, zone string) bool {
 	for _, member := range core.voters {
-		if member.Zone == zone && core.attached(member.ID) && !core.retiring[member.Address] {
+		if member.Zone == zone && core.attached(member.ID) && core.stays(member.Address) {
 			return true
 		}
 	}
@@ -149,9 +153,10 @@
 	return false
 }
 
-// leaves says whether a store that is being emptied is to give its vote up: once enough others hold the state, or if none more come.
+// leaves says whether a store is to give its vote up, as it is being emptied or stops: once enough others hold the state. One that is being
+// emptied also leaves if none more come.
 func (r *recruiter) leaves(now time.Duration, core *membership, address string) bool {
-	if _, voter := core.voter(address); !voter || !core.retiring[address] {
+	if _, voter := core.voter(address); !voter || core.stays(address) {
 		delete(r.leavingSince, address)
 		return false
 	}
@@ -160,6 +165,8 @@
 		began = now
 		r.leavingSince[address] = now
 	}
-	_, attached := r.count(core)
-	return attached >= r.wanted || now-began >= leavePatience && len(r.asked) == 0
+	if _, attached := r.count(core); attached >= r.wanted {
+		return true
+	}
+	return core.retiring[address] && now-began >= leavePatience && len(r.asked) == 0
 }
--- a/control/plane/recruiter_test.go
+++ b/control/plane/recruiter_test.go
@@ -82,6 +82,18 @@
 	require.False(t, r.leaves(leavePatience, replaced, "store-9"), "it takes no part")
 }
 
+func TestAStoreThatStopsLeavesOnlyForASubstitute(t *testing.T) {
+	r, core := newRecruiter(3), coreOf([]string{"a", "b", "c"})
+	core.stopping = map[string]bool{"store-1": true}
+	require.False(t, r.leaves(0, core, "store-1"))
+	require.False(t, r.leaves(time.Minute, core, "store-1"), "it may come back, with its disk")
+	require.True(t, r.joins(time.Minute, core, "d1", "d"))
+	replaced := coreOf([]string{"a", "b", "c", "d"})
+	replaced.stopping = core.stopping
+	require.True(t, r.leaves(time.Minute, replaced, "store-1"))
+	require.False(t, r.joins(time.Minute, replaced, "store-1", "b"))
+}
+
 func TestAStoreThatRetiresLeavesIfThereIsNoSubstitute(t *testing.T) {
 	r, core := newRecruiter(3), coreOf([]string{"a", "b", "c"})
 	core.retiring["store-1"] = true
