--- a/queue/edge.go
+++ b/queue/edge.go
@@ -178,7 +178,7 @@
 	}
 	whole := e.live.whole && e.live.holder == by
 	if e.live.holder == nil {
-		c.remindLater(p, e, by)
+		c.remindLater(p, e)
 	}
 	c.lease(e, by)
 	c.own(p, e, by)
@@ -202,12 +202,8 @@
 	if e.live == nil || e.live.holder == nil {
 		return
 	}
-	if e.live.whole {
-		e.live.holder.given--
-		c.unqueue(e.live.holder)
-	}
+	c.uncount(e.live)
 	e.live.holder = nil
-	e.live.whole = false
 	e.live.granted = false
 	e.live.owed = false
 }
--- a/simulation/edge_test.go
+++ b/simulation/edge_test.go
@@ -145,7 +145,7 @@
 }
 
 // Limit implements dispatch.Workers.
-func (d *deliveries) Limit(map[string]int) {}
+func (d *deliveries) Limit(map[string]worker.Share) {}
 
 // delivery is a call of a worker. It implements dispatch.Call.
 type delivery struct {
--- a/wire/membership_gen.go
+++ b/wire/membership_gen.go
@@ -2412,8 +2412,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	{
@@ -2470,6 +2470,11 @@
 		err = msgp.WrapError(err, "Delta")
 		return
 	}
+	z.Compressed, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Compressed")
+		return
+	}
 	z.Payload, err = dc.ReadBytes(z.Payload)
 	if err != nil {
 		err = msgp.WrapError(err, "Payload")
@@ -2480,8 +2485,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Update) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 5
-	err = en.Append(0x95)
+	// array header, size 6
+	err = en.Append(0x96)
 	if err != nil {
 		return
 	}
@@ -2525,6 +2530,11 @@
 		err = msgp.WrapError(err, "Delta")
 		return
 	}
+	err = en.WriteBool(z.Compressed)
+	if err != nil {
+		err = msgp.WrapError(err, "Compressed")
+		return
+	}
 	err = en.WriteBytes(z.Payload)
 	if err != nil {
 		err = msgp.WrapError(err, "Payload")
@@ -2536,8 +2546,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Update) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendUint8(o, uint8(z.Topic))
 	// array header, size 2
 	o = append(o, 0x92)
@@ -2548,6 +2558,7 @@
 	o = msgp.AppendUint64(o, z.To.Term)
 	o = msgp.AppendUint64(o, z.To.Sequence)
 	o = msgp.AppendBool(o, z.Delta)
+	o = msgp.AppendBool(o, z.Compressed)
 	o = msgp.AppendBytes(o, z.Payload)
 	return
 }
@@ -2560,8 +2571,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	{
@@ -2618,6 +2629,11 @@
 		err = msgp.WrapError(err, "Delta")
 		return
 	}
+	z.Compressed, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Compressed")
+		return
+	}
 	z.Payload, bts, err = msgp.ReadBytesBytes(bts, z.Payload)
 	if err != nil {
 		err = msgp.WrapError(err, "Payload")
@@ -2629,7 +2645,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Update) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + 1 + msgp.Uint64Size + msgp.Uint64Size + 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Payload)
+	s = 1 + msgp.Uint8Size + 1 + msgp.Uint64Size + msgp.Uint64Size + 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Payload)
 	return
 }
 
