--- a/control/chain/chain.go
+++ b/control/chain/chain.go
@@ -346,7 +346,7 @@
 	}
 	c.taken = true
 	c.state.Whole = c.epoch
-	c.commit(message.Committed)
+	c.commit(min(message.Committed, c.synced)) // of the rest it hears once that is on its own disk, too
 }
 
 func (c *Chain) install(message *Fill) {
--- a/control/core/messages.go
+++ b/control/core/messages.go
@@ -6,9 +6,9 @@
 )
 
 //go:generate go run github.com/tinylib/msgp -file messages.go -o messages_gen.go -tests=false -unexported
-//msgp:tuple beat decided propose forward forwardReply
+//msgp:tuple beat decided propose forward forwardReply leaving
 
-// Methods of the core's messages, all of them notifications but the last.
+// Methods of the core's messages, all of them notifications but methodForward.
 const (
 	methodBeat wire.Method = wire.MethodCorePrivate + iota
 	methodPrepare
@@ -26,6 +26,7 @@
 	methodLeaseReply
 	methodLeaseRelease
 	methodForward // forward, forwardReply
+	methodLeaving
 )
 
 // beat is what a process tells all others of the core now and then.
@@ -76,3 +77,9 @@
 	Outcome outcome
 	Result  []byte
 }
+
+// leaving tells that a member won't seek the leader lease for a while, and whether it wishes to be no voter any more.
+type leaving struct {
+	ID   view.ID
+	Vote bool
+}
--- a/control/core/messages_gen.go
+++ b/control/core/messages_gen.go
@@ -560,6 +560,97 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *leaving) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	err = z.ID.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Vote, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Vote")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *leaving) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = z.ID.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	err = en.WriteBool(z.Vote)
+	if err != nil {
+		err = msgp.WrapError(err, "Vote")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *leaving) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o, err = z.ID.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	o = msgp.AppendBool(o, z.Vote)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *leaving) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	bts, err = z.ID.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Vote, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Vote")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *leaving) Msgsize() (s int) {
+	s = 1 + z.ID.Msgsize() + msgp.BoolSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *outcome) DecodeMsg(dc *msgp.Reader) (err error) {
 	{
--- a/control/core/simulation_test.go
+++ b/control/core/simulation_test.go
@@ -90,6 +90,7 @@
 	queue       []event // heap by time, then by order of making
 	made        uint64
 	members     []*simulated
+	fronts      []*simulated // processes without a disk: then they are the seeds, and the members are stores
 	byAddr      map[string]*simulated
 	cut         map[[2]string]bool // from, to
 	loss        float64
@@ -125,28 +126,29 @@
 
 // simulated is one machine.
 type simulated struct {
-	s       *simulation
-	address string
-	zone    string
-	folder  *slotstest.Folder
-	store   *slots.Store
-	node    *node
-	machine *register
-	life    int
-	running bool
-	frozen  bool
-	thawed  []func()
-	rate    float64 // of its steady clock
-	offset  time.Duration
-	fresh   bool // bootstrap
-	idSeed  uint64
-	writes  []diskWrite
-	writing bool
-	calls   map[uint64]string // commands by number
-	changes []change          // of the chain, as told
-	counted int               // commands applied, of which the time has been taken
-	stalled time.Duration     // until then the disk ends nothing
-	told    []diskChange
+	s        *simulation
+	address  string
+	zone     string
+	folder   *slotstest.Folder
+	store    *slots.Store
+	node     *node
+	machine  *register
+	life     int
+	running  bool
+	frozen   bool
+	thawed   []func()
+	rate     float64 // of its steady clock
+	offset   time.Duration
+	fresh    bool // bootstrap
+	diskless bool
+	idSeed   uint64
+	writes   []diskWrite
+	writing  bool
+	calls    map[uint64]string // commands by number
+	changes  []change          // of the chain, as told
+	counted  int               // commands applied, of which the time has been taken
+	stalled  time.Duration     // until then the disk ends nothing
+	told     []diskChange
 }
 
 func newSimulation(seed uint64, members, lost int, m mutant) *simulation {
@@ -171,7 +173,11 @@
 
 func (s *simulation) seeds() []string {
 	var seeds []string
-	for _, member := range s.members[:min(3, len(s.members))] {
+	seeding := s.members
+	if len(s.fronts) > 0 {
+		seeding = s.fronts
+	}
+	for _, member := range seeding[:min(3, len(seeding))] {
 		seeds = append(seeds, member.address)
 	}
 	return seeds
@@ -265,13 +271,18 @@
 	if m.running {
 		return
 	}
-	store, snapshot, records, err := slots.OpenFolder(m.folder)
-	if err != nil {
-		m.s.fail("%s: %v", m.address, err)
-		return
+	var store *slots.Store
+	var snapshot []byte
+	var records [][]byte
+	if !m.diskless {
+		var err error
+		if store, snapshot, records, err = slots.OpenFolder(m.folder); err != nil {
+			m.s.fail("%s: %v", m.address, err)
+			return
+		}
 	}
 	fault := ""
-	if store.Err() != nil {
+	if store != nil && store.Err() != nil {
 		fault = store.Err().Error()
 	}
 	m.life++
@@ -288,7 +299,8 @@
 		terms.Margin = -terms.Length
 	}
 	config := nodeConfig{
-		Address: m.address, Zone: m.zone, Seeds: m.s.seeds(), Bootstrap: m.fresh && snapshot == nil, Disk: true, Candidate: true,
+		Address: m.address, Zone: m.zone, Seeds: m.s.seeds(), Bootstrap: m.fresh && snapshot == nil, Disk: !m.diskless, Candidate: true,
+		Storage:    len(m.s.fronts) > 0,
 		Durability: view.Durability{Copies: m.s.lost + 1}, DownAfter: m.s.downAfter(), GoneAfter: GoneAfter(m.s.catchup), Terms: terms, LeastLog: m.s.leastLog, MostRecords: cmp.Or(m.s.mostRecords, m.s.leastLog/4), Machine: m.machine,
 		Random: func() uint64 {
 			drawn++
@@ -300,7 +312,7 @@
 		DiskFault: fault,
 		faults: faults{
 			minority: m.s.mutant == minorityView, unsyncedOK: m.s.mutant == unsyncedAck, forgetful: m.s.mutant == forgetfulVoter,
-			staleImage: m.s.mutant == staleImage, eager: m.s.mutant == eagerMember, alone: m.s.mutant == loneCommit, unbounded: m.s.mutant == applyAll,
+			staleImage: m.s.mutant == staleImage, eager: m.s.mutant == eagerMember, alone: m.s.mutant == loneCommit, amnesiac: m.s.mutant == amnesiacSeed, unbounded: m.s.mutant == applyAll,
 			staying: m.s.mutant == stayingVote, voting: m.s.mutant == eagerVote, hollow: m.s.mutant == hollowChain,
 		},
 	}
--- a/control/core/submit.go
+++ b/control/core/submit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"ravendale/rpc"
@@ -37,11 +38,11 @@
 		}
 		left := time.Until(deadline)
 		if left <= 0 {
-			return nil, ErrUnavailable
+			return nil, err
 		}
 		select {
 		case <-ctx.Done():
-			return nil, ErrUnavailable
+			return nil, err
 		case <-time.After(min(left, forwardPace)):
 		}
 	}
@@ -99,6 +100,9 @@
 	return nil, err
 }
 
+// errNobody is why nothing can be forwarded as long as no member was ever heard of.
+var errNobody = fmt.Errorf("%w: no member of the core is known; without a disk on any control machine storage machines hold it", ErrUnavailable)
+
 // forward has a member submit the command. Only while that surely did not, another is asked.
 func (c *Core) forward(ctx context.Context, command []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, unsentWait)
@@ -106,6 +110,9 @@
 	c.mu.Lock()
 	takers := c.node.takers(c.now())
 	c.mu.Unlock()
+	if len(takers) == 0 {
+		return nil, errNobody
+	}
 	conns := c.links.opened(takers)
 	for i, conn := range conns {
 		result, err := c.ask(ctx, conn, command, i+1 < len(conns))
--- a/control/core/views.go
+++ b/control/core/views.go
@@ -80,7 +80,8 @@
 		Touch:    func(a, b view.ID) bool { return n.touch(now, a, b) },
 		Down:     func(id view.ID) bool { return n.silence(now, id) >= n.config.DownAfter },
 		Gone:     func(id view.ID) bool { return n.silence(now, id) >= n.config.GoneAfter },
-		Leaving:  n.leaves,
+		Leaving:  func(id view.ID) bool { return n.leaves(id) || n.mayDepart(now, id) },
+		Spared:   func(id view.ID) bool { return n.spared(now, id) },
 		Eager:    n.config.faults.voting,
 	}
 	for _, p := range n.peers {
--- a/control/leader/retire.go
+++ b/control/leader/retire.go
@@ -13,9 +13,9 @@
 )
 
 //go:generate go run github.com/tinylib/msgp -file retire.go -o retire_gen.go -tests=false
-//msgp:tuple Retire RetireReply
+//msgp:tuple Retire RetireReply RetireStateReply
 
-// Retire passes the operator's order on to the process that leads.
+// Retire passes the operator's order, or the question how far it is, on to the process that leads.
 type Retire struct {
 	Node string
 }
@@ -38,6 +38,12 @@
 	Reason string
 }
 
+// RetireStateReply answers the question how far a node is. Code is RetireStarted if that is known.
+type RetireStateReply struct {
+	Code RetireCode
+	Done bool
+}
+
 var retireErrors = map[RetireCode]error{
 	RetireUnknownNode: ErrUnknownNode,
 	RetireTooFew:      ErrTooFew,
@@ -105,9 +111,19 @@
 	return reply
 }
 
-// RetireState says whether a node's store that was asked to retire is empty. It goes by a placement that is no older than the question: at
-// the word that a store is empty its disk is thrown away, and an old placement may speak of an earlier store of the same name.
+// RetireState says whether a node's store that was asked to retire is empty, as the leader knows it. It goes by a placement that is no older
+// than the question: at the word that a store is empty its disk is thrown away, and an old placement may speak of an earlier store of the same
+// name. A store that has a vote in the core is not empty either.
 func (s *Service) RetireState(ctx context.Context, node string) (done bool, err error) {
+	address, known := s.config.Leader()
+	own := s.settings.Load()
+	if s.leading() == nil && known && address != own.ControlAddress(own.IP) {
+		return askRetireState(ctx, address, node)
+	}
+	return s.retireState(ctx, node)
+}
+
+func (s *Service) retireState(ctx context.Context, node string) (done bool, err error) {
 	view, err := s.newestPlacement(ctx)
 	if err != nil {
 		return false, err
@@ -119,7 +135,41 @@
 	if !known {
 		return false, fmt.Errorf("%w: %q", ErrUnknownNode, node)
 	}
-	return done, nil
+	return done && !s.hosts(view, node), nil
+}
+
+// serveRetireState answers another control process, as long as this one leads.
+func (s *Service) serveRetireState(_ *rpc.Conn, question *Retire, reply rpc.Reply) {
+	if s.leading() == nil {
+		reply.Send(&RetireStateReply{Code: RetireNotLeading})
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+		defer cancel()
+		done, err := s.retireState(ctx, question.Node)
+		answer := &RetireStateReply{Done: done}
+		if err != nil {
+			answer.Code = replyOf(err).Code
+		}
+		reply.Send(answer)
+	}()
+}
+
+func askRetireState(ctx context.Context, address, node string) (done bool, err error) {
+	conn, err := rpc.Dial(ctx, address, rpc.Options{})
+	if err != nil {
+		return false, fmt.Errorf("%w: %w", ErrNotLeading, err)
+	}
+	defer conn.Close()
+	var reply RetireStateReply
+	if err := conn.Call(ctx, wire.MethodRetireState, &Retire{Node: node}, &reply); err != nil {
+		return false, fmt.Errorf("%w: %w", ErrNotLeading, err)
+	}
+	if reply.Code != RetireStarted {
+		return false, retireErrors[reply.Code]
+	}
+	return reply.Done, nil
 }
 
 // newestPlacement is one that was in force when it was asked for, or later.
--- a/control/view/members.go
+++ b/control/view/members.go
@@ -28,9 +28,12 @@
 	return m.voters, m.learners
 }
 
-// keep keeps the members, except that a new disk replaces the one of its address, vote included.
+// keep keeps the members, except that a new disk replaces the one of its address, vote included, and that those go who wish to and may.
 func (m *membership) keep(current *View) {
 	for _, member := range current.Voters {
+		if m.spared(member.ID) {
+			continue
+		}
 		if successor, ok := m.successor(member); ok {
 			member = successor
 		}
@@ -39,7 +42,7 @@
 		}
 	}
 	for _, member := range current.Learners {
-		if _, replaced := m.successor(member); !replaced && !m.has(member.ID) {
+		if _, replaced := m.successor(member); !replaced && !m.has(member.ID) && !m.spared(member.ID) {
 			m.learners = append(m.learners, member)
 		}
 	}
@@ -110,6 +113,8 @@
 	return m.know.Joinable(member.ID) && !m.know.Leaving(member.ID)
 }
 
+func (m *membership) spared(id ID) bool { return m.know.Spared != nil && m.know.Spared(id) }
+
 func (m *membership) has(id ID) bool {
 	_, voter := find(m.voters, id)
 	_, learner := find(m.learners, id)
--- a/control/view/plan.go
+++ b/control/view/plan.go
@@ -9,7 +9,8 @@
 	Touch    func(a, b ID) bool // messages pass between both, both ways
 	Down     func(ID) bool      // it has been silent for so long that its vote had better be another's, or nobody's
 	Gone     func(ID) bool      // it has been down for so long that it is better forgotten
-	Leaving  func(ID) bool      // it lives, and is about to end
+	Leaving  func(ID) bool      // it lives, and is about to end or wishes to be no member any more
+	Spared   func(ID) bool      // it wishes to be no member any more, and the others can do without it; nil: none does
 	Others   []Member           // members that were heard of, whether or not they are of the view
 	Eager    bool               // a mistake that tests make on purpose: a newcomer gets a vote at once
 }
@@ -122,3 +123,8 @@
 	}
 	return len(zones) > d.LostZones && (d.LostRegions == 0 || len(regions) > d.LostRegions)
 }
+
+// Voters is how many voters bear the losses that are to be borne, if they lie in as many zones.
+func (d Durability) Voters() int {
+	return max(leastVoters, 2*max(d.Copies-1, d.LostZones, d.LostRegions)+1)
+}
