Spoil workers' answers in six ways against the real programs

The stand-in workers could lose, cut and repeat an answer; they now also reset the connection after the run, send another message's answer in place of the own one, and answer about the deadline. An answer is spoilt in one way at most, and the history says in which, and whether its connection had carried a message before.

--- a/standin/history/history.go
+++ b/standin/history/history.go
@@ -73,6 +73,8 @@
 	Status    int           // as answered; 0: no answer
 	Outcome   Outcome
 	Signature string
+	Reused    bool          // its connection had carried another request before
+	Spoilt    string        // what the worker did to its success; empty: nothing
 	Answered  bool          // the whole answer was written to a connection that stood
 	Written   time.Duration // when it had been written
 }
--- a/standin/workers/worker.go
+++ b/standin/workers/worker.go
@@ -20,14 +20,50 @@
 	"ravendale/standin/protocol"
 )
 
-// Troubles of a worker. Shares are of answers to runs that were a success.
+// Troubles of a worker.
 type Troubles struct {
-	Dark        bool    // it accepts connections and says nothing
-	Failing     bool    // it answers health checks 503, and each run 500
-	Slow        float64 // runs take so many times as long; 0: as usual
-	LoseShare   float64 // of answers that are never sent
-	CutShare    float64 // of answers that end early
-	RepeatShare float64 // of answers that are sent a second time, later
+	Dark    bool    // it accepts connections and says nothing
+	Failing bool    // it answers health checks 503, and each run 500
+	Slow    float64 // runs take so many times as long; 0: as usual
+	Spoilt
+}
+
+// Spoilt is how the answers to runs that were a success are spoilt, by share. An answer is spoilt in one way at most.
+type Spoilt struct {
+	LoseShare    float64 // never sent
+	CutShare     float64 // end early
+	ResetShare   float64 // the connection is reset in place of an answer
+	ForeignShare float64 // another message's answer, its id and signature, in place of the own one
+	LateShare    float64 // sent about the deadline that the request names, before it or after it
+	RepeatShare  float64 // sent a second time, later
+}
+
+// Names of the ways in which answers are spoilt, as history.Arrival has them.
+const (
+	SpoiltLost    = "lost"
+	SpoiltCut     = "cut"
+	SpoiltReset   = "reset"
+	SpoiltForeign = "foreign"
+	SpoiltLate    = "late"
+	SpoiltRepeat  = "repeated"
+)
+
+// draw chooses what becomes of an answer; empty: it is sent as it is.
+func (s Spoilt) draw() string {
+	drawn := rand.Float64()
+	for _, way := range []struct {
+		name  string
+		share float64
+	}{
+		{SpoiltLost, s.LoseShare}, {SpoiltCut, s.CutShare}, {SpoiltReset, s.ResetShare},
+		{SpoiltForeign, s.ForeignShare}, {SpoiltLate, s.LateShare}, {SpoiltRepeat, s.RepeatShare},
+	} {
+		if drawn < way.share {
+			return way.name
+		}
+		drawn -= way.share
+	}
+	return ""
 }
 
 // Sizes and times of a worker's connections.
@@ -35,6 +71,7 @@
 	maxBody     = 16 << 20
 	readerSize  = 4096
 	repeatAfter = 30 * time.Millisecond // until a second answer
+	lateSpread  = 0.25                  // a late answer comes within this part of the time allowed before its end, or after it
 )
 
 // Worker is one incarnation of a worker.
@@ -52,8 +89,24 @@
 	life     context.Context
 	endLife  context.CancelFunc
 
-	mutex sync.Mutex
-	conns map[*conn]bool
+	mutex    sync.Mutex
+	conns    map[*conn]bool
+	previous foreign // newest success
+}
+
+// foreign is an answer as it may be sent to another message.
+type foreign struct {
+	id    string
+	reply answer
+}
+
+// swap keeps a success, and returns the one before it.
+func (w *Worker) swap(id string, reply answer) foreign {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	before := w.previous
+	w.previous = foreign{id: id, reply: reply}
+	return before
 }
 
 func newWorker(fleet *Fleet, service *serviceState, listen Listen, listener net.Listener) *Worker {
@@ -172,6 +225,7 @@
 	worker *Worker
 	net    net.Conn
 	reader *bufio.Reader
+	used   bool // it has carried a message
 }
 
 func (c *conn) reset() {
@@ -271,14 +325,16 @@
 		Key:       request.Header.Get(protocol.HeaderOrderKey),
 		Body:      xxhash.Sum64(body),
 		Arrived:   record.Now(),
+		Reused:    c.used,
 	})
+	c.used = true
 	reply, given := worker.answerTo(ctx, request, arrival)
 	record.Change(arrival, func(a *history.Arrival) { a.Status = reply.status })
 	if !given {
 		return false
 	}
 	if reply.signature != "" {
-		return c.writeSuccess(ctx, reply, arrival)
+		return c.writeSuccess(ctx, reply, arrival, request.Header.Get(protocol.HeaderDeadline))
 	}
 	return c.write(id, reply)
 }
@@ -389,26 +445,39 @@
 }
 
 // writeSuccess sends a success with the worker's troubles.
-func (c *conn) writeSuccess(ctx context.Context, reply answer, arrival *history.Arrival) bool {
-	troubles := c.worker.troubles.Load()
-	encoded := c.encode(arrival.RequestID, reply)
-	switch {
-	case rand.Float64() < troubles.LoseShare:
+func (c *conn) writeSuccess(ctx context.Context, reply answer, arrival *history.Arrival, deadline string) bool {
+	record := c.worker.fleet.record
+	id := arrival.RequestID
+	encoded := c.encode(id, reply)
+	before := c.worker.swap(id, reply)
+	spoilt := c.worker.troubles.Load().draw()
+	if spoilt == SpoiltForeign && (before.id == "" || before.id == id) {
+		spoilt = "" // there is no other message's answer
+	}
+	record.Change(arrival, func(a *history.Arrival) { a.Spoilt = spoilt })
+	switch spoilt {
+	case SpoiltLost:
 		<-ctx.Done()
 		return false
-	case rand.Float64() < troubles.CutShare:
+	case SpoiltCut:
 		_, _ = c.net.Write(encoded[:rand.IntN(len(encoded))])
 		return false
+	case SpoiltReset:
+		c.reset()
+		return false
+	case SpoiltForeign:
+		return c.write(before.id, before.reply)
+	case SpoiltLate:
+		c.awaitDeadline(arrival.Arrived, deadline)
 	}
 	if _, err := c.net.Write(encoded); err != nil {
 		return false
 	}
-	record := c.worker.fleet.record
 	record.Change(arrival, func(a *history.Arrival) {
 		a.Answered = true
 		a.Written = record.Now()
 	})
-	if rand.Float64() < troubles.RepeatShare {
+	if spoilt == SpoiltRepeat {
 		time.Sleep(repeatAfter)
 		_, err := c.net.Write(encoded)
 		return err == nil
@@ -416,6 +485,22 @@
 	return true
 }
 
+// awaitDeadline waits until about the deadline of a request. The end of its connection does not end the wait, that of the worker does.
+func (c *conn) awaitDeadline(arrived time.Duration, header string) {
+	millis, err := strconv.ParseFloat(header, 64)
+	if err != nil || millis <= 0 {
+		return
+	}
+	allowed := millis * float64(time.Millisecond)
+	until := arrived + time.Duration(allowed*(1-lateSpread+2*lateSpread*rand.Float64()))
+	timer := time.NewTimer(until - c.worker.fleet.record.Now())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.worker.life.Done():
+	}
+}
+
 func (c *conn) write(id string, reply answer) bool {
 	_, err := c.net.Write(c.encode(id, reply))
 	return err == nil
--- a/standin/workers/workers_test.go
+++ b/standin/workers/workers_test.go
@@ -235,7 +235,7 @@
 	})
 	t.Run("lost answers", func(t *testing.T) {
 		f := start(t, workers.Service{})
-		f.worker.SetTroubles(workers.Troubles{LoseShare: 1})
+		f.worker.SetTroubles(workers.Troubles{Spoilt: workers.Spoilt{LoseShare: 1}})
 		c := dial(t, f.worker)
 		require.NoError(t, c.send("r1"))
 		f.arrivals(t, func(a []history.Arrival) bool { return len(a) == 1 && a[0].Outcome == history.OutcomeDone })
@@ -244,7 +244,7 @@
 	})
 	t.Run("cut answers", func(t *testing.T) {
 		f := start(t, workers.Service{})
-		f.worker.SetTroubles(workers.Troubles{CutShare: 1})
+		f.worker.SetTroubles(workers.Troubles{Spoilt: workers.Spoilt{CutShare: 1}})
 		c := dial(t, f.worker)
 		require.NoError(t, c.send("r1"))
 		_, err := c.receive()
@@ -253,13 +253,44 @@
 	})
 	t.Run("second answers", func(t *testing.T) {
 		f := start(t, workers.Service{})
-		f.worker.SetTroubles(workers.Troubles{RepeatShare: 1})
+		f.worker.SetTroubles(workers.Troubles{Spoilt: workers.Spoilt{RepeatShare: 1}})
 		c := dial(t, f.worker)
 		first := c.ask(t, "r1")
 		second, err := c.receive()
 		require.NoError(t, err)
 		assert.Equal(t, first.Header, second.Header)
 	})
+	t.Run("reset in place of an answer", func(t *testing.T) {
+		f := start(t, workers.Service{})
+		f.worker.SetTroubles(workers.Troubles{Spoilt: workers.Spoilt{ResetShare: 1}})
+		c := dial(t, f.worker)
+		require.NoError(t, c.send("r1"))
+		_, err := c.receive()
+		assert.Error(t, err)
+		run := f.record.History().Arrivals[0]
+		assert.Equal(t, history.OutcomeDone, run.Outcome)
+		assert.False(t, run.Answered)
+		assert.Equal(t, workers.SpoiltReset, run.Spoilt)
+	})
+	t.Run("foreign answers", func(t *testing.T) {
+		f := start(t, workers.Service{})
+		c := dial(t, f.worker)
+		first := c.ask(t, "r1")
+		f.worker.SetTroubles(workers.Troubles{Spoilt: workers.Spoilt{ForeignShare: 1}})
+		second := c.ask(t, "r2")
+		assert.Equal(t, first.Header, second.Header)
+		runs := f.record.History().Arrivals
+		assert.False(t, runs[1].Answered)
+		assert.Equal(t, []bool{false, true}, []bool{runs[0].Reused, runs[1].Reused})
+	})
+	t.Run("late answers", func(t *testing.T) {
+		f := start(t, workers.Service{})
+		f.worker.SetTroubles(workers.Troubles{Spoilt: workers.Spoilt{LateShare: 1}})
+		response := dial(t, f.worker).ask(t, "r1", "Deadline-Ms: 200")
+		assert.Equal(t, http.StatusOK, response.StatusCode)
+		run := f.arrivals(t, func(a []history.Arrival) bool { return a[0].Answered })[0]
+		assert.GreaterOrEqual(t, run.Written-run.Arrived, 150*time.Millisecond)
+	})
 	t.Run("failing", func(t *testing.T) {
 		f := start(t, workers.Service{})
 		f.worker.SetTroubles(workers.Troubles{Failing: true})
