--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -18,6 +18,7 @@
 	Controls []*Process
 	Edges    []*Process
 	Stores   []*Process
+	replaced []*Process // whose machines are gone
 }
 
 // New lays a cluster out. Nothing runs yet.
@@ -30,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	drawn, err := freePorts(machines)
+	drawn, err := freePorts(append(machines[:len(machines):len(machines)], spares(len(machines))...))
 	if err != nil {
 		return nil, err
 	}
@@ -62,6 +63,23 @@
 	}
 }
 
+// ReplaceControl puts a new machine with an empty disk, another name and another address in the place of a control process's, which
+// must not run any more. The new process isn't started.
+func (c *Cluster) ReplaceControl(i int) error {
+	gone := c.Controls[i]
+	if err := gone.Wipe(); err != nil {
+		return err
+	}
+	if len(c.replaced) == maxSpares {
+		return fmt.Errorf("cluster: no more than %d machines can be replaced", maxSpares)
+	}
+	machine := spares(len(c.machines))[len(c.replaced)]
+	machine.name, machine.class, machine.zone = gone.machine.name+"-new", gone.machine.class, gone.machine.zone
+	c.replaced = append(c.replaced, gone)
+	c.Controls[i] = c.process(machine, ProgramControl)
+	return nil
+}
+
 // Processes lists all.
 func (c *Cluster) Processes() []*Process {
 	all := append([]*Process(nil), c.Controls...)
@@ -101,7 +119,7 @@
 // Surprises tells which processes ended by themselves.
 func (c *Cluster) Surprises() []string {
 	var surprises []string
-	for _, process := range c.Processes() {
+	for _, process := range append(c.Processes(), c.replaced...) {
 		surprises = append(surprises, process.Surprises()...)
 	}
 	return surprises
--- a/standin/cluster/spec.go
+++ b/standin/cluster/spec.go
@@ -42,6 +42,7 @@
 	lastPort            = 32000 // below the ports that connections take
 	attemptsAtPorts     = 50
 	maxMachines         = 200
+	maxSpares           = 3 // machines that may take the place of others
 )
 
 // machine is one simulated machine.
@@ -75,11 +76,22 @@
 		return nil, fmt.Errorf("cluster: %d machines are more than %d", len(machines), maxMachines)
 	}
 	for i := range machines {
-		machines[i].ip = fmt.Sprintf("127.0.1.%d", i+1)
+		machines[i].ip = ipOf(i)
 	}
 	return machines, nil
 }
 
+func ipOf(i int) string { return fmt.Sprintf("127.0.1.%d", i+1) }
+
+// spares are the addresses of the machines that may take the place of others, beside so many.
+func spares(machines int) []machine {
+	spares := make([]machine, maxSpares)
+	for i := range spares {
+		spares[i].ip = ipOf(machines + i)
+	}
+	return spares
+}
+
 // freePorts draws ports that are free on all machines.
 func freePorts(machines []machine) (ports, error) {
 	for range attemptsAtPorts {
