--- a/control/core/core.go
+++ b/control/core/core.go
@@ -154,7 +154,12 @@
 		}
 	}
 	c.node, err = newNode(c.now(), config, snapshot, records)
-	return err
+	if err != nil || !config.Disk {
+		return err
+	}
+	n := c.node
+	c.config.Log.Info("the core's disk is read", "disk", n.self.ID, "empty", snapshot == nil, "bootstrap", config.Bootstrap, "epoch", n.view.Epoch, "voters", len(n.view.Voters), "votes", n.isVoter(n.self.ID))
+	return nil
 }
 
 func (c *Core) openSlots() (*slots.Store, []byte, [][]byte, error) {
@@ -282,6 +287,9 @@
 	for i := range out.Disk {
 		out.Disk[i].log(c.config.Log)
 	}
+	for i := range out.Quorum {
+		out.Quorum[i].log(c.config.Log)
+	}
 	c.leading.follow(c, now)
 	c.schedule(now)
 	c.mu.Unlock()
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -99,6 +99,7 @@
 	Ended   []ended
 	Changes []change
 	Disk    []diskChange
+	Quorum  []quorumChange
 	Applied bool
 }
 
@@ -133,6 +134,7 @@
 	round    uint64
 	wanted   time.Duration // since when another view is wanted, negative if none is
 	retryAt  time.Duration
+	quorum   quorumWatch
 
 	holder     *lease.Holder
 	askAt      time.Duration
@@ -199,7 +201,7 @@
 // that is on disk.
 func newNode(now time.Duration, config nodeConfig, snapshot []byte, records [][]byte) (*node, error) {
 	n := &node{
-		config: config, started: now, ticked: now, grace: now + silentAfter, wanted: -1,
+		config: config, started: now, ticked: now, grace: now + silentAfter, wanted: -1, quorum: quorumWatch{lostAt: -1},
 		peers: make(map[string]*peer), pending: make(map[uint64]*command), leaderLost: now,
 		origin: config.Random() | 1, beatAt: now,
 	}
@@ -603,6 +605,7 @@
 		return
 	}
 	n.found(now)
+	n.watchQuorum(now)
 	if n.logged > n.config.MostRecords && n.chain.Unapplied() == 0 && !n.writing() {
 		n.whole = true // what was long is applied: the next start need not do it again
 	}
--- /dev/null
+++ b/control/core/quorum.go
@@ -0,0 +1,68 @@
+package core
+
+import (
+	"log/slog"
+	"time"
+
+	"ravendale/control/view"
+)
+
+// quorumLostAfter is how long too few voters are heard before that is told: shorter gaps are ordinary failovers.
+const quorumLostAfter = time.Second
+
+// quorumChange tells that too few voters are heard for another view to be decided, or that there are enough again.
+type quorumChange struct {
+	Lost   bool
+	Voters int
+	Heard  []string // rpc addresses of voters
+	Silent []string // the same, with the reason as far as this node knows
+}
+
+// quorumWatch notices that the quorum of the voters is lost.
+type quorumWatch struct {
+	lostAt time.Duration // negative: it is there
+	told   bool
+}
+
+// watchQuorum tells when a majority of the voters is not heard for a while, and when it is heard again.
+func (n *node) watchQuorum(now time.Duration) {
+	if n.view.Epoch == 0 || n.majorityHeard(now) {
+		if n.quorum.told {
+			n.out.Quorum = append(n.out.Quorum, n.quorumChange(now, false))
+		}
+		n.quorum = quorumWatch{lostAt: -1}
+		return
+	}
+	if n.quorum.lostAt < 0 {
+		n.quorum.lostAt = now
+	}
+	if !n.quorum.told && now-n.quorum.lostAt >= quorumLostAfter {
+		n.quorum.told = true
+		n.out.Quorum = append(n.out.Quorum, n.quorumChange(now, true))
+	}
+}
+
+func (n *node) quorumChange(now time.Duration, lost bool) quorumChange {
+	change := quorumChange{Lost: lost, Voters: len(n.view.Voters)}
+	for _, member := range n.view.Voters {
+		if n.hearsVoter(now, member.ID) {
+			change.Heard = append(change.Heard, member.Address)
+			continue
+		}
+		change.Silent = append(change.Silent, member.Address+": "+n.absence(now, member))
+	}
+	return change
+}
+
+// hearsVoter says whether a voter has been heard in this life and still is.
+func (n *node) hearsVoter(now time.Duration, id view.ID) bool {
+	return id == n.self.ID || n.find(id) != nil && n.hears(now, id)
+}
+
+func (c *quorumChange) log(log *slog.Logger) {
+	if c.Lost {
+		log.Error("no majority of the core's voters is heard: nothing is decided", "voters", c.Voters, "heard", c.Heard, "silent", c.Silent)
+		return
+	}
+	log.Info("a majority of the core's voters is heard again", "voters", c.Voters, "heard", c.Heard, "silent", c.Silent)
+}
--- a/control/core/simulation_test.go
+++ b/control/core/simulation_test.go
@@ -146,6 +146,7 @@
 	writing  bool
 	calls    map[uint64]string // commands by number
 	changes  []change          // of the chain, as told
+	quorum   []quorumChange    // of the voters, as told
 	counted  int               // commands applied, of which the time has been taken
 	stalled  time.Duration     // until then the disk ends nothing
 	told     []diskChange
@@ -340,6 +341,7 @@
 	out := m.node.Take()
 	m.changes = append(m.changes, out.Changes...)
 	m.told = append(m.told, out.Disk...)
+	m.quorum = append(m.quorum, out.Quorum...)
 	for _, write := range out.Writes {
 		m.writes = append(m.writes, write)
 		if m.s.mutant == unsyncedAck { // the disk says so before it has done it
--- a/control/core/views.go
+++ b/control/core/views.go
@@ -135,9 +135,7 @@
 // majorityHeard says whether so many voters were heard of that a view can be decided: else those that come later would miss the
 // question, and wait until the attempt is given up.
 func (n *node) majorityHeard(now time.Duration) bool {
-	return n.majority(func(id view.ID) bool {
-		return id == n.self.ID || n.find(id) != nil && n.hears(now, id)
-	})
+	return n.majority(func(id view.ID) bool { return n.hearsVoter(now, id) })
 }
 
 // majority says whether something holds of a majority of the voters.
