Have stores make up the number of voters that the losses to be borne need

Once two voters lost their disks, or one did while another was cut off, nothing was decided, for as long as that lasted or for ever.

Change: the recruiter, which so far held stores to the core only where no control machine has a disk, counts voters and learners and asks stores wherever they are fewer than Durability.Voters(). A member says whether its disk is a store's; a store leaves the leader lease to the control processes, and goes when it was not needed for 30 s.

--- a/cmd/ravendale-control/status.go
+++ b/cmd/ravendale-control/status.go
@@ -6,12 +6,15 @@
 	"ravendale/settings"
 )
 
-// leaderAdmin is where the leader serves the operator, empty if this process leads; false: none is known.
+// leaderAdmin is where the leader serves the operator, empty if this process leads or speaks for it; false: none is known.
 func (c *control) leaderAdmin() (host string, ok bool) {
 	address, known := c.plane.Core.Leader()
 	if !known {
 		return "", false
 	}
+	if c.plane.Core.LeaderIsStore() {
+		return "", true // no operator can call it: this process passes on what is asked
+	}
 	return adminOf(c.env.Settings, address)
 }
 
--- a/cmd/ravendale-store/corehost.go
+++ b/cmd/ravendale-store/corehost.go
@@ -24,7 +24,7 @@
 	coreFolderMode = 0o700
 )
 
-// coreHost runs a member of the control plane's core beside the store, where no control process has a disk: from when a control
+// coreHost runs a member of the control plane's core beside the store, where too few control processes have a disk: from when a control
 // process asks for it, or from the start if it did so in an earlier life, and until the others have let it go.
 type coreHost struct {
 	settings *settings.Settings
--- a/control/core/core.go
+++ b/control/core/core.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -70,7 +71,7 @@
 	// Lead is called on a goroutine of its own when this process gets the leader lease, once an earlier call has returned. Its context
 	// ends when the lease is lost, which may be noticed late: before each act it asks lease.Valid. Nil: the lease is never sought.
 	Lead func(ctx context.Context, lease *Lease)
-	// Storage says that the disk is that of a store, which serves as a member where no control process has a disk.
+	// Storage says that the disk is that of a store, which serves as a member where too few control processes have a disk.
 	Storage bool
 	// Applied is called after commands were applied to the local machine, on the goroutine that did it: it must not wait. May be nil.
 	Applied func()
@@ -83,6 +84,8 @@
 	ID        view.ID // of this process's disk; zero if it has none
 	Epoch     uint64
 	Voters    []view.Member
+	Learners  []view.Member
+	Wanted    int // voters that bear the losses which the settings name
 	Chain     []view.ID
 	Attached  bool // this process follows the chain
 	Durable   bool // the chain has enough disks to commit
@@ -316,6 +319,14 @@
 	return address, address != ""
 }
 
+// LeaderIsStore says whether the process that holds the leader lease runs beside a store, as far as this process knows.
+func (c *Core) LeaderIsStore() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	leader := c.node.leaderAddress(c.now())
+	return slices.ContainsFunc(c.node.view.Members(), func(member view.Member) bool { return member.Storage && member.Address == leader })
+}
+
 // Leads says whether this process holds the leader lease.
 func (c *Core) Leads() bool {
 	c.mu.Lock()
@@ -360,8 +371,9 @@
 	defer c.mu.Unlock()
 	n := c.node
 	return Status{
-		ID: n.self.ID, Epoch: n.view.Epoch, Voters: append([]view.Member(nil), n.view.Voters...),
-		Chain: append([]view.ID(nil), n.view.Chain...), Attached: n.chain.Attached(), Durable: n.config.Durability.Met(&n.view),
+		ID: n.self.ID, Epoch: n.view.Epoch, Voters: slices.Clone(n.view.Voters), Learners: slices.Clone(n.view.Learners),
+		Wanted: n.config.Durability.Voters(),
+		Chain:  slices.Clone(n.view.Chain), Attached: n.chain.Attached(), Durable: n.config.Durability.Met(&n.view),
 		Last: n.chain.Last(), Committed: n.chain.Committed(), Leader: n.leaderAddress(c.now()), DiskFault: n.aside.from,
 	}
 }
--- a/control/core/leading.go
+++ b/control/core/leading.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"ravendale/control/lease"
@@ -112,7 +113,15 @@
 
 // seeking says whether this node may need the lease soon.
 func (n *node) seeking(now time.Duration) bool {
-	return n.config.Candidate && now >= n.abstainTill && n.chain.Attached() && !n.leads(now) && n.leaderAddress(now) == ""
+	return n.config.Candidate && now >= n.abstainTill && n.chain.Attached() && !n.leads(now) && n.leaderAddress(now) == "" && !n.defers(now)
+}
+
+// defers says whether this member is a store's and leaves the leader lease to the control processes: there is one in the chain that may seek it.
+func (n *node) defers(now time.Duration) bool {
+	return n.self.Storage && slices.ContainsFunc(n.view.Chain, func(id view.ID) bool {
+		member, _ := n.view.Member(id)
+		return !member.Storage && n.hears(now, id) && !n.abstains(now, id)
+	})
 }
 
 // seekLease renews the lease, or asks for it when nobody has it: the first of the chain at once, others later.
@@ -160,13 +169,15 @@
 	return n.config.Terms.Length + time.Duration(rank)*leaderPause
 }
 
+// candidateRank is how many members of the chain come before this one as candidates. Those of stores come after the control processes.
 func (n *node) candidateRank(now time.Duration) int {
 	rank := 0
 	for _, id := range n.view.Chain {
 		if id == n.self.ID {
 			return rank
 		}
-		if n.hears(now, id) && !n.abstains(now, id) {
+		member, _ := n.view.Member(id)
+		if n.hears(now, id) && !n.abstains(now, id) && (n.self.Storage || !member.Storage) {
 			rank++
 		}
 	}
--- /dev/null
+++ b/control/core/mixed_test.go
@@ -0,0 +1,74 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// settledMixed is a core of four control processes and a store, which bears the loss of two.
+func settledMixed(t *testing.T, seed uint64) (s *simulation, store *simulated) {
+	s = newSimulation(seed, 5, 2, sound)
+	store = s.members[4]
+	store.storage = true
+	s.run(1500 * time.Millisecond)
+	s.load(20 * time.Millisecond)
+	s.run(5 * time.Second)
+	s.expectService("at first", 300*time.Millisecond)
+	require.Empty(t, s.broken, "seed %d", seed)
+	require.Len(t, s.members[0].node.view.Voters, 5)
+	return s, store
+}
+
+// TestAStoreLeavesTheLeadToControlProcesses restarts all control processes in turn, so that the store comes to be the head of the chain.
+func TestAStoreLeavesTheLeadToControlProcesses(t *testing.T) {
+	const bound = 2500 * time.Millisecond
+	for seed := range uint64(10) {
+		s, store := settledMixed(t, seed)
+		for _, control := range s.members[:4] {
+			control.kill()
+			wait := s.until(bound, func() bool { return len(s.holders()) == 1 && s.holders()[0] != store })
+			require.Less(t, wait, bound, "seed %d: %s", seed, s.broken)
+			control.start()
+			for range 100 {
+				s.run(s.now + 20*time.Millisecond)
+				require.NotContains(t, s.holders(), store, "seed %d", seed)
+			}
+		}
+		require.Equal(t, store.node.self.ID, store.node.view.Head(), "seed %d", seed)
+		s.expectService("at last", 300*time.Millisecond)
+		require.Empty(t, s.broken, "seed %d", seed)
+	}
+}
+
+// TestFourControlProcessesAndAStoreBearTwoLosses has two members at once lose their disks, or one while another is silent (incidents inc1 and inc2).
+func TestFourControlProcessesAndAStoreBearTwoLosses(t *testing.T) {
+	const bound = 3500 * time.Millisecond
+	for seed := range uint64(10) {
+		for first := range 5 {
+			for second := range 5 {
+				if first == second {
+					continue
+				}
+				s, _ := settledMixed(t, seed)
+				wiped, other := s.members[first], s.members[second]
+				wiped.wipe()
+				if seed%2 == 0 {
+					other.wipe()
+				} else {
+					other.frozen = true
+				}
+				s.run(s.now + 300*time.Millisecond)
+				wiped.start()
+				if seed%2 == 0 {
+					other.start()
+				}
+				lost := s.now
+				wait := s.until(bound, func() bool { return s.newest > lost+time.Second })
+				require.Less(t, wait, bound, "seed %d, %d and %d: %s", seed, first, second, s.describe())
+				require.Empty(t, s.broken, "seed %d, %d and %d", seed, first, second)
+			}
+		}
+	}
+}
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -42,7 +42,7 @@
 	Bootstrap  bool
 	Disk       bool
 	Candidate  bool
-	Storage    bool // the disk is a store's: no control process has one
+	Storage    bool // the disk is a store's
 	Durability view.Durability
 	DownAfter  time.Duration // a voter that is silent for longer may lose its vote
 	GoneAfter  time.Duration // a learner that is silent for longer is forgotten
@@ -205,7 +205,7 @@
 		peers: make(map[string]*peer), pending: make(map[uint64]*command), leaderLost: now,
 		origin: config.Random() | 1, beatAt: now,
 	}
-	n.self = view.Member{Address: config.Address, Zone: config.Zone}
+	n.self = view.Member{Address: config.Address, Zone: config.Zone, Storage: config.Storage}
 	if !config.Disk {
 		n.chain = chain.New(0, chain.State{}, config.Machine)
 		n.voter = lease.NewVoter(now, config.Terms, lease.Past{Unknown: true})
--- a/control/core/simulation_test.go
+++ b/control/core/simulation_test.go
@@ -129,6 +129,7 @@
 	s        *simulation
 	address  string
 	zone     string
+	storage  bool // its disk is a store's
 	folder   *slotstest.Folder
 	store    *slots.Store
 	node     *node
@@ -301,7 +302,7 @@
 	}
 	config := nodeConfig{
 		Address: m.address, Zone: m.zone, Seeds: m.s.seeds(), Bootstrap: m.fresh && snapshot == nil, Disk: !m.diskless, Candidate: true,
-		Storage:    len(m.s.fronts) > 0,
+		Storage:    m.storage || len(m.s.fronts) > 0,
 		Durability: view.Durability{Copies: m.s.lost + 1}, DownAfter: m.s.downAfter(), GoneAfter: GoneAfter(m.s.catchup), Terms: terms, LeastLog: m.s.leastLog, MostRecords: cmp.Or(m.s.mostRecords, m.s.leastLog/4), Machine: m.machine,
 		Random: func() uint64 {
 			drawn++
--- a/control/leader/hosting.go
+++ b/control/leader/hosting.go
@@ -5,7 +5,7 @@
 	"ravendale/wire"
 )
 
-// Hosting decides which stores take part in the core, where it lies with them. Its methods may be called by any goroutine.
+// Hosting decides which stores take part in the core, where the control processes are too few for it. Its methods may be called by any goroutine.
 type Hosting interface {
 	// Order is what a store that has just renewed is to be told, nil if nothing. The placement is the newest that this process has; it is nil, too,
 	// in a process that does not lead.
--- a/control/leader/leader.go
+++ b/control/leader/leader.go
@@ -43,7 +43,7 @@
 	Leader   func() (address string, ok bool)
 	Core     func() []string // rpc addresses of the control processes
 	Log      *slog.Logger    // nil: the default
-	Hosting  Hosting         // nil: the core lies with the control processes
+	Hosting  Hosting         // nil: no store is asked to take part in the core
 	// Read reads the platform's list; nil: from the address in the settings.
 	Read func(ctx context.Context, gap time.Duration) (*wire.Workers, int, error)
 	Host host.Host // nil: host.System
--- a/control/plane/hosting.go
+++ b/control/plane/hosting.go
@@ -1,6 +1,8 @@
 package plane
 
 import (
+	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,11 +12,12 @@
 	"ravendale/wire"
 )
 
-// hosting has stores take part in the core, where no control process has a disk. Before there is a core, one seed asks the stores
-// that renew there; after that the leader does.
+// hosting has stores take part in the core, where fewer control processes with a disk are its members than the losses that are to be borne
+// need. Where none has a disk there is no core at first, and one seed asks the stores that renew there; after that the leader does.
 type hosting struct {
 	settings *settings.Settings
 	core     *core.Core
+	log      *slog.Logger
 	started  time.Time
 
 	mu        sync.Mutex
@@ -24,9 +27,11 @@
 
 const stopWithin = 5 * time.Second // after which a store that said that it stops is a voter like others, until it is heard of again
 
-func newHosting(s *settings.Settings, c *core.Core) *hosting {
+func newHosting(s *settings.Settings, c *core.Core, log *slog.Logger) *hosting {
 	wanted := core.DurabilityOf(s).Voters()
-	return &hosting{settings: s, core: c, started: time.Now(), recruiter: newRecruiter(wanted), stopping: make(map[string]time.Duration)}
+	return &hosting{
+		settings: s, core: c, log: log, started: time.Now(), recruiter: newRecruiter(wanted), stopping: make(map[string]time.Duration),
+	}
 }
 
 // Order implements leader.Hosting.
@@ -77,8 +82,10 @@
 	defer h.mu.Unlock()
 	switch {
 	case h.recruiter.joins(now, core, address, zone):
+		h.log.Info("a store is asked to take part in the core", "store", address, "members", len(core.members), "wanted", h.recruiter.wanted)
 		return &wire.HostCore{Host: true}
 	case h.recruiter.leaves(now, core, address):
+		h.log.Info("a store is asked to leave the core", "store", address, "members", len(core.members), "wanted", h.recruiter.wanted)
 		return &wire.HostCore{Host: false}
 	}
 	return nil
@@ -86,7 +93,7 @@
 
 func (h *hosting) membership(placement *wire.StoreView) *membership {
 	status := h.core.Status()
-	m := &membership{voters: status.Voters, chain: status.Chain, retiring: make(map[string]bool)}
+	m := &membership{members: slices.Concat(status.Voters, status.Learners), chain: status.Chain, retiring: make(map[string]bool)}
 	if placement == nil {
 		return m
 	}
--- a/control/plane/plane.go
+++ b/control/plane/plane.go
@@ -1,5 +1,5 @@
 // Package plane assembles the control plane's part of a process: the replicated core, and the leader service that runs on the one that
-// holds the leader lease. Control processes run it, and stores where no control process has a disk.
+// holds the leader lease. Control processes run it, and stores where too few control processes have a disk.
 package plane
 
 import (
@@ -54,21 +54,13 @@
 	}
 	p.Core = opened
 	p.Leader = leader.NewService(leader.Config{
-		Settings: config.Settings, Mux: p.mux, Log: config.Log, Hosting: p.hosting(),
+		Settings: config.Settings, Mux: p.mux, Log: config.Log, Hosting: newHosting(p.config.Settings, opened, config.Log),
 		Submit: opened.Submit, State: p.Machine.Current, Leader: opened.Leader, Core: opened.Addresses,
 	})
 	rpc.Handle(p.mux, wire.MethodStatus, p.serveStatus)
 	return p, nil
 }
 
-// hosting is nil in a control process with a disk: such a core needs no stores.
-func (p *Plane) hosting() leader.Hosting {
-	if p.config.DataDir != "" && !p.config.Storage {
-		return nil
-	}
-	return newHosting(p.config.Settings, p.Core)
-}
-
 // Run listens for other processes and takes part in the core until the context ends.
 func (p *Plane) Run(ctx context.Context) error {
 	s := p.config.Settings
--- a/control/plane/plane_test.go
+++ b/control/plane/plane_test.go
@@ -126,7 +126,7 @@
 func TestTheSeedAsksStoresToHoldTheCore(t *testing.T) {
 	s := newSite(t)
 	s.openControls()
-	first := newHosting(s.controls[0].config.Settings, s.controls[0].Core)
+	first := newHosting(s.controls[0].config.Settings, s.controls[0].Core, slog.New(slog.DiscardHandler))
 	ask := func(i int) *wire.HostCore {
 		address := net.JoinHostPort(storeIP(i), fmt.Sprint(s.port+2))
 		return first.Order(&wire.Member{Storage: true, Address: address, Zone: fmt.Sprint("zone-", i)}, nil)
@@ -140,7 +140,7 @@
 	require.Eventually(t, func() bool { return !s.controls[0].Core.WantsStores() }, soon, often)
 	require.Nil(t, ask(3), "it is founded: now the leader asks")
 
-	leading := newHosting(s.leader().config.Settings, s.leader().Core)
+	leading := newHosting(s.leader().config.Settings, s.leader().Core, slog.New(slog.DiscardHandler))
 	require.True(t, leading.Hosts(net.JoinHostPort(storeIP(1), "9")))
 	require.False(t, leading.Hosts(net.JoinHostPort(storeIP(3), "9")))
 }
--- a/control/plane/recruiter.go
+++ b/control/plane/recruiter.go
@@ -1,6 +1,7 @@
 package plane
 
 import (
+	"slices"
 	"time"
 
 	"ravendale/control/view"
@@ -8,17 +9,20 @@
 
 // Times by which stores are asked to take part in the core.
 const (
-	zonePatience  = 700 * time.Millisecond  // so long a store of a zone that has none yet is waited for
-	answerWithin  = 3 * time.Second         // after which a store that was asked and has not come is not counted on any more
-	askAgain      = time.Second             // between two questions to the same store
-	replaceAfter  = 1500 * time.Millisecond // a voter that is away for longer gets a substitute: a second loss may follow soon
-	leavePatience = 2 * time.Second         // so long a substitute for a store that retires is waited for
-	votersAtMost  = 2                       // times the wanted number: more than that are not asked, whatever is away
+	zonePatience    = 700 * time.Millisecond  // so long a store of a zone that has none yet is waited for
+	answerWithin    = 3 * time.Second         // after which a store that was asked and has not come is not counted on any more
+	askAgain        = time.Second             // between two questions to the same store
+	replaceAfter    = 1500 * time.Millisecond // a member that is away for longer gets a substitute: a second loss may follow soon
+	startPatience   = 1500 * time.Millisecond // so long control processes that start a little late are waited for
+	controlPatience = 3 * time.Second         // replaceAfter where control processes are members: they return and are replaced by themselves
+	leavePatience   = 2 * time.Second         // so long a substitute for a store that retires is waited for
+	surplusPatience = 30 * time.Second        // so long control processes have made do without a store before that may go
+	membersAtMost   = 2                       // times the wanted number of voters: more than that are not asked, whatever is away
 )
 
 // membership is what a process knows of the core.
 type membership struct {
-	voters   []view.Member
+	members  []view.Member // voters and learners
 	chain    []view.ID
 	retiring map[string]bool // rpc addresses of the core's members on machines that are being emptied
 	stopping map[string]bool // the same of those that were told to stop, and may not come back
@@ -27,8 +31,8 @@
 // stays says whether a member is counted on.
 func (m *membership) stays(address string) bool { return !m.retiring[address] && !m.stopping[address] }
 
-func (m *membership) voter(address string) (view.Member, bool) {
-	for _, member := range m.voters {
+func (m *membership) member(address string) (view.Member, bool) {
+	for _, member := range m.members {
 		if member.Address == address {
 			return member, true
 		}
@@ -36,21 +40,31 @@
 	return view.Member{}, false
 }
 
-func (m *membership) attached(id view.ID) bool {
-	for _, other := range m.chain {
-		if other == id {
-			return true
+func (m *membership) attached(id view.ID) bool { return slices.Contains(m.chain, id) }
+
+// hasControl says whether control processes are members.
+func (m *membership) hasControl() bool {
+	return slices.ContainsFunc(m.members, func(member view.Member) bool { return !member.Storage })
+}
+
+// lastStore is the address of the store that is let go first if there are more than needed, empty if there is none.
+func (m *membership) lastStore() (address string) {
+	for _, member := range m.members {
+		if member.Storage && m.attached(member.ID) {
+			address = max(address, member.Address)
 		}
 	}
-	return false
+	return address
 }
 
-// recruiter decides which stores are asked to take part in the core, and which to leave it. It is pure: time and events go in.
+// recruiter decides which stores are asked to take part in the core, and which to leave it, so that there are as many members as the losses
+// that are to be borne need. It is pure: time and events go in.
 type recruiter struct {
 	wanted       int // voters
 	asked        map[string]question
-	lackingSince time.Duration // negative: nothing is lacking
-	awaySince    time.Duration // the same of voters that are not in the chain
+	fewSince     time.Duration // negative: there are enough members, or stores have been asked
+	lackingSince time.Duration // negative: no store is to be asked
+	awaySince    time.Duration // the same of members that are not in the chain
 	leavingSince map[string]time.Duration
 }
 
@@ -61,7 +75,8 @@
 
 func newRecruiter(wanted int) *recruiter {
 	return &recruiter{
-		wanted: wanted, asked: make(map[string]question), lackingSince: -1, awaySince: -1, leavingSince: make(map[string]time.Duration),
+		wanted: wanted, asked: make(map[string]question), fewSince: -1, lackingSince: -1, awaySince: -1,
+		leavingSince: make(map[string]time.Duration),
 	}
 }
 
@@ -74,7 +89,7 @@
 	if last, ok := r.asked[address]; ok && now-last.at < askAgain {
 		return false
 	}
-	if member, ok := core.voter(address); ok {
+	if member, ok := core.member(address); ok {
 		if core.attached(member.ID) {
 			return false
 		}
@@ -94,12 +109,13 @@
 // look notes since when something is lacking, and forgets old questions.
 func (r *recruiter) look(now time.Duration, core *membership) {
 	for address, last := range r.asked {
-		_, voter := core.voter(address)
-		if now-last.at >= answerWithin || voter {
+		_, member := core.member(address)
+		if now-last.at >= answerWithin || member {
 			delete(r.asked, address)
 		}
 	}
 	staying, attached := r.count(core)
+	since(&r.fewSince, now, staying+len(r.asked) < r.wanted)
 	since(&r.awaySince, now, attached < min(staying, r.wanted))
 	since(&r.lackingSince, now, r.lacks(now, core))
 }
@@ -113,9 +129,12 @@
 	}
 }
 
-// count tells how many voters are to stay, and how many of them are in the chain.
+// lasted says whether something has been so for a time.
+func lasted(at, now, span time.Duration) bool { return at >= 0 && now-at >= span }
+
+// count tells how many members are to stay, and how many of them are in the chain.
 func (r *recruiter) count(core *membership) (staying, attached int) {
-	for _, member := range core.voters {
+	for _, member := range core.members {
 		if !core.stays(member.Address) {
 			continue
 		}
@@ -127,20 +146,23 @@
 	return staying, attached
 }
 
-// lacks says whether another store is wanted: there are too few voters, or one has been away for long.
+// lacks says whether another store is wanted: there are too few members, or one has been away for long.
 func (r *recruiter) lacks(now time.Duration, core *membership) bool {
+	few, away := time.Duration(0), replaceAfter
+	if core.hasControl() {
+		few, away = startPatience, controlPatience
+	}
 	staying, attached := r.count(core)
 	coming := len(r.asked)
 	if staying+coming < r.wanted {
-		return true
+		return lasted(r.fewSince, now, few)
 	}
-	away := r.awaySince >= 0 && now-r.awaySince >= replaceAfter
-	return away && attached+coming < r.wanted && len(core.voters)+coming < votersAtMost*r.wanted
+	return lasted(r.awaySince, now, away) && attached+coming < r.wanted && len(core.members)+coming < membersAtMost*r.wanted
 }
 
 // covered says whether a zone has a member already, or one that was asked.
 func (r *recruiter) covered(core *membership, zone string) bool {
-	for _, member := range core.voters {
+	for _, member := range core.members {
 		if member.Zone == zone && core.attached(member.ID) && core.stays(member.Address) {
 			return true
 		}
@@ -153,10 +175,12 @@
 	return false
 }
 
-// leaves says whether a store is to give its vote up, as it is being emptied or stops: once enough others hold the state. One that is being
-// emptied also leaves if none more come.
+// leaves says whether a store is to leave the core: it is being emptied or stops, and enough others hold the state, or it is not needed any more.
+// One that is being emptied also leaves if no others come.
 func (r *recruiter) leaves(now time.Duration, core *membership, address string) bool {
-	if _, voter := core.voter(address); !voter || core.stays(address) {
+	_, member := core.member(address)
+	staying, enough := core.stays(address), r.enoughWithout(core, address)
+	if !member || staying && !enough {
 		delete(r.leavingSince, address)
 		return false
 	}
@@ -165,8 +189,18 @@
 		began = now
 		r.leavingSince[address] = now
 	}
-	if _, attached := r.count(core); attached >= r.wanted {
-		return true
+	if staying {
+		return now-began >= surplusPatience
+	}
+	return enough || core.retiring[address] && now-began >= leavePatience && len(r.asked) == 0
+}
+
+// enoughWithout says whether the core can do without a store: others hold the state, as many as are wanted. One that stays is only let go where
+// control processes are members, and one at a time.
+func (r *recruiter) enoughWithout(core *membership, address string) bool {
+	_, attached := r.count(core)
+	if !core.stays(address) {
+		return attached >= r.wanted
 	}
-	return core.retiring[address] && now-began >= leavePatience && len(r.asked) == 0
+	return core.hasControl() && core.lastStore() == address && attached > r.wanted
 }
--- a/control/plane/recruiter_test.go
+++ b/control/plane/recruiter_test.go
@@ -18,8 +18,8 @@
 		out[i] = true
 	}
 	for i, zone := range zones {
-		member := view.Member{ID: view.ID(i + 1), Address: fmt.Sprint("store-", i), Zone: zone}
-		m.voters = append(m.voters, member)
+		member := view.Member{ID: view.ID(i + 1), Address: fmt.Sprint("store-", i), Zone: zone, Storage: true}
+		m.members = append(m.members, member)
 		if !out[i] {
 			m.chain = append(m.chain, member.ID)
 		}
@@ -100,3 +100,69 @@
 	require.False(t, r.leaves(0, core, "store-1"))
 	require.True(t, r.leaves(leavePatience, core, "store-1"))
 }
+
+// mixedCore is a core of control processes, one in each zone, and of stores, each in a zone of its own. Those that are away are members out of the
+// chain.
+func mixedCore(controls, stores int, away ...int) *membership {
+	var zones []string
+	for i := range controls + stores {
+		zones = append(zones, fmt.Sprint("zone-", i))
+	}
+	m := coreOf(zones, away...)
+	for i := range controls {
+		m.members[i].Storage, m.members[i].Address = false, fmt.Sprint("control-", i)
+	}
+	return m
+}
+
+func TestStoresMakeUpTheNumberOfControlProcesses(t *testing.T) {
+	r, core := newRecruiter(5), mixedCore(4, 0)
+	require.False(t, r.joins(0, core, "s1", "a"), "control processes may come")
+	require.False(t, r.joins(startPatience-1, core, "s1", "a"))
+	require.True(t, r.joins(startPatience, core, "s1", "a"))
+	require.False(t, r.joins(startPatience, core, "s2", "b"), "one is enough")
+	whole := mixedCore(4, 1)
+	require.False(t, r.joins(time.Minute, whole, "s2", "b"))
+	require.False(t, r.leaves(time.Minute, whole, "store-4"))
+	require.False(t, r.leaves(time.Hour, whole, "store-4"), "it is needed")
+}
+
+func TestEnoughControlProcessesNeedNoStore(t *testing.T) {
+	for _, controls := range []int{5, 6} {
+		r := newRecruiter(5)
+		require.False(t, r.joins(0, mixedCore(controls, 0), "s1", "a"))
+		require.False(t, r.joins(time.Hour, mixedCore(controls, 0), "s1", "a"))
+	}
+}
+
+func TestAControlProcessThatIsAwayIsWaitedForLonger(t *testing.T) {
+	r, core := newRecruiter(5), mixedCore(5, 0, 2)
+	require.False(t, r.joins(0, core, "s1", "a"))
+	require.False(t, r.joins(controlPatience-1, core, "s1", "a"))
+	require.True(t, r.joins(controlPatience, core, "s1", "a"))
+}
+
+func TestStoresThatAreNotNeededAnyMoreLeaveOneByOne(t *testing.T) {
+	r, core := newRecruiter(3), mixedCore(3, 2)
+	leaves := func(at time.Duration, core *membership) (left []string) {
+		for _, address := range []string{"store-3", "store-4", "control-0"} {
+			if r.leaves(at, core, address) {
+				left = append(left, address)
+			}
+		}
+		return left
+	}
+	require.Empty(t, leaves(0, core))
+	require.Empty(t, leaves(surplusPatience-1, core))
+	require.Equal(t, []string{"store-4"}, leaves(surplusPatience, core))
+	require.Empty(t, leaves(surplusPatience+1, mixedCore(3, 1)), "the other has its own time")
+	require.Equal(t, []string{"store-3"}, leaves(2*surplusPatience+1, mixedCore(3, 1)))
+	require.Empty(t, leaves(3*surplusPatience, coreOf([]string{"a", "b", "c", "d"})), "where stores hold all of the core none is let go")
+}
+
+func TestAStoreIsKeptWhileAControlProcessIsAway(t *testing.T) {
+	r := newRecruiter(3)
+	require.False(t, r.leaves(0, mixedCore(3, 1), "store-3"))
+	require.False(t, r.leaves(surplusPatience-1, mixedCore(3, 1, 0), "store-3"))
+	require.False(t, r.leaves(surplusPatience, mixedCore(3, 1), "store-3"), "that it was not needed before does not count")
+}
--- a/control/view/view.go
+++ b/control/view/view.go
@@ -21,6 +21,7 @@
 	ID      ID
 	Address string // rpc address
 	Zone    string
+	Storage bool // the disk is a store's, which makes up the number of members
 }
 
 // View is one configuration of the core. It is never changed once decided.
--- a/control/view/view_gen.go
+++ b/control/view/view_gen.go
@@ -478,8 +478,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	{
@@ -501,13 +501,18 @@
 		err = msgp.WrapError(err, "Zone")
 		return
 	}
+	z.Storage, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Storage")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z Member) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+func (z *Member) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -526,17 +531,23 @@
 		err = msgp.WrapError(err, "Zone")
 		return
 	}
+	err = en.WriteBool(z.Storage)
+	if err != nil {
+		err = msgp.WrapError(err, "Storage")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Member) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendUint64(o, uint64(z.ID))
 	o = msgp.AppendString(o, z.Address)
 	o = msgp.AppendString(o, z.Zone)
+	o = msgp.AppendBool(o, z.Storage)
 	return
 }
 
@@ -548,8 +559,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	{
@@ -571,13 +582,18 @@
 		err = msgp.WrapError(err, "Zone")
 		return
 	}
+	z.Storage, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Storage")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Member) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.Zone)
+func (z *Member) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.Zone) + msgp.BoolSize
 	return
 }
 
--- a/systemtest/tolerance_test.go
+++ b/systemtest/tolerance_test.go
@@ -16,6 +16,16 @@
 	spec.LostNodes = 2
 }
 
+// awaitVoters waits until the core has as many voters as two losses need.
+func awaitVoters(r *rig) {
+	r.t.Helper()
+	ctx := r.within(startBound)
+	require.Eventually(r.t, func() bool {
+		seen, ok := statusAt(ctx, r, 0)
+		return ok && len(seen.Core.Voters) >= 5
+	}, startBound, pollPause, "the core has too few voters for two losses")
+}
+
 // founders are two control processes that have had a vote from the start.
 func founders(r *rig) (first, second *cluster.Process) {
 	r.t.Helper()
@@ -50,6 +60,7 @@
 // Two control processes lose their disks at the same moment, right after an acknowledgement (incident inc2).
 func TestTwoControlProcessesLoseTheirDisksAtOnce(t *testing.T) {
 	r := startWith(t, twoLosses)
+	awaitVoters(r)
 	wait := r.load(4 * time.Second)
 	ordersAreTaken(r, 700, nil)
 	first, second := founders(r)
@@ -62,6 +73,7 @@
 // A control process loses its disk, and another falls silent before the first has caught up (incident inc1).
 func TestAControlProcessLosesItsDiskWhileAnotherIsSilent(t *testing.T) {
 	r := startWith(t, twoLosses)
+	awaitVoters(r)
 	wait := r.load(4 * time.Second)
 	ordersAreTaken(r, 700, nil)
 	wiped, silent := founders(r)
--- a/wire/membership.go
+++ b/wire/membership.go
@@ -59,7 +59,7 @@
 	Have   []Version   // by topic
 }
 
-// HostCore has a store take part in the control plane's core, where no control process has a disk, or leave it.
+// HostCore has a store take part in the control plane's core, where too few control processes have a disk, or leave it.
 type HostCore struct {
 	Host bool
 }
