Keep members of the chain that a neighbour hears, and pass commands on towards the head

And a member that does not hear the head had nothing decided. Ruled out: a lease or votes that changed (the voters stayed the same), a full link.

Change: joinable() lets a member of the chain stay while a member that is heard hears it; a command goes to the first of the chain that its sender hears, which passes it on.

--- a/control/core/mixed_test.go
+++ b/control/core/mixed_test.go
@@ -72,3 +72,60 @@
 		}
 	}
 }
+
+// TestHalvesThatShareAMemberKeepOneChain cuts two control processes off from the other two, while the store reaches all: views don't follow one
+// another without end, and each member of the chain has its commands decided, though it may not hear the head.
+func TestHalvesThatShareAMemberKeepOneChain(t *testing.T) {
+	const (
+		cut       = 6 * time.Second
+		mostViews = 8
+	)
+	for seed := range uint64(10) {
+		s, store := settledMixed(t, seed)
+		before := s.newestEpoch()
+		halves := [2][]*simulated{{s.members[0], s.members[2]}, {s.members[1], s.members[3]}}
+		setHalves(s, halves, true)
+		s.run(s.now + cut)
+		require.LessOrEqual(t, s.newestEpoch()-before, uint64(mostViews), "seed %d: %s", seed, s.describe())
+		require.Less(t, s.now-s.newest, 500*time.Millisecond, "seed %d: %s", seed, s.describe())
+		for _, member := range s.members {
+			if !member.node.chain.Attached() {
+				continue
+			}
+			commands := member.submitNow()
+			s.run(s.now + time.Second)
+			require.True(t, answered(s, commands), "seed %d: nothing is decided for %s: %s", seed, member.address, s.describe())
+		}
+		require.NotContains(t, s.holders(), store)
+		setHalves(s, halves, false)
+		s.run(s.now + 2*time.Second)
+		s.expectService("at last", 300*time.Millisecond)
+		s.checkHistory()
+		require.Empty(t, s.broken, "seed %d", seed)
+	}
+}
+
+func setHalves(s *simulation, halves [2][]*simulated, cut bool) {
+	for _, a := range halves[0] {
+		for _, b := range halves[1] {
+			s.cut[[2]string{a.address, b.address}], s.cut[[2]string{b.address, a.address}] = cut, cut
+		}
+	}
+}
+
+func (s *simulation) newestEpoch() (newest uint64) {
+	for _, member := range s.members {
+		newest = max(newest, member.node.view.Epoch)
+	}
+	return newest
+}
+
+// answered says whether one of the commands has an answer.
+func answered(s *simulation, commands []string) bool {
+	for _, command := range commands {
+		if output := s.operations[command].output; output != "" && output != "never" {
+			return true
+		}
+	}
+	return false
+}
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -519,9 +519,7 @@
 	case *chain.Gap:
 		n.chain.OnGap(now, from.ID, m)
 	case *propose:
-		if m.Epoch == n.view.Epoch {
-			n.chain.Order(now, m.Origin, m.Number, m.Low, m.Command)
-		}
+		n.onPropose(now, m)
 	case *lease.Request:
 		n.onLeaseRequest(now, from, m)
 	case *lease.Reply:
--- a/control/core/peers.go
+++ b/control/core/peers.go
@@ -127,11 +127,14 @@
 	if id == n.self.ID {
 		return true
 	}
+	taken := n.view.Position(id) >= 0 // others judged it sooner
+	if taken && n.lives(now, id) {
+		return true // its neighbours hear it, though this node may not
+	}
 	p := n.find(id)
 	if id == 0 || p == nil || p.refused || p.beat.aside() || now-p.heard >= silentAfter {
 		return false
 	}
-	taken := n.view.Position(id) >= 0       // others judged it sooner
 	starting := now-n.started < silentAfter // of all perhaps: who comes a little late need not wait
 	return taken || starting || now-p.since >= joinAfter
 }
--- a/control/core/submitting.go
+++ b/control/core/submitting.go
@@ -1,6 +1,10 @@
 package core
 
-import "time"
+import (
+	"time"
+
+	"ravendale/control/view"
+)
 
 // Submit takes a command, whose end is told in an output under the number that it returns.
 func (n *node) Submit(now time.Duration, text []byte) uint64 {
@@ -49,7 +53,7 @@
 func (n *node) pass(now time.Duration, pending *command, low uint64) {
 	if n.chain.Position() != 0 {
 		pending.epoch, pending.sentAt = n.view.Epoch, now
-		n.send(n.view.Head(), &propose{
+		n.send(n.towardsHead(now), &propose{
 			Epoch: n.view.Epoch, Origin: n.origin, Number: pending.number, Low: low, Command: pending.command,
 		})
 		return
@@ -58,3 +62,25 @@
 		pending.epoch, pending.sentAt = n.view.Epoch, now
 	}
 }
+
+// towardsHead is the member that a command for the head is sent to: the head itself, or the first of the chain that this one hears, which passes
+// it on. Neighbours in a chain hear each other, though a cut may part others.
+func (n *node) towardsHead(now time.Duration) view.ID {
+	for _, id := range n.view.Chain[:max(n.chain.Position(), 0)] {
+		if n.hears(now, id) {
+			return id
+		}
+	}
+	return n.view.Head()
+}
+
+// onPropose orders a command of another member, or passes it on towards the head.
+func (n *node) onPropose(now time.Duration, m *propose) {
+	switch {
+	case m.Epoch != n.view.Epoch:
+	case n.chain.Position() > 0:
+		n.send(n.towardsHead(now), m)
+	default:
+		n.chain.Order(now, m.Origin, m.Number, m.Low, m.Command)
+	}
+}
