Show how many voters the losses to be borne need

The recruiter's log also told of a member that is away again each second.

The core's decisions do not change.

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -160,8 +160,9 @@
 	if err != nil || !config.Disk {
 		return err
 	}
-	n := c.node
-	c.config.Log.Info("the core's disk is read", "disk", n.self.ID, "empty", snapshot == nil, "bootstrap", config.Bootstrap, "epoch", n.view.Epoch, "voters", len(n.view.Voters), "votes", n.isVoter(n.self.ID))
+	c.config.Log.Info("the core's disk is read",
+		"disk", c.node.self.ID, "empty", snapshot == nil, "bootstrap", config.Bootstrap,
+		"epoch", c.node.view.Epoch, "voters", len(c.node.view.Voters), "votes", c.node.isVoter(c.node.self.ID))
 	return nil
 }
 
--- a/control/plane/hosting.go
+++ b/control/plane/hosting.go
@@ -82,7 +82,9 @@
 	defer h.mu.Unlock()
 	switch {
 	case h.recruiter.joins(now, core, address, zone):
-		h.log.Info("a store is asked to take part in the core", "store", address, "members", len(core.members), "wanted", h.recruiter.wanted)
+		if _, known := core.member(address); !known { // one that is a member already is asked each second until it is back
+			h.log.Info("a store is asked to take part in the core", "store", address, "members", len(core.members), "wanted", h.recruiter.wanted)
+		}
 		return &wire.HostCore{Host: true}
 	case h.recruiter.leaves(now, core, address):
 		h.log.Info("a store is asked to leave the core", "store", address, "members", len(core.members), "wanted", h.recruiter.wanted)
--- a/control/status/status.go
+++ b/control/status/status.go
@@ -26,6 +26,7 @@
 	Epoch       uint64   `json:"epoch"`
 	Voters      []Voter  `json:"voters"`
 	Chain       []string `json:"chain"`               // identities of disks, the head first
+	Wanted      int      `json:"votersWanted"`        // voters that bear the losses which the settings name
 	DiskFault   string   `json:"diskFault,omitempty"` // why the disk takes no writes, and this process stands aside; empty: it does
 	Attached    bool     `json:"attached"`            // this process follows the chain
 	Durable     bool     `json:"durable"`             // the chain has enough disks to commit
@@ -105,8 +106,8 @@
 func CoreOf(s core.Status, term uint64) Core {
 	c := Core{
 		Epoch: s.Epoch, Attached: s.Attached, Durable: s.Durable, Last: s.Last, Committed: s.Committed, Term: term, Leader: s.Leader,
-		DiskFault: s.DiskFault,
-		Voters:    make([]Voter, len(s.Voters)), Chain: make([]string, len(s.Chain)),
+		DiskFault: s.DiskFault, Wanted: s.Wanted,
+		Voters: make([]Voter, len(s.Voters)), Chain: make([]string, len(s.Chain)),
 	}
 	if s.ID != 0 {
 		c.Disk = s.ID.String()
