Connect to no control process in a pause after a failure, and let only differences of failures count

Cause: on a machine that is up before the control process beside it, connects are refused at once. Each refusal chose another target, which was connected at once, in the pause too: 89 connects in 100 ms. Change: no connect in a pause, a refusal in it is no failure, and failures are counted from the candidate that has least.

--- a/cluster/member/agent.go
+++ b/cluster/member/agent.go
@@ -139,7 +139,8 @@
 	return max(a.session.next()-a.now(), time.Millisecond)
 }
 
-// connect has the link go to the session's target.
+// connect has the link go to the session's target. In a pause no link is made: where nothing listens a connect fails at once, and each failure
+// names another target.
 func (a *Agent) connect() {
 	target := a.session.target
 	if a.link != nil && a.link.Address() == target {
@@ -149,7 +150,7 @@
 		a.link.Close()
 		a.link, a.conn = nil, nil
 	}
-	if target == "" {
+	if target == "" || a.session.pausing {
 		return
 	}
 	options := rpc.Options{Mux: a.config.Mux, ConnectTimeout: connectTimeout, PingAfter: pingInterval, FailureTimeout: failureTimeout}
--- a/cluster/member/session.go
+++ b/cluster/member/session.go
@@ -26,13 +26,14 @@
 	seeds     []string
 	core      []string       // as a leader, or the topic of members, named it last
 	hinted    []string       // as one that does not lead named it last: it may be partitioned from the core
-	failures  map[string]int // of control processes, since the last grant
+	failures  map[string]int // of control processes, since the last grant; the candidate that failed least often has none
 
 	target        string
 	leader        string // who granted last
 	hops          int
 	waiting       bool          // a renewal is to be sent or answered
 	sent          bool          // it was sent
+	pausing       bool          // after a failure, until due: nothing is to be connected
 	due           time.Duration // waiting: give up; else: renew
 	renewed       time.Duration // when the renewal that was granted last was sent
 	lease         time.Duration
@@ -58,10 +59,22 @@
 	for _, address := range candidates {
 		least = min(least, s.failures[address])
 	}
-	candidates = slices.DeleteFunc(candidates, func(address string) bool { return s.failures[address] > least })
+	s.forgive(least)
+	candidates = slices.DeleteFunc(candidates, func(address string) bool { return s.failures[address] > 0 })
 	return candidates[s.random.IntN(len(candidates))]
 }
 
+// forgive takes failures off all control processes alike. Only differences count: one that is named after a long outage has not failed yet, and
+// is no better for it than those that failed while nobody led.
+func (s *session) forgive(count int) {
+	if count == 0 {
+		return
+	}
+	for address, failures := range s.failures {
+		s.failures[address] = max(failures-count, 0)
+	}
+}
+
 func union(lists ...[]string) []string {
 	seen := map[string]bool{"": true}
 	var all []string
@@ -113,7 +126,7 @@
 		s.failed(now, s.target)
 	}
 	if !s.waiting && now >= s.due {
-		s.waiting, s.sent, s.due = true, false, now+replyTimeout
+		s.waiting, s.sent, s.pausing, s.due = true, false, false, now+replyTimeout
 		if s.target == "" {
 			s.target = s.candidate()
 		}
@@ -139,7 +152,7 @@
 }
 
 func (s *session) pause(now time.Duration) {
-	s.waiting, s.sent, s.hops = false, false, 0
+	s.waiting, s.sent, s.pausing, s.hops = false, false, true, 0
 	s.due = now + s.spread(s.retryIn())
 }
 
@@ -156,9 +169,10 @@
 	return around/2 + time.Duration(s.random.Int64N(int64(around)))
 }
 
-// disconnected tells that the connection to the target has ended. Between renewals it is only made again.
+// disconnected tells that the connection to the target has ended. Between renewals it is only made again, and in a pause after a failure no
+// failure more.
 func (s *session) disconnected(now time.Duration, from string) {
-	if from != s.target {
+	if from != s.target || s.pausing {
 		return
 	}
 	if s.waiting || !s.leased(now) {
@@ -211,7 +225,7 @@
 	if from != s.target {
 		return
 	}
-	s.waiting, s.sent, s.hops = false, false, 0
+	s.waiting, s.sent, s.pausing, s.hops = false, false, false, 0
 	s.due = max(now, sentAt+s.interval())
 	if s.again {
 		s.again, s.due = false, now
--- a/cluster/member/session_test.go
+++ b/cluster/member/session_test.go
@@ -242,3 +242,47 @@
 	s.named = true
 	require.Equal(t, now+1000*ms, s.next())
 }
+
+// A machine is up before its control process: connects are refused at once.
+func TestRefusedConnectsInAPauseAreNoFailures(t *testing.T) {
+	s := testSession("a", "b", "c")
+	s.tick(0, false)
+	s.disconnected(1*ms, s.target)
+	require.True(t, s.pausing)
+	due, target := s.next(), s.target
+	for now := 2 * ms; now < due; now += ms {
+		s.disconnected(now, s.target)
+	}
+	require.Equal(t, due, s.next())
+	require.Equal(t, target, s.target)
+	s.tick(due, false)
+	require.False(t, s.pausing)
+}
+
+func TestALeaderIsFollowedSoonAfterALongOutage(t *testing.T) {
+	s := testSession("a", "b", "c")
+	now := time.Duration(0)
+	for ; now < 10*time.Second; now = s.next() {
+		s.tick(now, false)
+		s.disconnected(now, s.target)
+	}
+	core := []string{"a", "b", "c", "d", "e"}
+	require.True(t, s.tick(now, true))
+	s.replied(now, now, s.target, &wire.RenewReply{Core: core}) // it names processes that were never asked, and no leader yet
+	hint := &wire.RenewReply{Leader: "c", Core: core}
+	now = s.next()
+	start := now
+	for !s.leased(now) {
+		require.Less(t, now-start, time.Second)
+		require.True(t, s.tick(now, true))
+		if s.target == "c" {
+			s.replied(now, now, "c", grant(600*ms))
+		} else {
+			s.replied(now, now, s.target, hint)
+		}
+		if s.waiting && !s.sent {
+			continue // the leader that was named is asked at once
+		}
+		now = max(now, s.next())
+	}
+}
