--- a/cmd/ravendale-store/main.go
+++ b/cmd/ravendale-store/main.go
@@ -14,10 +14,6 @@
 	program.Run("ravendale-store", "Keeps messages until they have ended.",
 		func(ctx context.Context, env program.Environment) error {
 			program.Memory(garbagePercent, env.Settings.MemoryMb)
-			p, err := newProcess(ctx, env)
-			if err != nil {
-				return err
-			}
-			return p.run(ctx)
+			return serve(ctx, env)
 		})
 }
