Run no message by a grant while its put has no result

Inferred, not traced in a log: a grant that carries its message was run though the put of that very message was still open, and the put was then accepted under another ID. A put that was accepted also forgot its other attempts before they were reported dropped. Change: a grant of a message whose put is open counts as the answer that it overtook, with its message or without; one of a message that is to be dropped does not count; other attempts are forgotten once they are reported dropped. Measured: the new test fails without the mend (the message is handed out twice).

--- a/edge/queueclient/attempt.go
+++ b/edge/queueclient/attempt.go
@@ -173,7 +173,7 @@
 		p.client.config.Accepted(p.message, granted)
 		p.notifyGrant(t, granted)
 	}
-	p.client.forget(p)
+	p.client.forgetAttempt(t.id) // the others are forgotten once they are reported dropped
 	p.wake()
 }
 
@@ -205,8 +205,15 @@
 	}
 }
 
+func (c *Client) forgetAttempt(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.attempts, id)
+}
+
 // grantAttempt records a grant of a message that Config.Accepted was not called for yet, as one that overtook the answer to its put. It
-// reports whether it was one.
+// reports whether it was one, with its message or without: until the put has a result, the message may be accepted under another ID too, and
+// whichever is not the one that counts is dropped.
 func (c *Client) grantAttempt(id string) bool {
 	c.mu.Lock()
 	t := c.attempts[id]
@@ -216,7 +223,11 @@
 	}
 	t.put.mu.Lock()
 	defer t.put.mu.Unlock()
-	if accepted := t.put.accepted; accepted != nil && (accepted.id != id || t.put.notified) {
+	switch accepted := t.put.accepted; {
+	case accepted == nil:
+	case accepted.id != id:
+		return true // it is about to be reported dropped
+	case t.put.notified:
 		return false
 	}
 	for _, other := range t.put.attempts { // a duplicate under the same ID may be the one that is answered
--- a/edge/queueclient/client.go
+++ b/edge/queueclient/client.go
@@ -95,7 +95,7 @@
 	if c.isStale(conn, g) {
 		return
 	}
-	if !g.HasMessage && c.grantAttempt(g.ID) {
+	if c.grantAttempt(g.ID) || c.reports.isDropping(g.ID) {
 		return
 	}
 	if g.HasMessage && c.reports.isReleasing(g.ID) { // the store takes the repeat of the release for one of this grant
--- a/edge/queueclient/put.go
+++ b/edge/queueclient/put.go
@@ -174,10 +174,10 @@
 	return result
 }
 
-// unresolved returns the attempts that may have been accepted without an answer that says so.
+// unresolved returns the attempts that may have been accepted without an answer that says so. A grant says so too.
 func (p *put) unresolved() (found []*attempt) {
 	for _, t := range p.attempts {
-		if t.state == attemptPending || t.state == attemptUnknown {
+		if t.state == attemptPending || t.state == attemptUnknown || t.state == attemptRejected && t.granted {
 			found = append(found, t)
 		}
 	}
--- a/edge/queueclient/races_test.go
+++ b/edge/queueclient/races_test.go
@@ -242,3 +242,36 @@
 		h.with(func() { assert.Equal(t, []string{"0.done"}, h.unknown) })
 	})
 }
+
+// A store takes a message and does not answer; the one that takes its place grants the message to the edge, with its body. Meanwhile the edge
+// has put it elsewhere under another ID: only that one may run.
+func TestAMessageIsNotRunByAGrantWhileItsPutHasNoResult(t *testing.T) {
+	onFakeTime(t, func(t *testing.T) {
+		one, two := newFakeStore(t), newFakeStore(t)
+		one.put = func(*wire.Put, int) *wire.PutReply { return nil }
+		accept := make(chan struct{})
+		two.put = func(*wire.Put, int) *wire.PutReply {
+			<-accept
+			return &wire.PutReply{Code: wire.PutAccepted}
+		}
+		c, h := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one, two}, []uint16{0}, []uint16{1}))
+		connected(t, c)
+		done := make(chan Result)
+		m := plain()
+		go func() { done <- c.putFor(m, true, soon) }()
+		require.Eventually(t, func() bool { return one.countPuts() > 0 && len(c.pendingPuts()) == 2 }, soon, time.Millisecond)
+		var unanswered string
+		one.with(func() { unanswered = one.puts[0].Message.ID })
+		grant := &wire.Grant{Epoch: 1, ID: unanswered, HasMessage: true}
+		conn := c.view.Load().stores[0].conn()
+		c.handleGrant(conn, grant)
+		close(accept)
+		require.Equal(t, Accepted, <-done)
+		c.handleGrant(conn, grant)
+		require.NotEqual(t, unanswered, m.ID)
+		require.Eventually(t, func() bool { return one.countReports() == 1 }, soon, time.Millisecond)
+		one.with(func() { assert.Equal(t, wire.ReportDropped, one.reports[0].Kind) })
+		h.with(func() { assert.Empty(t, h.granted) })
+	})
+}
--- a/edge/queueclient/report.go
+++ b/edge/queueclient/report.go
@@ -81,6 +81,14 @@
 	return w != nil && (w.releases > 0 || slices.ContainsFunc(w.queue, isRelease))
 }
 
+// isDropping reports whether a message is to be dropped: its put was accepted under another ID, or has failed.
+func (r *reports) isDropping(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.pendingReports[id]
+	return w != nil && slices.ContainsFunc(w.queue, func(report wire.Report) bool { return report.Kind == wire.ReportDropped })
+}
+
 func isRelease(report wire.Report) bool { return report.Kind == wire.ReportReleased }
 
 // send sends the first report in a message's queue.
