Gather the copies of a partition in one zone where no zone is to be borne

The copies of a partition were spread over zones in any deployment, so each body crossed twice on its way to disk. Change: where neither zones nor regions are to be borne, each partition has a preferred zone, in proportion to the zones' stores; its copies are gathered there, replaced there and moved there, eight at once. A zone with fewer stores than copies shares partitions that are spread as before. A partition stays in the zone of most of its copies, so that a store more or less moves little.

--- a/control/leader/leader.go
+++ b/control/leader/leader.go
@@ -170,6 +170,8 @@
 		Partitions: placement.DefaultPartitions,
 		Zones:      s.ToleratedZones > 0,
 		Regions:    s.ToleratedRegions > 0,
+
+		GatherZones: true,
 	}
 }
 
--- a/control/placement/balance.go
+++ b/control/placement/balance.go
@@ -49,11 +49,11 @@
 	if a.leaving != b.leaving {
 		return a.leaving
 	}
-	if da, db := p.shared(partition.replicas, a), p.shared(partition.replicas, b); da != db {
-		return da
+	if sa, sb := p.shared(partition.replicas, a), p.shared(partition.replicas, b); sa != sb && !partition.gathers() {
+		return sa
 	}
-	if fa, fb := partition.foreign(a), partition.foreign(b); fa != fb {
-		return fa
+	if da, db := partition.distance(a), partition.distance(b); da != db {
+		return da > db
 	}
 	if a.load != b.load {
 		return a.load > b.load
@@ -72,7 +72,7 @@
 	for i := range p.partitions {
 		moves += len(p.partitions[i].joining)
 	}
-	moves += p.moveToPreferredRegion(movesAtOnce - moves)
+	moves += p.moveToPreferred(movesAtOnce - moves)
 	p.projectLoads()
 	for ; moves < movesAtOnce; moves++ {
 		if !p.move() {
@@ -87,7 +87,7 @@
 		partition := &p.partitions[i]
 		members := partition.members()
 		for range max(0, len(members)-p.config.Copies) {
-			projected := assignment{replicas: members, preferredRegion: partition.preferredRegion}
+			projected := assignment{replicas: members, preferredRegion: partition.preferredRegion, preferredZone: partition.preferredZone}
 			if s := p.excess(&projected); s != nil {
 				s.load--
 				members = without(members, func(m *store) bool { return m == s })
@@ -124,21 +124,30 @@
 	return true
 }
 
-// moveTarget is the store with the least load that could take a replica's place without bringing the others closer together.
+// moveTarget is the store with the least load that could take a replica's place, without bringing the others closer together unless they are to
+// lie together.
 func (p *plan) moveTarget(partition *assignment, source *store) *store {
 	rest := without(partition.replicas, func(s *store) bool { return s == source })
 	before := p.domains(partition.replicas)
 	var best *store
 	for _, s := range p.stores {
-		if !p.certain(s) || partition.has(s) || best != nil && s.load >= best.load {
+		if !p.certain(s) || partition.has(s) || partition.distance(s) > partition.distance(source) {
 			continue
 		}
-		if partition.foreign(s) && !partition.foreign(source) {
+		if best != nil && !partition.nearer(s, best) {
 			continue
 		}
-		if p.domains(append(slices.Clone(rest), s)) >= before {
+		if partition.gathers() || p.domains(append(slices.Clone(rest), s)) >= before {
 			best = s
 		}
 	}
 	return best
 }
+
+// nearer says whether a replica should rather move to one store than to another: in the preferred zone first, then to the one with the least load.
+func (a *assignment) nearer(s, other *store) bool {
+	if a.gathers() && a.distance(s) != a.distance(other) {
+		return a.distance(s) < a.distance(other)
+	}
+	return s.load < other.load
+}
--- a/control/placement/placement.go
+++ b/control/placement/placement.go
@@ -19,6 +19,8 @@
 	Partitions int  // of a new system
 	Zones      bool // zones may be lost: two copies in one zone count as one
 	Regions    bool // the same of regions
+	// GatherZones puts all copies of a partition into one zone where that has enough stores. It has no effect where zones or regions may be lost.
+	GatherZones bool
 
 	mutant mutant
 }
@@ -95,6 +97,7 @@
 	p := newPlan(nil, live, config)
 	p.partitions = make([]assignment, config.Partitions)
 	p.assignPreferredRegions()
+	p.assignPreferredZones()
 	for i := range p.partitions {
 		for range config.Copies {
 			if s := p.candidate(&p.partitions[i], p.strict()); s != nil {
--- a/control/placement/plan.go
+++ b/control/placement/plan.go
@@ -36,6 +36,7 @@
 	covered         bool     // see wire.Placement
 	unsure          bool     // see wire.Placement
 	preferredRegion string   // the region where all copies should lie; empty where it does not matter
+	preferredZone   string   // the zone of it where all copies should lie; empty where they are to be spread
 }
 
 func (a *assignment) members() []*store { return slices.Concat(a.replicas, a.joining) }
@@ -78,6 +79,7 @@
 	}
 	p.count()
 	p.assignPreferredRegions()
+	p.assignPreferredZones()
 	return p
 }
 
--- a/control/placement/regions.go
+++ b/control/placement/regions.go
@@ -5,9 +5,23 @@
 	"slices"
 )
 
-// foreign says whether a store lies outside the region where all copies of the partition should lie.
-func (a *assignment) foreign(s *store) bool {
-	return a.preferredRegion != "" && s.Region != a.preferredRegion
+// How far a store lies from where all copies of a partition should lie.
+const (
+	inPlace = iota
+	inAnotherZone
+	inAnotherRegion
+)
+
+// distance says how far a store lies from where all copies of the partition should lie.
+func (a *assignment) distance(s *store) int {
+	switch {
+	case a.preferredRegion != "" && s.Region != a.preferredRegion:
+		return inAnotherRegion
+	case a.preferredZone != "" && s.Zone != a.preferredZone:
+		return inAnotherZone
+	default:
+		return inPlace
+	}
 }
 
 // assignPreferredRegions gives each partition a preferred region, in proportion to the stores of each region, so that its copies need not wait for a
@@ -33,9 +47,9 @@
 	return stores
 }
 
-// moveToPreferredRegion gives a joining store of the preferred region to at most limit partitions of which a complete replica lies elsewhere, as long as that
-// brings no copies closer together. It returns how many.
-func (p *plan) moveToPreferredRegion(limit int) int {
+// moveToPreferred gives a joining store of the preferred region or zone to at most limit partitions of which a complete replica lies elsewhere, as long
+// as that brings no copies closer together than they may be. It returns how many.
+func (p *plan) moveToPreferred(limit int) int {
 	moves := 0
 	for i := range p.partitions {
 		partition := &p.partitions[i]
@@ -54,13 +68,14 @@
 	return moves
 }
 
-// preferredTarget is a store that could take the place of a replica outside the preferred region.
+// preferredTarget is a store that could take the place of a replica outside the preferred region or zone.
 func (p *plan) preferredTarget(partition *assignment) *store {
 	for _, source := range partition.replicas {
-		if !partition.foreign(source) {
+		distance := partition.distance(source)
+		if distance == inPlace {
 			continue
 		}
-		if s := p.moveTarget(partition, source); s != nil && !partition.foreign(s) {
+		if s := p.moveTarget(partition, source); s != nil && partition.distance(s) < distance {
 			return s
 		}
 	}
--- a/control/placement/repair.go
+++ b/control/placement/repair.go
@@ -67,7 +67,7 @@
 	for i := range p.partitions {
 		partition := &p.partitions[i]
 		kept := keepers(partition)
-		if partition.unavailable() || len(partition.joining) > 0 || p.domains(kept) >= p.config.Copies {
+		if partition.unavailable() || partition.gathers() || len(partition.joining) > 0 || p.domains(kept) >= p.config.Copies {
 			continue
 		}
 		s := p.candidate(partition, true)
@@ -101,14 +101,14 @@
 
 // better says whether a should be given a replica of a partition rather than b. A former member has most of it.
 func (p *plan) better(partition *assignment, a, b *store, taken map[string]bool) bool {
-	if ta, tb := taken[p.domain(a)], taken[p.domain(b)]; ta != tb {
+	if ta, tb := taken[p.domain(a)], taken[p.domain(b)]; ta != tb && !partition.gathers() {
 		return !ta
 	}
 	if fa, fb := slices.Contains(partition.former, a), slices.Contains(partition.former, b); fa != fb {
 		return fa
 	}
-	if fa, fb := partition.foreign(a), partition.foreign(b); fa != fb {
-		return !fa
+	if da, db := partition.distance(a), partition.distance(b); da != db {
+		return da < db
 	}
 	return a.load < b.load
 }
