Let no grant count that lay in a socket while the edge's process stood still

Change: the queue client looks at its steady clock every 250 ms and at each grant. After a gap of 600 ms, half of an edge's shortest lease, the connections to all stores are made anew, nothing more counts that comes over those of before, and the claim on the next says what the edge has. The new test fails without the mend by its reference to it.

--- a/edge/queueclient/client.go
+++ b/edge/queueclient/client.go
@@ -66,7 +66,8 @@
 	draining bool
 	closed   bool
 
-	reports reports
+	reports    reports
+	standstill standstill
 }
 
 // New returns a client without a placement.
@@ -83,6 +84,7 @@
 	mux := rpc.NewMux()
 	c.Handle(mux)
 	c.config.Options.Mux = mux
+	c.watchStandstill()
 	return c
 }
 
@@ -92,6 +94,7 @@
 }
 
 func (c *Client) handleGrant(conn *rpc.Conn, g *wire.Grant) {
+	c.noteAlive()
 	if c.isStale(conn, g) {
 		return
 	}
@@ -106,14 +109,14 @@
 }
 
 // isStale reports whether a grant came too late to count: it is from a store that is not the partition's primary any more, or from a
-// connection before the present one. The claims that this edge has made since do not name its message, which may be another's.
+// connection before the present one, or from one that was up while the process stood still. The claims that this edge has made since do not name its message, which may be another's.
 func (c *Client) isStale(conn *rpc.Conn, g *wire.Grant) bool {
 	v := c.view.Load()
 	if v == nil || g.Epoch > v.Epoch {
 		return false // this edge is the one that is behind
 	}
 	primary := v.primary(g.Partition)
-	return primary == nil || primary.conn() != conn
+	return primary == nil || primary.conn() != conn || primary.outdated.Load() == conn
 }
 
 func (c *Client) now() time.Duration { return c.host.Now() - c.started }
@@ -191,6 +194,7 @@
 	stores := c.all()
 	c.mu.Unlock()
 	c.reports.stop()
+	c.stopWatch()
 	for _, s := range stores {
 		s.link.Close()
 	}
--- a/edge/queueclient/races_test.go
+++ b/edge/queueclient/races_test.go
@@ -275,3 +275,27 @@
 		h.with(func() { assert.Empty(t, h.granted) })
 	})
 }
+
+// A frozen process goes on: what lies in its sockets was granted before, and may be another edge's by now.
+func TestGrantsFromBeforeAStandstillDoNotCount(t *testing.T) {
+	onFakeTime(t, func(t *testing.T) {
+		one := newFakeStore(t)
+		c, h := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+		connected(t, c)
+		before := c.view.Load().stores[0].conn()
+		claims := one.countClaims()
+		c.standstill.mu.Lock()
+		c.standstill.aliveAt -= standstillLimit
+		c.standstill.mu.Unlock()
+		for _, id := range []string{"0.x", "0.y"} {
+			c.handleGrant(before, &wire.Grant{Epoch: 1, ID: id, HasMessage: true})
+		}
+		h.with(func() { assert.Empty(t, h.granted) })
+		require.Eventually(t, func() bool { return one.countClaims() > claims }, soon, time.Millisecond, "it claims on another connection")
+		after := c.view.Load().stores[0].conn()
+		require.NotSame(t, before, after)
+		c.handleGrant(after, &wire.Grant{Epoch: 1, ID: "0.z", HasMessage: true})
+		h.with(func() { assert.Equal(t, []string{"0.z"}, h.granted) })
+	})
+}
--- a/edge/queueclient/store.go
+++ b/edge/queueclient/store.go
@@ -15,9 +15,10 @@
 	client       *Client
 	address      string
 	link         host.Link
-	suspectUntil atomic.Int64 // time.Duration by the client's clock
-	unanswered   atomic.Int64 // puts that it owes an answer, as a primary
-	acceptedAt   atomic.Int64 // time.Duration by the client's clock at which it accepted a message last, as a primary
+	suspectUntil atomic.Int64             // time.Duration by the client's clock
+	unanswered   atomic.Int64             // puts that it owes an answer, as a primary
+	acceptedAt   atomic.Int64             // time.Duration by the client's clock at which it accepted a message last, as a primary
+	outdated     atomic.Pointer[rpc.Conn] // the last connection that was up while the process stood still
 }
 
 func newStore(c *Client, entry *wire.Store) *store {
