End ravendale-control with exit code 1 where it can't listen for other processes

Cause: docs/logging.md promises 1 for each end of a process by itself; this one ended with 0. Change: run returns the error after its orderly end. Measured: the new test holds a port that is taken to give that error.

--- a/cmd/ravendale-control/control.go
+++ b/cmd/ravendale-control/control.go
@@ -34,7 +34,7 @@
 	return c, nil
 }
 
-// run serves until the context ends.
+// run serves until the context ends, or returns why it can't listen for other processes.
 func (c *control) run(ctx context.Context) error {
 	s := c.env.Settings
 	admin, err := plane.RetryListen(func() (net.Listener, error) { return net.Listen("tcp4", s.ListenAdmin) })
@@ -47,8 +47,9 @@
 	var group sync.WaitGroup
 	group.Go(func() { _ = c.api.Serve(admin) }) // it fails only as its listener is closed
 	group.Go(func() { c.env.WatchSettings(running, c.plane.SetSettings) })
-	if err := c.plane.Run(ctx); err != nil {
-		c.env.Log.Error("not listening for other processes", "error", err) // and the process ends with 0: docs/ROADMAP.md
+	listenErr := c.plane.Run(ctx)
+	if listenErr != nil {
+		c.env.Log.Error("not listening for other processes", "error", listenErr)
 	}
 	stop()
 	shutdown, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
@@ -56,5 +57,5 @@
 	_ = c.api.Shutdown(shutdown) // what is under way at the end of its time is cut off
 	_ = admin.Close()            // Shutdown has closed it, unless Serve had not begun
 	group.Wait()
-	return nil
+	return listenErr
 }
--- a/cmd/ravendale-control/control_test.go
+++ b/cmd/ravendale-control/control_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,7 +24,8 @@
 	return listener.Addr().(*net.TCPAddr).Port
 }
 
-func TestRunServesUntilItsContextEndsAndLeavesNothingBehind(t *testing.T) {
+// testSettings are those of a control process that starts a system of its own.
+func testSettings(t *testing.T) *settings.Settings {
 	const ip = "127.0.8.10"
 	port := freePort(t)
 	s := &settings.Settings{
@@ -33,6 +35,11 @@
 	}
 	admin := freePort(t)
 	s.ListenAdmin = (&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: admin}).String()
+	return s
+}
+
+func TestRunServesUntilItsContextEndsAndLeavesNothingBehind(t *testing.T) {
+	s := testSettings(t)
 	c, err := newControl(program.Environment{Settings: s, Path: filepath.Join(t.TempDir(), "settings.json"), Log: slog.New(slog.DiscardHandler)})
 	require.NoError(t, err)
 
@@ -56,3 +63,13 @@
 	}
 	require.False(t, ready(), "its addresses are free again")
 }
+
+func TestRunFailsWhereItCannotListenForOtherProcesses(t *testing.T) {
+	s := testSettings(t)
+	taken, err := net.Listen("tcp4", s.ControlAddress(s.IP))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = taken.Close() })
+	c, err := newControl(program.Environment{Settings: s, Path: filepath.Join(t.TempDir(), "settings.json"), Log: slog.New(slog.DiscardHandler)})
+	require.NoError(t, err)
+	require.ErrorIs(t, c.run(t.Context()), syscall.EADDRINUSE)
+}
