--- a/cmd/ravendale-store/main.go
+++ b/cmd/ravendale-store/main.go
@@ -14,6 +14,10 @@
 	program.Run("ravendale-store", "Keeps messages until they have ended.",
 		func(ctx context.Context, env program.Environment) error {
 			program.Memory(garbagePercent, env.Settings.MemoryMb)
-			return serve(ctx, env)
+			p, err := newProcess(ctx, env)
+			if err != nil {
+				return err
+			}
+			return p.run(ctx)
 		})
 }
--- a/cmd/ravendale-store/process.go
+++ b/cmd/ravendale-store/process.go
@@ -35,26 +35,9 @@
 	failed chan error
 }
 
-// serve runs the store's process. A member of the core that this disk has starts first: after a loss of all power the whole control plane waits
-// for its voters, and must not wait for a journal to be read too.
-func serve(ctx context.Context, env program.Environment) error {
-	running, stop := context.WithCancel(context.Background())
-	core := newCoreHost(env.Settings, env.Log)
-	defer func() {
-		stop()
-		core.wait()
-	}()
-	core.run(running)
-	p, err := newProcess(ctx, env, core)
-	if err != nil {
-		return err
-	}
-	return p.run(ctx, running, stop)
-}
-
-func newProcess(ctx context.Context, env program.Environment, core *coreHost) (*process, error) {
+func newProcess(ctx context.Context, env program.Environment) (*process, error) {
 	s := env.Settings
-	p := &process{env: env, mux: rpc.NewMux(), core: core, failed: make(chan error, 1)}
+	p := &process{env: env, mux: rpc.NewMux(), failed: make(chan error, 1)}
 	opened, disk, err := server.OpenDisk(ctx, server.Config{
 		Settings: s, Mux: p.mux, Log: env.Log, StatusChanged: func() { p.agent.RenewNow() }, Failed: p.fail,
 	})
@@ -70,6 +53,7 @@
 		},
 	})
 	p.agent.OnChange(p.onChange)
+	p.core = newCoreHost(s, env.Log)
 	return p, nil
 }
 
@@ -104,14 +88,16 @@
 	p.store.SetView(s.Stores)
 }
 
-// run serves until the context ends, and then as long as a planned stop takes, or until the disk fails. All that it starts runs until stop ends
-// the context named running.
-func (p *process) run(ctx, running context.Context, stop context.CancelFunc) error {
+// run serves until the context ends, and then as long as a planned stop takes, or until the disk fails.
+func (p *process) run(ctx context.Context) error {
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
 	rpc.Handle(p.mux, wire.MethodHostCore, func(_ *rpc.Conn, order *wire.HostCore, _ rpc.Reply) { p.core.submit(running, order.Host) })
 	listener, err := p.listen(ctx)
 	if err != nil {
 		return err
 	}
+	p.core.run(running)
 	// These three end soon after the context. The process does not wait for them: what is durable does not depend on them.
 	go p.env.WatchSettings(running, p.setSettings)
 	go p.agent.Run(running)
