Have an edge's dispatcher spend on a change of the lists what changed

Cause: at each change of the members each edge sorted all edges twice for each service with a rate limit, and made its settings, workers and shares of connections anew for all services; at each event it passed over all services for what is due. 300 machines did not come as far as their traffic for it. Change: the list of edges is kept with its counts by zone (edgelist.go); a service keeps how many edges of each zone come before this one (senderorder.go), which a change updates by one hash for each edge that changed. The order is the old one, so processes of both versions agree on who sends. Workers are grouped by service once a list; a service that is configured as before is passed over; a module learns of the number of edges before its next event; shares of connections are set only when they change; Next and Tick look at services that have a timer or messages that wait for a token.

--- a/edge/dispatch/admission.go
+++ b/edge/dispatch/admission.go
@@ -41,6 +41,7 @@
 	default:
 		m.service = s
 		s.rateLimited = append(s.rateLimited, m)
+		c.addTimed(s)
 		c.messages.schedule(m, phaseRateLimited, m.expiresAt)
 	}
 }
--- a/edge/dispatch/configure.go
+++ b/edge/dispatch/configure.go
@@ -16,17 +16,29 @@
 func (c *Core) ApplyConfig(now time.Duration, index *catalog.Index) []Action {
 	c.begin(now)
 	c.index = index
-	named := make(map[string]bool)
-	for i := range index.Config().Services {
-		config := &index.Config().Services[i]
-		named[config.Name] = true
-		c.configureService(config)
+	services := index.Config().Services
+	named := make(map[string]bool, len(services))
+	c.configured = c.configured[:0]
+	for i := range services {
+		named[services[i].Name] = true
+		c.configureService(&services[i])
 	}
-	maps.DeleteFunc(c.services, func(name string, _ *service) bool { return !named[name] })
+	c.removeServices(named)
 	c.followRoutes()
 	return c.end()
 }
 
+// removeServices forgets the services that a configuration does not name.
+func (c *Core) removeServices(named map[string]bool) {
+	removed := func(s *service) bool { return !named[s.name] }
+	before := len(c.services)
+	maps.DeleteFunc(c.services, func(_ string, s *service) bool { return removed(s) })
+	if len(c.services) != before {
+		c.connectionsChanged = true
+		c.timed = slices.DeleteFunc(c.timed, removed)
+	}
+}
+
 // followRoutes drops messages whose route was removed, and withdraws those that wait for a service which their route leads away from.
 func (c *Core) followRoutes() {
 	for _, m := range c.messages.byID {
@@ -44,23 +56,45 @@
 	}
 }
 
-// configureService updates a service's state to the configuration, the list of workers and the topology.
+// configureService updates a service's state to the configuration.
 func (c *Core) configureService(config *catalog.Service) {
-	settings := moduleSettings(config, &c.config.Topology)
 	s := c.services[config.Name]
-	if s == nil {
-		module, err := ravendale.New(settings, c.config.Seed^xxhash.Sum64String(config.Name))
-		if err != nil {
-			return // no valid configuration makes such settings
+	switch {
+	case s == nil:
+		if s = c.newService(config); s == nil {
+			return
 		}
-		s = &service{name: config.Name, module: module, timerAt: forever}
 		c.services[config.Name] = s
-	} else if !sameSettings(&s.settings, &settings) {
+	case s.config == *config:
+		c.configured = append(c.configured, s)
+		c.updateConnections(s)
+		return
+	}
+	c.configured = append(c.configured, s)
+	s.config, s.endpoint = *config, config.Endpoint
+	c.updateSettings(s)
+	c.updateWorkers(s)
+	c.updateConnections(s)
+	c.applyRateLimit(s)
+}
+
+// newService makes the state of a service without workers; nil if its module can't be made, which no valid configuration brings about.
+func (c *Core) newService(config *catalog.Service) *service {
+	settings := moduleSettings(config, &c.config.Topology, &c.edges)
+	module, err := ravendale.New(settings, c.config.Seed^xxhash.Sum64String(config.Name))
+	if err != nil {
+		return nil
+	}
+	return &service{name: config.Name, module: module, settings: settings, edgesVersion: c.edges.version, timerAt: forever}
+}
+
+// updateSettings gives a service's module its settings, if they have changed.
+func (c *Core) updateSettings(s *service) {
+	settings := moduleSettings(&s.config, &c.config.Topology, &c.edges)
+	if !sameSettings(&s.settings, &settings) {
 		_ = s.module.Retune(settings) // rejected, the old ones stay in force
 	}
-	s.settings, s.endpoint = settings, config.Endpoint
-	c.updateWorkers(s, config)
-	c.applyRateLimit(s, config)
+	s.settings, s.edgesVersion = settings, c.edges.version
 }
 
 // sameSettings compares what of a module's settings may change.
@@ -69,19 +103,29 @@
 }
 
 // updateWorkers notifies a module of its workers, and retries what waited for the first of them.
-func (c *Core) updateWorkers(s *service, config *catalog.Service) {
-	list, addresses := entries(config, c.workers, &c.replaced, &c.config.Topology)
+func (c *Core) updateWorkers(s *service) {
+	t := &c.config.Topology
+	workers := c.workersOf[s.name]
+	list, addresses := entries(&s.config, workers, &c.replaced, t)
+	zone := slices.Index(t.Zones, t.Zone)
+	capacity := zoneCapacityOf(list, zone)
+	if s.endpoint == "" && capacity.sufficesForZone(&c.edges, t.Zone) {
+		capacity.isLocal = true
+		preferLocalZone(list, zone)
+	}
+	s.capacity = capacity
 	if slices.Equal(list, s.entries) && sameAddresses(s.addresses, addresses) {
 		return
 	}
 	before := s.readyWorkers
-	s.capacities = capacities(c.workers, addresses)
+	s.capacities = capacities(workers, addresses)
 	s.entries, s.addresses, s.readyWorkers = list, addresses, 0
 	for i := range list {
 		if list[i].State == ravendale.Ready {
 			s.readyWorkers++
 		}
 	}
+	c.connectionsChanged = true
 	c.queueEvent(s, ravendale.Event{Kind: ravendale.WorkersListed, List: ravendale.Full, Entries: list})
 	if before == 0 && s.readyWorkers > 0 {
 		c.retryNow(s)
@@ -113,64 +157,97 @@
 	}
 }
 
-// applyRateLimit sets a service's share of its rate limit. The bucket of a new share is empty.
-func (c *Core) applyRateLimit(s *service, config *catalog.Service) {
-	if config.RatePerS <= 0 {
+// applyRateLimit puts a service's rate limit in force, or lifts it.
+func (c *Core) applyRateLimit(s *service) {
+	if s.config.RatePerS <= 0 {
 		s.tokens = nil
 		c.reroute(s.rateLimited)
 		s.rateLimited = nil
 		return
 	}
-	c.reroute(s.queue.messages)
-	s.queue.messages = nil
-	c.pruneBacklogged()
-	limit := rateLimit{RatePerS: config.RatePerS, Window: c.config.Window, Overshoot: c.config.Overshoot}
-	share := limit.divide(s.name, c.config.Topology.Edge, c.config.Topology.Edges)
-	s.maxOpenJobs = c.connectionCapacity(s, config)
+	if s.tokens == nil {
+		c.reroute(s.queue.messages)
+		s.queue.messages = nil
+		c.pruneBacklogged()
+		s.senders = newSenderOrder(s.name, c.config.Topology.Edge)
+		s.senders.update(c.edges.all())
+	}
+	c.updateRateShare(s)
+}
+
+// updateRateShare sets a service's share of its rate limit. The bucket of a new share is empty.
+func (c *Core) updateRateShare(s *service) {
+	s.maxOpenJobs = s.connectionCapacity()
+	share := c.rateShare(s)
 	if s.tokens == nil || s.tokens.share != share {
 		s.tokens = newBucket(share, c.now)
 	}
-	if share.Burst == 0 {
+	if share.Burst == 0 && len(s.rateLimited) > 0 {
 		for _, m := range slices.Clone(s.rateLimited) {
 			c.release(m)
 		}
 	}
 }
 
+// rateShare returns this edge's share of a service's rate limit. An edge that is not listed has none.
+func (c *Core) rateShare(s *service) rateShare {
+	if c.edges.own < 0 {
+		return rateShare{}
+	}
+	limit := rateLimit{RatePerS: s.config.RatePerS, Window: c.config.Window, Overshoot: c.config.Overshoot}
+	return limit.share(s.senders.position(&c.edges), len(c.edges.edges), c.edges.populatedZones())
+}
+
 // SetWorkers takes the platform's list of workers.
 func (c *Core) SetWorkers(now time.Duration, workers *wire.Workers) []Action {
 	c.begin(now)
-	c.workers = workers
+	c.workersOf = workersByService(workers)
 	c.replaced.retain(workers)
-	c.configureServices()
+	c.updateAllWorkers()
 	return c.end()
 }
 
+// updateAllWorkers notifies the modules of services with workers on the platform's list. An endpoint is on none.
+func (c *Core) updateAllWorkers() {
+	for _, s := range c.configured {
+		c.updateConnections(s)
+		if s.endpoint == "" {
+			c.updateWorkers(s)
+		}
+		if s.tokens != nil {
+			c.updateRateShare(s)
+		}
+	}
+}
+
 // excludeReplaced excludes a worker whose address another has, whatever the list says: a worker that starts again has another name.
 func (c *Core) excludeReplaced(s *service, name string) {
-	config := c.index.Service(s.name)
-	if config == nil || s.endpoint != "" || c.replaced.has(name) {
+	if c.services[s.name] != s || s.endpoint != "" || c.replaced.has(name) {
 		return
 	}
 	c.replaced.add(c.now, name)
-	c.updateWorkers(s, config)
+	c.updateWorkers(s)
 }
 
 // SetEdges takes the edges that share the work.
 func (c *Core) SetEdges(now time.Duration, edges []wire.Edge) []Action {
 	c.begin(now)
-	c.config.Topology.Edges = edges
+	changes := c.edges.set(edges, c.config.Topology.Edge)
 	c.edgePeak.add(c.now, len(edges))
-	c.configureServices()
+	for _, s := range c.configured {
+		c.followEdges(s, changes)
+	}
 	return c.end()
 }
 
-// configureServices updates all services of the configuration in force.
-func (c *Core) configureServices() {
-	if c.index == nil {
-		return
+// followEdges updates what of a service depends on the edges. Its module learns of them before its next event: see queueEvent.
+func (c *Core) followEdges(s *service, changes []edgeChange) {
+	c.updateConnections(s)
+	if s.endpoint == "" && s.capacity.isLocal != s.capacity.sufficesForZone(&c.edges, c.config.Topology.Zone) {
+		c.updateWorkers(s)
 	}
-	for i := range c.index.Config().Services {
-		c.configureService(&c.index.Config().Services[i])
+	if s.tokens != nil {
+		s.senders.update(changes)
+		c.updateRateShare(s)
 	}
 }
--- a/edge/dispatch/connections.go
+++ b/edge/dispatch/connections.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"ravendale/cluster/catalog"
 	"ravendale/edge/worker"
 )
 
@@ -29,54 +28,54 @@
 	return maxConns > 0 && connectionFraction*float64(maxConns) < minConnections*float64(edges)
 }
 
-// connectionLimits returns how many connections this edge may have to each worker of a service.
-func (s *service) connectionLimits(config *catalog.Service, edges int) map[string]int {
-	share := connectionShare(config.MaxConns, edges)
-	limits := make(map[string]int, len(s.addresses))
-	for name := range s.addresses {
-		limits[name] = share
-	}
-	if s.endpoint != "" || share == 0 {
-		return limits
+// edgeCount returns how many edges share connections: the highest number of late.
+func (c *Core) edgeCount() int { return max(c.edgePeak.highest(c.now), len(c.edges.edges)) }
+
+// updateConnections computes a service's share of each worker's connections.
+func (c *Core) updateConnections(s *service) {
+	edges := c.edgeCount()
+	share := worker.Share{Max: connectionShare(s.config.MaxConns, edges), Scarce: isScarce(s.config.MaxConns, edges)}
+	if share != s.connections {
+		s.connections = share
+		c.connectionsChanged = true
 	}
-	for name := range limits {
-		limits[name] = min(share, s.capacities[name]+connectionSlack)
+}
+
+// connectionLimit returns how many connections this edge may have to a worker of a service; 0: no bound.
+func (s *service) connectionLimit(name string) int {
+	if s.endpoint != "" || s.connections.Max == 0 {
+		return s.connections.Max
 	}
-	return limits
+	return min(s.connections.Max, s.capacities[name]+connectionSlack)
 }
 
 // connectionCapacity returns how many connections this edge may have to all workers of a service together.
-func (c *Core) connectionCapacity(s *service, config *catalog.Service) int {
-	if config.MaxConns <= 0 {
+func (s *service) connectionCapacity() int {
+	if s.config.MaxConns <= 0 {
 		return math.MaxInt // no bound is given
 	}
 	capacity := 0
-	for _, connections := range s.connectionLimits(config, max(c.edgePeak.highest(c.now), len(c.config.Topology.Edges))) {
-		capacity += connections
+	for name := range s.addresses {
+		capacity += s.connectionLimit(name)
 	}
 	return capacity
 }
 
 // Connections returns this edge's share of each worker's connections, by the worker's name.
 func (c *Core) Connections() map[string]worker.Share {
+	c.connectionsChanged = false
 	shares := make(map[string]worker.Share)
-	if c.index == nil {
-		return shares
-	}
-	edges := max(c.edgePeak.highest(c.now), len(c.config.Topology.Edges))
-	for _, s := range c.services {
-		config := c.index.Service(s.name)
-		if config == nil {
-			continue
-		}
-		scarce := isScarce(config.MaxConns, edges)
-		for name, most := range s.connectionLimits(config, edges) {
-			shares[name] = worker.Share{Max: most, Scarce: scarce}
+	for _, s := range c.configured {
+		for name := range s.addresses {
+			shares[name] = worker.Share{Max: s.connectionLimit(name), Scarce: s.connections.Scarce}
 		}
 	}
 	return shares
 }
 
+// ConnectionsChanged reports whether Connections would return something else than it did last.
+func (c *Core) ConnectionsChanged() bool { return c.connectionsChanged }
+
 // peak tracks the highest count within edgePeakWindow.
 type peak struct {
 	counts []sample // with falling counts
--- a/edge/dispatch/core.go
+++ b/edge/dispatch/core.go
@@ -15,8 +15,11 @@
 type Core struct {
 	config     Config
 	index      *catalog.Index
-	workers    *wire.Workers
+	edges      edgeList
+	workersOf  map[string][]*wire.Worker // by service
 	services   map[string]*service
+	configured []*service // the services, in the order of the configuration
+	timed      []*service // those with a timer or with messages that wait for a token, and some more
 	messages   messageTable
 	jobs       jobTable
 	completed  completions
@@ -26,6 +29,8 @@
 	stopping   bool
 	mutations  mutations
 
+	connectionsChanged bool // since Connections was called
+
 	now           time.Duration
 	moduleEvents  []moduleEvent
 	actions       []Action
@@ -46,11 +51,13 @@
 
 // NewCore returns a Core without messages and without a configuration.
 func NewCore(config Config) *Core {
-	return &Core{
+	c := &Core{
 		config: config, services: make(map[string]*service), messages: messageTable{byID: make(map[string]*message)},
 		jobs:     jobTable{byID: make(map[JobID]*job)},
 		replaced: replacedWorkers{until: make(map[string]time.Duration)},
 	}
+	c.edges.set(config.Topology.Edges, config.Topology.Edge)
+	return c
 }
 
 // MessageBytes returns the memory that the messages take, in bytes.
@@ -102,6 +109,9 @@
 
 // queueEvent has a service's module handle an event before the present one ends.
 func (c *Core) queueEvent(s *service, event ravendale.Event) {
+	if s.edgesVersion != c.edges.version {
+		c.updateSettings(s)
+	}
 	c.moduleEvents = append(c.moduleEvents, moduleEvent{s, event})
 }
 
@@ -114,7 +124,8 @@
 	if first := c.messages.first(); first != nil {
 		next = min(next, first.dueAt)
 	}
-	for _, s := range c.services {
+	c.pruneTimed()
+	for _, s := range c.timed {
 		next = min(next, s.timerAt)
 		if len(s.rateLimited) > 0 && s.tokens != nil && s.openJobs < s.maxOpenJobs {
 			next = min(next, s.tokens.next(c.now))
@@ -123,16 +134,33 @@
 	return next
 }
 
+// addTimed has Next and Tick look at a service until it has no timer and no messages that wait for a token: few of many services have.
+func (c *Core) addTimed(s *service) {
+	if !s.isTimed {
+		s.isTimed = true
+		c.timed = append(c.timed, s)
+	}
+}
+
+// pruneTimed removes services that have neither a timer nor messages that wait for a token.
+func (c *Core) pruneTimed() {
+	c.timed = slices.DeleteFunc(c.timed, func(s *service) bool {
+		s.isTimed = s.timerAt < forever || len(s.rateLimited) > 0
+		return !s.isTimed
+	})
+}
+
 // Tick does what is due.
 func (c *Core) Tick(now time.Duration) []Action {
 	c.begin(now)
 	if c.replaced.expire(c.now) {
-		c.configureServices()
+		c.updateAllWorkers()
 	}
 	for first := c.messages.first(); first != nil && first.dueAt <= c.now; first = c.messages.first() {
 		c.processDue(first)
 	}
-	for _, s := range c.services {
+	for i := 0; i < len(c.timed); i++ { // what is sent may add to them
+		s := c.timed[i]
 		if s.timerAt <= c.now {
 			s.timerAt = forever
 			c.queueEvent(s, ravendale.Event{Kind: ravendale.TimerFired})
--- a/edge/dispatch/job.go
+++ b/edge/dispatch/job.go
@@ -103,6 +103,7 @@
 	switch a.Kind {
 	case ravendale.SetTimer:
 		s.timerAt = min(s.timerAt, c.now+a.Wait)
+		c.addTimed(s)
 		return
 	case ravendale.Send, ravendale.Cancel, ravendale.Refuse, ravendale.Fail:
 	default:
--- a/edge/dispatch/localzone.go
+++ b/edge/dispatch/localzone.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"slices"
-
 	"ravendale"
 )
 
@@ -13,36 +11,38 @@
 	localZoneFraction = 0.75 // of the zone's edges' share, that its capacity must be at least
 )
 
-// preferLocalZone raises the weight of workers in the own zone, if they are enough for its edges.
-func preferLocalZone(list []ravendale.Entry, t *Topology) {
-	zone := slices.Index(t.Zones, t.Zone)
-	all, local := 0.0, 0.0
+// zoneCapacity is how much workers that may be sent to can run, by their weights.
+type zoneCapacity struct {
+	all, local float64 // of all workers, and of those of the edge's own zone
+	isLocal    bool    // workers of the own zone weigh more
+}
+
+// zoneCapacityOf adds up the weights of workers, which must be as listed.
+func zoneCapacityOf(list []ravendale.Entry, zone int) zoneCapacity {
+	var sum zoneCapacity
 	for i := range list {
 		if list[i].State != ravendale.Ready {
 			continue
 		}
-		all += list[i].Weight
+		sum.all += list[i].Weight
 		if list[i].Zone == zone {
-			local += list[i].Weight
+			sum.local += list[i].Weight
 		}
 	}
-	if len(t.Edges) == 0 || local*float64(len(t.Edges)) < localZoneFraction*all*float64(t.edgesInZone()) {
-		return
-	}
+	return sum
+}
+
+// sufficesForZone reports whether the workers of the own zone are enough for its edges.
+func (c *zoneCapacity) sufficesForZone(edges *edgeList, zone string) bool {
+	count := float64(len(edges.edges))
+	return count > 0 && c.local*count >= localZoneFraction*c.all*float64(edges.inZone(zone))
+}
+
+// preferLocalZone raises the weights of workers in the own zone.
+func preferLocalZone(list []ravendale.Entry, zone int) {
 	for i := range list {
 		if list[i].Zone == zone {
 			list[i].Weight *= localZoneWeight
 		}
 	}
 }
-
-// edgesInZone counts the edges of the own zone.
-func (t *Topology) edgesInZone() int {
-	count := 0
-	for i := range t.Edges {
-		if t.Edges[i].Zone == t.Zone {
-			count++
-		}
-	}
-	return count
-}
--- a/edge/dispatch/manager.go
+++ b/edge/dispatch/manager.go
@@ -167,17 +167,24 @@
 func (d *Manager) ApplyConfig(index *catalog.Index) {
 	d.handle(func(core *Core, now time.Duration) []Action {
 		actions := core.ApplyConfig(now, index)
-		d.workers.SetLimits(core.Connections())
+		d.updateConnections(core)
 		return actions
 	})
 	d.index.Store(index)
 }
 
+// updateConnections sets the shares of workers' connections, if they have changed.
+func (d *Manager) updateConnections(core *Core) {
+	if core.ConnectionsChanged() {
+		d.workers.SetLimits(core.Connections())
+	}
+}
+
 // SetWorkers takes the platform's list of workers.
 func (d *Manager) SetWorkers(workers *wire.Workers) {
 	d.handle(func(core *Core, now time.Duration) []Action {
 		actions := core.SetWorkers(now, workers)
-		d.workers.SetLimits(core.Connections())
+		d.updateConnections(core)
 		return actions
 	})
 }
@@ -186,7 +193,7 @@
 func (d *Manager) SetEdges(edges []wire.Edge) {
 	d.handle(func(core *Core, now time.Duration) []Action {
 		actions := core.SetEdges(now, edges)
-		d.workers.SetLimits(core.Connections())
+		d.updateConnections(core)
 		return actions
 	})
 }
--- a/edge/dispatch/ratelimit.go
+++ b/edge/dispatch/ratelimit.go
@@ -1,14 +1,8 @@
 package dispatch
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
-
-	"ravendale/cluster/wire"
 )
 
 // The shares of a rate limit. A bound on what comes in any window allows so many arrivals besides the rate.
@@ -49,11 +43,11 @@
 	return max(1, min(edges, target, maxSenders))
 }
 
-// divide returns an edge's share among edges for a service. Edges that list the same others get shares that sum up to
-// less than the bound; where not all may send, the first of each zone by hash of service and edge do, then the second.
-func (c rateLimit) divide(service, edge string, edges []wire.Edge) rateShare {
-	count := c.senders(len(edges), countZones(edges))
-	if !slices.Contains(selectSenders(service, edges, count), edge) {
+// share returns the share of the edge at a position in the order of senders (see senderOrder) of a number of edges in so many zones.
+// Edges that list the same others get shares that sum up to less than the bound.
+func (c rateLimit) share(position, edges, zones int) rateShare {
+	count := c.senders(edges, zones)
+	if position >= count {
 		return rateShare{}
 	}
 	burst := 1.0
@@ -64,40 +58,3 @@
 	rate := rateFraction * spare / (c.Window.Seconds() * float64(count))
 	return rateShare{Rate: max(0, min(rate, c.RatePerS)), Burst: burst}
 }
-
-func countZones(edges []wire.Edge) int {
-	zones := make(map[string]bool)
-	for i := range edges {
-		zones[edges[i].Zone] = true
-	}
-	return len(zones)
-}
-
-type candidate struct {
-	id   string
-	zone string
-	hash uint64
-	rank int // among the edges of its zone
-}
-
-// selectSenders returns the IDs of count of the edges.
-func selectSenders(service string, edges []wire.Edge, count int) []string {
-	ranked := make([]candidate, len(edges))
-	for i := range edges {
-		ranked[i] = candidate{id: edges[i].ID, zone: edges[i].Zone, hash: xxhash.Sum64String(service + "\x00" + edges[i].ID)}
-	}
-	slices.SortFunc(ranked, byHash)
-	counts := make(map[string]int)
-	for i := range ranked {
-		ranked[i].rank = counts[ranked[i].zone]
-		counts[ranked[i].zone]++
-	}
-	slices.SortStableFunc(ranked, func(a, b candidate) int { return cmp.Compare(a.rank, b.rank) })
-	var ids []string
-	for i := range min(count, len(ranked)) {
-		ids = append(ids, ranked[i].id)
-	}
-	return ids
-}
-
-func byHash(a, b candidate) int { return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id)) }
--- a/edge/dispatch/ratelimit_test.go
+++ b/edge/dispatch/ratelimit_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
 
+	"ravendale/cluster/catalog"
 	"ravendale/cluster/wire"
 	"ravendale/edge/worker"
 )
@@ -22,6 +23,14 @@
 	return edges
 }
 
+// divide returns an edge's share of a limit among edges.
+func (c rateLimit) divide(name, edge string, edges []wire.Edge) rateShare {
+	core := NewCore(Config{Topology: Topology{Edge: edge, Edges: edges}, Window: c.Window, Overshoot: c.Overshoot})
+	order := newSenderOrder(name, edge)
+	order.update(core.edges.all())
+	return core.rateShare(&service{config: catalog.Service{RatePerS: c.RatePerS}, senders: order})
+}
+
 // Whatever the edges are sent and whenever, no window sees more than the bound.
 func TestRateLimitHoldsInEachWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/edge/dispatch/service.go
+++ b/edge/dispatch/service.go
@@ -7,18 +7,24 @@
 	"ravendale"
 	"ravendale/cluster/catalog"
 	"ravendale/cluster/wire"
+	"ravendale/edge/worker"
 )
 
 // service is the state of one service: its decision module, its workers and its share of the rate limit.
 type service struct {
 	name         string
+	config       catalog.Service // as it is in force
 	module       *ravendale.Dispatcher
 	settings     ravendale.Settings
+	edgesVersion int // edgeList.version that the settings follow from: see updateSettings
 	endpoint     string
 	addresses    map[string]string // by worker
 	entries      []ravendale.Entry
 	capacities   map[string]int // by worker: how many messages it runs at once
 	readyWorkers int            // listed workers that may be sent to
+	capacity     zoneCapacity   // of the workers that may be sent to
+	connections  worker.Share   // of each worker's connections, before a worker's capacity bounds it
+	senders      senderOrder    // under a rate limit: the edge's place among the senders
 	tokens       *bucket        // nil: no rate limit
 	rateLimited  []*message     // wait for tokens, in order of arrival
 	queue        waitQueue      // wait to be submitted to the module
@@ -26,6 +32,7 @@
 	waitingJobs  int            // open jobs without an attempt in flight
 	maxOpenJobs  int            // under a rate limit: the connections that may be open to all its workers
 	timerAt      time.Duration  // when the module's timer fires; forever: it has none
+	isTimed      bool           // listed in Core.timed
 }
 
 // The module's settings for a service.
@@ -37,8 +44,7 @@
 )
 
 // moduleSettings returns the settings of a service's decision module.
-func moduleSettings(config *catalog.Service, t *Topology) ravendale.Settings {
-	me := max(slices.IndexFunc(t.Edges, func(e wire.Edge) bool { return e.ID == t.Edge }), 0)
+func moduleSettings(config *catalog.Service, t *Topology, edges *edgeList) ravendale.Settings {
 	effect := ravendale.Unsafe
 	if config.Idempotent {
 		effect = ravendale.Safe
@@ -48,8 +54,8 @@
 		attempts, hedges = attemptsPerToken, false
 	}
 	return ravendale.Settings{
-		Dispatchers:  max(len(t.Edges), 1),
-		Me:           me,
+		Dispatchers:  max(len(edges.edges), 1),
+		Me:           max(edges.own, 0),
 		Zones:        len(t.Zones),
 		Zone:         slices.Index(t.Zones, t.Zone),
 		Classes:      []ravendale.Class{{Name: config.Name, Effect: effect, Deadline: jobDeadline, Value: 1, Kind: -1}},
@@ -61,7 +67,7 @@
 }
 
 // entries lists a service's workers for its module, without those that were replaced, and their addresses.
-func entries(config *catalog.Service, workers *wire.Workers, replaced *replacedWorkers, t *Topology) ([]ravendale.Entry, map[string]string) {
+func entries(config *catalog.Service, workers []*wire.Worker, replaced *replacedWorkers, t *Topology) ([]ravendale.Entry, map[string]string) {
 	addresses := make(map[string]string)
 	if config.Endpoint != "" {
 		addresses[config.Endpoint] = config.Endpoint
@@ -70,18 +76,13 @@
 		}}, addresses
 	}
 	var list []ravendale.Entry
-	if workers == nil {
-		return nil, addresses
-	}
-	for i := range workers.Entries {
-		w := &workers.Entries[i]
-		if w.Service != config.Name || replaced.has(w.ID) {
+	for _, w := range workers {
+		if replaced.has(w.ID) {
 			continue
 		}
 		addresses[w.ID] = w.Address
 		list = append(list, entry(w, t))
 	}
-	preferLocalZone(list, t)
 	return list, addresses
 }
 
@@ -96,20 +97,27 @@
 	}
 }
 
-// capacities returns how many messages workers run at once, by name.
-func capacities(workers *wire.Workers, named map[string]string) map[string]int {
+// capacities returns how many messages workers run at once, by name, of those that are named.
+func capacities(workers []*wire.Worker, named map[string]string) map[string]int {
 	capacities := make(map[string]int, len(named))
-	if workers == nil {
-		return capacities
-	}
-	for i := range workers.Entries {
-		if w := &workers.Entries[i]; named[w.ID] != "" {
+	for _, w := range workers {
+		if named[w.ID] != "" {
 			capacities[w.ID] = int(w.Capacity)
 		}
 	}
 	return capacities
 }
 
+// workersByService groups the platform's list.
+func workersByService(workers *wire.Workers) map[string][]*wire.Worker {
+	groups := make(map[string][]*wire.Worker)
+	for i := range workers.Entries {
+		w := &workers.Entries[i]
+		groups[w.Service] = append(groups[w.Service], w)
+	}
+	return groups
+}
+
 // tokenWait returns how long a message that comes now would wait for a token.
 func (s *service) tokenWait(now time.Duration) time.Duration {
 	if s.tokens == nil {
--- a/test/slopes/slopes_test.go
+++ b/test/slopes/slopes_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -259,3 +260,113 @@
 	plane.SetWorkers(entries)
 	return plane, list, entries
 }
+
+// BenchmarkEndpoints is what an edge's dispatcher does for a change of one member, one worker or one route, where most services are endpoints
+// with a rate limit that all edges share. The change is another one each time.
+func BenchmarkEndpoints(b *testing.B) {
+	for _, edges := range []int{70, 300, 1000} {
+		for _, services := range []int{60, 300, 1200} {
+			name := fmt.Sprintf("%d-edges/%d-services", edges, services)
+			b.Run("member/"+name, func(b *testing.B) { benchmarkEndpointsMember(b, edges, services) })
+			b.Run("worker/"+name, func(b *testing.B) { benchmarkEndpointsWorker(b, edges, services) })
+			b.Run("route/"+name, func(b *testing.B) { benchmarkEndpointsRoute(b, edges, services) })
+		}
+	}
+}
+
+func benchmarkEndpointsMember(b *testing.B, edges, services int) {
+	core, list, _, _ := newEndpointsCore(b, edges, services)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		gone := i % (edges / 2) // never the edge itself
+		core.SetEdges(time.Duration(i)*time.Millisecond, slices.Delete(slices.Clone(list.Edges), gone, gone+1))
+	}
+}
+
+func benchmarkEndpointsWorker(b *testing.B, edges, services int) {
+	core, _, entries, _ := newEndpointsCore(b, edges, services)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		changed := slices.Clone(entries.Entries)
+		changed[i%len(changed)].Draining = true
+		core.SetWorkers(time.Duration(i)*time.Millisecond, &wire.Workers{Entries: changed})
+	}
+}
+
+func benchmarkEndpointsRoute(b *testing.B, edges, services int) {
+	core, _, _, config := newEndpointsCore(b, edges, services)
+	var indexes []*catalog.Index
+	for i := range 2 {
+		changed := *config
+		changed.Routes = slices.Clone(config.Routes)
+		changed.Routes[0].TimeoutMs += float64(i)
+		indexes = append(indexes, catalog.NewIndex(&changed))
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		core.ApplyConfig(time.Duration(i)*time.Millisecond, indexes[i%len(indexes)])
+	}
+}
+
+// newEndpointsCore makes a dispatcher with two services of listed workers, as many as there are edges, and the rest endpoints.
+func newEndpointsCore(b *testing.B, edges, services int) (*dispatch.Core, *wire.Members, *wire.Workers, *catalog.Config) {
+	b.Helper()
+	const listed = 2
+	config := &catalog.Config{Version: 1}
+	for i := range services {
+		entry := catalog.Service{Name: service(i), MaxConns: 34}
+		if i >= listed {
+			entry.RatePerS, entry.Endpoint = 75, fmt.Sprintf("10.9.%d.%d:80", i>>8, i&255)
+		}
+		config.Services = append(config.Services, entry)
+		config.Routes = append(config.Routes, catalog.Route{
+			Name: fmt.Sprint("route-", i), Host: "h.example", PathPrefix: fmt.Sprintf("/%d/", i), Type: dispatch.DeferredType, Service: entry.Name, TimeoutMs: 800, RetentionS: 90,
+		})
+	}
+	list := members(edges)
+	self := list.Edges[edges/2]
+	var zones []string
+	for _, edge := range list.Edges {
+		if len(zones) == 0 || zones[len(zones)-1] != edge.Zone {
+			zones = append(zones, edge.Zone)
+		}
+	}
+	core := dispatch.NewCore(dispatch.Config{
+		Topology: dispatch.Topology{Edge: self.ID, Zone: self.Zone, Zones: zones}, Window: 5 * time.Second, Overshoot: 1.1,
+		ConvergenceTime: 3 * time.Second, MaxBodyBytes: 1 << 20, Seed: 1,
+	})
+	entries := discovery.Sort(workers(edges, listed))
+	core.SetEdges(0, list.Edges)
+	core.ApplyConfig(0, catalog.NewIndex(config))
+	core.SetWorkers(0, entries)
+	return core, list, entries, config
+}
+
+// BenchmarkDeliveries is what an edge's dispatcher does for a message, from its acceptance to its end, with as many services that have nothing to do.
+func BenchmarkDeliveries(b *testing.B) {
+	for _, services := range []int{3, 60, 300, 1200} {
+		b.Run(fmt.Sprint(services), func(b *testing.B) { benchmarkDeliveries(b, services) })
+	}
+}
+
+func benchmarkDeliveries(b *testing.B, services int) {
+	core, _, _, _ := newEndpointsCore(b, 70, services)
+	message := &wire.Message{RequestID: "r", Method: "POST", Host: "h.example", Target: "/0/", RetentionMs: 90_000, Body: []byte("body")}
+	now := time.Second
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now += time.Millisecond
+		accepted := *message
+		accepted.ID = fmt.Sprint("0.", i)
+		actions := core.Accept(now, &accepted, false)
+		core.Next()
+		for _, action := range actions {
+			if deliver, ok := action.(dispatch.Deliver); ok {
+				core.FinishAttempt(now, deliver.Job, deliver.Attempt, worker.Result{Outcome: worker.Done, Signature: "s"})
+				core.Next()
+			}
+		}
+		core.Acknowledged(now, accepted.ID)
+		core.Next()
+	}
+}
