Index the leader's registry by address, connection and deadline

Cause: each renewal, tick and disconnect passed over all entries, so that the cost of a fleet's renewals grew with its square. Change: maps by address and connection, a heap of deadlines, a count of adopted entries.

--- a/control/registry/registry.go
+++ b/control/registry/registry.go
@@ -48,6 +48,7 @@
 	status   wire.StoreStatus
 	link     uint64 // the connection that its last renewal came over; 0: none
 	deadline time.Duration
+	position int  // in Registry.deadlines
 	adopted  bool // known from before this leader, and not heard of since
 }
 
@@ -64,45 +65,99 @@
 	c.Urgent = c.Urgent || other.Urgent
 }
 
-// Registry is the table.
+// Registry is the table. What an event costs follows from the entries that it concerns, not from how many there are.
 type Registry struct {
-	config   Config
-	entries  map[string]*entry // by member ID
-	replaced map[string]bool   // members whose address another one has taken
-	next     time.Duration     // the first deadline
+	config    Config
+	entries   map[string]*entry   // by member ID
+	byAddress map[string][]*entry // more than one only until the renewal ends that brings the second
+	byLink    map[uint64][]*entry // a connection may carry the renewals of several members
+	deadlines deadlines           // all entries
+	adopted   int                 // entries that are known from before this leader
+	replaced  map[string]bool     // members whose address another one has taken
 }
 
 // New makes an empty table.
 func New(config Config) *Registry {
-	return &Registry{config: config, entries: make(map[string]*entry), replaced: make(map[string]bool)}
+	return &Registry{
+		config: config, entries: make(map[string]*entry), byAddress: make(map[string][]*entry), byLink: make(map[uint64][]*entry),
+		replaced: make(map[string]bool),
+	}
 }
 
 // Adopt takes over schedulers that an earlier leader knew. Those who don't renew within a lease expire.
 func (r *Registry) Adopt(now time.Duration, members *wire.Members) Changes {
 	var changes Changes
 	for _, edge := range members.Edges {
-		if r.entries[edge.ID] != nil || r.replaced[edge.ID] || r.addressTaken(edge.Address) {
+		if r.entries[edge.ID] != nil || r.replaced[edge.ID] || len(r.byAddress[edge.Address]) > 0 {
 			continue
 		}
-		r.entries[edge.ID] = &entry{
+		r.add(&entry{
 			member: wire.Member{
 				ID: edge.ID, Node: edge.Node, Address: edge.Address, Zone: edge.Zone, Region: edge.Region, Edge: true, Ready: edge.Ready,
 			},
 			deadline: now + r.config.EdgeLease, adopted: true,
-		}
+		})
 		changes.Members = true
 	}
-	r.schedule()
 	return changes
 }
 
-func (r *Registry) addressTaken(address string) bool {
-	for _, known := range r.entries {
-		if known.member.Address == address {
-			return true
-		}
+// add adds an entry to the table.
+func (r *Registry) add(e *entry) {
+	r.entries[e.member.ID] = e
+	r.byAddress[e.member.Address] = append(r.byAddress[e.member.Address], e)
+	r.deadlines.add(e)
+	if e.adopted {
+		r.adopted++
+	}
+}
+
+// remove removes an entry from the table.
+func (r *Registry) remove(e *entry) {
+	delete(r.entries, e.member.ID)
+	removeFrom(r.byAddress, e.member.Address, e)
+	r.setLink(e, 0)
+	r.deadlines.remove(e)
+	r.setHeard(e)
+}
+
+// removeFrom removes an entry from an index.
+func removeFrom[K comparable](index map[K][]*entry, key K, e *entry) {
+	left := slices.DeleteFunc(index[key], func(other *entry) bool { return other == e })
+	if len(left) == 0 {
+		delete(index, key)
+		return
+	}
+	index[key] = left
+}
+
+// setLink notes the connection of an entry's last renewal; 0: it has ended.
+func (r *Registry) setLink(e *entry, link uint64) {
+	if e.link == link {
+		return
+	}
+	if e.link != 0 {
+		removeFrom(r.byLink, e.link, e)
+	}
+	if e.link = link; link != 0 {
+		r.byLink[link] = append(r.byLink[link], e)
+	}
+}
+
+// setAddress notes the address of an entry, which is another after a renewal that says so.
+func (r *Registry) setAddress(e *entry, address string) {
+	if e.member.Address != address {
+		removeFrom(r.byAddress, e.member.Address, e)
+		r.byAddress[address] = append(r.byAddress[address], e)
+	}
+}
+
+// setHeard notes that an entry is not only known from before this leader, or not any more.
+func (r *Registry) setHeard(e *entry) {
+	if e.adopted {
+		e.adopted = false
+		r.adopted--
 	}
-	return false
 }
 
 // Renew takes a renewal that came over a connection, and returns the lease granted; zero if none is.
@@ -117,12 +172,17 @@
 	lease := r.lease(renew.Member)
 	known := r.entries[id]
 	if known == nil {
-		known = &entry{}
-		r.entries[id] = known
+		changes.add(difference(&entry{}, renew))
+		known = &entry{member: renew.Member, deadline: now + lease}
+		r.add(known)
+	} else {
+		changes.add(difference(known, renew))
+		r.setAddress(known, renew.Member.Address)
+		r.deadlines.set(known, now+lease)
 	}
-	changes.add(difference(known, renew))
-	*known = entry{member: renew.Member, status: renew.Store, link: link, deadline: now + lease}
-	r.schedule()
+	known.member, known.status = renew.Member, renew.Store
+	r.setLink(known, link)
+	r.setHeard(known)
 	return lease, changes
 }
 
@@ -136,15 +196,15 @@
 // replace drops the processes that had a member's address before it.
 func (r *Registry) replace(member wire.Member) Changes {
 	var changes Changes
-	for id, known := range r.entries {
-		if id == member.ID || known.member.Address != member.Address {
+	for _, known := range slices.Clone(r.byAddress[member.Address]) {
+		if known.member.ID == member.ID {
 			continue
 		}
-		changes.add(r.drop(id))
+		changes.add(r.drop(known))
 		if len(r.replaced) >= maxReplaced {
 			clear(r.replaced)
 		}
-		r.replaced[id] = true
+		r.replaced[known.member.ID] = true
 	}
 	return changes
 }
@@ -171,20 +231,16 @@
 func (r *Registry) Disconnected(now time.Duration, link uint64) Changes {
 	r.shiftDeadlines(now)
 	var changes Changes
-	for id, known := range r.entries {
-		if known.link != link || link == 0 {
-			continue
-		}
-		known.link = 0
+	for _, known := range slices.Clone(r.byLink[link]) {
+		r.setLink(known, 0)
 		if known.member.Leaving {
-			changes.add(r.drop(id))
+			changes.add(r.drop(known))
 			continue
 		}
 		if known.member.Storage {
-			known.deadline = min(known.deadline, now+r.config.Reconnect)
+			r.deadlines.set(known, min(known.deadline, now+r.config.Reconnect))
 		}
 	}
-	r.schedule()
 	return changes
 }
 
@@ -192,55 +248,37 @@
 func (r *Registry) Tick(now time.Duration) Changes {
 	r.shiftDeadlines(now)
 	var changes Changes
-	for id, known := range r.entries {
-		if now >= known.deadline {
-			changes.add(r.drop(id))
-		}
+	for first := r.deadlines.first(); first != nil && now >= first.deadline; first = r.deadlines.first() {
+		changes.add(r.drop(first))
 	}
-	r.schedule()
 	return changes
 }
 
-func (r *Registry) drop(id string) Changes {
-	member := r.entries[id].member
-	delete(r.entries, id)
+func (r *Registry) drop(known *entry) Changes {
+	r.remove(known)
+	member := &known.member
 	return Changes{Members: member.Edge, Stores: member.Storage, Urgent: member.Storage}
 }
 
 // shiftDeadlines gives all the time back during which the leader itself stood still: renewals may lie unread.
 func (r *Registry) shiftDeadlines(now time.Duration) {
-	if len(r.entries) == 0 || now <= r.next+maxLateness {
-		return
-	}
-	late := now - r.next
-	for _, known := range r.entries {
-		known.deadline += late
-		known.deadline = max(known.deadline, now+r.config.Reconnect)
+	next, some := r.Next()
+	if some && now > next+maxLateness {
+		r.deadlines.shift(now-next, now+r.config.Reconnect)
 	}
-	r.schedule()
 }
 
-func (r *Registry) schedule() {
-	first := true
-	for _, known := range r.entries {
-		if first || known.deadline < r.next {
-			r.next, first = known.deadline, false
-		}
+// Next is when Tick must be called; false: not before the next event.
+func (r *Registry) Next() (time.Duration, bool) {
+	first := r.deadlines.first()
+	if first == nil {
+		return 0, false
 	}
+	return first.deadline, true
 }
 
-// Next is when Tick must be called; false: not before the next event.
-func (r *Registry) Next() (time.Duration, bool) { return r.next, len(r.entries) > 0 }
-
 // Heard says whether all members adopted from an earlier leader have renewed or expired.
-func (r *Registry) Heard() bool {
-	for _, known := range r.entries {
-		if known.adopted {
-			return false
-		}
-	}
-	return true
-}
+func (r *Registry) Heard() bool { return r.adopted == 0 }
 
 // Edges lists the schedulers that hold a lease, by zone and node.
 func (r *Registry) Edges() []wire.Edge {
