Go on with a put that may have been accepted until it is decided

Cause: a store that gives up what it has under way, as in a planned stop, says that it can't tell what became of a message. A request that had waited for the configuration until its time for attempts was used up had its attempt given up at once, and the store taken for one that does not answer. Change: an undecided put without an attempt that a silent store owes an answer goes on with attempts until 0.9 of the client's time. What is surely not accepted is rejected as before, a silent store is waited for as before. After a wait for the configuration a quarter of the time for attempts is left.

--- a/edge/ingress/configwait_test.go
+++ b/edge/ingress/configwait_test.go
@@ -62,3 +62,19 @@
 	}
 	assert.Zero(t, s.queue.count())
 }
+
+// A request whose time for attempts was nearly used up by the wait still has some: an attempt that is given up at once would have its store
+// taken for one that does not answer, and its client cut off.
+func TestAPutHasTimeLeftAfterTheWait(t *testing.T) {
+	s, arrive := late(t)
+	var polls atomic.Int32
+	ready := s.server.config.Ready
+	s.server.config.Ready = func() bool {
+		if polls.Add(1) == 2 {
+			time.AfterFunc(130*time.Millisecond, arrive)
+		}
+		return ready()
+	}
+	assert.Equal(t, http.StatusAccepted, s.ask(t, head+"Deadline-Ms: 400\r\nContent-Length: 0\r\n\r\n").status)
+	assert.GreaterOrEqual(t, s.queue.limits[0], 42*time.Millisecond)
+}
--- a/edge/ingress/handler.go
+++ b/edge/ingress/handler.go
@@ -67,7 +67,7 @@
 	if m.Body = body; accepts {
 		m.Body = bytes.Clone(body)
 	}
-	limits.Attempt = max(limits.Attempt-waited, 0)
+	limits.Attempt = max(limits.Attempt-waited, limits.Attempt/minAttemptShare)
 	switch s.config.Queue.Put(m, accepts, limits) {
 	case queueclient.Accepted:
 		ctx.Response.Header.Set("Msg-Id", m.ID)
--- a/edge/ingress/putlimits.go
+++ b/edge/ingress/putlimits.go
@@ -20,6 +20,7 @@
 	answerFraction     = 0.47            // ... and closed by then, if no answer is likely to come
 	lateAnswerFraction = 0.9             // ... or by then: the answer has to reach the client, too
 	maxAnswerTime      = 2500 * time.Millisecond
+	minAttemptShare    = 4 // one in so many of the time for attempts is left after a wait for the configuration
 	defaultTarget      = 100 * time.Millisecond
 )
 
--- a/edge/queueclient/put.go
+++ b/edge/queueclient/put.go
@@ -23,7 +23,7 @@
 type Limits struct {
 	Attempt    time.Duration // for so long attempts are made
 	Answer     time.Duration // then a missing answer is waited for so long,
-	LateAnswer time.Duration // and so long if stores that have not answered this put answer others
+	LateAnswer time.Duration // and so long, with more attempts, if the put can still be decided
 }
 
 // Put puts a message into the queue. What has no answer when the time for attempts is over is waited for a while longer, for a client
@@ -32,20 +32,15 @@
 // returns; the message, its body included, must then not change any more.
 func (c *Client) Put(m *wire.Message, dispatch bool, limits Limits) Result {
 	p := &put{client: c, message: m, dispatch: dispatch, answered: c.host.Signal()}
-	expired := c.now() + limits.Attempt
-	for goesOn := true; goesOn; {
-		wait := rejectedPause
-		t := p.startAttempt()
-		if t != nil {
-			wait = c.attemptTimeout()
-		}
-		goesOn = p.await(t, wait, expired)
-		if goesOn && p.needsPause(t) {
-			goesOn = p.await(nil, rejectedPause, expired)
-		}
+	began := c.now()
+	late := began + limits.Attempt + limits.LateAnswer
+	p.attemptUntil(began + limits.Attempt)
+	if p.isUndecided() && !p.canBeDecided() {
+		p.awaitPending(limits.Answer)
 	}
-	if p.awaitPending(limits.Answer) && limits.LateAnswer > limits.Answer && p.expectsLateAnswer() {
-		p.awaitPending(limits.LateAnswer - limits.Answer)
+	if p.isUndecided() && p.canBeDecided() {
+		p.attemptUntil(late)
+		p.awaitPending(late - c.now())
 	}
 	return p.finish()
 }
@@ -64,31 +59,60 @@
 	finished bool
 }
 
-// awaitPending waits for attempts that may still be answered, and reports whether some may be yet.
-func (p *put) awaitPending(limit time.Duration) bool {
-	if limit <= 0 {
-		return true
+// attemptUntil makes attempts until one is accepted, or a time.
+func (p *put) attemptUntil(expired time.Duration) {
+	for goesOn := !p.isAccepted(); goesOn; {
+		wait := rejectedPause
+		t := p.startAttempt()
+		if t != nil {
+			wait = p.client.attemptTimeout()
+		}
+		goesOn = p.await(t, wait, expired)
+		if goesOn && p.needsPause(t) {
+			goesOn = p.await(nil, rejectedPause, expired)
+		}
 	}
+}
+
+// awaitPending waits for attempts that may still be answered, for so long at most.
+func (p *put) awaitPending(limit time.Duration) {
 	expired := p.client.now() + limit
 	for !p.isAccepted() && p.hasPending() {
 		left := expired - p.client.now()
-		if !p.answered.Wait(left) && left <= 0 {
-			return true
+		if left <= 0 {
+			return
 		}
+		p.answered.Wait(left)
 	}
-	return false
 }
 
-// expectsLateAnswer reports whether a store that owes this put an answer has accepted another message a short while ago: it is slow, not
-// down.
-func (p *put) expectsLateAnswer() bool {
+// isUndecided reports whether the message was not accepted as far as is known, and may have been, or may still be.
+func (p *put) isUndecided() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.accepted == nil && len(p.unresolved()) > 0
+}
+
+// canBeDecided reports whether an undecided put is likely to be accepted if it goes on. It is where no store owes an answer: one could not say
+// what became of the message, as its partition goes to another store, by plan or not, which takes the message anew or as a repeat. It also is
+// where a store that owes an answer has accepted another message a short while ago: it is slow, not down. A silent store is not waited for:
+// its successor comes too late for the client.
+func (p *put) canBeDecided() bool {
 	now := p.client.now()
 	patience := p.client.attemptTimeout()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.attempts, func(t *attempt) bool {
-		return t.state == attemptPending && t.stores[0].acceptedSince(now-patience)
-	})
+	pending := false
+	for _, t := range p.attempts {
+		if t.state != attemptPending {
+			continue
+		}
+		pending = true
+		if t.stores[0].acceptedSince(now - patience) {
+			return true
+		}
+	}
+	return !pending
 }
 
 // hasPending reports whether an attempt has no answer yet.
