Have a store that stops tell the leader of now, and serve until it is dropped

Cause: a store told the leader that it was leaving before it gave the leader lease back, which it may have held itself. Besides, its connections ended before the others had the placement without it. Change: before it goes it tells whoever leads then, 1.5 s at most, and serves for 200 ms after its connection to the leader has ended.

--- a/cmd/ravendale-store/process.go
+++ b/cmd/ravendale-store/process.go
@@ -17,6 +17,8 @@
 // Times of a planned stop and of a start.
 const (
 	leaveTimeout        = 400 * time.Millisecond  // to notify the leader
+	successorTimeout    = 1500 * time.Millisecond // to notify the leader of now, which may have taken over meanwhile
+	dropTimeout         = 200 * time.Millisecond  // once the leader has seen this store go, for the others to go on without it
 	transferTimeout     = 1500 * time.Millisecond // for other stores to become the primaries of this one's partitions
 	voteTimeout         = 2500 * time.Millisecond // for another store to take over the vote in the core
 	pollInterval        = 50 * time.Millisecond
@@ -110,6 +112,9 @@
 	}
 	stop()
 	p.core.wait()
+	if err == nil {
+		p.awaitDropped()
+	}
 	listener.Close()
 	if err != nil {
 		return err
@@ -142,9 +147,7 @@
 func (p *process) leave() {
 	available := max(settings.Seconds(p.env.Settings.Bounds.GraceS)-stopMargin, 0)
 	started := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
-	p.agent.Leave(ctx)
-	cancel()
+	p.notifyLeader(leaveTimeout)
 	for p.store.Primary() && time.Since(started) < min(transferTimeout, available) {
 		time.Sleep(pollInterval)
 	}
@@ -152,8 +155,22 @@
 	for p.replaceable() && time.Since(started) < min(voteTimeout, available) {
 		time.Sleep(pollInterval)
 	}
+	// Who took over the lease since, from this very process perhaps, does not know that this store is leaving, and would count on it for a
+	// while after it has gone: what others accept would wait for it.
+	p.notifyLeader(min(successorTimeout, max(available-time.Since(started), 0)))
+}
+
+// notifyLeader tells the leader that this store is leaving, and waits until one knows.
+func (p *process) notifyLeader(limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	p.agent.Leave(ctx)
 }
 
+// awaitDropped serves for a while after the leader has seen this store go: until the others know the placement without it, what they
+// accept waits for its acknowledgements.
+func (p *process) awaitDropped() { time.Sleep(dropTimeout) }
+
 // replaceable says whether this store has a vote in the core that another store may take over: it might not come back.
 func (p *process) replaceable() bool {
 	has, voters := p.core.votes()
--- a/test/standin/client/client.go
+++ b/test/standin/client/client.go
@@ -30,6 +30,7 @@
 	DelayShare float64       // of messages that carry a delay
 	DelayMax   time.Duration // longest delay
 	BodyBytes  int           // largest body
+	Deadline   time.Duration // that clients announce; 0: they announce none
 }
 
 // Load is a stretch of traffic.
@@ -137,6 +138,7 @@
 		Target: traffic.Target,
 		Body:   xxhash.Sum64(body),
 	}
+	send.Deadline = traffic.Deadline
 	if traffic.Keys > 0 {
 		send.Key = "key-" + strconv.Itoa(rand.IntN(traffic.Keys))
 	}
@@ -224,5 +226,8 @@
 	if send.Delay > 0 {
 		request.Header.Set(protocol.HeaderDelay, strconv.FormatInt(send.Delay.Milliseconds(), 10))
 	}
+	if send.Deadline > 0 {
+		request.Header.Set(protocol.HeaderDeadline, strconv.FormatInt(send.Deadline.Milliseconds(), 10))
+	}
 	return request, nil
 }
--- a/test/standin/history/history.go
+++ b/test/standin/history/history.go
@@ -19,6 +19,7 @@
 	Key       string // Order-Key; empty: none
 	Body      uint64 // xxhash of the body
 	Delay     time.Duration
+	Deadline  time.Duration // as the client announced it; 0: it did not
 	Sent      time.Duration
 	Answered  time.Duration
 	Status    int // 0: the connection ended without an answer
--- a/test/systemtest/rig_test.go
+++ b/test/systemtest/rig_test.go
@@ -233,11 +233,14 @@
 }
 
 // load sends traffic in the background. The wait returns when all is answered or given up.
-func (r *rig) load(duration time.Duration) (wait func()) {
+func (r *rig) load(duration time.Duration) (wait func()) { return r.loadOf(duration, traffic()) }
+
+// loadOf does the same with traffic of the caller's.
+func (r *rig) loadOf(duration time.Duration, traffic []client.Traffic) (wait func()) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		r.clients.Run(r.t.Context(), client.Load{RatePerS: rate, Duration: duration, Traffic: traffic()})
+		r.clients.Run(r.t.Context(), client.Load{RatePerS: rate, Duration: duration, Traffic: traffic})
 	}()
 	return func() { <-done }
 }
