Have the limit of a standstill follow from the heartbeat

Change: half of the shorter of the membership lease and the time after which a silent connection ends; the clock is looked at twice within it.

--- a/cmd/ravendale-edge/edge.go
+++ b/cmd/ravendale-edge/edge.go
@@ -69,7 +69,7 @@
 	id := e.id
 	e.dispatcher = dispatch.NewManager(dispatchConfig(s, id), e.workers)
 	e.queue = queueclient.New(queueclient.Config{
-		Edge: id, Zone: s.Zone, Log: env.Log,
+		Edge: id, Zone: s.Zone, Log: env.Log, Heartbeat: settings.Milliseconds(float64(s.HeartbeatMs)),
 		Accepted: e.dispatcher.Accept, Granted: e.dispatcher.Grant, Acknowledged: e.dispatcher.Acknowledged,
 		Unknown: e.dispatcher.Unknown, Leased: e.dispatcher.MessageIDs,
 	})
--- a/edge/queueclient/client.go
+++ b/edge/queueclient/client.go
@@ -32,6 +32,9 @@
 type Config struct {
 	Edge    string // Member.ID
 	Zone    string
+
+	Heartbeat time.Duration // of the membership lease; 0: longer than matters
+
 	Options rpc.Options // of connections to stores; Mux is filled in
 
 	// Accepted is called for each message that was put with dispatch and accepted, before any grant of it.
--- a/edge/queueclient/fakestore_test.go
+++ b/edge/queueclient/fakestore_test.go
@@ -141,9 +141,12 @@
 	f()
 }
 
-func newClient(t *testing.T) (*Client, *recorder) {
+func newClient(t *testing.T) (*Client, *recorder) { return newClientOf(t, func(*Config) {}) }
+
+// newClientOf returns a client whose configuration differs from the usual one.
+func newClientOf(t *testing.T, differ func(*Config)) (*Client, *recorder) {
 	h := &recorder{accepted: make(map[string]bool)}
-	c := New(Config{
+	config := Config{
 		Edge: "edge-1", Zone: "z1", Options: rpc.Options{DialContext: memory.dial},
 		Accepted:     func(m *wire.Message, granted bool) { h.with(func() { h.accepted[m.ID] = granted }) },
 		Granted:      func(g *wire.Grant) { h.with(func() { h.granted = append(h.granted, g.ID) }) },
@@ -153,7 +156,9 @@
 			h.with(func() { ids = append(ids, h.leased...) })
 			return ids
 		},
-	})
+	}
+	differ(&config)
+	c := New(config)
 	c.started -= time.Hour // no event falls on its start, a time that stands for never
 	t.Cleanup(c.Close)
 	return c, h
--- a/edge/queueclient/races_test.go
+++ b/edge/queueclient/races_test.go
@@ -286,7 +286,7 @@
 		before := c.view.Load().stores[0].conn()
 		claims := one.countClaims()
 		c.standstill.mu.Lock()
-		c.standstill.aliveAt -= standstillLimit
+		c.standstill.aliveAt -= c.standstill.limit
 		c.standstill.mu.Unlock()
 		for _, id := range []string{"0.x", "0.y"} {
 			c.handleGrant(before, &wire.Grant{Epoch: 1, ID: id, HasMessage: true})
--- a/edge/queueclient/standstill.go
+++ b/edge/queueclient/standstill.go
@@ -5,17 +5,30 @@
 	"time"
 
 	"ravendale/cluster/host"
+	"ravendale/cluster/rpc"
 )
 
-// Times by which the client notices that its process stood still.
+// Bounds by which the client notices that its process stood still. A store takes back what an edge has once the edge's connection has been
+// silent for rpc.DefaultFailureTimeout, or its membership lease of two heartbeats has ended. Half of the shorter one leaves the time to notice.
 const (
-	aliveInterval   = 250 * time.Millisecond // between two looks at the clock
-	standstillLimit = 600 * time.Millisecond // half of an edge's shortest lease: before that ends no store takes back what the edge has
+	maxStandstillLimit    = rpc.DefaultFailureTimeout / 2
+	heartbeatsPerLimit    = 1                      // half of an edge's membership lease
+	maxAliveInterval      = 250 * time.Millisecond // between two looks at the clock
+	looksPerLimit         = 2                      // at least, within the time of a standstill
 )
 
+// standstillLimit returns how long the process may stand still before what its stores granted it is out of date.
+func standstillLimit(heartbeat time.Duration) time.Duration {
+	if heartbeat <= 0 {
+		return maxStandstillLimit
+	}
+	return min(maxStandstillLimit, heartbeatsPerLimit*heartbeat)
+}
+
 // standstill notices by the steady clock that the process did not run for a while, as when it was frozen. What lies in its sockets then is from
 // before: grants that their stores may have taken back and given to others.
 type standstill struct {
+	limit   time.Duration // see standstillLimit
 	mu      sync.Mutex
 	aliveAt time.Duration // by the host's clock, when the process was seen to run last
 	timer   host.Timer
@@ -25,19 +38,23 @@
 // watchStandstill looks at the clock from now on.
 func (c *Client) watchStandstill() {
 	s := &c.standstill
+	s.limit = standstillLimit(c.config.Heartbeat)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.aliveAt = c.host.Now()
-	s.timer = c.host.AfterFunc(aliveInterval, c.lookAtClock)
+	s.timer = c.host.AfterFunc(s.interval(), c.lookAtClock)
 }
 
+// interval is the time between two looks at the clock.
+func (s *standstill) interval() time.Duration { return min(maxAliveInterval, s.limit/looksPerLimit) }
+
 func (c *Client) lookAtClock() {
 	c.noteAlive()
 	s := &c.standstill
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.stopped {
-		s.timer.Reset(aliveInterval)
+		s.timer.Reset(s.interval())
 	}
 }
 
@@ -50,7 +67,7 @@
 	now := c.host.Now()
 	stood := now - s.aliveAt
 	s.aliveAt = now
-	if stood < standstillLimit {
+	if stood < s.limit {
 		return
 	}
 	c.mu.Lock()
