Have the members of the core apply what is committed at the same time

Cause: a member handed a commit's first commands to the state machine in the step in which it heard of the commit, before that step's messages went out. So its predecessor heard of the commit once it was applied here, and a chain of five applied in turn. Change: the chain hands out committed entries by Apply, which the core calls once it has carried out the step's output, and at most one batch a step that committed or a tick, as before.

--- a/control/chain/chain.go
+++ b/control/chain/chain.go
@@ -51,6 +51,7 @@
 	downstream    downstream
 	proposals     map[uint64]*proposalWindow // of this epoch, by origin; used by the head
 	actions       Actions                    // since the last Take
+	applyDue      bool                       // see ApplyDue
 	applyBatch    uint64                     // most entries handed out to be applied in one step
 	earlyCommit   bool                       // a mutation of tests: commits are learnt before the member is attached
 }
@@ -138,10 +139,9 @@
 // Seal ends the member's part in its epoch: it has promised a ballot for the next view, and orders, takes and passes on nothing more.
 func (c *Chain) Seal() { c.configuration.sealed = true }
 
-// Tick hands out the next batch of committed entries, and sends again what may have been lost. While
-// HasUnapplied it is to be called again soon.
+// Tick makes the next batch of committed entries due, and sends again what may have been lost. While HasUnapplied it is to be called again soon.
 func (c *Chain) Tick(now time.Duration) {
-	c.applyCommitted()
+	c.applyDue = true
 	if c.configuration.position > 0 && !c.upstream.aligned && !c.configuration.sealed && now-c.upstream.attachSentAt >= attachRetryInterval {
 		c.sendAttach(now)
 	}
--- a/control/chain/chain_test.go
+++ b/control/chain/chain_test.go
@@ -59,7 +59,11 @@
 	for {
 		actions := member.Take()
 		if actions.Install == nil && len(actions.Writes)+len(actions.Commits)+len(actions.Sends) == 0 {
-			return
+			if !member.HasUnapplied() {
+				return
+			}
+			member.Apply()
+			continue
 		}
 		if actions.Install != nil {
 			r.applied[id] = nil
--- a/control/chain/commit.go
+++ b/control/chain/commit.go
@@ -15,9 +15,13 @@
 // MutateEarlyCommit has commits learnt before the log follows the predecessor's, which only tests of tests may ask for.
 func (c *Chain) MutateEarlyCommit() { c.earlyCommit = true }
 
-// HasUnapplied reports whether committed entries were not handed out yet: Tick hands them out.
+// HasUnapplied reports whether committed entries were not handed out yet.
 func (c *Chain) HasUnapplied() bool { return c.log.applied < c.log.committed }
 
+// ApplyDue reports whether Apply is to be called at the end of the step: entries were committed while there was nothing to apply, or it is the
+// next batch's turn by Tick. A member that is behind is not to apply with each message that it gets, or it would answer none in time.
+func (c *Chain) ApplyDue() bool { return c.applyDue && c.HasUnapplied() }
+
 // Unapplied returns how many entries the machine's snapshot does not cover.
 func (c *Chain) Unapplied() int { return int(c.log.last() - c.log.applied) }
 
@@ -65,18 +69,20 @@
 	if to = min(to, c.log.last()); to <= c.log.committed {
 		return
 	}
-	hadUnapplied := c.HasUnapplied()
+	c.applyDue = c.applyDue || !c.HasUnapplied()
 	c.log.committed = to
-	if !hadUnapplied || c.applyBatch == math.MaxUint32 {
-		c.applyCommitted() // else Tick does, a batch at a time: a step may commit many times
+	if c.applyBatch == math.MaxUint32 {
+		c.Apply()
 	}
 	if predecessor, ok := c.configuration.predecessor(); ok {
 		c.send(predecessor, &Ack{Epoch: c.configuration.epoch, Committed: to})
 	}
 }
 
-// applyCommitted hands out the next batch of committed entries to be applied. The others do not wait for it: they hear what is committed.
-func (c *Chain) applyCommitted() {
+// Apply hands out the next batch of committed entries to be applied. It is called once the actions of the step that committed them are carried
+// out: the members before this one in the chain hear what is committed, and don't wait until it is applied here.
+func (c *Chain) Apply() {
+	c.applyDue = false
 	to := min(c.log.committed, c.log.applied+c.applyBatch)
 	if to <= c.log.applied {
 		return
--- a/control/core/bounds_test.go
+++ b/control/core/bounds_test.go
@@ -91,7 +91,9 @@
 			require.NoError(l.t, err)
 			l.results[end.Number] = result
 		}
-		if len(output.Writes) == 0 {
+		if l.node.ApplyDue() {
+			l.node.Apply(l.now)
+		} else if len(output.Writes) == 0 {
 			return
 		}
 		for _, write := range output.Writes {
--- a/control/core/core.go
+++ b/control/core/core.go
@@ -266,7 +266,7 @@
 	c.step(func(now time.Duration) { c.node.Tick(now) })
 }
 
-// step has the node do something, and executes its output.
+// step has the node do something, executes its output, and then has it apply what is committed.
 func (c *Core) step(do func(now time.Duration)) {
 	c.mu.Lock()
 	if !c.running {
@@ -275,7 +275,21 @@
 	}
 	now := c.now()
 	do(now)
-	output := c.node.Take()
+	applied := c.execute(c.node.Take())
+	if c.node.ApplyDue() {
+		c.node.Apply(now)
+		applied = c.execute(c.node.Take()) || applied
+	}
+	c.leaseRunner.follow(c, now)
+	c.schedule(now)
+	c.mu.Unlock()
+	if applied && c.config.Applied != nil {
+		c.config.Applied()
+	}
+}
+
+// execute carries out what the node wants, and reports whether commands were applied.
+func (c *Core) execute(output output) (applied bool) {
 	c.disk.add(output.Writes)
 	c.links.send(output.Messages)
 	for _, end := range output.Completions {
@@ -293,12 +307,7 @@
 	for i := range output.QuorumChanges {
 		output.QuorumChanges[i].log(c.config.Log)
 	}
-	c.leaseRunner.follow(c, now)
-	c.schedule(now)
-	c.mu.Unlock()
-	if output.Applied && c.config.Applied != nil {
-		c.config.Applied()
-	}
+	return output.Applied
 }
 
 // schedule sets the timer for when the node has something to do. It is only moved when it would fire too late, or has fired.
--- a/control/core/model_test.go
+++ b/control/core/model_test.go
@@ -257,6 +257,10 @@
 	for _, end := range output.Completions {
 		m.complete(at, end)
 	}
+	if member.node.ApplyDue() {
+		member.node.Apply(m.clock(at))
+		m.execute(at)
+	}
 	if !m.scope.slowDisks && len(member.writes) > 0 {
 		m.sync(at)
 	} else if m.scope.hasty && len(output.Writes) > 0 {
--- a/control/core/node.go
+++ b/control/core/node.go
@@ -148,6 +148,16 @@
 	}
 }
 
+// ApplyDue says whether Apply is to be called now that the output of the last step is carried out.
+func (n *node) ApplyDue() bool { return n.chain.ApplyDue() && !n.degraded() }
+
+// Apply applies some of the committed commands. It is a step of its own, after the output of the one that committed them is carried out: the
+// others hear of the commit before this member takes the time to apply it, and the members of a chain apply at the same time and not in turn.
+func (n *node) Apply(now time.Duration) {
+	n.chain.Apply()
+	n.finish(now)
+}
+
 // apply applies a committed command, and ends it if it was submitted here.
 func (n *node) apply(entry *chain.Entry) {
 	n.commands.outlive(entry.Epoch)
--- a/control/core/simulation_member_test.go
+++ b/control/core/simulation_member_test.go
@@ -134,9 +134,19 @@
 	}))
 }
 
-// execute does what the node wants.
+// execute does what the node wants, and then has it apply some of what is committed.
 func (m *simulated) execute() {
-	output := m.node.Take()
+	m.carryOut(m.node.Take())
+	if m.node.ApplyDue() {
+		m.node.Apply(m.clock())
+		m.carryOut(m.node.Take())
+	}
+	m.write()
+	m.s.checkLease()
+	m.takeTime()
+}
+
+func (m *simulated) carryOut(output output) {
 	m.chainChanges = append(m.chainChanges, output.ChainChanges...)
 	m.diskChanges = append(m.diskChanges, output.DiskChanges...)
 	m.quorumChanges = append(m.quorumChanges, output.QuorumChanges...)
@@ -153,9 +163,6 @@
 	for _, end := range output.Completions {
 		m.complete(end)
 	}
-	m.write()
-	m.s.checkLease()
-	m.takeTime()
 }
 
 // takeTime has the member stand still for as long as what it has just applied takes.
--- a/test/simulation/control_test.go
+++ b/test/simulation/control_test.go
@@ -133,8 +133,19 @@
 	c.execute(l)
 }
 
+// execute does what the node wants, and then has it apply some of what is committed.
 func (c *control) execute(l *incarnation) {
-	actions := c.node.Take()
+	c.carryOut(l, c.node.Take())
+	if c.node.ApplyDue() {
+		c.node.Apply(l.now())
+		c.carryOut(l, c.node.Take())
+	}
+	c.write(l)
+	c.follow(l)
+	c.world.history.checkLease()
+}
+
+func (c *control) carryOut(l *incarnation, actions core.Output) {
 	for _, write := range actions.Writes {
 		c.writes = append(c.writes, write)
 		if c.world.mutant == unsyncedAck { // the disk says so before it has done it
@@ -150,12 +161,9 @@
 			done(end)
 		}
 	}
-	c.write(l)
 	if actions.Applied {
 		c.service.Changed()
 	}
-	c.follow(l)
-	c.world.history.checkLease()
 }
 
 // follow starts and ends leading as the node gets and loses the lease.
