Let the writers of the core's connections run before commands are applied

Cause: with one processor a message that is queued for a connection goes out when its writer's goroutine runs, which was after the apply that followed in the same goroutine. Change: the core yields the processor once before it applies.

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"sync"
 	"time"
@@ -277,6 +278,7 @@
 	do(now)
 	applied := c.execute(c.node.Take())
 	if c.node.ApplyDue() {
+		runtime.Gosched() // to the connections' writers: on one processor the messages would not go out before this goroutine is done
 		c.node.Apply(now)
 		applied = c.execute(c.node.Take()) || applied
 	}
