Read of a changed configuration what changed, and in edges alone

Change: Reload reads a document beside the one before: what is the same to the byte is taken over, what is new is made sure to be valid JSON in UTF-8 and read, anything unexpected has the whole read as before. Apply uses it for what it has put together. Fields were checked when the order was taken and are not again. Stores only pass the configuration on.

--- a/cluster/catalog/patch.go
+++ b/cluster/catalog/patch.go
@@ -37,7 +37,7 @@
 			return nil, err
 		}
 	}
-	return parse(base.merge(p), &reader{checked: true})
+	return base.reload(base.merge(p), &reader{checked: true})
 }
 
 func readPatch(patch []byte) (*change, error) {
--- a/cluster/member/agent.go
+++ b/cluster/member/agent.go
@@ -280,7 +280,7 @@
 	if !old.Versions[topic].Less(version) {
 		return
 	}
-	snapshot, err := old.with(topic, version, payload)
+	snapshot, err := old.with(topic, version, payload, a.config.Self.Edge)
 	if err != nil {
 		a.log.Error("an update can't be read and is kept out", "topic", topic, "version", version, "error", err)
 		return
--- a/cluster/member/compat_test.go
+++ b/cluster/member/compat_test.go
@@ -35,7 +35,7 @@
 		golden, err := os.ReadFile(filepath.Join("testdata", "compat", file))
 		require.NoError(t, err)
 		version := wire.Version{Term: 3, Sequence: uint64(topic) + 1}
-		snapshot, err = snapshot.with(wire.Topic(topic), version, golden)
+		snapshot, err = snapshot.with(wire.Topic(topic), version, golden, true)
 		require.NoError(t, err)
 		require.Equal(t, version, snapshot.Versions[topic])
 		var again []byte
--- a/cluster/member/snapshot.go
+++ b/cluster/member/snapshot.go
@@ -13,7 +13,7 @@
 // Snapshot is what the process knows of all topics at one moment. It never changes; a newer one takes its place.
 type Snapshot struct {
 	Versions [wire.TopicCount]wire.Version
-	Catalog  *catalog.Index  // nil until a configuration is known
+	Catalog  *catalog.Index  // nil until a configuration is known, and in processes that are no edge
 	Workers  *wire.Workers   // nil until known
 	Stores   *wire.StoreView // nil until known
 	Members  *wire.Members   // nil until known
@@ -29,20 +29,23 @@
 	return true
 }
 
-// with returns a snapshot with one topic renewed.
-func (s *Snapshot) with(topic wire.Topic, version wire.Version, payload []byte) (*Snapshot, error) {
+// with returns a snapshot with one topic renewed, as an edge or another process needs it.
+func (s *Snapshot) with(topic wire.Topic, version wire.Version, payload []byte, edge bool) (*Snapshot, error) {
 	next := *s
-	if err := next.read(topic, payload); err != nil {
+	if err := next.read(topic, payload, edge); err != nil {
 		return nil, err
 	}
 	next.Versions[topic] = version
 	return &next, nil
 }
 
-func (s *Snapshot) read(topic wire.Topic, payload []byte) error {
+func (s *Snapshot) read(topic wire.Topic, payload []byte, edge bool) error {
 	switch topic {
 	case wire.TopicConfig:
-		config, err := catalog.Parse(payload)
+		if !edge {
+			return nil // a store only passes it on
+		}
+		config, err := s.config().Reload(payload)
 		if err != nil {
 			return err
 		}
@@ -61,6 +64,14 @@
 	return fmt.Errorf("member: unknown topic %d", topic)
 }
 
+// config is the configuration, nil until one is known.
+func (s *Snapshot) config() *catalog.Config {
+	if s.Catalog == nil {
+		return nil
+	}
+	return s.Catalog.Config()
+}
+
 func decode(message msgp.Unmarshaler, payload []byte) error {
 	_, err := message.UnmarshalMsg(payload)
 	return err
