Let a member's wish to leave the core hold only as long as it repeats it

Cause: a voter's wish to be no voter any more was remembered by the others until they restarted. A store that had been dismissed and came back with its disk was taken into the chain by members that had started since, and left out by those that remembered: a view each 0.2 s in turn, each sealing the chain, without end. Change: the wish ends 0.7 s after it was last repeated, which it is with each heartbeat; all members hear of it, as each may propose a view.

--- a/control/core/bootstrapstores_test.go
+++ b/control/core/bootstrapstores_test.go
@@ -271,3 +271,33 @@
 	require.Equal(t, []view.ID{1}, ids(spreadOver(members("a"), 3)))
 	require.Empty(t, spreadOver(nil, 3))
 }
+
+// TestALeaverThatComesBackIsTakenInForGood has a voter leave and start anew with its disk, and one of the others start anew after that: it can't know
+// of the wish, which was an earlier incarnation's. If the rest went by it still, some would take the member in and others leave it out, again and again.
+func TestALeaverThatComesBackIsTakenInForGood(t *testing.T) {
+	for seed := range uint64(20) {
+		s := storeSimulation(seed, 3, 4, 1, sound)
+		s.run(5 * time.Second)
+		leaver := s.members[seed%4]
+		leaver.node.Leave(leaver.clock())
+		leaver.execute()
+		s.reach(t, 3*time.Second, func() bool { return leaver.node.Removed() })
+		leaver.kill()
+		s.run(s.now + 500*time.Millisecond)
+		leaver.start()
+		for _, other := range s.members {
+			if other != leaver && s.inChain(-1) == other { // the last one, so that those who know of the wish propose too
+				other.kill()
+				s.after(300*time.Millisecond, other.start)
+			}
+		}
+		s.run(s.now + 5*time.Second)
+		epoch := s.members[0].node.view.Epoch
+		s.load(60 * time.Millisecond)
+		s.run(s.now + 3*time.Second)
+		require.Equal(t, epoch, s.members[0].node.view.Epoch, "seed %d: the chain does not come to rest", seed)
+		require.NotZero(t, s.answered, "seed %d", seed)
+		s.checkHistory()
+		require.Empty(t, s.broken, "seed %d", seed)
+	}
+}
--- a/control/core/decommission.go
+++ b/control/core/decommission.go
@@ -41,10 +41,11 @@
 	n.Abdicate(now)
 }
 
-// announceLeaving goes along with each heartbeat of a member that has abdicated or is decommissioned.
+// announceLeaving goes along with each heartbeat of a member that has abdicated or is decommissioned. All members hear it: each may propose a view, and
+// two that plan by different wishes undo one another's views.
 func (n *node) announceLeaving(now time.Duration) {
 	if n.departure.decommissioning || now < n.lease.abstainUntil {
-		n.sendVoters(&leaving{ID: n.self.ID, Vote: n.departure.decommissioning})
+		n.sendMembers(&leaving{ID: n.self.ID, Vote: n.departure.decommissioning})
 	}
 }
 
@@ -54,9 +55,13 @@
 		return
 	}
 	p.abstainUntil = now + failureTimeout
-	if m.Vote && !p.wantsRemoval {
-		p.wantsRemoval, p.removalSince = true, now
+	if !m.Vote {
+		return
+	}
+	if now >= p.removalUntil {
+		p.removalSince = now
 	}
+	p.removalUntil = now + failureTimeout // its next incarnation may stay: a wish holds as long as it is repeated
 }
 
 // abstains says whether a member leaves the leader lease to others.
@@ -70,7 +75,7 @@
 
 // removable says whether a member wishes to leave and may: those that stay are a chain with enough disks, each of them complete and heard by this one.
 func (n *node) removable(now time.Duration, id view.ID) bool {
-	if !n.wantsRemoval(id) {
+	if !n.wantsRemoval(now, id) {
 		return false
 	}
 	if !n.isVoter(id) {
@@ -81,7 +86,7 @@
 	}
 	rest := view.View{}
 	for _, member := range n.view.Voters {
-		if member.ID == id || n.wantsRemoval(member.ID) {
+		if member.ID == id || n.wantsRemoval(now, member.ID) {
 			continue
 		}
 		if n.view.Position(member.ID) < 0 || !n.hears(now, member.ID) || !n.seemsComplete(member.ID) {
@@ -95,7 +100,7 @@
 
 // replaceable says whether a member wishes to leave and holds the leader lease no more: its vote may be another's.
 func (n *node) replaceable(now time.Duration, id view.ID) bool {
-	return n.wantsRemoval(id) && (!n.isVoter(id) || n.leaseTransferred(now, id))
+	return n.wantsRemoval(now, id) && (!n.isVoter(id) || n.leaseTransferred(now, id))
 }
 
 // leaseTransferred says whether another than a member that leaves holds the leader lease, or nobody takes it.
@@ -112,12 +117,13 @@
 	return now >= since+leaseTransferTimeout
 }
 
-func (n *node) wantsRemoval(id view.ID) bool {
+// wantsRemoval says whether a member wishes to be no voter any more.
+func (n *node) wantsRemoval(now time.Duration, id view.ID) bool {
 	if id == n.self.ID {
 		return n.departure.decommissioning
 	}
 	p := n.peers.byID(id)
-	return p != nil && p.wantsRemoval
+	return p != nil && now < p.removalUntil
 }
 
 // Removed says whether this member belongs to a view that others decided without it, after it has asked to leave.
--- a/control/core/tracker.go
+++ b/control/core/tracker.go
@@ -27,8 +27,8 @@
 	heardSince   time.Duration // heard without a gap since
 	refused      bool          // its address refused a connection since: its process has ended
 	contacted    bool          // was heard at least once
-	wantsRemoval bool          // it wishes to be no voter any more
-	removalSince time.Duration // since when
+	removalSince time.Duration // since when it wishes to be no voter any more
+	removalUntil time.Duration // until then it does, without another message that says so
 	abstainUntil time.Duration // until then it does not seek the leader lease
 }
 
