--- a/edge/queueclient/client.go
+++ b/edge/queueclient/client.go
@@ -30,8 +30,8 @@
 
 // Config of a Client. Its functions are called by goroutines that read connections: they must not wait.
 type Config struct {
-	Edge    string // Member.ID
-	Zone    string
+	Edge string // Member.ID
+	Zone string
 
 	Heartbeat time.Duration // of the membership lease; 0: longer than matters
 
--- a/edge/queueclient/standstill.go
+++ b/edge/queueclient/standstill.go
@@ -11,10 +11,10 @@
 // Bounds by which the client notices that its process stood still. A store takes back what an edge has once the edge's connection has been
 // silent for rpc.DefaultFailureTimeout, or its membership lease of two heartbeats has ended. Half of the shorter one leaves the time to notice.
 const (
-	maxStandstillLimit    = rpc.DefaultFailureTimeout / 2
-	heartbeatsPerLimit    = 1                      // half of an edge's membership lease
-	maxAliveInterval      = 250 * time.Millisecond // between two looks at the clock
-	looksPerLimit         = 2                      // at least, within the time of a standstill
+	maxStandstillLimit = rpc.DefaultFailureTimeout / 2
+	heartbeatsPerLimit = 1                      // half of an edge's membership lease
+	maxAliveInterval   = 250 * time.Millisecond // between two looks at the clock
+	looksPerLimit      = 2                      // at least, within the time of a standstill
 )
 
 // standstillLimit returns how long the process may stand still before what its stores granted it is out of date.
--- a/test/slopes/slopes_test.go
+++ b/test/slopes/slopes_test.go
@@ -41,6 +41,17 @@
 	return list
 }
 
+// zonesOf lists the zones of members, which are sorted by zone.
+func zonesOf(list *wire.Members) []string {
+	var zones []string
+	for _, edge := range list.Edges {
+		if len(zones) == 0 || zones[len(zones)-1] != edge.Zone {
+			zones = append(zones, edge.Zone)
+		}
+	}
+	return zones
+}
+
 func workers(count, services int) []wire.Worker {
 	entries := make([]wire.Worker, count)
 	for i := range entries {
@@ -239,16 +250,10 @@
 	const services, workersEach = 3, 10
 	list := members(count)
 	self := list.Edges[count/2]
-	var zones []string
-	for _, edge := range list.Edges {
-		if len(zones) == 0 || zones[len(zones)-1] != edge.Zone {
-			zones = append(zones, edge.Zone)
-		}
-	}
 	client := worker.NewClient()
 	b.Cleanup(client.Close)
 	plane := dispatch.NewManager(dispatch.Config{
-		Topology: dispatch.Topology{Edge: self.ID, Zone: self.Zone, Zones: zones}, Window: 5 * time.Second, Overshoot: 1.1,
+		Topology: dispatch.Topology{Edge: self.ID, Zone: self.Zone, Zones: zonesOf(list)}, Window: 5 * time.Second, Overshoot: 1.1,
 		ConvergenceTime: 3 * time.Second, MaxBodyBytes: 1 << 20,
 	}, client)
 	b.Cleanup(plane.Close)
@@ -325,14 +330,8 @@
 	}
 	list := members(edges)
 	self := list.Edges[edges/2]
-	var zones []string
-	for _, edge := range list.Edges {
-		if len(zones) == 0 || zones[len(zones)-1] != edge.Zone {
-			zones = append(zones, edge.Zone)
-		}
-	}
 	core := dispatch.NewCore(dispatch.Config{
-		Topology: dispatch.Topology{Edge: self.ID, Zone: self.Zone, Zones: zones}, Window: 5 * time.Second, Overshoot: 1.1,
+		Topology: dispatch.Topology{Edge: self.ID, Zone: self.Zone, Zones: zonesOf(list)}, Window: 5 * time.Second, Overshoot: 1.1,
 		ConvergenceTime: 3 * time.Second, MaxBodyBytes: 1 << 20, Seed: 1,
 	})
 	entries := discovery.Sort(workers(edges, listed))
