Leave a store's stop more room before its grace is over

Cause: the notice to the leader of now could take 1.5 s, which with all other waits of a stop came to 5.7 s of a grace of 6 s where nobody leads. Change: one second at most. Measured: TestAStoreThatStopsTellsTheLeaderOfNow passes; the sum is reckoned.

--- a/cmd/ravendale-store/process.go
+++ b/cmd/ravendale-store/process.go
@@ -17,7 +17,7 @@
 // Times of a planned stop and of a start.
 const (
 	leaveTimeout        = 400 * time.Millisecond  // to notify the leader
-	successorTimeout    = 1500 * time.Millisecond // to notify the leader of now, which may have taken over meanwhile
+	successorTimeout    = time.Second             // to notify the leader of now, which may have taken over meanwhile
 	dropTimeout         = 200 * time.Millisecond  // once the leader has seen this store go, for the others to go on without it
 	transferTimeout     = 1500 * time.Millisecond // for other stores to become the primaries of this one's partitions
 	voteTimeout         = 2500 * time.Millisecond // for another store to take over the vote in the core
