Catch a core that lets a voter go which it can't spare

Cause: the hand-over of a vote where stores hold the core had no mutant. Change: a mutation that lets a voter go at once, and the test that catches it. Measured: TestAVoterThatIsLetGoThoughItIsNeededIsCaught.

--- a/control/core/bootstrapstores_test.go
+++ b/control/core/bootstrapstores_test.go
@@ -238,14 +238,7 @@
 // TestAVoterThatIsNeededStays has a voter ask to leave while one of the others is down: without it too few copies would be left.
 func TestAVoterThatIsNeededStays(t *testing.T) {
 	for seed := range uint64(10) {
-		s := storeSimulation(seed, 3, 3, 1, sound)
-		s.run(5 * time.Second)
-		s.members[0].running = false
-		s.run(s.now + time.Second)
-		leaver := s.members[1]
-		leaver.node.Leave(leaver.clock())
-		leaver.execute()
-		s.run(s.now + 5*time.Second)
+		s, leaver := leaveWhileNeeded(seed, sound)
 		require.False(t, leaver.node.Removed(), "seed %d", seed)
 		s.members[0].start()
 		s.reach(t, 5*time.Second, func() bool { return leaver.node.Removed() })
@@ -253,6 +246,28 @@
 	}
 }
 
+func TestAVoterThatIsLetGoThoughItIsNeededIsCaught(t *testing.T) {
+	for seed := range uint64(10) {
+		if _, leaver := leaveWhileNeeded(seed, hastyRelease); leaver.node.Removed() {
+			return
+		}
+	}
+	require.Fail(t, "not caught")
+}
+
+// leaveWhileNeeded has one of three voters ask to leave while another one is down.
+func leaveWhileNeeded(seed uint64, m mutant) (*simulation, *simulated) {
+	s := storeSimulation(seed, 3, 3, 1, m)
+	s.run(5 * time.Second)
+	s.members[0].running = false
+	s.run(s.now + time.Second)
+	leaver := s.members[1]
+	leaver.node.Leave(leaver.clock())
+	leaver.execute()
+	s.run(s.now + 5*time.Second)
+	return s, leaver
+}
+
 func TestFirstVotersLieInAsManyZonesAsPossible(t *testing.T) {
 	members := func(zones ...string) (all []view.Member) {
 		for i, zone := range zones {
--- a/control/core/config.go
+++ b/control/core/config.go
@@ -65,4 +65,5 @@
 	keepsVoteOnStop bool // a node that is stopping keeps its vote
 	votesAtOnce     bool // a newcomer gets a vote at once
 	countsUnfilled  bool // a newcomer counts as complete before it is filled
+	sparesNobody    bool // a voter that wishes to leave is let go though the others can't spare it
 }
--- a/control/core/decommission.go
+++ b/control/core/decommission.go
@@ -78,7 +78,7 @@
 	if !n.wantsRemoval(now, id) {
 		return false
 	}
-	if !n.isVoter(id) {
+	if !n.isVoter(id) || n.config.mutations.sparesNobody {
 		return true
 	}
 	if !n.leaseTransferred(now, id) {
--- a/control/core/simulation_test.go
+++ b/control/core/simulation_test.go
@@ -28,6 +28,7 @@
 	stayingVote   // a member that is told to stop keeps its vote
 	eagerVote     // a newcomer gets a vote at once
 	unfilledChain // a newcomer counts as complete before it is filled
+	hastyRelease  // a voter that wishes to leave is let go though the others can't spare it
 )
 
 // simulation is a whole core in simulated time.
@@ -172,7 +173,7 @@
 	return mutations{
 		minorityDecides: m == minorityView, skipsSync: m == unsyncedAck, forgetsGrant: m == forgetfulVoter,
 		keepsStaleState: m == staleImage, learnsDetached: m == eagerMember, commitsAlone: m == loneCommit, seedForgetsVote: m == amnesiacSeed, appliesAll: m == applyAll,
-		keepsVoteOnStop: m == stayingVote, votesAtOnce: m == eagerVote, countsUnfilled: m == unfilledChain,
+		keepsVoteOnStop: m == stayingVote, votesAtOnce: m == eagerVote, countsUnfilled: m == unfilledChain, sparesNobody: m == hastyRelease,
 	}
 }
 
