Answer 503, not 404, while the configuration is not confirmed

Callers saw: an edge that had missed a route answered its requests with 404 for as long as the core was away. A 404 ends a client's attempts.

Cause: the same as that of the dropped messages: a conclusion for good from a configuration that may be older than the one in force.

Change: an edge answers 404 only if the leader has confirmed its configuration within convergeMs, the time that the rule gives; else 503 with Retry-After, which promises that nothing was kept. Known routes are served as before.

Result: TestEdgeThatMissedRouteRefusesNoRequestForGood got 404 on the code before, and 503 now.

--- a/cmd/ravendale-edge/edge.go
+++ b/cmd/ravendale-edge/edge.go
@@ -84,7 +84,7 @@
 	e.agent.OnConfigConfirmed(e.configConfirmed)
 	e.stateIsCurrent = e.agent.Current
 	e.ingress = ingress.New(ingress.Config{
-		Queue: e.queue, Index: e.dispatcher.Index, Ready: e.isCurrent, Accepts: e.dispatcher.Accepts,
+		Queue: e.queue, Index: e.dispatcher.Index, Ready: e.isCurrent, Confirmed: e.hasConfirmedConfig, Accepts: e.dispatcher.Accepts,
 		MaxConns: max(s.MaxFds-reservedDescriptors, minClientConns), Log: env.Log,
 	})
 	return e
@@ -123,6 +123,12 @@
 	e.dispatcher.ConfirmConfig(at)
 }
 
+// hasConfirmedConfig reports whether the configuration was the newest within the time in which a change must be in force everywhere. A
+// route that it lacks can then not have been in force for that long.
+func (e *edge) hasConfirmedConfig() bool {
+	return e.agent.ConfigConfirmedWithin(settings.Milliseconds(e.env.Settings.Bounds.ConvergeMs))
+}
+
 // awaitCurrent applies the state that the leader reported first. This covers the case in which the state arrives before the report of
 // its version: stateChanged has ignored it then.
 func (e *edge) awaitCurrent(ctx context.Context) {
--- a/edge/ingress/handler.go
+++ b/edge/ingress/handler.go
@@ -54,7 +54,7 @@
 	}
 	route := index.Match(string(ctx.Request.Header.Host()), path)
 	if route == nil || route.Type != dispatch.DeferredType {
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		s.respondNoRoute(ctx)
 		return
 	}
 	m, limits, ok := parseMessage(&ctx.Request, route)
@@ -79,3 +79,13 @@
 		ctx.SetConnectionClose()
 	}
 }
+
+// respondNoRoute answers a request that has no route in this edge's configuration. The route may be new while this edge
+// has lost contact with the control plane: the client must then try again, here or at another edge.
+func (s *Server) respondNoRoute(ctx *fasthttp.RequestCtx) {
+	if s.config.Confirmed != nil && !s.config.Confirmed() {
+		unavailable(ctx)
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusNotFound)
+}
--- a/edge/ingress/ingress_test.go
+++ b/edge/ingress/ingress_test.go
@@ -196,6 +196,22 @@
 	assert.Equal(t, "PATCH", s.queue.messages[3].Method)
 }
 
+// CONFIG: a route that this edge doesn't know may be new while the edge has lost contact with the control plane. A 404
+// would end the client's attempts.
+func TestUnknownRouteWithUnconfirmedConfigIsUnavailable(t *testing.T) {
+	s := newSite(t)
+	confirmed := false
+	s.server.config.Confirmed = func() bool { return confirmed }
+	const unknown, known = "POST /none HTTP/1.1\r\nHost: a.example", "POST /p/x HTTP/1.1\r\nHost: a.example"
+	const rest = "\r\nRequest-Id: r\r\nContent-Length: 0\r\n\r\n"
+	got := s.ask(t, unknown+rest)
+	assert.Equal(t, http.StatusServiceUnavailable, got.status)
+	assert.NotEmpty(t, got.header.Get("Retry-After"))
+	assert.Equal(t, http.StatusAccepted, s.ask(t, known+rest).status, "a known route needs no confirmation")
+	confirmed = true
+	assert.Equal(t, http.StatusNotFound, s.ask(t, unknown+rest).status)
+}
+
 // The store and other edges learn from the message under which configuration it was accepted.
 func TestPutHasConfigVersion(t *testing.T) {
 	s := newSite(t)
--- a/edge/ingress/server.go
+++ b/edge/ingress/server.go
@@ -30,6 +30,10 @@
 	Accepts  func(service string, bodyBytes int) bool // whether this edge will deliver such a message itself
 	MaxConns int                                      // maximum number of open connections
 	Log      *slog.Logger                             // nil: slog.Default
+
+	// Confirmed reports whether the configuration was the newest recently enough to conclude that a route does not
+	// exist. Otherwise a request without a route is rejected as temporarily unavailable. Nil: always confirmed.
+	Confirmed func() bool
 }
 
 // Default limits, for those that the configuration does not set.
--- a/test/systemtest/outdatededge_test.go
+++ b/test/systemtest/outdatededge_test.go
@@ -1,6 +1,7 @@
 package systemtest
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -46,7 +47,7 @@
 // missChange freezes an edge, and adds a route to a service with a rate limit meanwhile. The edges that run accept more
 // messages on it than the service takes, so that the stores assign the rest to any edge. Then the core loses power as
 // the frozen edge goes on: nobody can tell that edge of the route.
-func (r *rig) missChange() {
+func (r *rig) missChange(whileOutdated func()) {
 	r.t.Helper()
 	outdated := r.system.Edges[outdatedEdge]
 	endFreeze := r.world.Record.BeginFault(outdated.Node(), "freeze", false)
@@ -67,6 +68,7 @@
 	require.NoError(r.t, outdated.Thaw())
 	defer endFreeze()
 	time.Sleep(coreOutage)
+	whileOutdated()
 	require.NoError(r.t, cluster.Each(core, func(p *cluster.Process) error { return p.Start(false) }))
 }
 
@@ -77,7 +79,27 @@
 // as dead letters, while the core was away.
 func TestEdgeThatMissedRouteLosesNoMessage(t *testing.T) {
 	r := startWith(t, twoEdgesPerZone)
-	r.missChange()
+	r.missChange(func() {})
+	r.awaitReady(len(r.system.Edges))
+	r.awaitDelivered(rateLimitDrain)
+	r.verify()
+}
+
+// CONFIG: an edge that has missed a route must not refuse its requests for good either: a client that gets 404 gives up.
+func TestEdgeThatMissedRouteRefusesNoRequestForGood(t *testing.T) {
+	r := startWith(t, twoEdgesPerZone)
+	r.missChange(func() {
+		address := r.system.EdgeAddresses()[outdatedEdge].HTTP
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/added/b", http.NoBody)
+		require.NoError(t, err)
+		request.Host = host
+		request.Header.Set("Request-Id", "asked-of-outdated-edge")
+		answer, err := http.DefaultClient.Do(request)
+		require.NoError(t, err)
+		defer func() { _ = answer.Body.Close() }()
+		assert.Equal(t, http.StatusServiceUnavailable, answer.StatusCode)
+		assert.NotEmpty(t, answer.Header.Get("Retry-After"))
+	})
 	r.awaitReady(len(r.system.Edges))
 	r.awaitDelivered(rateLimitDrain)
 	r.verify()
