Wait for a leaseholder that the list of edges may lack

Callers would see: a message that runs twice.

Cause: a new primary grants messages once all edges of the list have claimed theirs. A list that is older than a lease lacks the leaseholder, whose time to claim then ended before its claim was there.

Change: the window is not cut short while the last leaseholder of a pending message was never listed and has not claimed. Leases that were on disk before the store's start are older than its list. Edges that were listed once and are gone are not waited for, so takeovers after a loss take as long as before.

Result: TestLeaseholderMissingInOldListMayClaim: the message was granted to another edge before (the mutation trustsEdgeList brings that back), and is left to its leaseholder now.

--- a/store/queue/apply.go
+++ b/store/queue/apply.go
@@ -16,6 +16,9 @@
 		return err
 	}
 	c.apply(r, at, true)
+	if r.Leaseholder != "" { // a list that is received from now on is newer than this lease
+		c.edges.listed[r.Leaseholder] = true
+	}
 	return nil
 }
 
--- a/store/queue/config.go
+++ b/store/queue/config.go
@@ -31,6 +31,7 @@
 	maintenanceInterval = 2 * time.Second
 	scrubInterval       = 4 * time.Second
 	regrantInterval     = 4 * time.Second  // longer than an edge waits for the answer to a put
+	maxListed           = 10_000           // maximum number of edges, gone ones included, whose listing is remembered
 	maxAssigned         = 64               // maximum number of messages assigned to an edge at a time
 	otherZonePenalty    = 8                // an edge in this store's zone may have this many more assigned messages than an edge elsewhere
 	wipeDelay           = 20 * time.Second // a partition that this store is no longer a member of is kept for this long
--- a/store/queue/core.go
+++ b/store/queue/core.go
@@ -75,6 +75,7 @@
 type mutations struct {
 	assignsToOutdatedEdges bool // an edge is assigned messages that were accepted under a newer configuration than it has
 	dropsForAnyReport      bool // a message is dropped whatever configuration the reporting edge had
+	trustsEdgeList         bool // a new primary takes the list of edges for complete, however old it is
 }
 
 // New returns an empty core. Recover fills it from the journal.
--- a/store/queue/edge.go
+++ b/store/queue/edge.go
@@ -29,10 +29,11 @@
 	byRemote map[Remote]*edge // connected edges
 	list     []*edge          // in the order in which they first attached
 	expected []string         // identities of all edges that the control plane has listed
+	listed   map[string]bool  // identities of all edges that were ever listed, or that have leased messages before this store started
 }
 
 func newEdgeSet() edgeSet {
-	return edgeSet{byID: make(map[string]*edge), byRemote: make(map[Remote]*edge)}
+	return edgeSet{byID: make(map[string]*edge), byRemote: make(map[Remote]*edge), listed: make(map[string]bool)}
 }
 
 // claimsDue returns when the first edge loses the leases that it hasn't claimed, or never if no edge has to claim.
@@ -57,6 +58,29 @@
 	return len(s.expected) > 0
 }
 
+// setExpected replaces the list of the control plane. If listed has grown too large, only the current list is kept in it,
+// which is safe: the leaseholders that it forgets are waited for.
+func (s *edgeSet) setExpected(edges []wire.Edge) {
+	s.expected = s.expected[:0]
+	if len(s.listed) > maxListed {
+		clear(s.listed)
+	}
+	for i := range edges {
+		s.expected = append(s.expected, edges[i].ID)
+		s.listed[edges[i].ID] = true
+	}
+}
+
+// mayBeUnlisted reports whether an edge may be a member that the newest list lacks, because the list is older than the
+// edge: it has never been listed, and hasn't claimed its messages under an epoch.
+func (s *edgeSet) mayBeUnlisted(id string, epoch uint64) bool {
+	if id == "" || s.listed[id] {
+		return false
+	}
+	e := s.byID[id]
+	return e == nil || e.claimedEpoch != epoch
+}
+
 func (s *edgeSet) remove(e *edge) {
 	delete(s.byID, e.id)
 	s.list = slices.DeleteFunc(s.list, func(other *edge) bool { return other == e })
@@ -162,10 +186,7 @@
 // the rest of its claim window.
 func (c *Core) SetEdges(now Time, edges []wire.Edge) {
 	c.now = now
-	c.edges.expected = c.edges.expected[:0]
-	for i := range edges {
-		c.edges.expected = append(c.edges.expected, edges[i].ID)
-	}
+	c.edges.setExpected(edges)
 	c.openPartitions()
 	c.assignDue()
 	c.flushPeers()
--- a/store/queue/partition.go
+++ b/store/queue/partition.go
@@ -57,12 +57,13 @@
 }
 
 // openPartition lets the primary grant messages of a partition, once all messages and outcomes of the other replicas
-// are merged, and all edges have claimed their messages or the claim window is over.
+// are merged, and all edges have claimed their messages or the claim window is over. The list of edges may be older than
+// a lease in the partition: the window isn't cut short while a leaseholder may be an edge that the list lacks.
 func (c *Core) openPartition(p *partition) {
 	if p.isMergePending() {
 		return
 	}
-	if c.now.Steady < p.primarySince+p.claimWindow && !c.edges.allClaimed(c.epoch()) {
+	if c.now.Steady < p.primarySince+p.claimWindow && !(c.edges.allClaimed(c.epoch()) && c.knowsLeaseholders(p)) {
 		c.wakeAt(p.primarySince + p.claimWindow)
 		return
 	}
@@ -72,6 +73,20 @@
 	}
 }
 
+// knowsLeaseholders reports whether each edge that leased a pending message of a partition last is known: it has claimed,
+// or was listed by the control plane, which lists it no more if it is gone.
+func (c *Core) knowsLeaseholders(p *partition) bool {
+	if c.mutations.trustsEdgeList {
+		return true
+	}
+	for _, e := range p.entries {
+		if e.pending() && c.edges.mayBeUnlisted(e.lastLeaseholder(), c.epoch()) {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Core) wipeTable(p *partition) {
 	for _, e := range p.entries {
 		c.releaseLease(e)
--- a/store/queue/takeover_test.go
+++ b/store/queue/takeover_test.go
@@ -238,3 +238,48 @@
 	require.Len(t, e.notifications, 2, "of the first alone")
 	assert.Equal(t, "0.1", lastSent[wire.Grant](e).ID)
 }
+
+// grantsBeforeClaim makes a store the primary of a message that another edge leases, while the list of edges that the
+// store has lacks that edge. All listed edges claim at once. It returns whether the message was granted to one of them
+// before the leaseholder could claim it.
+func grantsBeforeClaim(t *testing.T, mutated mutations) bool {
+	r, b := newSuccessor(t, &Record{ID: "0.1", Sequence: 1, Leaseholder: "new", Message: plainMsg("")})
+	r.core.mutations = mutated
+	r.reportEqual(b)
+	e := &fakeRemote{}
+	r.attach("e", e)
+	r.core.SetEdges(r.now, []wire.Edge{{ID: "e"}})
+	r.claim(e)
+	r.syncAndAckAll(b)
+	r.advance(r.core.config.ClaimWindow / 2)
+	r.syncAndAckAll(b)
+	early := isGranted(e, "0.1")
+	leaseholder := &fakeRemote{}
+	r.attach("new", leaseholder)
+	assert.Equal(t, wire.PutAccepted, replyCode(t, r.claim(leaseholder, "0.1")))
+	r.advance(r.core.config.ClaimWindow)
+	r.syncAndAckAll(b)
+	return early || isGranted(e, "0.1")
+}
+
+// A list of edges that is older than a lease must not end the leaseholder's time to claim: the message would run twice.
+func TestLeaseholderMissingInOldListMayClaim(t *testing.T) {
+	assert.False(t, grantsBeforeClaim(t, mutations{}))
+	assert.True(t, grantsBeforeClaim(t, mutations{trustsEdgeList: true}), "the mutation must be detected")
+}
+
+// An edge that was listed once and isn't any more has gone: its messages don't wait for the whole window.
+func TestMessagesOfDepartedEdgeAreGrantedOnceAllClaimed(t *testing.T) {
+	r, b := newSuccessor(t, &Record{ID: "0.1", Sequence: 1, Leaseholder: "gone", Message: plainMsg("")})
+	r.core.SetEdges(r.now, []wire.Edge{{ID: "e"}, {ID: "gone"}})
+	r.core.SetEdges(r.now, []wire.Edge{{ID: "e"}})
+	r.reportEqual(b)
+	e := &fakeRemote{}
+	r.attach("e", e)
+	r.claim(e)
+	for range 3 {
+		r.advance(ms)
+		r.syncAndAckAll(b)
+	}
+	assert.True(t, isGranted(e, "0.1"))
+}
