--- a/store/queue/partition.go
+++ b/store/queue/partition.go
@@ -63,7 +63,8 @@
 	if p.isMergePending() {
 		return
 	}
-	if c.now.Steady < p.primarySince+p.claimWindow && !(c.edges.allClaimed(c.epoch()) && c.knowsLeaseholders(p)) {
+	claimsMissing := !c.edges.allClaimed(c.epoch()) || !c.knowsLeaseholders(p)
+	if claimsMissing && c.now.Steady < p.primarySince+p.claimWindow {
 		c.wakeAt(p.primarySince + p.claimWindow)
 		return
 	}
