--- a/edge/dispatch/routing_test.go
+++ b/edge/dispatch/routing_test.go
@@ -61,9 +61,9 @@
 	}
 }
 
-// runsGrantsOfNewRoute grants a message on a route that this edge has missed, and returns whether it is delivered once the
-// edge has the route: after an outage of the control plane that is longer than any time-out.
-func runsGrantsOfNewRoute(t *testing.T, version uint64) {
+// requireDeliveryOnMissedRoute grants a message on a route that this edge has missed, and requires that it is delivered
+// once the edge has the route: after an outage of the control plane that is longer than any time-out.
+func requireDeliveryOnMissedRoute(t *testing.T, version uint64) {
 	h := newHarness(t)
 	h.confirm()
 	h.advance(time.Second)
@@ -81,12 +81,12 @@
 // Guards against review/1 (LOST): an edge that was frozen while a route was added dropped its messages convergeMs after
 // their grant, by its own old configuration.
 func TestEdgeThatMissedRouteDropsNoMessageOfIt(t *testing.T) {
-	runsGrantsOfNewRoute(t, 4)
+	requireDeliveryOnMissedRoute(t, 4)
 }
 
 // The same for a message that an earlier version of the program accepted: its ID does not have the version.
 func TestEdgeThatMissedRouteDropsNoUnversionedMessageOfIt(t *testing.T) {
-	runsGrantsOfNewRoute(t, 0)
+	requireDeliveryOnMissedRoute(t, 0)
 }
 
 // A message whose route leads to another service than an older configuration says must not run at the old one.
