--- a/review/kit2/cases_test.go
+++ b/review/kit2/cases_test.go
@@ -25,3 +25,5 @@
 func TestStoreThatFrozeKnowsItsEdges(t *testing.T) { playCase(t, "../4/run.sh") }
 
 func TestRetirementLeavesCoreThatBearsLoss(t *testing.T) { playCase(t, "../5/run.sh") }
+
+func TestCoreOnStoresIsFoundWithoutSeeds(t *testing.T) { playCase(t, "../6/run.sh") }
--- a/review/kit2/freeze.go
+++ b/review/kit2/freeze.go
@@ -10,27 +10,25 @@
 // Times of the case of a store that freezes.
 const (
 	frozenFor   = 3200 * time.Millisecond
-	freezes     = 4
-	beforeFault = 9 * time.Second
+	beforeFault = 7 * time.Second // longer than contactMs and catchupS
 	calmFor     = 6 * time.Second
 	delayUpTo   = 12 * time.Second
 )
 
-// playFreeze lets one storage machine freeze and wake again, four times, while clients hand in messages, some of which are delayed.
+// playFreeze lets one storage machine after the other freeze and wake again while clients hand in messages, some of which are delayed.
 // It judges whether a message ran again after a success, with no disruption since contactMs before.
 func playFreeze(ctx context.Context, r *rig, trouble bool) (broken bool, err error) {
 	loaded := make(chan struct{})
 	go func() {
 		defer close(loaded)
-		r.load(ctx, 380, freezes*(beforeFault+frozenFor)+calmFor, 0.7, delayUpTo)
+		r.load(ctx, 380, time.Duration(len(r.system.Stores))*(beforeFault+frozenFor)+calmFor, 0.7, delayUpTo)
 	}()
-	for range freezes {
+	for _, store := range r.system.Stores {
 		time.Sleep(beforeFault)
 		if !trouble {
 			time.Sleep(frozenFor)
 			continue
 		}
-		store := r.system.Stores[0]
 		over := r.world.Record.BeginFault(store.Node(), "freeze", false)
 		if err := store.Freeze(); err != nil {
 			return false, err
--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -22,12 +22,14 @@
 var cases = map[string]func(ctx context.Context, r *rig, trouble bool) (broken bool, err error){
 	"freeze": playFreeze,
 	"retire": playRetire,
+	"seeds":  playSeeds,
 }
 
 // specs are the deployments of the cases.
 var specs = map[string]deployment{
 	"freeze": {zones: 4, edges: 3},
 	"retire": {zones: 3, edges: 1, diskless: true},
+	"seeds":  {zones: 4, edges: 2, diskless: true},
 }
 
 func main() {
