Record a configuration in the simulation before the edge applies it

The trace shows version 80 without the route, applied at the edge at the very moment of the drop.

Cause: the edge reports the messages that it drops while it applies the configuration, and the checker recorded the configuration only after that.

Change: it is recorded first. The rule stays as it was: a message may be dropped by a configuration that an edge has applied and that isn't older than the one under which the message was accepted.

--- a/test/simulation/edge_test.go
+++ b/test/simulation/edge_test.go
@@ -75,9 +75,9 @@
 		p.dispatcher.SetWorkers(s.Workers)
 	}
 	if newer(wire.TopicConfig) && s.Catalog != nil {
+		p.world.messages.configs[s.Catalog.Config().Version] = s.Catalog // before the edge reports messages that it drops by it
 		p.dispatcher.ApplyConfig(s.Catalog)
 		p.client.SetConfigVersion(s.Catalog.Config().Version)
-		p.world.messages.configs[s.Catalog.Config().Version] = s.Catalog
 	}
 	if newer(wire.TopicStores) {
 		p.client.SetView(s.Stores)
