Keep an edge's newest connection at a store, whichever is read last

Cause: while a store is frozen its kernel accepts connections; an edge gives each up after 1.2 s and makes another. Once the store runs it reads all of them, each in a goroutine of its own. It took the connection whose Attach it handled last for the edge's newest. If that was one that the edge had closed, its end followed, and the store took the edge for gone, while the edge's open connection stayed up: the edge attaches once a connection, and its claims there were refused for good. When the store was primary again, it knew no leaseholder, and assigned the messages to another edge when they were due.

Change: the rpc server numbers the connections that it accepts. A peer closes a connection before it opens the next, also across its restart, so the order of acceptance is the order of the peer's connections, whatever order they are read in. A store keeps the one accepted last; it refuses what comes on the others, and closes them, so that a peer that has one of them open notices and opens another: what is lost at one end doesn't stay open at the other. A first request on a connection that is closed already is dropped. No message and no record changes, so edges of an earlier version are ordered too.

The simulation could not show it: a frozen process handled what waited in its order of arrival. It now reads each connection in its own order, and the connections in a random one; and a system in full service must have each store know each edge that runs.

--- a/cluster/rpc/conn.go
+++ b/cluster/rpc/conn.go
@@ -30,6 +30,7 @@
 	socket       net.Conn // nil if transport is used
 	transport    Transport
 	tag          atomic.Value
+	acceptOrder  uint64       // see AcceptOrder
 	lastReceived atomic.Int64 // monotonicNanos of the last read frame
 	done         chan struct{}
 
@@ -89,6 +90,12 @@
 	return c.socket.RemoteAddr().String()
 }
 
+// AcceptOrder returns the position of the connection among all connections that this process has accepted, starting at 1.
+// It is 0 for a connection that this process has opened. A peer that closes a connection before it opens the next one has
+// the newest of its connections accepted last, also across its restart; the order in which their first messages are
+// handled says nothing about that, because each connection is read by a goroutine of its own.
+func (c *Conn) AcceptOrder() uint64 { return c.acceptOrder }
+
 // Done returns a channel that is closed when the connection is closed.
 func (c *Conn) Done() <-chan struct{} { return c.done }
 
--- a/cluster/rpc/rpc_test.go
+++ b/cluster/rpc/rpc_test.go
@@ -133,3 +133,20 @@
 	require.Empty(t, link.reconnect)
 	require.Empty(t, failed)
 }
+
+func TestAcceptOrderFollowsConnects(t *testing.T) {
+	accepted := make(chan *Conn, 2)
+	server, err := Listen("127.0.0.1:0", Options{}, func(c *Conn) { accepted <- c })
+	require.NoError(t, err)
+	defer server.Close()
+	var orders []uint64
+	for range 2 {
+		conn, err := Dial(t.Context(), server.Address(), Options{})
+		require.NoError(t, err)
+		defer conn.Close()
+		require.Zero(t, conn.AcceptOrder())
+		orders = append(orders, (<-accepted).AcceptOrder())
+	}
+	require.Positive(t, orders[0])
+	require.Less(t, orders[0], orders[1])
+}
--- a/cluster/rpc/server.go
+++ b/cluster/rpc/server.go
@@ -4,11 +4,15 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 const acceptPause = 20 * time.Millisecond // after a failed accept, for example because file descriptors are exhausted
 
+// acceptedConns counts the connections that all servers of the process have accepted.
+var acceptedConns atomic.Uint64
+
 // Server accepts connections.
 type Server struct {
 	listener net.Listener
@@ -55,6 +59,7 @@
 
 func (s *Server) serve(socket net.Conn) {
 	c := newConn(socket, s.options)
+	c.acceptOrder = acceptedConns.Add(1)
 	s.mu.Lock()
 	if s.closed {
 		s.mu.Unlock()
--- a/cluster/rpc/transport.go
+++ b/cluster/rpc/transport.go
@@ -20,6 +20,13 @@
 	return c
 }
 
+// AcceptWithTransport returns the accepting end of a connection like those of NewWithTransport. Order is its AcceptOrder.
+func AcceptWithTransport(options Options, transport Transport, order uint64) *Conn {
+	c := NewWithTransport(options, transport)
+	c.acceptOrder = order
+	return c
+}
+
 // Deliver handles one complete frame from a Transport.
 func (c *Conn) Deliver(frame []byte) {
 	if len(frame) < headerSize || c.Err() != nil {
--- a/store/queue/claim.go
+++ b/store/queue/claim.go
@@ -7,7 +7,7 @@
 // edge must not continue with.
 func (c *Core) ClaimMessages(now Time, from Remote, m *wire.Claim, reply Replier) {
 	c.now = now
-	e := c.edges.byRemote[from]
+	e := c.edges.on(from)
 	if e == nil || c.view == nil || m.Epoch != c.view.Epoch || c.newestEpoch > c.view.Epoch {
 		reply.Send(&wire.ClaimReply{Code: wire.PutStale, Epoch: c.newestEpoch})
 		return
--- a/store/queue/core.go
+++ b/store/queue/core.go
@@ -15,13 +15,6 @@
 	UnixMs int64         // time of day in milliseconds; may jump
 }
 
-// Remote is a connection to an edge or another store.
-type Remote interface {
-	// Notify sends a notification. It fails if the connection is closed; the core may ignore that, since EdgeDown or
-	// PeerDown follows.
-	Notify(method wire.Method, message msgp.Marshaler) error
-}
-
 // Replier answers one request. Exactly one of its methods is called, once.
 type Replier interface {
 	Send(message msgp.Marshaler)
@@ -75,6 +68,7 @@
 type mutations struct {
 	assignsToOutdatedEdges bool // an edge is assigned messages that were accepted under a newer configuration than it has
 	dropsForAnyReport      bool // a message is dropped whatever configuration the reporting edge had
+	ignoresAcceptOrder     bool // of several connections of a peer, the one whose message is handled last counts as the newest
 	trustsEdgeList         bool // a new primary takes the list of edges for complete, however old it is
 }
 
--- a/store/queue/doc.go
+++ b/store/queue/doc.go
@@ -11,7 +11,7 @@
 // The caller creates a core with New, passes each record of the journal to Recover in order, and then passes the
 // journal to Start. After that each event is one method call, and calls must not overlap: requests of edges
 // (AttachEdge, ClaimMessages, PutMessage, ReportDelivery, FindMessage), messages of other stores (Replicate, Compare,
-// Fetch, Filled and their answers Acked, Differ, Fetched), connections (PeerUp, PeerDown, EdgeDown), the journal
+// Fetch, Filled and their answers Acked, Differ, Fetched), connections (PeerUp, PeerDown, RemoteDown), the journal
 // (JournalSynced, DiskFull), the control plane (SetView, SetEdges) and time (Tick, as requested through Host.WakeAt).
 //
 // # Message lifecycle
--- a/store/queue/edge.go
+++ b/store/queue/edge.go
@@ -11,7 +11,8 @@
 type edge struct {
 	id             string
 	zone           string
-	remote         Remote // nil while there is no connection
+	remote         Remote // its newest connection; nil while that is closed
+	acceptOrder    uint64 // of its newest connection
 	draining       bool
 	configVersion  uint64           // newest version of the configuration that it has announced; 0: none
 	session        uint16           // incremented with each connection
@@ -26,7 +27,7 @@
 // edgeSet has the edges that are connected, or were within the reconnect timeout.
 type edgeSet struct {
 	byID     map[string]*edge
-	byRemote map[Remote]*edge // connected edges
+	byRemote map[Remote]*edge // by open connection on which the edge has attached, outdated ones included
 	list     []*edge          // in the order in which they first attached
 	expected []string         // identities of all edges that the control plane has listed
 	listed   map[string]bool  // identities of all edges that were ever listed, or that have leased messages before this store started
@@ -36,6 +37,19 @@
 	return edgeSet{byID: make(map[string]*edge), byRemote: make(map[Remote]*edge), listed: make(map[string]bool)}
 }
 
+// on returns the edge whose newest connection this is, or nil if there is none.
+func (s *edgeSet) on(remote Remote) *edge {
+	if e := s.byRemote[remote]; e != nil && e.remote == remote {
+		return e
+	}
+	return nil
+}
+
+// isOutdated reports whether an edge has attached on a connection, and has another one that is newer.
+func (s *edgeSet) isOutdated(remote Remote) bool {
+	return s.byRemote[remote] != nil && s.on(remote) == nil
+}
+
 // claimsDue returns when the first edge loses the leases that it hasn't claimed, or never if no edge has to claim.
 func (s *edgeSet) claimsDue(timeout time.Duration) time.Duration {
 	due := never
@@ -93,7 +107,8 @@
 	}
 }
 
-// AttachEdge handles the first request of an edge on a connection, in which it sends its identity.
+// AttachEdge handles the first request of an edge on a connection, in which it sends its identity. The edge may repeat it.
+// On an outdated connection it fails, and the connection is closed.
 func (c *Core) AttachEdge(now Time, from Remote, m *wire.Attach, reply Replier) {
 	c.now = now
 	e := c.edges.byID[m.Edge]
@@ -102,6 +117,13 @@
 		c.edges.byID[m.Edge] = e
 		c.edges.list = append(c.edges.list, e)
 	}
+	if acceptOrder(from) < e.acceptOrder && !c.mutations.ignoresAcceptOrder {
+		c.edges.byRemote[from] = e
+		c.config.Log.Info("refused to attach an edge on an outdated connection", "edge", m.Edge)
+		reply.Fail(errOutdatedConnection)
+		closeOutdated(from)
+		return
+	}
 	e.zone, e.draining = m.Zone, m.Draining
 	if e.remote != from {
 		c.connectEdge(e, from)
@@ -112,19 +134,20 @@
 }
 
 func (c *Core) connectEdge(e *edge, from Remote) {
-	if old := c.edges.byRemote[from]; old != nil { // the connection belonged to another edge
+	if old := c.edges.on(from); old != nil { // the connection belonged to another edge
 		c.disconnectEdge(old)
 	}
-	if e.remote != nil {
-		delete(c.edges.byRemote, e.remote)
-	}
 	if e.session > 0 {
 		c.startClaimTimeout(e)
 	}
-	e.remote = from
+	replaced := e.remote
+	e.remote, e.acceptOrder = from, acceptOrder(from)
 	e.session++
 	e.claimedEpoch = 0
 	c.edges.byRemote[from] = e
+	if replaced != nil && !c.mutations.ignoresAcceptOrder {
+		closeOutdated(replaced)
+	}
 }
 
 // startClaimTimeout starts the time within which an edge must claim the messages that it leases.
@@ -136,16 +159,17 @@
 	}
 }
 
-// EdgeDown handles that an edge's connection is closed.
-func (c *Core) EdgeDown(now Time, remote Remote) {
-	c.now = now
-	if e := c.edges.byRemote[remote]; e != nil {
+// edgeDown handles that a connection is closed, which may be an edge's.
+func (c *Core) edgeDown(remote Remote) {
+	e := c.edges.on(remote)
+	delete(c.edges.byRemote, remote)
+	if e != nil {
 		c.disconnectEdge(e)
 	}
 }
 
+// disconnectEdge records that an edge has no connection. The edge keeps its leases if it reconnects and claims in time.
 func (c *Core) disconnectEdge(e *edge) {
-	delete(c.edges.byRemote, e.remote)
 	e.remote = nil
 	e.claimedEpoch = 0
 	c.startClaimTimeout(e)
@@ -182,6 +206,18 @@
 	}
 }
 
+// ConnectedEdges returns the identities of the edges that are connected and have claimed their messages under the current
+// epoch, in the order in which they first attached.
+func (c *Core) ConnectedEdges() []string {
+	var connected []string
+	for _, e := range c.edges.list {
+		if e.remote != nil && e.claimedEpoch == c.epoch() {
+			connected = append(connected, e.id)
+		}
+	}
+	return connected
+}
+
 // SetEdges sets the list of edges from the control plane. Once all of them have claimed, a new primary doesn't wait for
 // the rest of its claim window.
 func (c *Core) SetEdges(now Time, edges []wire.Edge) {
--- a/store/queue/edgeconfig.go
+++ b/store/queue/edgeconfig.go
@@ -9,7 +9,7 @@
 // ConfigureEdge handles an edge's notification of the version of the configuration that it applies.
 func (c *Core) ConfigureEdge(now Time, from Remote, m *wire.EdgeConfig) {
 	c.now = now
-	e := c.edges.byRemote[from]
+	e := c.edges.on(from)
 	if e == nil || m.Version <= e.configVersion {
 		return // an edge never goes back to an older configuration
 	}
--- a/store/queue/edgeconfig_test.go
+++ b/store/queue/edgeconfig_test.go
@@ -44,7 +44,7 @@
 // must not be assigned it, however idle the edge is and however long no other edge can be.
 func TestOutdatedEdgeIsAssignedNoNewerMessage(t *testing.T) {
 	r, b, _ := newReadyPrimary(t)
-	r.core.EdgeDown(r.now, r.core.edges.byID["e"].remote)
+	r.core.RemoteDown(r.now, r.core.edges.byID["e"].remote)
 	outdated := r.announce("outdated", 3)
 	r.putUnowned(b, outdated, versioned)
 	for range 16 { // for most of the message's retention
@@ -61,7 +61,7 @@
 
 func TestUpToDateEdgeIsAssignedInsteadOfOutdatedOne(t *testing.T) {
 	r, b, e := newReadyPrimary(t)
-	r.core.EdgeDown(r.now, e)
+	r.core.RemoteDown(r.now, e)
 	outdated := r.announce("outdated", 3)
 	r.putUnowned(b, outdated, versioned)
 	current := r.announce("current", 5)
@@ -73,7 +73,7 @@
 // A message that waits for an edge with a newer configuration must not hold up others.
 func TestWaitingForConfigBlocksNoOtherMessage(t *testing.T) {
 	r, b, e := newReadyPrimary(t)
-	r.core.EdgeDown(r.now, e)
+	r.core.RemoteDown(r.now, e)
 	outdated := r.announce("outdated", 3)
 	older := wire.VersionedMessageID(0, "older", 3)
 	r.putUnowned(b, outdated, versioned)
@@ -87,7 +87,7 @@
 // Retention: a message that no edge may run expires nevertheless.
 func TestMessageExpiresWhileItWaitsForConfig(t *testing.T) {
 	r, b, e := newReadyPrimary(t)
-	r.core.EdgeDown(r.now, e)
+	r.core.RemoteDown(r.now, e)
 	r.putUnowned(b, r.announce("outdated", 3), versioned)
 	r.advance(80 * time.Second)
 	assert.Equal(t, wire.StatePending, r.find(versioned, false).State)
@@ -105,7 +105,7 @@
 	r.putUnowned(b, outdated, versioned)
 	assert.False(t, isGranted(earlier, versioned))
 	assert.False(t, isGranted(outdated, versioned))
-	r.core.EdgeDown(r.now, outdated)
+	r.core.RemoteDown(r.now, outdated)
 	for range 3 {
 		r.advance(5 * time.Second)
 		r.syncAndAckAll(b)
@@ -117,7 +117,7 @@
 // the edge has announced it again.
 func TestAnnouncedConfigSurvivesNewPlacementAndRestart(t *testing.T) {
 	r, b, e := newReadyPrimary(t)
-	r.core.EdgeDown(r.now, e)
+	r.core.RemoteDown(r.now, e)
 	outdated := r.announce("outdated", 3)
 	r.putUnowned(b, outdated, versioned)
 	r.view(2, []uint16{0, 1}, nil)
@@ -201,7 +201,7 @@
 
 	r, b, e := newReadyPrimary(t)
 	r.core.mutations.assignsToOutdatedEdges = true
-	r.core.EdgeDown(r.now, e)
+	r.core.RemoteDown(r.now, e)
 	outdated := r.announce("outdated", 3)
 	r.putUnowned(b, outdated, versioned)
 	assert.True(t, isGranted(outdated, versioned))
--- a/store/queue/put.go
+++ b/store/queue/put.go
@@ -33,12 +33,12 @@
 		reply.Send(&wire.PutReply{Code: code, Epoch: c.newestEpoch})
 		return
 	}
-	sender := c.edges.byRemote[from]
+	sender := c.edges.on(from)
 	e, collides := p.find(m.Message.ID)
 	switch {
 	case e != nil:
 		c.acceptRepeat(p, e, m, sender, reply)
-	case m.Dispatch && sender == nil || collides || len(p.members)+1 < c.requiredCopies() || c.refusesPuts():
+	case m.Dispatch && sender == nil || c.edges.isOutdated(from) || collides || len(p.members)+1 < c.requiredCopies() || c.refusesPuts():
 		reply.Send(&wire.PutReply{Code: wire.PutRejected, Epoch: c.epoch()})
 	default:
 		c.acceptNew(p, m, sender, reply)
--- a/store/queue/report.go
+++ b/store/queue/report.go
@@ -65,7 +65,7 @@
 // pause.
 func (c *Core) refuseDrop(p *partition, e *entry, from Remote, m *wire.Report, reply Replier) {
 	sender := ""
-	if by := c.edges.byRemote[from]; by != nil {
+	if by := c.edges.on(from); by != nil {
 		sender = by.id
 	}
 	c.config.Log.Warn("refused to drop a message by an outdated configuration", "message", m.ID, "edge", sender, "reason", m.Signature)
@@ -75,7 +75,7 @@
 
 // releaseMessage ends the lease of the edge that reports. The edge must be the leaseholder: the report may be a repeat.
 func (c *Core) releaseMessage(p *partition, e *entry, from Remote, reply Replier) {
-	if sender := c.edges.byRemote[from]; sender != nil && e.delivery.leaseholder == sender {
+	if sender := c.edges.on(from); sender != nil && e.delivery.leaseholder == sender {
 		e.delivery.released = true
 		c.requeueMessage(p, e)
 	}
--- a/store/queue/simedge_test.go
+++ b/store/queue/simedge_test.go
@@ -123,7 +123,7 @@
 	}
 	c.closed[1] = func() {
 		if n.up && n.disk.incarnation == storeIncarnation {
-			n.core.EdgeDown(n.time(), c.ends[1])
+			n.core.RemoteDown(n.time(), c.ends[1])
 		}
 	}
 	c.ends[0].request(wire.MethodAttach, &wire.Attach{Edge: e.id}, func([]byte) {})
--- a/store/queue/takeover_test.go
+++ b/store/queue/takeover_test.go
@@ -99,7 +99,7 @@
 	r.claim(f)
 	r.reportEqual(b)
 	r.advance(2 * time.Second)
-	r.core.EdgeDown(r.now, e)
+	r.core.RemoteDown(r.now, e)
 	r.advance(defaultReconnectTimeout - ms)
 	r.syncAndAck(b)
 	assert.Empty(t, f.notifications)
@@ -219,7 +219,7 @@
 	reconnected := &fakeRemote{}
 	r.attach("e", reconnected)
 	assert.Equal(t, wire.PutRejected, replyCode(t, r.put(plainMsg("0.1"), e)))
-	r.core.EdgeDown(r.now, reconnected)
+	r.core.RemoteDown(r.now, reconnected)
 	assert.Equal(t, wire.PutRejected, replyCode(t, r.put(plainMsg("0.1"), reconnected)))
 	assert.Empty(t, r.core.partition(0).entries)
 }
--- a/store/server/handlers.go
+++ b/store/server/handlers.go
@@ -14,7 +14,7 @@
 	handleRequest(s, mux, wire.MethodPut, (*queue.Core).PutMessage)
 	handleRequest(s, mux, wire.MethodReport, (*queue.Core).ReportDelivery)
 	handleRequest(s, mux, wire.MethodClaim, (*queue.Core).ClaimMessages)
-	handleRequest(s, mux, wire.MethodAttach, (*queue.Core).AttachEdge)
+	handleFirstRequest(s, mux, wire.MethodAttach, (*queue.Core).AttachEdge)
 	handleNotification(s, mux, wire.MethodEdgeConfig, (*queue.Core).ConfigureEdge)
 	rpc.Handle(mux, wire.MethodFind, func(_ *rpc.Conn, m *wire.Find, reply rpc.Reply) {
 		s.handle(func(now queue.Time) { s.core.FindMessage(now, m, reply) })
@@ -43,7 +43,20 @@
 // call it from OnClose. It does not block.
 func (s *Store) ConnClosed(c *rpc.Conn) {
 	s.tasks.start(func() {
-		s.handle(func(now queue.Time) { s.core.EdgeDown(now, c) })
+		s.handle(func(now queue.Time) { s.core.RemoteDown(now, c) })
+	})
+}
+
+// handleFirstRequest registers a handler for a request that identifies the peer of a connection. It drops the request if
+// the connection is closed: the core may have handled that already, and would keep the connection forever.
+func handleFirstRequest[T any, P interface {
+	*T
+	msgp.Unmarshaler
+}](s *Store, mux *rpc.Mux, method wire.Method, handle func(*queue.Core, queue.Time, queue.Remote, *T, queue.Replier)) {
+	handleRequest[T, P](s, mux, method, func(core *queue.Core, now queue.Time, from queue.Remote, m *T, reply queue.Replier) {
+		if from.(*rpc.Conn).Err() == nil {
+			handle(core, now, from, m, reply)
+		}
 	})
 }
 
--- a/test/simulation/machine_test.go
+++ b/test/simulation/machine_test.go
@@ -101,11 +101,39 @@
 	l := m.incarnation
 	pending := l.onThaw
 	l.onThaw = nil
-	for _, run := range pending {
+	for _, run := range m.world.interleave(pending) {
 		run()
 	}
 }
 
+// postponed is what a frozen process has to do once it runs again.
+type postponed struct {
+	from *endpoint // the end of the connection from which it reads; nil for a timer
+	run  func()
+}
+
+// interleave returns in a random order what waited for a process. Each connection is read in its own order, and the
+// timers fire in the order in which they were due; nothing orders one connection before another.
+func (w *world) interleave(waiting []postponed) (runs []func()) {
+	var sources []*endpoint
+	bySource := make(map[*endpoint][]func())
+	for _, one := range waiting {
+		if bySource[one.from] == nil {
+			sources = append(sources, one.from)
+		}
+		bySource[one.from] = append(bySource[one.from], one.run)
+	}
+	for len(sources) > 0 {
+		i := w.random.IntN(len(sources))
+		source := sources[i]
+		runs = append(runs, bySource[source][0])
+		if bySource[source] = bySource[source][1:]; len(bySource[source]) == 0 {
+			sources = append(sources[:i], sources[i+1:]...)
+		}
+	}
+	return runs
+}
+
 // noteDisturbance records that a fault or a restart affects the machine now.
 func (m *machine) noteDisturbance() {
 	m.disturbedAt = m.world.now
@@ -122,19 +150,22 @@
 	random   *rand.Rand
 	tasks    []*task
 	sleeping map[*task]bool
-	onThaw   []func()
+	onThaw   []postponed
 	ends     []*endpoint // endpoints of its connections, in the order of creation
 }
 
 // guard wraps run: the result does nothing once the process has ended, and is postponed until the thaw while the
 // process is frozen.
-func (l *incarnation) guard(run func()) func() {
+func (l *incarnation) guard(run func()) func() { return l.guardRead(nil, run) }
+
+// guardRead is guard for something that the process reads from an end of a connection.
+func (l *incarnation) guardRead(from *endpoint, run func()) func() {
 	var guarded func()
 	guarded = func() {
 		switch {
 		case l.ended:
 		case l.machine.frozen:
-			l.onThaw = append(l.onThaw, guarded)
+			l.onThaw = append(l.onThaw, postponed{from, guarded})
 		default:
 			run()
 		}
--- a/test/simulation/member_test.go
+++ b/test/simulation/member_test.go
@@ -29,6 +29,7 @@
 	diskStalled bool
 
 	// State of one incarnation.
+	memberID        string
 	agent           *member.Agent
 	handlers        *rpc.Mux
 	startedAt       time.Duration
@@ -37,6 +38,7 @@
 	client          *queueclient.Client           // of an edge
 	queue           *queue.Core                   // of a store
 	peers           map[string]host.Link          // of a store, by disk
+	unordered       map[*rpc.Conn]queue.Remote    // of a store with the mutation takesLastConnection
 	wakeCount       int
 	lastServed      [wire.TopicCount]wire.Version
 	currentAt       time.Duration // negative: it is not current; never read
@@ -76,6 +78,7 @@
 		ID: fmt.Sprintf("%s-%d-%d", p.name, p.incarnations, l.random.Uint32()), Node: p.name, Address: p.address, Zone: p.zone,
 		Edge: p.edge, Storage: !p.edge,
 	}
+	p.memberID = self.ID
 	config := member.Config{Settings: &p.settings, Mux: p.handlers, Self: self, Log: l.log(), Host: l}
 	if !p.edge {
 		config.Self.Disk = p.disk
--- a/test/simulation/mutants_test.go
+++ b/test/simulation/mutants_test.go
@@ -24,6 +24,7 @@
 		{"a store confirms a record before it is on disk", acksUnsyncedRecord, "after_ack_wipe all power", 60, ""},
 		{"an edge sends a message by a configuration older than the one it was accepted under", trustsOwnConfig, "edge_cut", 20, "no configuration since version"},
 		{"an edge drops a message by a configuration older than the one it was accepted under", dropsByOwnConfig, "edge_cut", 20, "is dropped, but each configuration since"},
+		{"a store takes a connection that an edge has closed for its newest", takesLastConnection, "node_freeze store", 40, "does not know that"},
 	} {
 		t.Run(mistake.name, func(t *testing.T) {
 			for seed := range uint64(mistake.seeds) {
--- a/test/simulation/network_test.go
+++ b/test/simulation/network_test.go
@@ -27,6 +27,7 @@
 	world       *world
 	partitioned map[[2]*machine]int // number of active partitions, by sender and receiver
 	slowCount   map[*machine]int    // number of active slow-downs, by machine
+	accepted    uint64              // number of connections that were accepted
 	lossPercent int                 // percentage of messages among control processes that are dropped
 }
 
@@ -156,7 +157,7 @@
 	p := e.inFlight[0]
 	e.inFlight = e.inFlight[1:]
 	peer := e.peer
-	deliver := peer.incarnation.guard(func() {
+	deliver := peer.incarnation.guardRead(peer, func() {
 		if p.frame == nil {
 			peer.conn.Fail(p.cause)
 			return
@@ -309,7 +310,8 @@
 	far := &endpoint{network: n, incarnation: to.incarnation, lastHeardAt: now, failureTimeout: rpc.DefaultFailureTimeout, peer: near}
 	near.peer = far
 	near.conn = rpc.NewWithTransport(k.options, near)
-	far.conn = rpc.NewWithTransport(rpc.Options{Mux: to.program.(listener).mux()}, far)
+	n.accepted++
+	far.conn = rpc.AcceptWithTransport(rpc.Options{Mux: to.program.(listener).mux()}, far, n.accepted)
 	k.incarnation.ends, to.incarnation.ends = append(k.incarnation.ends, near), append(to.incarnation.ends, far)
 	k.end = near
 	if program, ok := to.program.(*process); ok {
--- a/test/simulation/queue_test.go
+++ b/test/simulation/queue_test.go
@@ -115,7 +115,7 @@
 func (p *process) startStore(l *incarnation) {
 	p.startedAt = p.clock()
 	p.journal.incarnation = l
-	p.peers = make(map[string]host.Link)
+	p.peers, p.unordered = make(map[string]host.Link), make(map[*rpc.Conn]queue.Remote)
 	p.queue = queue.New(queue.Config{
 		Disk: p.disk, Zone: p.zone, Copies: p.world.settings.faultTolerance + 1, FinishedRetention: time.Minute, DiskBytes: 1 << 20, Log: l.log(),
 	}, queueHost{p, l})
@@ -174,14 +174,45 @@
 	*T
 	msgp.Unmarshaler
 }](p *process, mux *rpc.Mux, method wire.Method, handle func(*queue.Core, queue.Time, queue.Remote, *T, queue.Replier)) {
-	rpc.Handle[T, P](mux, method, func(c *rpc.Conn, m *T, reply rpc.Reply) { handle(p.queue, p.time(), c, m, reply) })
+	rpc.Handle[T, P](mux, method, func(c *rpc.Conn, m *T, reply rpc.Reply) {
+		if p.ignoresRepeatedAttach(c, method) {
+			return
+		}
+		handle(p.queue, p.time(), p.remote(c), m, reply)
+	})
 }
 
 func notice[T any, P interface {
 	*T
 	msgp.Unmarshaler
 }](p *process, mux *rpc.Mux, method wire.Method, handle func(*queue.Core, queue.Time, queue.Remote, *T)) {
-	rpc.Handle[T, P](mux, method, func(c *rpc.Conn, m *T, _ rpc.Reply) { handle(p.queue, p.time(), c, m) })
+	rpc.Handle[T, P](mux, method, func(c *rpc.Conn, m *T, _ rpc.Reply) { handle(p.queue, p.time(), p.remote(c), m) })
+}
+
+// remote returns a connection as the queue sees it. With the mutation takesLastConnection, the queue can neither tell in
+// which order connections were accepted, nor close them.
+func (p *process) remote(c *rpc.Conn) queue.Remote {
+	if p.world.mutant != takesLastConnection || c.AcceptOrder() == 0 {
+		return c
+	}
+	if p.unordered[c] == nil {
+		p.unordered[c] = &unorderedRemote{conn: c}
+	}
+	return p.unordered[c]
+}
+
+// unorderedRemote hides everything of a connection but Notify.
+type unorderedRemote struct{ conn *rpc.Conn }
+
+// Notify implements queue.Remote.
+func (r *unorderedRemote) Notify(method wire.Method, message msgp.Marshaler) error {
+	return r.conn.Notify(method, message)
+}
+
+// ignoresRepeatedAttach reports whether a store with the mutation takesLastConnection ignores a request, because an edge
+// attaches again on a connection. Edges of earlier versions don't.
+func (p *process) ignoresRepeatedAttach(c *rpc.Conn, method wire.Method) bool {
+	return p.world.mutant == takesLastConnection && method == wire.MethodAttach && p.unordered[c] != nil
 }
 
 // accepted is called for each connection that another process opened.
@@ -189,7 +220,7 @@
 	if p.edge {
 		return
 	}
-	c.OnClose(func(error) { l.after(0, func() { p.queue.EdgeDown(p.time(), c) }) })
+	c.OnClose(func(error) { l.after(0, func() { p.queue.RemoteDown(p.time(), p.remote(c)) }) })
 }
 
 // applyToStore passes the agent's members and placement to the queue, and opens and closes connections to other stores
--- a/test/simulation/system_test.go
+++ b/test/simulation/system_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -34,6 +35,7 @@
 	acksUnsyncedRecord                // a store's journal reports a record as synced when it is only in memory
 	trustsOwnConfig                   // an edge takes its configuration for the newest whenever it is granted a message, and accepts messages without the version
 	dropsByOwnConfig                  // the same, in worlds in which the configuration can't lead a message to another service
+	takesLastConnection               // a store takes the connection on which an edge has attached last for its newest, as an earlier version of the program does
 	acceptsWithoutVersion             // an edge accepts messages as one of an earlier version of the program does; not a bug
 )
 
@@ -293,7 +295,27 @@
 			return p.name + " does not serve"
 		}
 	}
-	return w.placementProblem(edges)
+	if problem := w.placementProblem(edges); problem != "" {
+		return problem
+	}
+	return w.contactProblem()
+}
+
+// contactProblem describes the first edge of which a store doesn't know that it runs; empty: there is none. A connection
+// that is lost at one end must not stay open at the other.
+func (w *world) contactProblem() string {
+	for _, store := range w.processes() {
+		if store.edge || store.removed {
+			continue
+		}
+		connected := store.queue.ConnectedEdges()
+		for _, edge := range w.processes() {
+			if edge.edge && !edge.removed && !slices.Contains(connected, edge.memberID) {
+				return fmt.Sprintf("%s does not know that %s runs", store.name, edge.name)
+			}
+		}
+	}
+	return ""
 }
 
 // placementProblem describes the first error in the processes' member lists and store placement; empty: there is none.
