Ignore what a primary sent on a connection that it has replaced

What callers could see: a message that was done runs again after the loss of its primary.

Cause: a replica that stands still has unread notifications of its primary on the connection from before. The primary gives that connection up, opens another, and sends there what was not acknowledged. If no leader places the partition anew meanwhile, the epoch is the same on both. Once the replica runs it reads both in any order, and applied the older records after the newer ones: a finished message became pending again, although the primary counted its outcome as acknowledged; and a record that drops a message came back after the message had been accepted.

Change: a replica records which store has opened a connection (Hello), and the newest connection on which that store has sent a notification. What comes on one that was accepted before is ignored, and the connection is closed. A primary sends nothing before the answer to its Hello, so the connections that it gave up during a standstill are empty, and the order of acceptance is exact, also across its restart. At the primary's side, the answer to a Hello counts only on the connection that the link still holds. Messages and records stay as they were.

Result: TestRecordsOnOutdatedConnectionAreIgnored; with the mutation, which does what the code did before, the message is pending again (TestDetectsReplicaThatIgnoresOrderOfConnections).

--- a/store/queue/core.go
+++ b/store/queue/core.go
@@ -54,6 +54,7 @@
 
 	disk       diskState
 	peers      peerSet
+	primaries  primaryConns
 	edges      edgeSet
 	partitions []*partition // by number; nil if this store has no state of the partition
 	unowned    unownedHeap
@@ -75,7 +76,7 @@
 // New returns an empty core. Recover fills it from the journal.
 func New(config Config, host Host) *Core {
 	return &Core{
-		config: config.withDefaults(), host: host, disk: newDiskState(), peers: newPeerSet(), edges: newEdgeSet(),
+		config: config.withDefaults(), host: host, disk: newDiskState(), peers: newPeerSet(), primaries: newPrimaryConns(), edges: newEdgeSet(),
 		regrants: newRegrantQueue(), schedule: newSchedule(),
 	}
 }
--- a/store/queue/exploreworld_test.go
+++ b/store/queue/exploreworld_test.go
@@ -316,7 +316,7 @@
 	case MethodFetch:
 		s.core.Fetch(now, from, decode[Fetch](p.payload))
 	case MethodFilled:
-		s.core.Filled(now, decode[Filled](p.payload))
+		s.core.Filled(now, from, decode[Filled](p.payload))
 	case wire.MethodAttach:
 		s.core.AttachEdge(now, from, decode[wire.Attach](p.payload), reply)
 	case wire.MethodClaim:
--- a/store/queue/member.go
+++ b/store/queue/member.go
@@ -19,7 +19,7 @@
 // Replicate applies changes of a primary, and acknowledges them once they are on disk.
 func (c *Core) Replicate(now Time, from Remote, m *Replicate) {
 	c.now = now
-	if m.Epoch < c.newestEpoch {
+	if c.refusesPrimary(from, m.Epoch) {
 		return
 	}
 	c.raiseEpoch(m.Epoch)
@@ -41,7 +41,7 @@
 // Compare answers with the lists of all buckets of a partition that differ from the primary's.
 func (c *Core) Compare(now Time, from Remote, m *Compare) {
 	c.now = now
-	if m.Epoch < c.newestEpoch || len(m.Sums) != bucketCount {
+	if c.refusesPrimary(from, m.Epoch) || len(m.Sums) != bucketCount {
 		return
 	}
 	c.raiseEpoch(m.Epoch)
@@ -91,7 +91,7 @@
 // Fetch answers with the full state of some messages, in one or more Fetched notifications.
 func (c *Core) Fetch(now Time, from Remote, m *Fetch) {
 	c.now = now
-	if m.Epoch < c.newestEpoch {
+	if c.refusesPrimary(from, m.Epoch) {
 		return
 	}
 	p := c.partition(m.Partition)
@@ -119,9 +119,9 @@
 
 // Filled handles the primary's notification that this store has the complete partition. Status lists the partition as
 // synced from then on, as long as the epoch stays the same.
-func (c *Core) Filled(now Time, m *Filled) {
+func (c *Core) Filled(now Time, from Remote, m *Filled) {
 	c.now = now
-	if m.Epoch < c.newestEpoch {
+	if c.refusesPrimary(from, m.Epoch) {
 		return
 	}
 	p := c.partition(m.Partition)
--- a/store/queue/outdated_test.go
+++ b/store/queue/outdated_test.go
@@ -151,3 +151,67 @@
 		assert.Nil(t, found)
 	}
 }
+
+// replicateTo has another store, as the primary of epoch 1, send records to this one on a connection.
+func (r *driver) replicateTo(from Remote, number uint64, records ...*Record) {
+	m := &Replicate{Epoch: 1, Number: number}
+	for _, record := range records {
+		m.Records = append(m.Records, record.encode())
+	}
+	r.core.Replicate(r.now, from, m)
+}
+
+// playPausedReplica has a replica read on the connection that its primary has replaced after it has read on the newer one.
+// It returns the state of the message, and the older connection.
+func playPausedReplica(t *testing.T, mutated bool) (wire.State, *acceptedRemote) {
+	r := newDriver(t)
+	r.core.mutations.ignoresAcceptOrder = mutated
+	r.view(1, []uint16{1, 0}, nil)
+	older, newer := &acceptedRemote{order: 1}, &acceptedRemote{order: 2}
+	for _, conn := range []*acceptedRemote{older, newer} {
+		hello := &reply{}
+		r.core.Hello(r.now, conn, &Hello{From: "b", To: "a"}, hello)
+		require.Equal(t, &HelloReply{Accepted: true}, hello.message)
+	}
+	pending := &Record{Kind: RecordMessage, ID: "0.1", Sequence: 7, Message: plainMsg("")}
+	done := &Record{Kind: RecordFinish, ID: "0.1", Sequence: 9, State: wire.StateDone}
+	r.replicateTo(older, 1, pending)
+	r.replicateTo(newer, 1, pending, done)
+	r.replicateTo(older, 2, pending)
+	r.sync()
+	found, _ := r.core.partition(0).find("0.1")
+	require.NotNil(t, found)
+	r.core.RemoteDown(r.now, older)
+	r.core.RemoteDown(r.now, newer)
+	assert.Empty(t, r.core.primaries.diskOf)
+	return found.state, older
+}
+
+// Guards against an older state of a message that replaces a newer one: a replica that was paused reads the records on the
+// connection that its primary has replaced after those on the newer one.
+func TestRecordsOnOutdatedConnectionAreIgnored(t *testing.T) {
+	state, older := playPausedReplica(t, false)
+	assert.Equal(t, wire.StateDone, state)
+	assert.True(t, older.closed)
+	assert.EqualValues(t, 1, lastSent[Acked](&older.fakeRemote).Number, "what was ignored is not acknowledged")
+}
+
+// With the mutation the replica does what it did before: the message that was done is pending again.
+func TestDetectsReplicaThatIgnoresOrderOfConnections(t *testing.T) {
+	state, _ := playPausedReplica(t, true)
+	assert.Equal(t, wire.StatePending, state)
+}
+
+// A connection that the primary has opened, but on which it has sent nothing yet, may be one that it has given up.
+func TestUnusedConnectionOfPrimaryReplacesNone(t *testing.T) {
+	r := newDriver(t)
+	r.view(1, []uint16{1, 0}, nil)
+	used, unused := &acceptedRemote{order: 1}, &acceptedRemote{order: 2}
+	for _, conn := range []*acceptedRemote{used, unused} {
+		r.core.Hello(r.now, conn, &Hello{From: "b", To: "a"}, &reply{})
+	}
+	r.replicateTo(used, 1, &Record{Kind: RecordMessage, ID: "0.1", Sequence: 7, Message: plainMsg("")})
+	found, _ := r.core.partition(0).find("0.1")
+	assert.NotNil(t, found)
+	assert.False(t, used.closed)
+}
--- a/store/queue/remote.go
+++ b/store/queue/remote.go
@@ -52,5 +52,6 @@
 // must follow, except reports and lookups.
 func (c *Core) RemoteDown(now Time, remote Remote) {
 	c.now = now
+	c.primaries.forget(remote)
 	c.edgeDown(remote)
 }
--- a/store/queue/simstore_test.go
+++ b/store/queue/simstore_test.go
@@ -169,7 +169,7 @@
 	case MethodFetch:
 		n.core.Fetch(now, from, decode[Fetch](payload))
 	case MethodFilled:
-		n.core.Filled(now, decode[Filled](payload))
+		n.core.Filled(now, from, decode[Filled](payload))
 	case wire.MethodAttach:
 		n.core.AttachEdge(now, from, decode[wire.Attach](payload), reply)
 	case wire.MethodPut:
--- a/store/server/handlers.go
+++ b/store/server/handlers.go
@@ -19,15 +19,11 @@
 	rpc.Handle(mux, wire.MethodFind, func(_ *rpc.Conn, m *wire.Find, reply rpc.Reply) {
 		s.handle(func(now queue.Time) { s.core.FindMessage(now, m, reply) })
 	})
-	rpc.Handle(mux, queue.MethodHello, func(_ *rpc.Conn, m *queue.Hello, reply rpc.Reply) {
-		reply.Send(&queue.HelloReply{Accepted: m.To == s.config.Disk})
-	})
+	handleFirstRequest(s, mux, queue.MethodHello, (*queue.Core).Hello)
 	handleNotification(s, mux, queue.MethodReplicate, (*queue.Core).Replicate)
 	handleNotification(s, mux, queue.MethodCompare, (*queue.Core).Compare)
 	handleNotification(s, mux, queue.MethodFetch, (*queue.Core).Fetch)
-	rpc.Handle(mux, queue.MethodFilled, func(_ *rpc.Conn, m *queue.Filled, _ rpc.Reply) {
-		s.handle(func(now queue.Time) { s.core.Filled(now, m) })
-	})
+	handleNotification(s, mux, queue.MethodFilled, (*queue.Core).Filled)
 }
 
 // replicaHandlers returns the handlers for notifications that replicas send back to a primary.
--- a/store/server/store.go
+++ b/store/server/store.go
@@ -240,8 +240,9 @@
 	return rpc.NewLink(address, options, func(c *rpc.Conn) { s.handshake(c, disk) }, nil)
 }
 
-// handshake verifies that the peer has the expected disk. If it has, the core is notified that the peer is up; if not,
-// the connection is closed.
+// handshake verifies that the peer has the expected disk. If it has, the core is notified that the peer is up, unless the
+// connection belongs to a link that was replaced because the disk has moved to another address. If not, the connection is
+// closed.
 func (s *Store) handshake(c *rpc.Conn, disk string) {
 	c.OnClose(func(error) {
 		s.tasks.start(func() { s.handle(func(now queue.Time) { s.core.PeerDown(now, c) }) })
@@ -256,7 +257,7 @@
 			return
 		}
 		s.handle(func(now queue.Time) {
-			if c.Err() == nil {
+			if link := s.links[disk]; c.Err() == nil && link != nil && link.Conn() == c {
 				s.core.PeerUp(now, disk, c)
 			}
 		})
--- a/test/simulation/queue_test.go
+++ b/test/simulation/queue_test.go
@@ -161,13 +161,11 @@
 	request(p, p.handlers, wire.MethodClaim, (*queue.Core).ClaimMessages)
 	request(p, p.handlers, wire.MethodAttach, (*queue.Core).AttachEdge)
 	notice(p, p.handlers, wire.MethodEdgeConfig, (*queue.Core).ConfigureEdge)
-	rpc.Handle(p.handlers, queue.MethodHello, func(_ *rpc.Conn, m *queue.Hello, reply rpc.Reply) {
-		reply.Send(&queue.HelloReply{Accepted: m.To == p.disk})
-	})
+	request(p, p.handlers, queue.MethodHello, (*queue.Core).Hello)
 	notice(p, p.handlers, queue.MethodReplicate, (*queue.Core).Replicate)
 	notice(p, p.handlers, queue.MethodCompare, (*queue.Core).Compare)
 	notice(p, p.handlers, queue.MethodFetch, (*queue.Core).Fetch)
-	rpc.Handle(p.handlers, queue.MethodFilled, func(_ *rpc.Conn, m *queue.Filled, _ rpc.Reply) { p.queue.Filled(p.time(), m) })
+	notice(p, p.handlers, queue.MethodFilled, (*queue.Core).Filled)
 }
 
 func request[T any, P interface {
