Use a connection to a store once the store has answered on it

Cause: an edge sent its claims, puts and reports on a new connection without waiting for the answer to its Attach. A store that stands still accepts connections by its kernel, so it later handled requests on connections that the edge had given up long before. And what ended at the store while it stayed open at the edge was never noticed there: a claim that is refused was repeated on the same connection for good.

Change: an edge uses a connection once the store has answered its Attach there, which only a store does that reads it. So nothing but an Attach waits on the connections that were opened during a standstill. A refused Attach closes the connection, and the link opens a newer one. A claim that is refused is repeated after another Attach on the connection: a store of an earlier version that has lost it takes it again.

TestLateAcceptIsDropped used a store that answers no Attach, as no version of the program does; it answers now, and the test asks the same.

--- a/edge/queueclient/client.go
+++ b/edge/queueclient/client.go
@@ -201,7 +201,7 @@
 	stores := c.allStores()
 	c.mu.Unlock()
 	for _, s := range stores {
-		s.attach(s.conn())
+		s.attach(s.link.Conn(), nil)
 	}
 }
 
--- a/edge/queueclient/put_test.go
+++ b/edge/queueclient/put_test.go
@@ -198,6 +198,7 @@
 		one, two := newFakeStore(t), newFakeStore(t)
 		var late rpc.Reply
 		mux := rpc.NewMux()
+		rpc.Handle(mux, wire.MethodAttach, func(_ *rpc.Conn, _ *wire.Attach, reply rpc.Reply) { reply.Send(&wire.AttachReply{}) })
 		arrived := make(chan wire.Put, 1)
 		rpc.Handle(mux, wire.MethodPut, func(_ *rpc.Conn, m *wire.Put, reply rpc.Reply) {
 			late = reply
--- a/edge/queueclient/standstill.go
+++ b/edge/queueclient/standstill.go
@@ -77,7 +77,7 @@
 	stores := c.allStores()
 	c.mu.Unlock()
 	for _, store := range stores {
-		if conn := store.conn(); conn != nil {
+		if conn := store.link.Conn(); conn != nil {
 			store.outdated.Store(conn)
 			conn.Close()
 		}
--- a/edge/queueclient/store.go
+++ b/edge/queueclient/store.go
@@ -18,6 +18,7 @@
 	suspectUntil atomic.Int64             // time.Duration by the client's clock
 	unanswered   atomic.Int64             // puts sent to it as a primary that have no answer yet
 	acceptedAt   atomic.Int64             // time.Duration by the client's clock: when it last accepted a message as a primary; 0: never
+	attached     atomic.Pointer[rpc.Conn] // the last connection on which the store has answered Attach
 	outdated     atomic.Pointer[rpc.Conn] // the last connection that was open during a pause of the process
 }
 
@@ -27,17 +28,32 @@
 	return s
 }
 
-func (s *store) conn() *rpc.Conn { return s.link.Conn() }
+// conn returns the connection to the store, or nil while there is none on which the store has answered this edge's Attach.
+//
+// Only a store that reads a connection while it is open there answers. So a store that was paused finds nothing but an
+// Attach on the connections that this edge has opened and given up meanwhile, and no request on a connection that the
+// edge has replaced can be handled after those on the newer one as if it were new.
+func (s *store) conn() *rpc.Conn {
+	conn := s.link.Conn()
+	if conn == nil || s.attached.Load() != conn {
+		return nil
+	}
+	return conn
+}
 
 func (s *store) onConnect(conn *rpc.Conn) {
-	s.attach(conn)
-	s.announceConfig(conn)
-	s.client.reports.resend()
-	s.claimOn(conn)
+	s.attach(conn, func() {
+		s.attached.Store(conn)
+		s.announceConfig(conn)
+		s.client.reports.resend()
+		s.claimOn(conn)
+	})
 }
 
 // attach identifies this edge to the store. The store handles it before anything that is sent later on the connection.
-func (s *store) attach(conn *rpc.Conn) {
+// Once the store has answered, done is called on the goroutine that reads the connection. If the store refuses, because
+// it takes another connection for the edge's newest, the connection is closed, so that the link opens a newer one.
+func (s *store) attach(conn *rpc.Conn, done func()) {
 	if conn == nil {
 		return
 	}
@@ -45,7 +61,15 @@
 	draining := s.client.draining
 	s.client.mu.Unlock()
 	message := &wire.Attach{Edge: s.client.config.Edge, Zone: s.client.config.Zone, Draining: draining}
-	conn.Start(wire.MethodAttach, message, func([]byte, error) {})
+	conn.Start(wire.MethodAttach, message, func(_ []byte, err error) {
+		if err != nil {
+			conn.Close()
+			return
+		}
+		if done != nil {
+			done()
+		}
+	})
 }
 
 // announceConfig notifies the store of the version of the configuration that this edge applies.
@@ -100,6 +124,7 @@
 	if reply.Code != wire.PutAccepted {
 		s.client.host.AfterFunc(claimRetryPause, func() {
 			if conn.Err() == nil && s.client.view.Load() == v { // otherwise the new connection or placement has sent another claim
+				s.attach(conn, nil) // a store of an earlier version may take a connection that this edge has closed for its newest
 				s.claimOn(conn)
 			}
 		})
