Refuse renewals on a connection that its member has replaced

What callers could see: a store that is up and in contact is taken out of the placement after the leader stood still for less than its lease; or a process that was just restarted is refused as a member until the term ends.

Cause: the registry took the connection whose renewal was handled last for the member's. A leader that stood still reads the renewals on connections that the member has closed since in any order. And a renewal of the process before, read after that of the process which has taken its place at the address, made the living one count as replaced, for good.

Change: the connections are numbered in the order in which they were accepted. A renewal is refused if one of the same member, or of a member at its address, has come over a connection that was accepted later. A member that has the refused connection open takes that as a failure and connects anew.

The model in TestRegistryMatchesScanModel got the same rule.

--- a/control/leader/leases.go
+++ b/control/leader/leases.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"ravendale/cluster/rpc"
-	"ravendale/cluster/wire"
 	"ravendale/control/registry"
 )
 
@@ -12,30 +11,21 @@
 type memberLeases struct {
 	registry    *registry.Registry
 	config      registry.Config
-	connections map[*rpc.Conn]uint64
-	lastNumber  uint64 // number of the newest connection
+	connections map[*rpc.Conn]bool // open connections over which a renewal came
 }
 
 func newMemberLeases(config registry.Config) *memberLeases {
-	return &memberLeases{registry: registry.New(config), config: config, connections: make(map[*rpc.Conn]uint64)}
+	return &memberLeases{registry: registry.New(config), config: config, connections: make(map[*rpc.Conn]bool)}
 }
 
-// connectionNumber returns a connection's number, and whether it was assigned by this call.
-func (l *memberLeases) connectionNumber(c *rpc.Conn) (number uint64, isNew bool) {
-	if number := l.connections[c]; number != 0 {
-		return number, false
-	}
-	l.lastNumber++
-	l.connections[c] = l.lastNumber
-	return l.lastNumber, true
+// record records a connection over which a renewal came, and reports whether it was the first one.
+func (l *memberLeases) record(c *rpc.Conn) (isNew bool) {
+	isNew = !l.connections[c]
+	l.connections[c] = true
+	return isNew
 }
 
 func (l *memberLeases) disconnected(now time.Duration, c *rpc.Conn) registry.Changes {
-	number := l.connections[c]
 	delete(l.connections, c)
-	return l.registry.Disconnected(now, number)
-}
-
-func (l *memberLeases) renew(now time.Duration, connection uint64, renew *wire.Renew) (time.Duration, registry.Changes) {
-	return l.registry.Renew(now, connection, renew)
+	return l.registry.Disconnected(now, c.AcceptOrder())
 }
--- a/control/leader/term.go
+++ b/control/leader/term.go
@@ -141,7 +141,8 @@
 		return
 	}
 	now := t.now()
-	lease, changes := t.leases.renew(now, t.connectionNumber(c), renew)
+	t.watchConnection(c)
+	lease, changes := t.leases.registry.Renew(now, c.AcceptOrder(), renew)
 	t.applyChanges(changes)
 	if lease > 0 {
 		t.members.recordRenewal(now, &renew.Member)
@@ -158,16 +159,13 @@
 	reply.Send(&answer)
 }
 
-// connectionNumber returns the number of a member's connection. On the first call for a connection it also registers a
-// callback that notifies the leases when the connection closes.
-func (t *term) connectionNumber(c *rpc.Conn) uint64 {
-	number, isNew := t.leases.connectionNumber(c)
-	if isNew {
+// watchConnection has the leases notified when a member's connection closes.
+func (t *term) watchConnection(c *rpc.Conn) {
+	if t.leases.record(c) {
 		c.OnClose(func(error) {
 			t.box.Post(func() { t.applyChanges(t.leases.disconnected(t.now(), c)) })
 		})
 	}
-	return number
 }
 
 // fetchEarlierTopics requests the topics of an earlier term that a member has: the workers until this term has a list
--- a/control/registry/model_test.go
+++ b/control/registry/model_test.go
@@ -46,6 +46,11 @@
 func (s *scanModel) renew(now time.Duration, connection uint64, renew *wire.Renew) (time.Duration, Changes) {
 	s.postponeAfterPause(now)
 	var changes Changes
+	for id, e := range s.entries {
+		if (id == renew.Member.ID || e.member.Address == renew.Member.Address) && connection < e.newest {
+			return 0, changes
+		}
+	}
 	if s.replaced[renew.Member.ID] {
 		return 0, changes
 	}
@@ -64,7 +69,9 @@
 		known = &entry{}
 	}
 	changes.add(changesBy(known, renew))
-	s.entries[renew.Member.ID] = &entry{member: renew.Member, status: renew.Store, connection: connection, deadline: now + lease}
+	s.entries[renew.Member.ID] = &entry{
+		member: renew.Member, status: renew.Store, connection: connection, newest: connection, deadline: now + lease,
+	}
 	return lease, changes
 }
 
--- a/control/registry/registry.go
+++ b/control/registry/registry.go
@@ -48,6 +48,7 @@
 	member     wire.Member
 	status     wire.StoreStatus
 	connection uint64 // the connection that its last renewal came over; 0 if that has ended or there was none
+	newest     uint64 // the newest connection that a renewal of it came over; 0 if there was none
 	deadline   time.Duration
 	position   int  // in Registry.deadlines
 	adopted    bool // taken over from an earlier leader, and not renewed since
@@ -164,13 +165,14 @@
 	}
 }
 
-// Renew handles a renewal that was received over a connection. It returns the duration of the granted lease, zero if
-// the lease is refused: the member has no ID, or another one has taken over its address.
+// Renew handles a renewal that was received over a connection. Connections are numbered in the order in which they were
+// accepted. Renew returns the duration of the granted lease, zero if the lease is refused: the member has no ID, another
+// one has taken over its address, or the renewal is outdated.
 func (r *Registry) Renew(now time.Duration, connection uint64, renew *wire.Renew) (time.Duration, Changes) {
 	r.postponeAfterPause(now)
 	var changes Changes
 	id := renew.Member.ID
-	if id == "" || r.replaced[id] {
+	if id == "" || r.replaced[id] || r.isOutdated(connection, &renew.Member) {
 		return 0, changes
 	}
 	changes.add(r.dropReplaced(renew.Member))
@@ -186,11 +188,21 @@
 		r.deadlines.set(e, now+lease)
 	}
 	e.member, e.status = renew.Member, renew.Store
+	e.newest = connection
 	r.setConnection(e, connection)
 	r.clearAdopted(e)
 	return lease, changes
 }
 
+// isOutdated reports whether a renewal came over a connection that its sender had closed, or had lost with an earlier
+// process at its address, before the newest one was opened. A leader that was paused reads such renewals in any order.
+func (r *Registry) isOutdated(connection uint64, member *wire.Member) bool {
+	if e := r.entries[member.ID]; e != nil && connection < e.newest {
+		return true
+	}
+	return slices.ContainsFunc(r.byAddress[member.Address], func(e *entry) bool { return connection < e.newest })
+}
+
 func (r *Registry) leaseFor(member wire.Member) time.Duration {
 	if member.Storage {
 		return r.config.StoreLease
