Keep the newest connection from each process of the core

Cause: of several connections from one process of the core, the one whose first heartbeat was handled last was used to answer it, and messages on all of them counted. A process that stood still reads those that its peer has given up, or that an earlier process at its address had, in any order: an older heartbeat (stopping, leading, epoch) replaced a newer one.

Change: connections from one address are ordered by acceptance. An older one is neither used nor heard, and closed, so that a peer that still has it open connects anew. The protocols of the core tolerate lost messages.

--- a/control/core/links.go
+++ b/control/core/links.go
@@ -31,12 +31,14 @@
 	closed   bool
 	outbound map[string]*rpc.Link
 	inbound  map[string]*rpc.Conn
+	newest   map[string]uint64 // accept order of the newest inbound connection, by the other process's address
 }
 
 func (l *links) init(c *Core) {
 	l.core = c
 	l.options = rpc.Options{Mux: c.config.Mux, PingAfter: pingAfter, FailureTimeout: peerTimeout}
 	l.outbound, l.inbound = make(map[string]*rpc.Link), make(map[string]*rpc.Conn)
+	l.newest = make(map[string]uint64)
 	l.prunedAt = time.Now()
 }
 
@@ -102,19 +104,40 @@
 			delete(l.outbound, address)
 		}
 	}
+	for address := range l.newest {
+		if !slices.Contains(known, address) && l.inbound[address] == nil {
+			delete(l.newest, address)
+		}
+	}
 }
 
-// registerInbound records a connection that the other process has opened, once its heartbeat names its address.
+// registerInbound records a connection that the other process has opened, once its heartbeat names its address. It
+// replaces and closes an older one, but never a newer one: after a pause of this process they may be read in any order.
 func (l *links) registerInbound(address string, conn *rpc.Conn) (inbound bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if link := l.outbound[address]; link != nil && link.Conn() == conn {
+	if link := l.outbound[address]; link != nil && link.Conn() == conn || conn.AcceptOrder() < l.newest[address] {
 		return false
 	}
-	l.inbound[address] = conn
+	if replaced := l.inbound[address]; replaced != nil {
+		replaced.Close()
+	}
+	l.inbound[address], l.newest[address] = conn, conn.AcceptOrder()
 	return true
 }
 
+// isOutdated reports whether a connection was opened by a process from whose address a newer connection has come since.
+// The other end has closed it, or an earlier process had it, so its messages may be older than those that were handled
+// already. The protocols tolerate that they are lost: their senders repeat them.
+func (l *links) isOutdated(address string, conn *rpc.Conn) bool {
+	if conn.AcceptOrder() == 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return conn.AcceptOrder() < l.newest[address]
+}
+
 func (l *links) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -174,5 +197,9 @@
 	if !ok {
 		return
 	}
+	if c.links.isOutdated(from.Address, conn) {
+		conn.Close() // if the other end still has it open, it opens another one
+		return
+	}
 	c.step(func(now time.Duration) { c.node.Receive(now, from, message) })
 }
