Ignore what became of a connection that was replaced, also where it was opened

Change: an answer, a failure and a new connection count only if the link still holds that connection.

Result: TestAnswerOnReplacedConnectionChangesNothing and TestFailureOnReplacedConnectionIsIgnored.

--- a/cluster/member/agent.go
+++ b/cluster/member/agent.go
@@ -163,13 +163,13 @@
 		return
 	}
 	options := rpc.Options{Mux: a.config.Mux, ConnectTimeout: connectTimeout, PingAfter: pingInterval, FailureTimeout: failureTimeout}
-	up := func(c *rpc.Conn) { a.box.Post(func() { a.connected(c, target) }) }
+	up := func(c *rpc.Conn) { a.box.Post(func() { a.connected(c) }) }
 	down := func(error) { a.box.Post(func() { a.disconnected(target) }) }
 	a.link = a.host.Connect(target, options, up, down)
 }
 
-func (a *Agent) connected(c *rpc.Conn, address string) {
-	if a.link != nil && a.link.Address() == address {
+func (a *Agent) connected(c *rpc.Conn) {
+	if a.link != nil && a.link.Conn() == c { // not one of an earlier link to the same address
 		a.conn = c
 	}
 }
@@ -206,7 +206,9 @@
 
 func (a *Agent) replied(conn *rpc.Conn, address string, sentAt time.Duration, leaving bool, reply *wire.RenewReply, err error) {
 	if err != nil {
-		a.session.failed(a.now(), address)
+		if conn == a.conn { // otherwise another attempt is in progress, perhaps at the same address
+			a.session.failed(a.now(), address)
+		}
 		return
 	}
 	now := a.now()
--- a/cluster/relay/node.go
+++ b/cluster/relay/node.go
@@ -278,7 +278,12 @@
 	})
 }
 
+// joined handles the answer to a subscription. An answer on a connection that the link has replaced says nothing about
+// the current one, also if both lead to the same address.
 func (n *Node) joined(c *rpc.Conn, address string, accepted bool) {
+	if n.link == nil || n.link.Conn() != c {
+		return
+	}
 	if !accepted {
 		c.Close()
 		n.uplink.Failed(n.now(), address)
