Announce no connection of a link that was closed during the connect

Cause: a link that was closed while it connected still announced the connection, on which its user then identified itself, before it closed it. A peer that orders connections by their acceptance could take it for newer than that of the link which has replaced this one; it would have closed that, and the link connected anew.

Change: the connection is closed before it is announced.

--- a/cluster/rpc/link.go
+++ b/cluster/rpc/link.go
@@ -106,6 +106,10 @@
 }
 
 func (l *Link) holdUntilClosed(ctx context.Context, conn *Conn) error {
+	if ctx.Err() != nil { // closed during the connect: another link may have a newer connection to the peer already
+		conn.Close()
+		return conn.Err()
+	}
 	l.set(conn)
 	select {
 	case <-l.reconnect: // a ReconnectNow during the connect is obsolete
--- a/cluster/rpc/rpc_test.go
+++ b/cluster/rpc/rpc_test.go
@@ -134,6 +134,25 @@
 	require.Empty(t, failed)
 }
 
+// The user of a link that is closed during a connect may have opened another one to the same peer, on which it is to send.
+func TestLinkClosedDuringConnectSendsNothing(t *testing.T) {
+	accepted := make(chan *Conn, 1)
+	s, err := Listen("127.0.0.1:0", Options{}, func(c *Conn) { accepted <- c })
+	require.NoError(t, err)
+	defer s.Close()
+	dialing, closed := make(chan struct{}), make(chan struct{})
+	options := Options{DialContext: func(_ context.Context, address string) (net.Conn, error) {
+		close(dialing)
+		<-closed
+		return net.Dial("tcp4", address)
+	}}
+	link := NewLink(s.Address(), options, func(*Conn) { t.Error("the connection is up") }, nil)
+	<-dialing
+	link.Close()
+	close(closed)
+	<-(<-accepted).Done()
+}
+
 func TestAcceptOrderFollowsConnects(t *testing.T) {
 	accepted := make(chan *Conn, 2)
 	server, err := Listen("127.0.0.1:0", Options{}, func(c *Conn) { accepted <- c })
