Keep a connection to the core whose process tells more of itself

Cause: the mend of the core's connections closed the inbound connection that a newer one replaces. A process whose heartbeat names another identity than before, as a disk gets one, registers the same connection again, and it would have been closed. Found by reading; the peer would have connected anew.

Change: a connection doesn't replace itself.

--- a/cluster/member/replaced_test.go
+++ b/cluster/member/replaced_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ravendale/cluster/rpc"
+	"ravendale/cluster/rpc/rpctest"
 	"ravendale/cluster/settings"
 	"ravendale/cluster/wire"
 )
@@ -17,7 +18,7 @@
 	a := New(Config{
 		Settings: &settings.Settings{HeartbeatMs: 100, PortRange: []int{1, 3}, Seeds: []string{target}}, Self: wire.Member{ID: "me"}, Mux: rpc.NewMux(),
 	})
-	replaced, current := rpc.NewWithTransport(rpc.Options{}, discarded{}), rpc.NewWithTransport(rpc.Options{}, discarded{})
+	replaced, current := rpctest.Opened(), rpctest.Opened()
 	a.session.target, a.conn = target, current
 	require.True(t, a.session.tick(a.now(), true))
 	a.replied(replaced, target, a.now(), false, nil, rpc.ErrClosed)
@@ -26,12 +27,3 @@
 	a.replied(current, target, a.now(), false, nil, rpc.ErrClosed)
 	require.False(t, a.session.renewing)
 }
-
-// discarded is a Transport that loses all frames.
-type discarded struct{}
-
-// WriteFrame implements rpc.Transport.
-func (discarded) WriteFrame([]byte) {}
-
-// Close implements rpc.Transport.
-func (discarded) Close() {}
--- a/cluster/relay/joined_test.go
+++ b/cluster/relay/joined_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ravendale/cluster/rpc"
+	"ravendale/cluster/rpc/rpctest"
 )
 
 // fixedLink is a host.Link with the given connection.
@@ -32,7 +33,7 @@
 	const parent = "127.0.0.1:1"
 	n := NewNode(NodeConfig{Self: "self"})
 	n.uplink.SetParents(0, []string{parent, "127.0.0.1:2"})
-	replaced, current := rpc.NewWithTransport(rpc.Options{}, discarded{}), rpc.NewWithTransport(rpc.Options{}, discarded{})
+	replaced, current := rpctest.Opened(), rpctest.Opened()
 	n.link = fixedLink{parent, current}
 	n.joined(current, parent, true)
 	require.True(t, n.uplink.Joined())
@@ -45,12 +46,3 @@
 	require.Equal(t, "127.0.0.1:2", n.uplink.Target())
 	require.Error(t, current.Err())
 }
-
-// discarded is a Transport that loses all frames.
-type discarded struct{}
-
-// WriteFrame implements rpc.Transport.
-func (discarded) WriteFrame([]byte) {}
-
-// Close implements rpc.Transport.
-func (discarded) Close() {}
--- a/control/core/links.go
+++ b/control/core/links.go
@@ -119,7 +119,7 @@
 	if link := l.outbound[address]; link != nil && link.Conn() == conn || conn.AcceptOrder() < l.newest[address] {
 		return false
 	}
-	if replaced := l.inbound[address]; replaced != nil {
+	if replaced := l.inbound[address]; replaced != nil && replaced != conn {
 		replaced.Close()
 	}
 	l.inbound[address], l.newest[address] = conn, conn.AcceptOrder()
