Take no answer that HTTP forbids from a backend server or discovery

What callers saw (program in service, built program against a stand-in at a real socket): a server answered, in a spoilt head, that a request that may run only once had not run (503 with X-Turned-Away), and the scheduler sent it again on the same connection, so that it may run twice; or it took a spoilt 202 for the acceptance, or waited for the rest of a line without CR LF until the client's deadline. A list of servers in a spoilt answer was used.

Cause: balancer/http1 read the head with a few conditions of its own. It took any version that begins with HTTP/1., a status above 599, 101, a status line without a blank after the status, control bytes and bare CR or LF in the reason (which swallowed the next field), empty lines before the status line, a length or coding where the status or version has none, chunk sizes with blanks round them, anything in chunk extensions and in trailers, and anything framed in interim answers.

Change: one strict reading of RFC 9110 and RFC 9112 in small files: status line, fields, framing, chunks, trailers and interim answers. What they forbid a sender is an error, whatever the status says; the callers close the connection on an error, and the outcome of a written request is that it may have run. A line without CR LF is rejected as soon as it is read. A length that is repeated in a list with equal values is taken, as 9112, 6.3, has it. Call-backs, which are requests, share the fields, chunks and trailers, and take no bare CR before the request line any more. A body that ends with the connection counts against the limit too.

The log and the 400 name a bad field in the same words as before; a line of a body that is too long is told in others.

--- a/balancer/http1/body.go
+++ b/balancer/http1/body.go
@@ -1,17 +1,13 @@
 package http1
 
-import (
-	"bytes"
-	"strconv"
-	"strings"
-)
-
 // body parses the body of one message.
 type body struct {
-	state     bodyState
-	remaining int // remaining bytes of the body, or of the current chunk
-	limit     int // maximum size of the body, 0 for none
-	total     int
+	state       bodyState
+	isEmpty     bool // the message must have no content
+	remaining   int  // remaining bytes of the body, or of the current chunk
+	limit       int  // maximum size of the body, 0 for none
+	total       int  // bytes of the body so far
+	trailerSize int  // bytes of the trailer so far
 }
 
 type bodyState uint8
@@ -26,37 +22,21 @@
 	untilClose
 )
 
-// start selects the framing of the body by its head. A message with both a length and a transfer coding is rejected,
-// even if either is empty or repeated: another parser may rely on the other field, which allows request smuggling.
-func (b *body) start(h Header, limit int) error {
+// start begins the body of the message with this head.
+func (b *body) start(h Header, isVersion10 bool, limit int) error {
 	*b = body{limit: limit}
-	coding, codings, length, given := h.Get("Transfer-Encoding"), h.Count("Transfer-Encoding"), "", false
-	for i := range h {
-		if isNamed(h[i].Name, "Content-Length") {
-			if given && length != h[i].Value {
-				return badRequest("two lengths differ")
-			}
-			length, given = h[i].Value, true
-		}
+	f, err := parseFraming(h, isVersion10)
+	if err != nil {
+		return err
 	}
 	switch {
-	case codings > 0 && given:
-		return badRequest("a length and a transfer coding")
-	case codings > 1 || codings == 1 && !strings.EqualFold(coding, "chunked"):
-		return badRequest("the transfer coding is not known")
-	case codings == 1:
+	case f.chunked:
 		b.state = chunkSize
-	case given:
-		n, err := strconv.ParseUint(length, 10, 31)
-		if err != nil {
-			return badRequest("the length is no number")
-		}
-		if limit > 0 && int(n) > limit {
-			return &Error{Status: 413, Reason: "the body is too long"}
-		}
-		if b.remaining = int(n); n > 0 {
-			b.state = withLength
+	case f.length > 0:
+		if limit > 0 && f.length > limit {
+			return bodyTooLong()
 		}
+		b.state, b.remaining = withLength, f.length
 	}
 	return nil
 }
@@ -64,74 +44,128 @@
 // read appends the part of the body that p has to out, and reports whether the body is complete.
 func (b *body) read(p *parser, out []byte) ([]byte, bool, error) {
 	for {
-		switch b.state {
-		case noBody:
-			return out, true, nil
-		case untilClose:
-			out = append(out, p.buf...)
-			p.take(len(p.buf))
-			return out, false, nil
-		case withLength, chunkData:
-			n := min(b.remaining, len(p.buf))
-			if b.total += n; b.limit > 0 && b.total > b.limit {
-				return out, false, &Error{Status: 413, Reason: "the body is too long"}
-			}
-			out = append(out, p.buf[:n]...)
-			p.take(n)
-			if b.remaining -= n; b.remaining > 0 {
-				return out, false, nil
-			}
-			if b.state == withLength {
-				b.state = noBody
-			} else {
-				b.state = chunkEnd
-			}
-		default:
-			line, complete, err := p.line()
-			if err != nil || !complete {
-				return out, false, err
-			}
-			if err := b.handleLine(line); err != nil {
-				return out, false, err
-			}
+		content, progress, err := b.step(p)
+		out = append(out, content...)
+		if err != nil || progress != hasMore {
+			return out, progress == isComplete, err
 		}
 	}
 }
 
-// handleLine handles a line between chunks or in the trailer.
-func (b *body) handleLine(line string) error {
+// discard drops the part of the body that p has, and reports whether the body is complete.
+func (b *body) discard(p *parser) (complete bool, err error) {
+	for {
+		_, progress, err := b.step(p)
+		if err != nil || progress != hasMore {
+			return progress == isComplete, err
+		}
+	}
+}
+
+// progress is what a step of parsing has led to.
+type progress uint8
+
+const (
+	needsData  progress = iota // nothing can be parsed without more bytes
+	hasMore                    // the next step may parse more
+	isComplete                 // the body is complete
+)
+
+// step parses the next piece of content or line. The content is valid until the next Feed.
+func (b *body) step(p *parser) (content []byte, next progress, err error) {
+	switch b.state {
+	case noBody:
+		return nil, isComplete, nil
+	case untilClose:
+		content, err = b.takeContent(p, len(p.buf))
+		return content, needsData, err
+	case withLength, chunkData:
+		return b.stepCounted(p)
+	case chunkEnd:
+		return b.stepChunkEnd(p)
+	}
+	line, complete, err := p.line(b.lineLimit())
 	switch {
-	case b.state == trailer && line == "":
-		b.state = noBody
-	case b.state == chunkEnd && line != "":
-		return badRequest("a chunk is longer than it said")
-	case b.state == chunkEnd:
-		b.state = chunkSize
+	case err != nil || !complete:
+		return nil, needsData, err
 	case b.state == chunkSize:
-		size, _, _ := strings.Cut(line, ";")
-		n, err := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
-		if err != nil {
-			return badRequest("a chunk's size is no number")
-		}
-		if b.remaining, b.state = int(n), chunkData; n == 0 {
-			b.state = trailer
-		}
-		if b.limit > 0 && b.total+b.remaining > b.limit {
-			return &Error{Status: 413, Reason: "the body is too long"}
-		}
+		return nil, hasMore, b.handleChunkLine(line)
 	}
-	return nil
+	return nil, hasMore, b.handleTrailer(line)
 }
 
-func (p *parser) line() (line string, complete bool, err error) {
-	end := bytes.Index(p.buf, []byte("\r\n"))
-	if end < 0 && len(p.buf) > maxLine || end > maxLine {
-		return "", false, badRequest("a chunk's size line is too long")
+// stepCounted parses content whose length is known.
+func (b *body) stepCounted(p *parser) (content []byte, next progress, err error) {
+	n := min(b.remaining, len(p.buf))
+	if content, err = b.takeContent(p, n); err != nil {
+		return nil, needsData, err
+	}
+	if b.remaining -= n; b.remaining > 0 {
+		return content, needsData, nil
 	}
-	if end < 0 {
-		return "", false, nil
+	if b.state == withLength {
+		b.state = noBody
+	} else {
+		b.state = chunkEnd
+	}
+	return content, hasMore, nil
+}
+
+func (b *body) takeContent(p *parser, n int) ([]byte, error) {
+	if n > 0 && b.isEmpty {
+		return nil, badRequest("content in a response that has none")
+	}
+	if b.total += n; b.limit > 0 && b.total > b.limit {
+		return nil, bodyTooLong()
+	}
+	content := p.buf[:n]
+	p.take(n)
+	return content, nil
+}
+
+// stepChunkEnd parses the CR LF after the data of a chunk.
+func (b *body) stepChunkEnd(p *parser) (content []byte, next progress, err error) {
+	available := min(len(p.buf), lineEnd)
+	if string(p.buf[:available]) != "\r\n"[:available] {
+		return nil, needsData, badRequest("a chunk is longer than it said")
+	}
+	if available < lineEnd {
+		return nil, needsData, nil
+	}
+	p.take(lineEnd)
+	b.state = chunkSize
+	return nil, hasMore, nil
+}
+
+// lineLimit returns the maximum length of the next line, in bytes with its CR.
+func (b *body) lineLimit() int {
+	if b.state == trailer {
+		return MaxHead - b.trailerSize
+	}
+	return maxChunkLine
+}
+
+func (b *body) handleChunkLine(line string) error {
+	size, err := parseChunkLine(line)
+	switch {
+	case err != nil:
+		return err
+	case size == 0:
+		b.state = trailer
+		return nil
+	case b.limit > 0 && size > b.limit-b.total:
+		return bodyTooLong()
+	}
+	b.remaining, b.state = size, chunkData
+	return nil
+}
+
+// handleTrailer handles a line of the trailer; an empty one ends the body.
+func (b *body) handleTrailer(line string) error {
+	if line == "" {
+		b.state = noBody
+		return nil
 	}
-	line = string(p.buf[:end])
-	p.take(end + 2)
-	return line, true, nil
+	b.trailerSize += len(line) + lineEnd
+	return checkTrailer(line)
 }
--- a/balancer/http1/header.go
+++ b/balancer/http1/header.go
@@ -53,41 +53,47 @@
 func fields(lines string) (Header, error) {
 	h := make(Header, 0, initialFields)
 	for lines != "" {
-		line := lines
-		if end := strings.Index(lines, "\r\n"); end >= 0 {
-			line, lines = lines[:end], lines[end+2:]
-		} else {
-			lines = ""
+		var line string
+		line, lines, _ = strings.Cut(lines, "\r\n")
+		field, err := parseField(line)
+		if err != nil {
+			return nil, err
 		}
-		if line == "" {
-			continue
-		}
-		colon := strings.IndexByte(line, ':')
-		if colon < 0 || !isToken(line[:colon]) {
-			return nil, badRequest("a header field has no proper name")
-		}
-		value := strings.Trim(line[colon+1:], " \t")
-		if hasControl(value) {
-			return nil, badRequest("a header field holds control characters")
-		}
-		h = append(h, Field{line[:colon], value})
+		h = append(h, field)
 	}
 	return h, nil
 }
 
+// parseField parses name ":" value (RFC 9112, section 5). A line that continues the one before it has no proper name: such
+// folding is obsolete.
+func parseField(line string) (Field, error) {
+	name, value, _ := strings.Cut(line, ":")
+	if len(name) == len(line) || !isToken(name) {
+		return Field{}, badRequest("a header field has no proper name")
+	}
+	value = strings.Trim(value, " \t")
+	if hasControl(value) {
+		return Field{}, badRequest("a header field holds control characters")
+	}
+	return Field{Name: name, Value: value}, nil
+}
+
 // initialFields is the initial capacity of a Header.
 const initialFields = 10
 
 // hasControl reports whether s has control characters, which another parser may take for the end of a field.
 func hasControl(s string) bool {
 	for i := range len(s) {
-		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f {
+		if isControl(s[i]) {
 			return true
 		}
 	}
 	return false
 }
 
+// isControl reports whether a byte is a control character other than a tab.
+func isControl(c byte) bool { return c < ' ' && c != '\t' || c == 0x7f }
+
 // isTarget reports whether s is a valid request target: visible ASCII only.
 func isTarget(s string) bool {
 	for i := range len(s) {
@@ -114,7 +120,3 @@
 	}
 	return may
 }()
-
-func wantsClose(version string, h Header) bool {
-	return h.has("Connection", "close") || version == "HTTP/1.0" && !h.has("Connection", "keep-alive")
-}
--- a/balancer/platform/node/rig_test.go
+++ b/balancer/platform/node/rig_test.go
@@ -272,6 +272,12 @@
 
 // startRig starts a scheduler with the given settings and known servers.
 func startRig(t *testing.T, settings string, known ...string) *rig {
+	t.Helper()
+	return startRigOnCores(t, 0, settings, known...)
+}
+
+// startRigOnCores is startRig for a scheduler on several cores, or on one without a loop for each if cores is 0.
+func startRigOnCores(t *testing.T, cores int, settings string, known ...string) *rig {
 	t.Helper()
 	r := &rig{t: t, disc: listen(t), log: newLogBuffer(), ended: make(chan error, 1)}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -295,6 +301,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if cores > 0 {
+		cfg.Cores = cores
+	}
 	if r.node, err = New(cfg, slog.New(slog.NewTextHandler(r.log, &slog.HandlerOptions{Level: slog.LevelDebug}))); err != nil {
 		t.Fatal(err)
 	}
