Take no answer that repeats the field for a request that did not run

What callers saw (scheduler at a real socket with a scripted server): a 503 with X-Turned-Away: 1 and x-turned-away: 0 counted as one that did not run, and the request, which may run only once, was sent to the server again.

Cause: the first of several fields of the name was read. Only a field that is a list may be repeated (RFC 9110, 5.3), and this one is none.

Change: such an answer is handled as any other that HTTP forbids: the connection is closed, and the request may have run.

Evidence: TestRepeatedNotRunFieldPromisesNothing failed on (the connection stayed open and carried the request again) and passes now.

--- a/balancer/platform/backend/link.go
+++ b/balancer/platform/backend/link.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"errors"
 	"strconv"
 	"time"
 
@@ -134,7 +135,7 @@
 		return
 	}
 	l.in.Feed(data)
-	resp, err := l.in.Next()
+	resp, err := l.nextResponse()
 	if err != nil {
 		l.b.o.Log.Info("invalid HTTP response from a backend server", "addr", l.addr, "err", err)
 		l.onClosed()
@@ -165,6 +166,21 @@
 	}
 }
 
+// errRepeatedField reports a response that repeats a field which is no list.
+var errRepeatedField = errors.New("the response repeats the field " + platform.HeaderNotRun)
+
+// nextResponse returns the next complete response, or nil if more bytes are needed.
+func (l *link) nextResponse() (*http1.Response, error) {
+	resp, err := l.in.Next()
+	if err != nil || resp == nil {
+		return nil, err
+	}
+	if resp.Header.Count(platform.HeaderNotRun) > 1 { // it is no list (RFC 9110, section 5.3)
+		return nil, errRepeatedField
+	}
+	return resp, nil
+}
+
 // handleResponse handles the response to a completely written request.
 func (l *link) handleResponse(a *attempt, resp *http1.Response) {
 	switch {
--- a/balancer/platform/node/spoilt_test.go
+++ b/balancer/platform/node/spoilt_test.go
@@ -140,6 +140,21 @@
 	}
 }
 
+// The field of an answer that says that a request did not run is no list: an answer that repeats it is spoilt.
+func TestRepeatedNotRunFieldPromisesNothing(t *testing.T) {
+	server := listen(t)
+	r := startRig(t, settings, listed("w1", server))
+	client := dial(t, r.addr)
+	client.ask("a1", "pay", 5000)
+	w := server.accept()
+	w.request()
+	w.send("HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nx-turned-away: 0\r\nContent-Length: 0\r\n\r\n")
+	w.expectEnd()
+	if status, body := client.answer(); status != 504 || body != "" {
+		t.Errorf("the client got %d %q", status, body)
+	}
+}
+
 // A list in an answer whose head or framing is spoilt is not used, and the next watch is answered as usual. What is spoilt
 // after the list, in later chunks or in the trailer, comes when the list has been taken: a watch is a stream.
 func TestSpoiltListIsNotUsed(t *testing.T) {
