Take no answer that HTTP forbids from a worker

What callers saw (real edge, control and store processes, a stand-in endpoint at a real socket, clients that ask for the state): messages whose worker had answered with a spoilt head were reported as done, with a stamp that was not the run's (MIXED), for instance after status 000, a blank in a field's name, two framings or an LF in place of CR LF; others as dead letters after a spoilt 422 or 500 (LOST).

Cause: edge/worker left the head of an answer to fasthttp's ResponseHeader. It makes 000 a 200, passes numbers under 100 as interim answers and those above 599 as they are, takes any version of two digits, removes a blank after a field's name and lets one inside pass, unfolds lines, takes LF for CR LF and control bytes in the reason, ignores a coding in version 1.0 and a length beside a coding. Chunk extensions and trailers were skipped unread, here. A name with a blank also hid Content-Length: the rest of the connection became the body.

Change: edge/worker reads answers by balancer/http1, the one strict reading, through cluster/httpclient, which reads from a connection. What HTTP forbids is Broken, whatever the status: the message may have run, its connection is closed, and no field of the answer counts. A HEAD has no body, whatever length is announced. Allowed answers that fasthttp refused count now: a length that is repeated with equal values; and a minor version above 1 leaves the connection open. A head may have 16 KiB, not 4.

The workers of TestFaultyAnswers send spoilt answers too.

--- a/edge/worker/connection.go
+++ b/edge/worker/connection.go
@@ -1,7 +1,6 @@
 package worker
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -12,6 +11,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
+
+	"ravendale/cluster/httpclient"
 )
 
 // Timeouts and margins of a connection.
@@ -26,7 +27,7 @@
 )
 
 const (
-	readBuffer       = 4 << 10  // also limits the header of a response
+	readBuffer       = 4 << 10  // bytes that are received at once
 	smallBody        = 8 << 10  // bodies up to this size are sent in the same write as the header
 	maxPooledRequest = 16 << 10 // larger buffers are not pooled
 	maxLateResponses = 4        // responses to earlier requests that are skipped
@@ -50,7 +51,7 @@
 	resendsOnConnection bool // a message may be sent again on the same connection
 }
 
-var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBuffer) }}
+var readers = sync.Pool{New: func() any { return httpclient.NewReader(nil, readBuffer) }}
 
 // dialWithTimeout returns a function that connects to an address, with a connect timeout of limit (0: none).
 func dialWithTimeout(limit time.Duration) func(ctx context.Context, address string) (*connection, error) {
@@ -115,7 +116,7 @@
 // awaitResponse reads responses until the delivery's own. On a connection that was used before, a response with the ID
 // of another request is a late one to an earlier delivery and is skipped, up to maxLateResponses times.
 func (c *connection) awaitResponse(d *Delivery) (response, error) {
-	reader := readers.Get().(*bufio.Reader)
+	reader := readers.Get().(*httpclient.Reader)
 	defer func() {
 		reader.Reset(nil)
 		readers.Put(reader)
--- a/test/standin/workers/connection.go
+++ b/test/standin/workers/connection.go
@@ -14,6 +14,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"ravendale/test/standin/answers"
 	"ravendale/test/standin/history"
 	"ravendale/test/standin/protocol"
 )
@@ -141,6 +142,9 @@
 		return false
 	case AnswerForeign:
 		return c.write(before.id, before.reply)
+	case AnswerSpoilt:
+		_, err := io.WriteString(c.net, c.spoil(id, reply))
+		return err == nil
 	case AnswerLate:
 		c.awaitDeadline(arrival.Arrived, deadline)
 	}
@@ -159,6 +163,18 @@
 	return true
 }
 
+// spoiltForms are the forms of spoilt answers.
+var spoiltForms = answers.Spoilt()
+
+// spoil returns an answer in a form that HTTP forbids, with a signature that no run has.
+func (c *conn) spoil(id string, reply answer) string {
+	form := spoiltForms[rand.IntN(len(spoiltForms))]
+	return form.Encode(answers.Answer{
+		Status: reply.status, Body: string(reply.body),
+		Fields: protocol.HeaderRequestID + ": " + id + "\r\n" + protocol.HeaderSignature + ": spoilt." + reply.signature + "\r\n",
+	})
+}
+
 // awaitDeadline waits until a random time around the request's deadline. The end of the worker ends the wait early, the
 // end of the connection does not.
 func (c *conn) awaitDeadline(arrived time.Duration, header string) {
--- a/test/standin/workers/faults.go
+++ b/test/standin/workers/faults.go
@@ -20,6 +20,7 @@
 	ForeignShare    float64 // the answer to another message is sent instead, with its id and signature
 	LateShare       float64 // the answer is sent shortly before or after the request's deadline
 	DuplicatedShare float64 // the answer is sent twice
+	SpoiltShare     float64 // the answer has a form that HTTP forbids, and another signature
 }
 
 // Names of the answer faults, as recorded in history.Arrival.
@@ -30,6 +31,7 @@
 	AnswerForeign    = "foreign"
 	AnswerLate       = "late"
 	AnswerDuplicated = "repeated"
+	AnswerSpoilt     = "spoilt"
 )
 
 // draw chooses the fault of an answer; empty: none.
@@ -40,7 +42,7 @@
 		share float64
 	}{
 		{AnswerNeverSent, s.NeverSentShare}, {AnswerTruncated, s.TruncatedShare}, {AnswerReset, s.ResetShare},
-		{AnswerForeign, s.ForeignShare}, {AnswerLate, s.LateShare}, {AnswerDuplicated, s.DuplicatedShare},
+		{AnswerForeign, s.ForeignShare}, {AnswerLate, s.LateShare}, {AnswerDuplicated, s.DuplicatedShare}, {AnswerSpoilt, s.SpoiltShare},
 	} {
 		if drawn < way.share {
 			return way.name
--- a/test/systemtest/answers_test.go
+++ b/test/systemtest/answers_test.go
@@ -14,7 +14,7 @@
 // faultShare is the fraction of the answers to successful runs that get each fault.
 const faultShare = 0.06
 
-// About a third of the workers' answers to successes are faulty. No message may be reported as done with another
+// About two fifths of the workers' answers to successes are faulty. No message may be reported as done with another
 // message's signature, none may run again after an answer that arrived complete, and the order by key must hold.
 func TestFaultyAnswers(t *testing.T) {
 	r := start(t)
@@ -26,7 +26,7 @@
 	for _, worker := range faultyWorkers {
 		worker.SetFaults(workers.Faults{AnswerFaults: workers.AnswerFaults{
 			NeverSentShare: faultShare, TruncatedShare: faultShare, ResetShare: faultShare,
-			ForeignShare: faultShare, LateShare: faultShare, DuplicatedShare: faultShare,
+			ForeignShare: faultShare, LateShare: faultShare, DuplicatedShare: faultShare, SpoiltShare: faultShare,
 		}})
 	}
 	wait()
@@ -40,6 +40,7 @@
 	t.Logf("faulty answers %v, of these on reused connections %v", faulty, reused)
 	for _, fault := range []string{
 		workers.AnswerNeverSent, workers.AnswerTruncated, workers.AnswerReset, workers.AnswerForeign, workers.AnswerLate, workers.AnswerDuplicated,
+		workers.AnswerSpoilt,
 	} {
 		assert.NotZero(t, faulty[fault], "no answer had the fault %s", fault)
 		assert.NotZero(t, reused[fault], "no answer on a reused connection had the fault %s", fault)
