Take no answer of a worker that repeats a field that is no list

What callers saw (edge/worker at a real socket): an answer with two fields Signature counted as done, and one with Not-Executed twice as one that did not run.

Cause: only Request-Id was counted. A field that is no list may not be repeated (RFC 9110, 5.3).

Change: an answer that repeats Request-Id, Signature or Not-Executed is Broken, also if the values are equal, and its connection is closed.

Evidence: TestRepeatedFieldIsBroken, 16 of 24 cases failed on the code before; all pass now.

--- a/edge/worker/answer.go
+++ b/edge/worker/answer.go
@@ -45,10 +45,13 @@
 	notExecutedField = "Not-Executed"
 )
 
-// readFields reads the fields that say what became of the message.
+// readFields reads the fields that say what became of the message. None of them is a list, so none may be repeated
+// (RFC 9110, section 5.3).
 func (a *response) readFields(header http1.Header) error {
-	if header.Count(requestIDField) > 1 {
-		return errRepeatedField
+	for _, name := range []string{requestIDField, signatureField, notExecutedField} {
+		if header.Count(name) > 1 {
+			return errRepeatedField
+		}
 	}
 	a.requestID = header.Get(requestIDField)
 	a.signature = header.Get(signatureField)
--- a/edge/worker/spoilt_test.go
+++ b/edge/worker/spoilt_test.go
@@ -110,6 +110,25 @@
 	}
 }
 
+// The fields that say what became of a message are no lists: a response that repeats one is spoilt, also if both are equal.
+func TestRepeatedFieldIsBroken(t *testing.T) {
+	for _, field := range []string{"Request-Id: id-1\r\n", "Signature: s\r\n", "Not-Executed: true\r\n"} {
+		for claim, answer := range claims {
+			t.Run(claim+"/"+strings.TrimSpace(field), func(t *testing.T) {
+				t.Parallel()
+				client := patientClient()
+				defer client.Close()
+				answer.Fields = strings.ReplaceAll(answer.Fields, field, "") + field + strings.ToLower(field)
+				address, _ := answeringWorker(t, answers.Plain(answer), false)
+				assert.Equal(t, Broken, deliver(client, delivery(address)).Outcome)
+				client.mu.Lock()
+				defer client.mu.Unlock()
+				assert.Zero(t, client.pools["i-1"].open)
+			})
+		}
+	}
+}
+
 // A HEAD is answered without a body, whatever length is announced.
 func TestResponseToHeadHasNoBody(t *testing.T) {
 	for _, length := range []string{"0", "7"} {
