Read no list of the platform from an answer that HTTP forbids

What callers saw (real control, edge and store processes, a stand-in platform that spoils a share of its answers): messages were sent to a worker that only a list in a spoilt answer named (ROUTE).

Cause: control/discovery read by fasthttp's client, with the gaps that edge/worker had by the same library; it asked again at once after an answer that it could not read; and it took bytes that had arrived after an answer, a second answer for instance, for the answer to the next call, which is for another page.

Change: cluster/httpclient sends requests over a connection that it keeps, and reads by balancer/http1. A spoilt answer is an error, its connection is closed, and the list is read again when the reader's pace says so. A connection with unread bytes is not used again; the check is the one of edge/worker, which uses it from there. A GET is repeated only where the kept connection had ended before the answer.

--- a/edge/worker/connection.go
+++ b/edge/worker/connection.go
@@ -75,21 +75,8 @@
 	})
 }
 
-// isIdle reports whether an idle connection is still open and has nothing to read: bytes received between requests
-// belong to no request. It reads from the descriptor directly, so that the deadline of the previous exchange does not
-// matter.
-func (c *connection) isIdle() bool {
-	if c.raw == nil {
-		return true
-	}
-	wouldBlock := false
-	err := c.raw.Control(func(fd uintptr) {
-		var one [1]byte
-		_, err := unix.Read(int(fd), one[:])
-		wouldBlock = errors.Is(err, unix.EAGAIN)
-	})
-	return err == nil && wouldBlock
-}
+// isIdle reports whether an idle connection is still open and has nothing to read.
+func (c *connection) isIdle() bool { return c.raw == nil || httpclient.IsIdle(c.raw) }
 
 // exchange sends a delivery and reads its response, which may arrive before the request is written completely.
 func (c *connection) exchange(d *Delivery) (Outcome, response) {
--- a/test/standin/platform/platform.go
+++ b/test/standin/platform/platform.go
@@ -53,6 +53,7 @@
 	down    bool
 	calls   int
 	limited int
+	spoilt  spoiltAnswers
 }
 
 // Start starts a platform.
@@ -148,6 +149,10 @@
 		w.WriteHeader(status)
 		return
 	}
+	if text := p.drawSpoilt(); text != "" {
+		writeRaw(w, text)
+		return
+	}
 	query := r.URL.Query()
 	page, err := p.page(query.Get("zone"), query.Get("pageToken"))
 	if err != nil {
