Take no answer that HTTP forbids for one to an operator's order

What callers saw (the built ravendalectl and its library against a stand-in): config set told "version 5 is in force", a conflict or "nothing was changed" after a spoilt answer with that status, and did not ask the next control process; a redirection in a spoilt answer was followed; a message's state in one was shown.

Cause: control/operatorclient read by net/http, which accepts LF for CR LF, folded lines, blanks in names, control bytes in the reason, status numbers below 100 and with a sign, a length beside a coding, any chunk extension, framing in interim answers. An answer that repeats Location or Retry-After counted by its first.

Change: the client sends by cluster/httpclient, which reads by balancer/http1, one connection a call as before.

--- a/control/operatorclient/call.go
+++ b/control/operatorclient/call.go
@@ -1,18 +1,20 @@
 package operatorclient
 
 import (
-	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
+	"ravendale/balancer/http1"
 	"ravendale/cluster/catalog"
+	"ravendale/cluster/httpclient"
 )
 
 // call is one request, which may be sent to several addresses.
@@ -31,7 +33,7 @@
 type answer struct {
 	status int
 	body   []byte
-	header http.Header
+	header http1.Header
 }
 
 // do sends a call to one address after another until an answer is conclusive, or until the call's timeout.
@@ -98,7 +100,7 @@
 	if a == nil {
 		return 0
 	}
-	seconds, err := strconv.Atoi(a.header.Get("Retry-After"))
+	seconds, err := strconv.Atoi(a.header.Get(retryAfterField))
 	if err != nil || seconds < 0 {
 		return 0
 	}
@@ -109,39 +111,56 @@
 func (c *Client) attempt(ctx context.Context, address string, call *call) (*answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout(len(call.body)))
 	defer cancel()
-	target := "http://" + address + call.path
+	target := call.path
 	for redirects := 0; ; redirects++ {
-		got, err := c.send(ctx, target, call)
+		got, err := c.send(ctx, address, target, call)
 		if err != nil || got.status != http.StatusTemporaryRedirect || redirects == maxRedirects {
 			return got, err
 		}
-		next, err := url.Parse(got.header.Get("Location"))
-		if err != nil || next.Scheme != "http" || next.Host == "" {
+		next, err := url.Parse(got.header.Get(locationField))
+		if err != nil || next.Scheme != "http" || next.Hostname() == "" {
 			return got, nil
 		}
-		target = next.String()
+		address, target = net.JoinHostPort(next.Hostname(), cmp.Or(next.Port(), defaultPort)), next.RequestURI()
 	}
 }
 
-func (c *Client) send(ctx context.Context, target string, call *call) (*answer, error) {
-	request, err := http.NewRequestWithContext(ctx, call.method, target, bytes.NewReader(call.body))
+// defaultPort is the port of an http URL that names none.
+const defaultPort = "80"
+
+// Fields of an answer that are read. Neither is a list.
+const (
+	locationField   = "Location"
+	retryAfterField = "Retry-After"
+)
+
+// errRepeatedField is returned for an answer that repeats a field which is no list.
+var errRepeatedField = errors.New("operatorclient: a field of the answer is repeated")
+
+// send sends a call to one address. Each call has a connection of its own: the server may have closed an idle one without the
+// client noticing.
+func (c *Client) send(ctx context.Context, address, target string, call *call) (*answer, error) {
+	client := httpclient.New(httpclient.Options{Address: address, ConnectTimeout: connectTimeout, MaxBody: maxAnswerBytes})
+	response, err := client.Do(ctx, call.request(address, target))
 	if err != nil {
 		return nil, err
 	}
-	request.Host = call.host
-	if len(call.body) > 0 {
-		request.Header.Set("Content-Type", "application/json")
-	}
-	for name, value := range call.header {
-		request.Header.Set(name, value)
+	for _, name := range []string{locationField, retryAfterField} {
+		if response.Header.Count(name) > 1 {
+			return nil, errRepeatedField
+		}
 	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		return nil, err
+	return &answer{status: response.Status, body: response.Body, header: response.Header}, nil
+}
+
+// request returns the request to send to an address.
+func (c *call) request(address, target string) *httpclient.Request {
+	request := &httpclient.Request{Method: c.method, Target: target, Host: cmp.Or(c.host, address), Body: c.body}
+	if len(c.body) > 0 {
+		request.Header = append(request.Header, http1.Field{Name: "Content-Type", Value: "application/json"})
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
-	if err := errors.Join(err, response.Body.Close()); err != nil {
-		return nil, err
+	for name, value := range c.header {
+		request.Header = append(request.Header, http1.Field{Name: name, Value: value})
 	}
-	return &answer{status: response.StatusCode, body: body, header: response.Header}, nil
+	return request
 }
--- a/control/operatorclient/client.go
+++ b/control/operatorclient/client.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"time"
 )
 
@@ -29,10 +28,7 @@
 }
 
 // Client sends calls to a list of addresses, one after another. It is safe for concurrent use.
-type Client struct {
-	options Options
-	http    *http.Client
-}
+type Client struct{ options Options }
 
 // ErrNoAddress is returned by New if Options has no addresses.
 var ErrNoAddress = errors.New("operatorclient: no address to call")
@@ -53,17 +49,7 @@
 	if options.Sleep == nil {
 		options.Sleep = sleep
 	}
-	return &Client{options: options, http: newHTTP()}, nil
-}
-
-// newHTTP returns an HTTP client without keep-alive: the server may have closed an idle connection without the client
-// noticing.
-func newHTTP() *http.Client {
-	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &http.Client{
-		Transport:     &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	return &Client{options: options}, nil
 }
 
 func sleep(ctx context.Context, pause time.Duration) error {
