Close the connection of a peer whose reply can't be decoded

What callers saw: nothing so far. By reading: a reply that is not one message of its type was an error to its caller, but the connection was used on, and a claim that got one was not sent again before the connection ended, so that the edge held its messages back as unconfirmed. Bytes after a message in a reply were dropped unread. A frame of an unknown kind was dropped, and the call that it was to answer waited for its own limit.

Change: rpc.StartCall and Call decode a reply strictly, as exactly one message. Where that fails, the caller is told that nothing is known (ErrBadReply), and the connection is closed; so it is on a frame of an unknown kind. All callers use these in place of decoding by themselves.

--- a/cluster/member/agent.go
+++ b/cluster/member/agent.go
@@ -184,11 +184,8 @@
 func (a *Agent) renew() {
 	conn, address, sentAt, leaving := a.conn, a.session.target, a.now(), a.leaving
 	renew := a.request()
-	conn.Start(wire.MethodRenew, &renew, func(payload []byte, err error) {
-		reply := new(wire.RenewReply)
-		if err == nil {
-			_, err = reply.UnmarshalMsg(payload)
-		}
+	reply := new(wire.RenewReply)
+	conn.StartCall(wire.MethodRenew, &renew, reply, func(err error) {
 		a.box.Post(func() { a.replied(conn, address, sentAt, leaving, reply, err) })
 	})
 }
--- a/cluster/relay/node.go
+++ b/cluster/relay/node.go
@@ -268,11 +268,8 @@
 func (n *Node) join(c *rpc.Conn, address string) {
 	versions := n.topics.Versions()
 	subscribe := wire.Subscribe{Member: n.config.Self, Have: versions.List()}
-	c.Start(wire.MethodSubscribe, &subscribe, func(payload []byte, err error) {
-		var reply wire.SubscribeReply
-		if err == nil {
-			_, err = reply.UnmarshalMsg(payload)
-		}
+	var reply wire.SubscribeReply
+	c.StartCall(wire.MethodSubscribe, &subscribe, &reply, func(err error) {
 		accepted := err == nil && reply.Accepted
 		n.box.Post(func() { n.joined(c, address, accepted) })
 	})
@@ -301,11 +298,8 @@
 		return
 	}
 	fetch := wire.Fetch{Topic: repair.Topic, Have: repair.Have}
-	conn.Start(wire.MethodFetch, &fetch, func(payload []byte, err error) {
-		update := new(wire.Update)
-		if err == nil {
-			_, err = update.UnmarshalMsg(payload)
-		}
+	update := new(wire.Update)
+	conn.StartCall(wire.MethodFetch, &fetch, update, func(err error) {
 		if err == nil && len(update.Payload) > 0 {
 			n.Apply(update)
 		}
--- a/cluster/rpc/conn.go
+++ b/cluster/rpc/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/binary"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -185,15 +186,43 @@
 	}
 }
 
-// Call sends a request, waits for its reply, and decodes it into reply unless that is nil.
-func (c *Conn) Call(ctx context.Context, method wire.Method, request msgp.Marshaler, reply msgp.Unmarshaler) error {
-	result := make(chan error, 1)
-	call := c.begin(method, request, func(payload []byte, err error) {
-		if err == nil && reply != nil {
-			_, err = reply.UnmarshalMsg(payload)
+// StartCall is Start for a reply that is decoded into reply, unless that is nil, before done is called. A reply that can't be
+// decoded says nothing about what became of the request: done gets ErrBadReply, and the connection is closed.
+func (c *Conn) StartCall(method wire.Method, request msgp.Marshaler, reply msgp.Unmarshaler, done func(err error)) {
+	c.beginCall(method, request, reply, done)
+}
+
+func (c *Conn) beginCall(method wire.Method, request msgp.Marshaler, reply msgp.Unmarshaler, done func(err error)) uint32 {
+	return c.begin(method, request, func(payload []byte, err error) {
+		if err != nil || reply == nil {
+			done(err)
+			return
+		}
+		if err = decodeReply(payload, reply); err == nil {
+			done(nil)
+			return
 		}
-		result <- err
+		done(err)
+		c.fail(err)
 	})
+}
+
+// decodeReply decodes a reply, which must be exactly one message.
+func decodeReply(payload []byte, reply msgp.Unmarshaler) error {
+	rest, err := reply.UnmarshalMsg(payload)
+	switch {
+	case err != nil:
+		return errors.Join(ErrBadReply, err)
+	case len(rest) > 0:
+		return ErrBadReply
+	}
+	return nil
+}
+
+// Call sends a request, waits for its reply, and decodes it into reply unless that is nil, as StartCall does.
+func (c *Conn) Call(ctx context.Context, method wire.Method, request msgp.Marshaler, reply msgp.Unmarshaler) error {
+	result := make(chan error, 1)
+	call := c.beginCall(method, request, reply, func(err error) { result <- err })
 	select {
 	case err := <-result:
 		return err
@@ -324,5 +353,8 @@
 		c.complete(call, nil, &RemoteError{Text: string(payload)})
 	case framePing:
 		_ = c.enqueue(framePong, 0, 0, nil)
+	case framePong:
+	default:
+		c.fail(ErrUnknownFrame)
 	}
 }
--- a/cluster/rpc/errors.go
+++ b/cluster/rpc/errors.go
@@ -9,6 +9,8 @@
 	ErrOverflow      = errors.New("rpc: peer does not read")
 	ErrFrameTooLong  = errors.New("rpc: frame too long")
 	ErrUnknownMethod = errors.New("rpc: unknown method")
+	ErrUnknownFrame  = errors.New("rpc: unknown kind of frame")
+	ErrBadReply      = errors.New("rpc: reply is not exactly one message of its type")
 )
 
 // RemoteError is an error that the other end sent instead of a reply.
--- a/cluster/rpc/replies_test.go
+++ b/cluster/rpc/replies_test.go
@@ -68,11 +68,8 @@
 
 // startCall starts a call whose reply goes to the channel.
 func (h replies) startCall(conn *Conn) {
-	conn.Start(wire.MethodFind, &wire.Find{ID: "x"}, func(payload []byte, err error) {
-		reply := &wire.FindReply{}
-		if err == nil {
-			_, err = reply.UnmarshalMsg(payload)
-		}
+	reply := &wire.FindReply{}
+	conn.StartCall(wire.MethodFind, &wire.Find{ID: "x"}, reply, func(err error) {
 		if err != nil {
 			h <- err.Error()
 			return
--- a/control/leader/takeover.go
+++ b/control/leader/takeover.go
@@ -33,11 +33,8 @@
 		return
 	}
 	o.fetching[topic] = true
-	c.Start(wire.MethodFetch, &wire.Fetch{Topic: topic}, func(payload []byte, err error) {
-		update := new(wire.Update)
-		if err == nil {
-			_, err = update.UnmarshalMsg(payload)
-		}
+	update := new(wire.Update)
+	c.StartCall(wire.MethodFetch, &wire.Fetch{Topic: topic}, update, func(err error) {
 		o.box.Post(func() {
 			o.fetching[topic] = false
 			if err == nil && update.Topic == topic && !update.Delta && update.To.Term < o.number && o.adopted[topic].Less(update.To) {
--- a/edge/queueclient/attempt.go
+++ b/edge/queueclient/attempt.go
@@ -79,7 +79,8 @@
 	request := &wire.Put{Partition: partition, Epoch: v.Epoch, Message: *p.message, Dispatch: p.dispatch}
 	request.Message.ID = a.id
 	primary.unanswered.Add(1)
-	conn.Start(wire.MethodPut, request, a.reply)
+	reply := &wire.PutReply{}
+	conn.StartCall(wire.MethodPut, request, reply, func(err error) { a.reply(reply, err) })
 	return a
 }
 
@@ -127,18 +128,18 @@
 }
 
 // reply handles the answer to an attempt. It runs on the goroutine that reads the connection.
-func (a *attempt) reply(payload []byte, err error) {
+func (a *attempt) reply(reply *wire.PutReply, err error) {
 	a.stores[0].unanswered.Add(-1)
-	reply := wire.PutReply{Code: wire.PutUnknown}
-	if err == nil {
-		a.put.client.observeLatency(a.put.client.now() - a.startedAt)
-		_, err = reply.UnmarshalMsg(payload)
-	}
-	switch {
-	case err != nil || reply.Code == wire.PutUnknown:
+	if err != nil {
 		a.resolve(attemptUnknown)
-	case reply.Code == wire.PutAccepted:
+		return
+	}
+	a.put.client.observeLatency(a.put.client.now() - a.startedAt)
+	switch reply.Code {
+	case wire.PutAccepted:
 		a.resolveAccepted(reply.Granted)
+	case wire.PutUnknown:
+		a.resolve(attemptUnknown)
 	default:
 		a.resolve(attemptRejected)
 	}
--- a/edge/queueclient/find.go
+++ b/edge/queueclient/find.go
@@ -124,16 +124,14 @@
 	if conn == nil {
 		return 0
 	}
-	conn.Start(wire.MethodFind, s.request, func(payload []byte, err error) {
-		reply := &wire.FindReply{}
-		if err == nil {
-			_, err = reply.UnmarshalMsg(payload)
-		}
+	reply := &wire.FindReply{}
+	conn.StartCall(wire.MethodFind, s.request, reply, func(err error) {
+		found := reply
 		if err != nil {
-			reply = nil
+			found = nil
 		}
 		select {
-		case s.answers <- findAnswer{store, reply}:
+		case s.answers <- findAnswer{store, found}:
 		default: // the channel is full: ask has returned
 		}
 	})
--- a/edge/queueclient/report.go
+++ b/edge/queueclient/report.go
@@ -121,11 +121,8 @@
 	}
 	report.Epoch = v.Epoch
 	r.countRelease(p, &report, 1)
-	conn.Start(wire.MethodReport, &report, func(payload []byte, err error) {
-		reply := wire.ReportReply{Code: wire.PutUnknown}
-		if err == nil {
-			_, err = reply.UnmarshalMsg(payload)
-		}
+	reply := &wire.ReportReply{Code: wire.PutUnknown}
+	conn.StartCall(wire.MethodReport, &report, reply, func(err error) {
 		r.countRelease(p, &report, -1)
 		r.handleReply(id, number, sent, err == nil && reply.Code == wire.PutAccepted)
 	})
--- a/edge/queueclient/store.go
+++ b/edge/queueclient/store.go
@@ -109,11 +109,8 @@
 			claim.IDs = append(claim.IDs, id)
 		}
 	}
-	conn.Start(wire.MethodClaim, claim, func(payload []byte, err error) {
-		reply := &wire.ClaimReply{}
-		if err == nil {
-			_, err = reply.UnmarshalMsg(payload)
-		}
+	reply := &wire.ClaimReply{}
+	conn.StartCall(wire.MethodClaim, claim, reply, func(err error) {
 		if err != nil {
 			return // the next connection claims again
 		}
--- a/store/server/store.go
+++ b/store/server/store.go
@@ -247,11 +247,8 @@
 	c.OnClose(func(error) {
 		s.tasks.start(func() { s.handle(func(now queue.Time) { s.core.PeerDown(now, c) }) })
 	})
-	c.Start(queue.MethodHello, &queue.Hello{From: s.config.Disk, To: disk}, func(payload []byte, err error) {
-		reply := new(queue.HelloReply)
-		if err == nil {
-			_, err = reply.UnmarshalMsg(payload)
-		}
+	reply := new(queue.HelloReply)
+	c.StartCall(queue.MethodHello, &queue.Hello{From: s.config.Disk, To: disk}, reply, func(err error) {
 		if err != nil || !reply.Accepted {
 			s.tasks.start(c.Close)
 			return
