Conclude nothing from a peer's answer with an unknown code

What callers saw (an edge's client with a store at the rpc level): a put that a store answered with a code that is not one of the five counted as certainly not accepted, which becomes a 503, a promise; a message's state that is not one of the four was shown to the client as an empty one; an unknown answer about a retirement was shown as "running".

Cause: each of the three took what it did not know for one of the known.

Change: a put is then unknown (the connection to the client is closed without an answer), a lookup is not answered by that store, and the retirement's state can't be told now.

Evidence: TestPutWithoutDefiniteAnswerIsUnknown with such a code and TestFindWithUnknownState failed on the code before.

--- a/cluster/wire/queue.go
+++ b/cluster/wire/queue.go
@@ -31,6 +31,9 @@
 	StateDropped // its route was removed
 )
 
+// IsKnown reports whether the state is one of those above.
+func (s State) IsKnown() bool { return s <= StateDropped }
+
 // Attach identifies the edge of a connection to a store.
 type Attach struct {
 	Edge     string // Member.ID
--- a/control/leader/retire.go
+++ b/control/leader/retire.go
@@ -167,10 +167,13 @@
 	if err := conn.Call(ctx, wire.MethodRetireState, &Retire{Node: node}, &reply); err != nil {
 		return false, fmt.Errorf("%w: %w", ErrNotLeading, err)
 	}
-	if reply.Code != RetireStarted {
-		return false, retireErrors[reply.Code]
+	if reply.Code == RetireStarted {
+		return reply.Done, nil
+	}
+	if known := retireErrors[reply.Code]; known != nil {
+		return false, known
 	}
-	return reply.Done, nil
+	return false, fmt.Errorf("%w: the leader answered with the unknown code %d", ErrNotLeading, reply.Code)
 }
 
 // newestPlacement returns a placement that is at least as new as the newest one committed before the call. It is nil if
--- a/edge/queueclient/attempt.go
+++ b/edge/queueclient/attempt.go
@@ -128,6 +128,7 @@
 }
 
 // reply handles the answer to an attempt. It runs on the goroutine that reads the connection.
+// Only an answer that says so means that the message is not accepted: a code that is not known says nothing.
 func (a *attempt) reply(reply *wire.PutReply, err error) {
 	a.stores[0].unanswered.Add(-1)
 	if err != nil {
@@ -138,10 +139,10 @@
 	switch reply.Code {
 	case wire.PutAccepted:
 		a.resolveAccepted(reply.Granted)
-	case wire.PutUnknown:
-		a.resolve(attemptUnknown)
-	default:
+	case wire.PutStale, wire.PutNotPrimary, wire.PutRejected:
 		a.resolve(attemptRejected)
+	default:
+		a.resolve(attemptUnknown)
 	}
 }
 
--- a/edge/queueclient/find.go
+++ b/edge/queueclient/find.go
@@ -127,7 +127,7 @@
 	reply := &wire.FindReply{}
 	conn.StartCall(wire.MethodFind, s.request, reply, func(err error) {
 		found := reply
-		if err != nil {
+		if err != nil || !reply.State.IsKnown() {
 			found = nil
 		}
 		select {
--- a/edge/queueclient/find_test.go
+++ b/edge/queueclient/find_test.go
@@ -50,6 +50,19 @@
 	})
 }
 
+// A state that is not known is no answer to the lookup.
+func TestFindWithUnknownState(t *testing.T) {
+	onFakeTime(t, func(t *testing.T) {
+		one := newFakeStore(t)
+		one.find = func(*wire.Find) *wire.FindReply { return &wire.FindReply{Found: true, State: wire.StateDropped + 1} }
+		c, _ := newClient(t)
+		c.SetView(placement(1, []*fakeStore{one}, []uint16{0}))
+		awaitConnected(t, c)
+		_, err := c.Find("0.x", false)
+		assert.ErrorIs(t, err, ErrNoAnswer)
+	})
+}
+
 func TestFindWithUnresponsiveStore(t *testing.T) {
 	onFakeTime(t, func(t *testing.T) {
 		one, two := newFakeStore(t), newFakeStore(t)
--- a/edge/queueclient/put_test.go
+++ b/edge/queueclient/put_test.go
@@ -95,6 +95,9 @@
 	answers := map[string]func(*wire.Put, int) *wire.PutReply{
 		"none":    func(*wire.Put, int) *wire.PutReply { return nil },
 		"unknown": func(*wire.Put, int) *wire.PutReply { return &wire.PutReply{Code: wire.PutUnknown} },
+		"a code that is not known": func(*wire.Put, int) *wire.PutReply {
+			return &wire.PutReply{Code: wire.PutUnknown + 1}
+		},
 		"unknown, then rejected": func(_ *wire.Put, number int) *wire.PutReply {
 			if number == 1 {
 				return &wire.PutReply{Code: wire.PutUnknown}
