--- a/balancer/http1/body.go
+++ b/balancer/http1/body.go
@@ -22,13 +22,9 @@
 	untilClose
 )
 
-// start begins the body of the message with this head.
-func (b *body) start(h Header, isVersion10 bool, limit int) error {
+// start begins a body that is framed as its message's head says.
+func (b *body) start(f framing, limit int) error {
 	*b = body{limit: limit}
-	f, err := parseFraming(h, isVersion10)
-	if err != nil {
-		return err
-	}
 	switch {
 	case f.chunked:
 		b.state = chunkSize
--- a/balancer/http1/requests.go
+++ b/balancer/http1/requests.go
@@ -51,10 +51,15 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := p.body.start(h, version == "HTTP/1.0", MaxBody); err != nil {
+	isVersion10 := version == "HTTP/1.0"
+	f, err := parseFraming(h, isVersion10)
+	if err != nil {
+		return nil, err
+	}
+	if err := p.body.start(f, MaxBody); err != nil {
 		return nil, err
 	}
-	return &Request{Method: method, Target: target, Header: h, Close: wantsClose(version == "HTTP/1.0", h)}, nil
+	return &Request{Method: method, Target: target, Header: h, Close: wantsClose(isVersion10, h)}, nil
 }
 
 // Partial reports whether part of a request has been received.
--- a/balancer/http1/responses.go
+++ b/balancer/http1/responses.go
@@ -72,35 +72,37 @@
 	if err := checkConnection(h); err != nil {
 		return nil, err
 	}
-	if err := p.body.start(h, line.minorVersion == 0, 0); err != nil {
+	isVersion10 := line.minorVersion == 0
+	f, err := parseFraming(h, isVersion10)
+	if err != nil {
 		return nil, err
 	}
-	resp := &Response{Status: line.status, Header: h, Close: wantsClose(line.minorVersion == 0, h)}
-	if err := p.frameBody(resp); err != nil {
+	resp := &Response{Status: line.status, Header: h, Close: wantsClose(isVersion10, h)}
+	if err := p.startBody(resp, f); err != nil {
 		return nil, err
 	}
 	return resp, nil
 }
 
-// frameBody applies the rules on the body that depend on the response's status and on the request's method (RFC 9112,
+// startBody begins the body, by the rules that depend on the response's status and on the request's method too (RFC 9112,
 // section 6.3).
-func (p *Responses) frameBody(resp *Response) error {
-	isFramed := resp.Header.Count(contentLength) > 0 || resp.Header.Count(transferEncoding) > 0
-	switch {
-	case resp.Status < 200 || resp.Status == 204:
-		if isFramed {
-			return badRequest("a response that has no body frames one")
-		}
-	case resp.Status == 205:
-		p.body.isEmpty = true
-		if p.body.remaining > 0 {
-			return badRequest("a response that has no content announces some")
-		}
-	}
+func (p *Responses) startBody(resp *Response, f framing) error {
+	isFramed := f.chunked || f.hasLength
+	mustNotFrame := resp.Status < 200 || resp.Status == 204
 	switch {
-	case resp.Status < 200 || resp.Status == 204 || resp.Status == 304 || p.method == "HEAD":
+	case mustNotFrame && isFramed:
+		return badRequest("a response that has no body frames one")
+	case resp.Status == 205 && f.length > 0:
+		return badRequest("a response that has no content announces some")
+	case mustNotFrame || resp.Status == 304 || p.method == "HEAD":
 		p.body = body{}
-	case !isFramed:
+		return nil
+	}
+	if err := p.body.start(f, 0); err != nil {
+		return err
+	}
+	p.body.isEmpty = resp.Status == 205
+	if !isFramed {
 		p.body.state, resp.Close = untilClose, true
 	}
 	return nil
--- a/balancer/http1/statusline.go
+++ b/balancer/http1/statusline.go
@@ -18,22 +18,25 @@
 // version than 1 is taken for 1 (RFC 9110, section 2.5).
 const versionPrefix = "HTTP/1."
 
+func malformedStatusLine() (statusLine, error) {
+	return statusLine{}, badRequest("the status line is malformed")
+}
+
 // parseStatusLine parses version SP status SP [reason] (RFC 9112, section 4).
 func parseStatusLine(line string) (statusLine, error) {
-	malformed := badRequest("the status line is malformed")
 	version, rest, found := strings.Cut(line, " ")
 	minor, isVersion := strings.CutPrefix(version, versionPrefix)
 	if !found || !isVersion || len(minor) != 1 || !isDigit(minor[0]) {
-		return statusLine{}, malformed
+		return malformedStatusLine()
 	}
 	code, reason, found := strings.Cut(rest, " ")
 	if !found || len(code) != 3 || hasControl(reason) {
-		return statusLine{}, malformed
+		return malformedStatusLine()
 	}
 	status := 0
 	for i := range len(code) {
 		if !isDigit(code[i]) {
-			return statusLine{}, malformed
+			return malformedStatusLine()
 		}
 		status = 10*status + int(code[i]-'0')
 	}
