Let the test of an ignored grant hold the answer to its report

Traced: it hands the same grant in again after the put has its result, but its store answers the report that drops the message at once. If that answer came first, the grant was an ordinary one, and the client took it. No store grants a message after it has answered that the message is dropped, so the order is the test's own.

The store now answers the report after the second grant.

--- a/edge/queueclient/races_test.go
+++ b/edge/queueclient/races_test.go
@@ -259,6 +259,11 @@
 			<-accept
 			return &wire.PutReply{Code: wire.PutAccepted}
 		}
+		dropped := make(chan struct{}) // the store grants nothing once it has answered that the message is dropped
+		one.report = func(*wire.Report, int) wire.PutCode {
+			<-dropped
+			return wire.PutAccepted
+		}
 		c, h := newClient(t)
 		c.SetView(placement(1, []*fakeStore{one, two}, []uint16{0}, []uint16{1}))
 		awaitConnected(t, c)
@@ -274,6 +279,7 @@
 		close(accept)
 		require.Equal(t, Accepted, <-done)
 		c.handleGrant(conn, grant)
+		close(dropped)
 		require.NotEqual(t, unanswered, m.ID)
 		require.Eventually(t, func() bool { return one.countReports() == 1 }, testTimeout, time.Millisecond)
 		one.withLock(func() { assert.Equal(t, wire.ReportDropped, one.reports[0].Kind) })
