Take a length of 0 in a 204 of a server

RFC 9110, 8.6, forbids a length in a 204; but RFC 9112, 6.3, ends a 204 at the empty line whatever its fields, so that a length of 0 can't be read in two ways.

Change: this one is taken. A length above 0 or a coding in a 204, and any framing in an interim response, are refused as before.

--- a/balancer/http1/responses.go
+++ b/balancer/http1/responses.go
@@ -19,6 +19,9 @@
 //
 // The responses are taken for those to requests with neither of the methods HEAD and CONNECT, unless SetMethod was
 // called, and without the field Upgrade.
+//
+// One thing that is forbidden is taken, since servers in service send it and nobody can read it in two ways: a length of 0
+// in a 204 (RFC 9110, section 8.6; RFC 9112, section 6.3, ends such a response at the empty line whatever its fields).
 type Responses struct {
 	parser
 	// Limit is the maximum size, in bytes, of a body that Next returns; 0 means MaxBody.
@@ -88,13 +91,12 @@
 // section 6.3).
 func (p *Responses) startBody(resp *Response, f framing) error {
 	isFramed := f.chunked || f.hasLength
-	mustNotFrame := resp.Status < 200 || resp.Status == 204
 	switch {
-	case mustNotFrame && isFramed:
+	case resp.Status < 200 && isFramed, resp.Status == 204 && f.chunked:
 		return badRequest("a response that has no body frames one")
-	case resp.Status == 205 && f.length > 0:
+	case (resp.Status == 204 || resp.Status == 205) && f.length > 0:
 		return badRequest("a response that has no content announces some")
-	case mustNotFrame || resp.Status == 304 || p.method == "HEAD":
+	case resp.Status < 200 || resp.Status == 204 || resp.Status == 304 || p.method == "HEAD":
 		p.body = body{}
 		return nil
 	}
--- a/balancer/http1/responses_test.go
+++ b/balancer/http1/responses_test.go
@@ -102,6 +102,11 @@
 func TestResponsesWithoutBody(t *testing.T) {
 	for name, tc := range map[string]struct{ method, text, want string }{
 		"204":                        {"POST", "HTTP/1.1 204 No Content\r\n\r\n", `204 []  close=false`},
+		"204 with a length of 0":     {"DELETE", "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", `204 [{"Content-Length" "0"}]  close=false`},
+		"204 with a length":          {"DELETE", "HTTP/1.1 204 No Content\r\nContent-Length: 1\r\n\r\na", ""},
+		"204 with a bad length":      {"DELETE", "HTTP/1.1 204 No Content\r\nContent-Length: -0\r\n\r\n", ""},
+		"204 in chunks":              {"DELETE", "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", ""},
+		"103 with a length of 0":     {"POST", "HTTP/1.1 103 Hints\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", ""},
 		"205":                        {"POST", "HTTP/1.1 205 Reset\r\nContent-Length: 0\r\n\r\n", `205 [{"Content-Length" "0"}]  close=false`},
 		"205 in chunks":              {"POST", "HTTP/1.1 205 Reset\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", `205 [{"Transfer-Encoding" "chunked"}]  close=false`},
 		"205 with content":           {"POST", "HTTP/1.1 205 Reset\r\nContent-Length: 1\r\n\r\na", ""},
--- a/balancer/platform/node/spoilt_test.go
+++ b/balancer/platform/node/spoilt_test.go
@@ -115,6 +115,34 @@
 	}
 }
 
+// Servers in service answer a DELETE with a 204 that has a length of 0. It is forbidden, but taken: the connection is kept and
+// carries the next request.
+func TestWithdrawalAnsweredWithLengthOfZeroKeepsConnection(t *testing.T) {
+	for mode, m := range modes {
+		t.Run(mode, func(t *testing.T) {
+			t.Parallel()
+			server := listen(t)
+			r := startRigOnCores(t, m.cores, m.settings, listed("w1", server))
+			client := dial(t, r.addr)
+			client.ask("a1", "read", 5000)
+			w := server.accept()
+			w.request()
+			w.send("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+			r.waitOwed(1)
+			_ = client.Close()
+			if got := w.request(); got.Method != "DELETE" {
+				t.Fatal(got.Method)
+			}
+			w.send("HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n")
+			w.waitRead()
+			next := dial(t, r.addr)
+			next.ask("a2", "read", 5000)
+			w.request()
+			r.completeJob(w, "w1", "a2", next)
+		})
+	}
+}
+
 // Each sound answer of a server that accepts a request is taken.
 func TestSoundAnswerIsTaken(t *testing.T) {
 	for mode, m := range modes {
