--- a/balancer/http1/responses_test.go
+++ b/balancer/http1/responses_test.go
@@ -67,8 +67,8 @@
 	return answers.Answer{Status: status, Fields: "Request-Id: id-1\r\nX-Turned-Away: 1\r\n", Body: "content"}
 }
 
-func TestSpoiltResponsesAreRejected(t *testing.T) {
-	for _, form := range answers.Spoilt() {
+func TestMalformedResponsesAreRejected(t *testing.T) {
+	for _, form := range answers.Malformed() {
 		for _, status := range statuses {
 			for _, size := range pieceSizes {
 				got := parseResponses(form.Encode(answerWith(status)), "POST", size)
@@ -80,8 +80,8 @@
 	}
 }
 
-func TestSoundResponsesAreAccepted(t *testing.T) {
-	for _, form := range answers.Sound() {
+func TestValidResponsesAreAccepted(t *testing.T) {
+	for _, form := range answers.Valid() {
 		for _, status := range statuses {
 			for _, size := range pieceSizes {
 				got := parseResponses(form.Encode(answerWith(status)), "POST", size)
@@ -171,7 +171,7 @@
 
 // A response that is cut off anywhere is never complete, unless it ends with the connection.
 func TestTruncatedResponsesAreIncomplete(t *testing.T) {
-	for _, form := range answers.Sound() {
+	for _, form := range answers.Valid() {
 		text := form.Encode(answerWith(200))
 		for end := range len(text) {
 			if form.Closes && end >= strings.Index(text, "\r\n\r\n")+len("\r\n\r\n") {
@@ -185,7 +185,7 @@
 }
 
 func TestDiscardDropsBody(t *testing.T) {
-	for _, form := range answers.Sound() {
+	for _, form := range answers.Valid() {
 		var p Responses
 		p.Feed([]byte(form.Encode(answerWith(200))))
 		if r, err := p.Head(); err != nil || r.Status != 200 {
@@ -227,8 +227,8 @@
 	return string(runes)
 }
 
-// hasSoundHead reports whether a text begins with a head that has the grammar's form.
-func hasSoundHead(text string) bool {
+// hasValidHead reports whether a text begins with a head that has the grammar's form.
+func hasValidHead(text string) bool {
 	head, _, found := strings.Cut(text, "\r\n\r\n")
 	lines := strings.Split(head, "\r\n")
 	if !found || !grammarStatusLine.MatchString(latin(lines[0])) {
@@ -245,7 +245,7 @@
 // FuzzResponses checks that the result does not depend on the size of the pieces, that an accepted response has a head of
 // the grammar's form, and that net/http, which accepts more, reads the same status and body from it.
 func FuzzResponses(f *testing.F) {
-	for _, form := range append(answers.Sound(), answers.Spoilt()...) {
+	for _, form := range append(answers.Valid(), answers.Malformed()...) {
 		f.Add(form.Encode(answerWith(200)), false)
 		f.Add(form.Encode(answerWith(503))+"x", true)
 	}
@@ -261,7 +261,7 @@
 		if len(whole.responses) == 0 {
 			return
 		}
-		if !hasSoundHead(text) {
+		if !hasValidHead(text) {
 			t.Fatalf("accepted: %s", whole)
 		}
 		compareWithLibrary(t, text, method, whole.responses[0])
--- a/cluster/httpclient/client_test.go
+++ b/cluster/httpclient/client_test.go
@@ -82,8 +82,8 @@
 	return &Request{Method: http.MethodPost, Target: "/a", Host: "h", Body: []byte("body"), Header: http1.Header{{Name: "X-A", Value: "b c"}}}
 }
 
-func TestSoundResponsesAreReturned(t *testing.T) {
-	for _, form := range answers.Sound() {
+func TestValidResponsesAreReturned(t *testing.T) {
+	for _, form := range answers.Valid() {
 		t.Run(form.Name, func(t *testing.T) {
 			address, connections := startServer(t, func(_ int, conn *net.TCPConn, reader *bufio.Reader) {
 				for {
@@ -113,9 +113,9 @@
 	}
 }
 
-// A spoilt response is an error, and its connection is closed: the next request comes on another one.
-func TestSpoiltResponsesAreErrors(t *testing.T) {
-	for _, form := range answers.Spoilt() {
+// A malformed response is an error, and its connection is closed: the next request comes on another one.
+func TestMalformedResponsesAreErrors(t *testing.T) {
+	for _, form := range answers.Malformed() {
 		t.Run(form.Name, func(t *testing.T) {
 			over := make(chan struct{})
 			address, connections := startServer(t, func(number int, conn *net.TCPConn, reader *bufio.Reader) {
@@ -132,10 +132,10 @@
 			})
 			client := newClient(t, address)
 			_, err := client.Do(t.Context(), get())
-			var spoilt *http1.Error
-			require.ErrorAs(t, err, &spoilt)
+			var malformed *http1.Error
+			require.ErrorAs(t, err, &malformed)
 			<-over
-			assert.EqualValues(t, 1, connections.Load(), "a spoilt response is not asked for again")
+			assert.EqualValues(t, 1, connections.Load(), "a malformed response is not asked for again")
 			response, err := client.Do(t.Context(), get())
 			require.NoError(t, err)
 			assert.Equal(t, "content", string(response.Body))
--- a/cluster/rpc/badreply_test.go
+++ b/cluster/rpc/badreply_test.go
@@ -14,11 +14,11 @@
 // badReplies are payloads that are not exactly one reply to a lookup.
 func badReplies(t *testing.T) map[string]msgp.Marshaler {
 	t.Helper()
-	sound, err := (&wire.FindReply{Found: true, Body: []byte("b")}).MarshalMsg(nil)
+	valid, err := (&wire.FindReply{Found: true, Body: []byte("b")}).MarshalMsg(nil)
 	require.NoError(t, err)
 	return map[string]msgp.Marshaler{
-		"empty": nil, "text": rawText("HTTP/1.1 200 OK\r\n\r\n"), "truncated": rawText(sound[:len(sound)-1]),
-		"with bytes after it": rawText(string(sound) + "x"), "twice": rawText(string(sound) + string(sound)),
+		"empty": nil, "text": rawText("HTTP/1.1 200 OK\r\n\r\n"), "truncated": rawText(valid[:len(valid)-1]),
+		"with bytes after it": rawText(string(valid) + "x"), "twice": rawText(string(valid) + string(valid)),
 		"of another type": &wire.AttachReply{}, "NUL bytes": rawText("\x00\x00\x00\x00"),
 	}
 }
@@ -56,7 +56,7 @@
 	<-conn.Done()
 }
 
-// A reply that is an error is sound: its connection stays open.
+// A reply that is an error is valid: its connection stays open.
 func TestErrorReplyKeepsConnection(t *testing.T) {
 	conn, p := newTestPeer(t)
 	waiting := make(replies, 1)
--- a/cmd/ravendale/spoilt_test.go
+++ b/cmd/ravendale/malformed_test.go
@@ -20,10 +20,10 @@
 	}
 }
 
-// A backend server answers a request that may run only once, in a spoilt form, that it did not run. The client of the built
+// A backend server answers a request that may run only once, in a malformed form, that it did not run. The client of the built
 // program must get no promise, which 503 would be, and the request must not be sent again.
-func TestSpoiltAnswerReachesNoClient(t *testing.T) {
-	for _, form := range answers.Spoilt() {
+func TestMalformedAnswerReachesNoClient(t *testing.T) {
+	for _, form := range answers.Malformed() {
 		t.Run(form.Name, func(t *testing.T) {
 			t.Parallel()
 			r := startProcess(t, `"effect": "idempotent"`, `"effect": "at_most_once"`)
--- a/cmd/ravendalectl/spoilt_test.go
+++ b/cmd/ravendalectl/malformed_test.go
@@ -40,23 +40,23 @@
 	return listener.Addr().String()
 }
 
-// The built program tells an operator whose order got only spoilt answers that it may or may not be in force, whatever status
+// The built program tells an operator whose order got only malformed answers that it may or may not be in force, whatever status
 // they give, and shows nothing that they say.
-func TestSpoiltAnswersAreNoClearAnswer(t *testing.T) {
+func TestMalformedAnswersAreNoClearAnswer(t *testing.T) {
 	f := newFixture(t)
 	file := f.writeFile("config.json", configJSON(5, routeJSON("a", 5)))
 	statuses := []int{http.StatusOK, http.StatusPreconditionFailed, http.StatusServiceUnavailable}
-	for i, form := range answers.Spoilt() {
+	for i, form := range answers.Malformed() {
 		status := statuses[i%len(statuses)]
 		t.Run(http.StatusText(status)+"/"+form.Name, func(t *testing.T) {
 			t.Parallel()
-			address := answeringProcess(t, form.Encode(answers.Answer{Status: status, Body: `{"version":5,"error":"spoilt"}`}))
+			address := answeringProcess(t, form.Encode(answers.Answer{Status: status, Body: `{"version":5,"error":"malformed"}`}))
 			command := exec.Command("../../bin/ravendalectl", "config", "set", "--base", "0", "--within", "250ms", "--admin", address, file)
 			output, err := command.CombinedOutput()
 			var ended *exec.ExitError
 			require.True(t, errors.As(err, &ended), "%v: 'make build' builds the program: %s", err, output)
 			require.Equal(t, exitUndecided, ended.ExitCode(), "%s", output)
-			require.NotContains(t, string(output), "spoilt")
+			require.NotContains(t, string(output), "malformed")
 		})
 	}
 }
--- a/control/discovery/spoilt_test.go
+++ b/control/discovery/malformed_test.go
@@ -53,9 +53,9 @@
 
 var onePage = answers.Answer{Status: http.StatusOK, Body: `{"instances":[` + entry + `]}`}
 
-// A list in a spoilt answer is no list. The connection is closed, and the next read gets the list again.
-func TestSpoiltListIsNotRead(t *testing.T) {
-	for _, form := range answers.Spoilt() {
+// A list in a malformed answer is no list. The connection is closed, and the next read gets the list again.
+func TestMalformedListIsNotRead(t *testing.T) {
+	for _, form := range answers.Malformed() {
 		t.Run(form.Name, func(t *testing.T) {
 			t.Parallel()
 			address, over := scriptedPlatform(t, func(call int) (string, bool) {
@@ -78,9 +78,9 @@
 	}
 }
 
-// The rate limit that a spoilt answer tells of is not one.
-func TestSpoiltRateLimitIsNotTaken(t *testing.T) {
-	for _, form := range answers.Spoilt() {
+// The rate limit that a malformed answer tells of is not one.
+func TestMalformedRateLimitIsNotTaken(t *testing.T) {
+	for _, form := range answers.Malformed() {
 		t.Run(form.Name, func(t *testing.T) {
 			t.Parallel()
 			address, _ := scriptedPlatform(t, func(int) (string, bool) {
@@ -95,8 +95,8 @@
 	}
 }
 
-func TestSoundListIsRead(t *testing.T) {
-	for _, form := range answers.Sound() {
+func TestValidListIsRead(t *testing.T) {
+	for _, form := range answers.Valid() {
 		t.Run(form.Name, func(t *testing.T) {
 			t.Parallel()
 			address, _ := scriptedPlatform(t, func(int) (string, bool) { return form.Encode(onePage), form.Closes })
--- a/edge/worker/spoilt_test.go
+++ b/edge/worker/malformed_test.go
@@ -16,7 +16,7 @@
 	"ravendale/test/standin/answers"
 )
 
-// claims are answers from which something would be concluded if they were sound.
+// claims are answers from which something would be concluded if they were valid.
 var claims = map[string]answers.Answer{
 	"done":         {Status: http.StatusOK, Fields: "Request-Id: id-1\r\nSignature: s\r\n", Body: "content"},
 	"failed":       {Status: http.StatusInternalServerError, Fields: "Request-Id: id-1\r\n", Body: "content"},
@@ -53,10 +53,10 @@
 	return address, ended
 }
 
-// A spoilt response says nothing, whatever its status: the message may have run. Its connection is closed.
-func TestSpoiltResponsesAreBroken(t *testing.T) {
+// A malformed response says nothing, whatever its status: the message may have run. Its connection is closed.
+func TestMalformedResponsesAreBroken(t *testing.T) {
 	for claim, answer := range claims {
-		for _, form := range answers.Spoilt() {
+		for _, form := range answers.Malformed() {
 			t.Run(claim+"/"+form.Name, func(t *testing.T) {
 				t.Parallel()
 				client := patientClient()
@@ -75,9 +75,9 @@
 	}
 }
 
-func TestSoundResponsesCount(t *testing.T) {
+func TestValidResponsesCount(t *testing.T) {
 	for claim, answer := range claims {
-		for _, form := range answers.Sound() {
+		for _, form := range answers.Valid() {
 			t.Run(claim+"/"+form.Name, func(t *testing.T) {
 				t.Parallel()
 				client := patientClient()
@@ -93,9 +93,9 @@
 	}
 }
 
-// A connection is used again after a sound response, unless the response or its outcome says otherwise.
-func TestConnectionIsReusedAfterSoundResponse(t *testing.T) {
-	for _, form := range answers.Sound() {
+// A connection is used again after a valid response, unless the response or its outcome says otherwise.
+func TestConnectionIsReusedAfterValidResponse(t *testing.T) {
+	for _, form := range answers.Valid() {
 		t.Run(form.Name, func(t *testing.T) {
 			t.Parallel()
 			client := patientClient()
@@ -110,7 +110,7 @@
 	}
 }
 
-// The fields that say what became of a message are no lists: a response that repeats one is spoilt, also if both are equal.
+// The fields that say what became of a message are no lists: a response that repeats one is malformed, also if both are equal.
 func TestRepeatedFieldIsBroken(t *testing.T) {
 	for _, field := range []string{"Request-Id: id-1\r\n", "Signature: s\r\n", "Not-Executed: true\r\n"} {
 		for claim, answer := range claims {
@@ -151,7 +151,7 @@
 // FuzzResponses checks that a response from which something is concluded has a head of printable text in lines that end with
 // CR LF, and that net/http, an independent reader, sees the same status and fields in it.
 func FuzzResponses(f *testing.F) {
-	for _, form := range append(answers.Sound(), answers.Spoilt()...) {
+	for _, form := range append(answers.Valid(), answers.Malformed()...) {
 		f.Add(form.Encode(claims["done"]))
 		f.Add(form.Encode(claims["full"]))
 	}
@@ -170,7 +170,7 @@
 		for {
 			seen, err := http.ReadResponse(reader, &http.Request{Method: http.MethodPost})
 			if err != nil {
-				return // net/http rejects some forms that are sound, such as minor versions above 1
+				return // net/http rejects some forms that are valid, such as minor versions above 1
 			}
 			if seen.StatusCode < http.StatusOK {
 				continue
--- a/test/standin/answers/answers.go
+++ b/test/standin/answers/answers.go
@@ -16,7 +16,7 @@
 // Form is a way to write an answer.
 type Form struct {
 	Name string
-	// Encode writes the answer. A spoilt form that must have a certain status, or none, ignores the answer's.
+	// Encode writes the answer. A malformed form that must have a certain status, or none, ignores the answer's.
 	Encode func(Answer) string
 	// Closes is set if the end of the answer is the end of the connection.
 	Closes bool
--- a/test/standin/answers/doc.go
+++ b/test/standin/answers/doc.go
@@ -1,3 +1,3 @@
-// Package answers writes HTTP/1.1 answers in the forms that a back end may send: sound ones, which RFC 9110 and RFC 9112
-// allow, and spoilt ones, which they forbid. Tests of all readers of answers share them.
+// Package answers writes HTTP/1.1 answers in the forms that a back end may send: valid ones, which RFC 9110 and RFC 9112
+// allow, and malformed ones, which they forbid. Tests of all readers of answers share them.
 package answers
--- a/test/standin/answers/spoilt.go
+++ b/test/standin/answers/malformed.go
@@ -4,20 +4,20 @@
 	"fmt"
 )
 
-// Spoilt returns forms that the grammar forbids. An answer in such a form is no answer, whatever status it gives.
-func Spoilt() []Form {
-	forms := append(SpoiltHeads(), spoiltChunks()...)
-	return append(forms, spoiltTrailers()...)
+// Malformed returns forms that the grammar forbids. An answer in such a form is no answer, whatever status it gives.
+func Malformed() []Form {
+	forms := append(MalformedHeads(), malformedChunks()...)
+	return append(forms, malformedTrailers()...)
 }
 
-// SpoiltHeads returns those of the forms that are spoilt before the body begins.
-func SpoiltHeads() []Form {
-	forms := append(spoiltFirstLines(), spoiltFields()...)
-	forms = append(forms, spoiltFramings()...)
-	return append(forms, spoiltInterims()...)
+// MalformedHeads returns those of the forms that are malformed before the body begins.
+func MalformedHeads() []Form {
+	forms := append(malformedFirstLines(), malformedFields()...)
+	forms = append(forms, malformedFramings()...)
+	return append(forms, malformedInterims()...)
 }
 
-func spoiltFirstLines() []Form {
+func malformedFirstLines() []Form {
 	return []Form{
 		withFirstLine("minor version no digit", "HTTP/1.junk %d Reason\r\n"),
 		withFirstLine("minor version of one letter", "HTTP/1.x %d Reason\r\n"),
@@ -59,7 +59,7 @@
 	}
 }
 
-func spoiltFields() []Form {
+func malformedFields() []Form {
 	forms := []Form{
 		withField("blank after a name", "X-A : b\r\n"),
 		withField("tab after a name", "X-A\t: b\r\n"),
@@ -94,7 +94,7 @@
 	return forms
 }
 
-func spoiltFramings() []Form {
+func malformedFramings() []Form {
 	forms := []Form{
 		{Name: "blank after Content-Length", Encode: func(a Answer) string {
 			return head(a, fmt.Sprintf("Content-Length : %d\r\n\r\n", len(a.Body))) + a.Body
@@ -135,7 +135,7 @@
 	return append(forms, withFraming("coding repeated", chunkedField+chunkedField, chunks))
 }
 
-func spoiltChunks() []Form {
+func malformedChunks() []Form {
 	line := func(name, line string) Form { // in place of the size line; the body has five bytes or more
 		return withChunks(name, func(body string) string { return line + body[:5] + "\r\n" + lastChunk })
 	}
@@ -171,7 +171,7 @@
 	}
 }
 
-func spoiltTrailers() []Form {
+func malformedTrailers() []Form {
 	return []Form{
 		withTrailer("blank after a name in the trailer", "X-A : b\r\n"),
 		withTrailer("control byte in a name in the trailer", "X\x01A: b\r\n"),
@@ -184,7 +184,7 @@
 	}
 }
 
-func spoiltInterims() []Form {
+func malformedInterims() []Form {
 	return []Form{
 		afterInterim("interim answer with a length", "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n"),
 		afterInterim("interim answer with a coding", "HTTP/1.1 103 Hints\r\nTransfer-Encoding: chunked\r\n\r\n"),
--- a/test/standin/answers/sound.go
+++ b/test/standin/answers/valid.go
@@ -5,15 +5,15 @@
 	"strings"
 )
 
-// Sound returns forms that the grammar allows.
-func Sound() []Form {
+// Valid returns forms that the grammar allows.
+func Valid() []Form {
 	forms := []Form{{Name: "plain", Encode: Plain}}
-	forms = append(forms, soundHeads()...)
-	forms = append(forms, soundBodies()...)
-	return append(forms, soundInterims()...)
+	forms = append(forms, validHeads()...)
+	forms = append(forms, validBodies()...)
+	return append(forms, validInterims()...)
 }
 
-func soundHeads() []Form {
+func validHeads() []Form {
 	return []Form{
 		withFirstLine("empty reason", "HTTP/1.1 %d \r\n"),
 		withFirstLine("reason of any text", "HTTP/1.1 %d  a\tb \xe9: 200 OK \r\n"),
@@ -30,7 +30,7 @@
 	}
 }
 
-func soundBodies() []Form {
+func validBodies() []Form {
 	forms := []Form{
 		{Name: "length repeated", Encode: func(a Answer) string { return head(a, lengthOf(a)) + lengthOf(a) + "\r\n" + a.Body }},
 		{Name: "length repeated in a list", Encode: func(a Answer) string {
@@ -58,7 +58,7 @@
 	return forms
 }
 
-func soundInterims() []Form {
+func validInterims() []Form {
 	return []Form{
 		afterInterim("after 100", "HTTP/1.1 100 Continue\r\n\r\n"),
 		afterInterim("after 102 and 103", "HTTP/1.1 102 \r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"),
--- a/test/standin/platform/platform.go
+++ b/test/standin/platform/platform.go
@@ -48,12 +48,12 @@
 	server  *http.Server
 	address string
 
-	mutex   sync.Mutex
-	entries []*entry
-	down    bool
-	calls   int
-	limited int
-	spoilt  spoiltAnswers
+	mutex     sync.Mutex
+	entries   []*entry
+	down      bool
+	calls     int
+	limited   int
+	malformed malformedAnswers
 }
 
 // Start starts a platform.
@@ -149,7 +149,7 @@
 		w.WriteHeader(status)
 		return
 	}
-	if text := p.drawSpoilt(); text != "" {
+	if text := p.drawMalformed(); text != "" {
 		writeRaw(w, text)
 		return
 	}
--- a/test/standin/workers/connection.go
+++ b/test/standin/workers/connection.go
@@ -142,8 +142,8 @@
 		return false
 	case AnswerForeign:
 		return c.write(before.id, before.reply)
-	case AnswerSpoilt:
-		_, err := io.WriteString(c.net, c.spoil(id, reply))
+	case AnswerMalformed:
+		_, err := io.WriteString(c.net, c.encodeMalformed(id, reply))
 		return err == nil
 	case AnswerLate:
 		c.awaitDeadline(arrival.Arrived, deadline)
@@ -163,15 +163,15 @@
 	return true
 }
 
-// spoiltForms are the forms of spoilt answers.
-var spoiltForms = answers.Spoilt()
+// malformedForms are the forms of malformed answers.
+var malformedForms = answers.Malformed()
 
-// spoil returns an answer in a form that HTTP forbids, with a signature that no run has.
-func (c *conn) spoil(id string, reply answer) string {
-	form := spoiltForms[rand.IntN(len(spoiltForms))]
+// encodeMalformed returns an answer in a form that HTTP forbids, with a signature that no run has.
+func (c *conn) encodeMalformed(id string, reply answer) string {
+	form := malformedForms[rand.IntN(len(malformedForms))]
 	return form.Encode(answers.Answer{
 		Status: reply.status, Body: string(reply.body),
-		Fields: protocol.HeaderRequestID + ": " + id + "\r\n" + protocol.HeaderSignature + ": spoilt." + reply.signature + "\r\n",
+		Fields: protocol.HeaderRequestID + ": " + id + "\r\n" + protocol.HeaderSignature + ": malformed." + reply.signature + "\r\n",
 	})
 }
 
--- a/test/standin/workers/faults.go
+++ b/test/standin/workers/faults.go
@@ -20,7 +20,7 @@
 	ForeignShare    float64 // the answer to another message is sent instead, with its id and signature
 	LateShare       float64 // the answer is sent shortly before or after the request's deadline
 	DuplicatedShare float64 // the answer is sent twice
-	SpoiltShare     float64 // the answer has a form that HTTP forbids, and another signature
+	MalformedShare  float64 // the answer has a form that HTTP forbids, and another signature
 }
 
 // Names of the answer faults, as recorded in history.Arrival.
@@ -31,7 +31,7 @@
 	AnswerForeign    = "foreign"
 	AnswerLate       = "late"
 	AnswerDuplicated = "repeated"
-	AnswerSpoilt     = "spoilt"
+	AnswerMalformed  = "malformed"
 )
 
 // draw chooses the fault of an answer; empty: none.
@@ -42,7 +42,7 @@
 		share float64
 	}{
 		{AnswerNeverSent, s.NeverSentShare}, {AnswerTruncated, s.TruncatedShare}, {AnswerReset, s.ResetShare},
-		{AnswerForeign, s.ForeignShare}, {AnswerLate, s.LateShare}, {AnswerDuplicated, s.DuplicatedShare}, {AnswerSpoilt, s.SpoiltShare},
+		{AnswerForeign, s.ForeignShare}, {AnswerLate, s.LateShare}, {AnswerDuplicated, s.DuplicatedShare}, {AnswerMalformed, s.MalformedShare},
 	} {
 		if drawn < way.share {
 			return way.name
--- a/test/systemtest/answers_test.go
+++ b/test/systemtest/answers_test.go
@@ -26,7 +26,7 @@
 	for _, worker := range faultyWorkers {
 		worker.SetFaults(workers.Faults{AnswerFaults: workers.AnswerFaults{
 			NeverSentShare: faultShare, TruncatedShare: faultShare, ResetShare: faultShare,
-			ForeignShare: faultShare, LateShare: faultShare, DuplicatedShare: faultShare, SpoiltShare: faultShare,
+			ForeignShare: faultShare, LateShare: faultShare, DuplicatedShare: faultShare, MalformedShare: faultShare,
 		}})
 	}
 	wait()
@@ -40,7 +40,7 @@
 	t.Logf("faulty answers %v, of these on reused connections %v", faulty, reused)
 	for _, fault := range []string{
 		workers.AnswerNeverSent, workers.AnswerTruncated, workers.AnswerReset, workers.AnswerForeign, workers.AnswerLate, workers.AnswerDuplicated,
-		workers.AnswerSpoilt,
+		workers.AnswerMalformed,
 	} {
 		assert.NotZero(t, faulty[fault], "no answer had the fault %s", fault)
 		assert.NotZero(t, reused[fault], "no answer on a reused connection had the fault %s", fault)
--- a/test/systemtest/spoilt_test.go
+++ b/test/systemtest/malformed_test.go
@@ -20,42 +20,42 @@
 	"ravendale/test/standin/workers"
 )
 
-// spoiltRoute is the name of the route, and of the service, whose endpoint sends spoilt answers. One failed run ends a message
+// malformedRoute is the name of the route, and of the service, whose endpoint sends malformed answers. One failed run ends a message
 // on it, so that a single answer that counts wrongly shows.
-const spoiltRoute = "spoilt"
+const malformedRoute = "malformed"
 
-// spoiltClaims are the statuses of the spoilt answers, with the field that says that a message did not run where they have
+// malformedClaims are the statuses of the malformed answers, with the field that says that a message did not run where they have
 // one.
-var spoiltClaims = map[int]string{
+var malformedClaims = map[int]string{
 	http.StatusOK: "", http.StatusInternalServerError: "", http.StatusUnprocessableEntity: "",
 	http.StatusMisdirectedRequest: protocol.HeaderNotExecuted + ": true\r\n",
 	http.StatusServiceUnavailable: protocol.HeaderNotExecuted + ": true\r\n",
 }
 
-// spoiltMessage is a message whose first delivery gets a spoilt answer.
-type spoiltMessage struct {
+// malformedMessage is a message whose first delivery gets a malformed answer.
+type malformedMessage struct {
 	id     string // its Request-Id
 	form   answers.Form
 	status int
 	name   string // given by the system
 }
 
-// spoiltEndpoint is an endpoint that answers the first delivery of each message in the message's form, and the others soundly.
-type spoiltEndpoint struct {
+// malformedEndpoint is an endpoint that answers the first delivery of each message in the message's form, and the others with valid answers.
+type malformedEndpoint struct {
 	listener net.Listener
 
 	mu        sync.Mutex
-	messages  map[string]*spoiltMessage // those whose first delivery has not come, by Request-Id
-	reused    []string                  // Request-Ids of deliveries on a connection that carried a spoilt answer
+	messages  map[string]*malformedMessage // those whose first delivery has not come, by Request-Id
+	reused    []string                     // Request-Ids of deliveries on a connection that carried a malformed answer
 	delivered int
 }
 
-func startSpoiltEndpoint(t *testing.T, messages []*spoiltMessage) *spoiltEndpoint {
+func startMalformedEndpoint(t *testing.T, messages []*malformedMessage) *malformedEndpoint {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	e := &spoiltEndpoint{listener: listener, messages: make(map[string]*spoiltMessage)}
+	e := &malformedEndpoint{listener: listener, messages: make(map[string]*malformedMessage)}
 	for _, message := range messages {
 		e.messages[message.id] = message
 	}
@@ -71,11 +71,11 @@
 	return e
 }
 
-// serve answers the requests on a connection. After a spoilt answer it only waits for the end of the connection.
-func (e *spoiltEndpoint) serve(conn net.Conn) {
+// serve answers the requests on a connection. After a malformed answer it only waits for the end of the connection.
+func (e *malformedEndpoint) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
-	for isSpoilt := false; ; {
+	for isMalformed := false; ; {
 		request, err := http.ReadRequest(reader)
 		if err == nil {
 			_, err = io.Copy(io.Discard, request.Body)
@@ -84,22 +84,22 @@
 			return
 		}
 		id := request.Header.Get(protocol.HeaderRequestID)
-		message := e.take(id, isSpoilt)
+		message := e.take(id, isMalformed)
 		if message == nil {
-			_, _ = io.WriteString(conn, answers.Plain(endpointAnswer(id, "sound", http.StatusOK, "")))
+			_, _ = io.WriteString(conn, answers.Plain(endpointAnswer(id, "valid", http.StatusOK, "")))
 			continue
 		}
-		isSpoilt = true
-		_, _ = io.WriteString(conn, message.form.Encode(endpointAnswer(id, "spoilt", message.status, spoiltClaims[message.status])))
+		isMalformed = true
+		_, _ = io.WriteString(conn, message.form.Encode(endpointAnswer(id, "malformed", message.status, malformedClaims[message.status])))
 	}
 }
 
 // take returns the message with an ID if this is its first delivery, and records whether the connection is used again after a
-// spoilt answer.
-func (e *spoiltEndpoint) take(id string, isSpoilt bool) *spoiltMessage {
+// malformed answer.
+func (e *malformedEndpoint) take(id string, isMalformed bool) *malformedMessage {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if isSpoilt {
+	if isMalformed {
 		e.reused = append(e.reused, id)
 	}
 	e.delivered++
@@ -118,8 +118,8 @@
 func signatureOf(kind, id string) string { return kind + "." + id }
 
 // send hands a message to an edge, and returns the status of the answer.
-func (m *spoiltMessage) send(t *testing.T, edge string) int {
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+edge+"/"+spoiltRoute+"/a", strings.NewReader("body"))
+func (m *malformedMessage) send(t *testing.T, edge string) int {
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+edge+"/"+malformedRoute+"/a", strings.NewReader("body"))
 	if !assert.NoError(t, err) {
 		return 0
 	}
@@ -141,7 +141,7 @@
 }
 
 // state asks an edge for the message's state.
-func (m *spoiltMessage) state(t *testing.T, edge string) (state messageState) {
+func (m *malformedMessage) state(t *testing.T, edge string) (state messageState) {
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+edge+"/v1/message/"+m.name, http.NoBody)
 	if !assert.NoError(t, err) {
 		return messageState{}
@@ -158,7 +158,7 @@
 	return state
 }
 
-// redeliveryBound is how long the messages may take until the sound answers. It is below the retention of the route; how soon a
+// redeliveryBound is how long the messages may take until the valid answers. It is below the retention of the route; how soon a
 // message is delivered again is not what the test is about.
 const redeliveryBound = time.Minute
 
@@ -166,7 +166,7 @@
 const statePause = 20 * time.Millisecond
 
 // finalState asks an edge for the message's state until the message has ended, or until the deadline.
-func (m *spoiltMessage) finalState(t *testing.T, edge string, deadline time.Time) messageState {
+func (m *malformedMessage) finalState(t *testing.T, edge string, deadline time.Time) messageState {
 	pause := time.NewTicker(statePause)
 	defer pause.Stop()
 	for {
@@ -178,34 +178,34 @@
 	}
 }
 
-// spoiltMessages returns a message for each form and status.
-func spoiltMessages() []*spoiltMessage {
-	var messages []*spoiltMessage
-	for status := range spoiltClaims {
-		for i, form := range answers.Spoilt() {
-			messages = append(messages, &spoiltMessage{id: fmt.Sprintf("spoilt-%d-%d", status, i), form: form, status: status})
+// malformedMessages returns a message for each form and status.
+func malformedMessages() []*malformedMessage {
+	var messages []*malformedMessage
+	for status := range malformedClaims {
+		for i, form := range answers.Malformed() {
+			messages = append(messages, &malformedMessage{id: fmt.Sprintf("malformed-%d-%d", status, i), form: form, status: status})
 		}
 	}
 	return messages
 }
 
-// MIXED, REFUSED: what a spoilt answer says never reaches a client. The first delivery of each message gets an answer that HTTP
+// MIXED, REFUSED: what a malformed answer says never reaches a client. The first delivery of each message gets an answer that HTTP
 // forbids, with another signature than the run's; then the message must be delivered again, and be done with the signature of
-// the sound answer. No connection may be used after a spoilt answer.
-func TestSpoiltAnswersReachNoClient(t *testing.T) {
+// the valid answer. No connection may be used after a malformed answer.
+func TestMalformedAnswersReachNoClient(t *testing.T) {
 	r := start(t)
-	messages := spoiltMessages()
-	endpoint := startSpoiltEndpoint(t, messages)
+	messages := malformedMessages()
+	endpoint := startMalformedEndpoint(t, messages)
 	address := endpoint.listener.Addr().String()
-	added := route(spoiltRoute, false)
-	added.Type, added.Service, added.Retries, added.RetentionS = protocol.TypeDeferred, spoiltRoute, 1, 120
+	added := route(malformedRoute, false)
+	added.Type, added.Service, added.Retries, added.RetentionS = protocol.TypeDeferred, malformedRoute, 1, 120
 	r.patch(protocol.Patch{Upsert: protocol.Upsert{
 		Routes:   []protocol.Route{added},
-		Services: []protocol.Service{{Name: spoiltRoute, HealthPath: "/healthz", MaxConns: 200, Protocol: "h1", Endpoint: &address}},
+		Services: []protocol.Service{{Name: malformedRoute, HealthPath: "/healthz", MaxConns: 200, Protocol: "h1", Endpoint: &address}},
 	}})
 	edges := r.system.EdgeAddresses()
 	for i, edge := range edges {
-		probe := &spoiltMessage{id: fmt.Sprintf("probe-%d", i)} // answered soundly
+		probe := &malformedMessage{id: fmt.Sprintf("probe-%d", i)} // answered with valid answers
 		require.Eventually(t, func() bool { return probe.send(t, edge.HTTP) == http.StatusAccepted }, startBound, statePause)
 	}
 	for i, message := range messages {
@@ -213,34 +213,34 @@
 	}
 	deadline := time.Now().Add(redeliveryBound)
 	for i, message := range messages {
-		want := messageState{State: protocol.StateDone, Signature: signatureOf("sound", message.id)}
+		want := messageState{State: protocol.StateDone, Signature: signatureOf("valid", message.id)}
 		got := message.finalState(t, edges[i%len(edges)].HTTP, deadline)
-		assert.Equal(t, want, got, "after a spoilt answer: %d, %s", message.status, message.form.Name)
+		assert.Equal(t, want, got, "after a malformed answer: %d, %s", message.status, message.form.Name)
 	}
 	endpoint.mu.Lock()
 	defer endpoint.mu.Unlock()
 	assert.Empty(t, endpoint.messages, "messages without a delivery")
-	assert.Empty(t, endpoint.reused, "deliveries on a connection that carried a spoilt answer")
+	assert.Empty(t, endpoint.reused, "deliveries on a connection that carried a malformed answer")
 	t.Logf("%d messages, %d deliveries", len(messages), endpoint.delivered)
 	assert.Empty(t, r.system.UnexpectedExits())
 }
 
-// spoiltListShare is the fraction of the platform's answers that are spoilt.
-const spoiltListShare = 0.6
+// malformedListShare is the fraction of the platform's answers that are malformed.
+const malformedListShare = 0.6
 
-// ROUTE: a list in a spoilt answer of the platform is not used. It names a worker that the platform never listed, and none of
+// ROUTE: a list in a malformed answer of the platform is not used. It names a worker that the platform never listed, and none of
 // those that it lists.
-func TestSpoiltListsReachNoWorker(t *testing.T) {
+func TestMalformedListsReachNoWorker(t *testing.T) {
 	r := start(t)
 	unlisted, err := r.world.Fleet.Start(workers.Listen{Service: "plain", Zone: zones[0], Unlisted: true})
 	require.NoError(t, err)
-	require.NoError(t, r.world.Platform.SetSpoilt(spoiltListShare, unlisted.Instance()))
+	require.NoError(t, r.world.Platform.SetMalformed(malformedListShare, unlisted.Instance()))
 	r.load(8 * time.Second)()
-	require.NoError(t, r.world.Platform.SetSpoilt(0))
+	require.NoError(t, r.world.Platform.SetMalformed(0))
 	assert.GreaterOrEqual(t, r.acceptedSince(0), minAccepted)
 	r.verify()
-	t.Logf("%d spoilt answers", r.world.Platform.Spoilt())
-	assert.NotZero(t, r.world.Platform.Spoilt())
+	t.Logf("%d malformed answers", r.world.Platform.Malformed())
+	assert.NotZero(t, r.world.Platform.Malformed())
 	var misrouted []string
 	for _, arrival := range r.world.Record.History().Arrivals {
 		if arrival.Worker == unlisted.ID() {
