Name the address once in an operator's error

An operator whose order got no clear answer read the address twice, as both the client of one address and that of several put it before the error. The client of one address leaves it to its callers. The test of the built ravendalectl looks for a text that the error does not have.

--- a/cluster/httpclient/client.go
+++ b/cluster/httpclient/client.go
@@ -1,9 +1,9 @@
 package httpclient
 
 import (
+	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"syscall"
@@ -119,7 +119,7 @@
 	response, err := conn.reader.Response(request.Method, c.options.MaxBody)
 	if err != nil {
 		_ = conn.socket.Close()
-		return nil, c.describe(ctx, err)
+		return nil, cmp.Or(ctx.Err(), err) // the end of the context shows as a timeout of the socket
 	}
 	if c.options.IdleTimeout > 0 && !response.Close && conn.reader.Buffered() == 0 && isWritten(written) && stop() {
 		conn.lastUsed = time.Now()
@@ -154,11 +154,3 @@
 		return false
 	}
 }
-
-// describe adds the address, and the end of the context if it has ended, to the error of an exchange.
-func (c *Client) describe(ctx context.Context, err error) error {
-	if cause := ctx.Err(); cause != nil {
-		err = cause
-	}
-	return fmt.Errorf("%s: %w", c.options.Address, err)
-}
--- a/cmd/ravendalectl/malformed_test.go
+++ b/cmd/ravendalectl/malformed_test.go
@@ -50,13 +50,13 @@
 		status := statuses[i%len(statuses)]
 		t.Run(http.StatusText(status)+"/"+form.Name, func(t *testing.T) {
 			t.Parallel()
-			address := answeringProcess(t, form.Encode(answers.Answer{Status: status, Body: `{"version":5,"error":"malformed"}`}))
+			address := answeringProcess(t, form.Encode(answers.Answer{Status: status, Body: `{"version":5,"error":"claimed"}`}))
 			command := exec.Command("../../bin/ravendalectl", "config", "set", "--base", "0", "--within", "250ms", "--admin", address, file)
 			output, err := command.CombinedOutput()
 			var ended *exec.ExitError
 			require.True(t, errors.As(err, &ended), "%v: 'make build' builds the program: %s", err, output)
 			require.Equal(t, exitUndecided, ended.ExitCode(), "%s", output)
-			require.NotContains(t, string(output), "malformed")
+			require.NotContains(t, string(output), "claimed")
 		})
 	}
 }
--- a/control/discovery/reader.go
+++ b/control/discovery/reader.go
@@ -84,7 +84,7 @@
 	}
 	response, err := r.client.Do(ctx, &httpclient.Request{Method: http.MethodGet, Target: target, Host: r.address})
 	if err != nil {
-		return nil, "", fmt.Errorf("discovery: %w", err)
+		return nil, "", fmt.Errorf("discovery: %s: %w", r.address, err)
 	}
 	switch response.Status {
 	case http.StatusOK:
