Test that an unknown code about a retirement decides nothing

TestUnknownRetireCodeDecidesNothing, against a server at a real socket, fails on (no error) and passes now. An order with such an answer was undecided before, too.

--- a/control/leader/retirement_test.go
+++ b/control/leader/retirement_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"ravendale/cluster/rpc"
 	"ravendale/cluster/wire"
 	"ravendale/control/placement"
 	"ravendale/control/state"
@@ -98,3 +99,23 @@
 	f.controls[0].depose()
 	require.ErrorIs(t, other.StartRetire(t.Context(), "s-1"), ErrNotLeading)
 }
+
+// A leader's answer with a code that is not known, perhaps of another version, says neither that a store is being emptied nor
+// that it is empty, and a forwarded order may have taken effect.
+func TestUnknownRetireCodeDecidesNothing(t *testing.T) {
+	const unknown = RetireUndecided + 1
+	mux := rpc.NewMux()
+	rpc.Handle(mux, wire.MethodRetireState, func(_ *rpc.Conn, _ *Retire, reply rpc.Reply) {
+		reply.Send(&RetireStateReply{Code: unknown, Done: true})
+	})
+	rpc.Handle(mux, wire.MethodRetire, func(_ *rpc.Conn, _ *Retire, reply rpc.Reply) {
+		reply.Send(&RetireReply{Code: unknown})
+	})
+	server, err := rpc.Listen("127.0.0.1:0", rpc.Options{Mux: mux}, nil)
+	require.NoError(t, err)
+	defer server.Close()
+	done, err := forwardRetireState(t.Context(), server.Address(), "s-1")
+	require.ErrorIs(t, err, ErrNotLeading)
+	require.False(t, done)
+	require.ErrorIs(t, forwardRetire(t.Context(), server.Address(), "s-1"), ErrUndecided)
+}
