--- a/cmd/ravendale/process_test.go
+++ b/cmd/ravendale/process_test.go
@@ -18,13 +18,14 @@
 const peerTimeout = 20 * time.Second
 
 // processRig is the built program with its environment: one backend server, which the program knows as w1, and a discovery
-// service that never answers.
+// service that answers only where a test does.
 type processRig struct {
 	t       *testing.T
 	command *exec.Cmd
 	log     *bufio.Scanner
 	address string // where the program accepts clients
-	server  *net.TCPListener
+
+	server, discovery *net.TCPListener
 }
 
 func listenLocally(t *testing.T) *net.TCPListener {
@@ -41,8 +42,8 @@
 // serves.
 func startProcess(t *testing.T, replacements ...string) *processRig {
 	t.Helper()
-	clients, discovery := listenLocally(t), listenLocally(t)
-	r := &processRig{t: t, server: listenLocally(t), address: clients.Addr().String()}
+	clients := listenLocally(t)
+	r := &processRig{t: t, server: listenLocally(t), discovery: listenLocally(t), address: clients.Addr().String()}
 	text, err := os.ReadFile("../../example/config.json")
 	if err != nil {
 		t.Fatal(err)
@@ -59,7 +60,7 @@
 	}
 	r.command = exec.Command("../../bin/ravendale")
 	r.command.Env = append(os.Environ(), "PROXY_CONFIG="+file, "PROXY_FD=3", "PROXY_LISTEN="+r.address,
-		"PROXY_DISCOVERY="+discovery.Addr().String(), "PROXY_MANAGEMENT=127.0.0.1:0", "TMPDIR="+t.TempDir())
+		"PROXY_DISCOVERY="+r.discovery.Addr().String(), "PROXY_MANAGEMENT=127.0.0.1:0", "TMPDIR="+t.TempDir())
 	r.command.ExtraFiles = []*os.File{inherited}
 	stderr, err := r.command.StderrPipe()
 	if err == nil {
@@ -117,21 +118,27 @@
 // acceptJob waits for a complete request at the backend server, on a new connection.
 func (r *processRig) acceptJob() net.Conn {
 	r.t.Helper()
-	_ = r.server.SetDeadline(time.Now().Add(peerTimeout))
-	worker, err := r.server.Accept()
+	return r.acceptRequest(r.server)
+}
+
+// acceptRequest waits for a complete request at a listener, on a new connection.
+func (r *processRig) acceptRequest(listener *net.TCPListener) net.Conn {
+	r.t.Helper()
+	_ = listener.SetDeadline(time.Now().Add(peerTimeout))
+	conn, err := listener.Accept()
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	r.t.Cleanup(func() { _ = worker.Close() })
-	_ = worker.SetDeadline(time.Now().Add(peerTimeout))
-	request, err := http.ReadRequest(bufio.NewReader(worker))
+	r.t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(peerTimeout))
+	request, err := http.ReadRequest(bufio.NewReader(conn))
 	if err == nil {
 		_, err = io.Copy(io.Discard, request.Body) // the last byte of a request that may run only once comes later
 	}
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	return worker
+	return conn
 }
 
 // callBack reports the request with an ID as done, and expects that the report is acknowledged.
