Read the answers to the lab's calls strictly, too

The lab's calls to a scheduler's admin endpoint went by net/http, the last reader of answers outside tests, stand-ins and examples that did. They go by cluster/httpclient now. http1's comment says what becomes of the answer to a CONNECT: it opens no tunnel, and is read like any other, as before.

--- a/balancer/http1/responses.go
+++ b/balancer/http1/responses.go
@@ -17,8 +17,8 @@
 // in fields, in the framing of the body, in chunks, in trailers and in interim responses is an error, whatever the
 // response's status; the connection is then of no use any more, and neither is the Responses.
 //
-// The responses are taken for those to requests with neither of the methods HEAD and CONNECT, unless SetMethod was
-// called, and without the field Upgrade.
+// The responses are taken for those to requests without the field Upgrade, whose method is the one of SetMethod. A CONNECT
+// opens no tunnel: its response is parsed like that to another method.
 //
 // One thing that is forbidden is taken, since servers in service send it and nobody can read it in two ways: a length of 0
 // in a 204 (RFC 9110, section 8.6; RFC 9112, section 6.3, ends such a response at the empty line whatever its fields).
--- a/test/lab/site.go
+++ b/test/lab/site.go
@@ -2,15 +2,18 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
 	"syscall"
 	"time"
+
+	"ravendale/balancer/http1"
+	"ravendale/cluster/httpclient"
 )
 
 // processSet holds the processes of the measured scheduler. An upgrade starts a process and stops the one before it.
@@ -61,19 +64,21 @@
 
 func (s *processSet) adminAddr(process int) string { return s.adminPrefix + strconv.Itoa(10+process) }
 
+// callTimeout limits a connect to the admin endpoint, and the call on it.
+const callTimeout = 2 * time.Second
+
 // call sends a request to the admin endpoint of the newest process. A status other than 2xx is an error.
 func (s *processSet) call(method, path string) error {
-	req, err := http.NewRequest(method, "http://"+s.adminAddr(len(s.processes)-1)+path, nil)
-	if err != nil {
-		return err
-	}
-	resp, err := (&http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	address := s.adminAddr(len(s.processes) - 1)
+	client := httpclient.New(httpclient.Options{
+		Address: address, ConnectTimeout: callTimeout, ExchangeTimeout: callTimeout, MaxBody: http1.MaxBody,
+	})
+	resp, err := client.Do(context.Background(), &httpclient.Request{Method: method, Target: path, Host: address})
 	if err != nil {
 		return err
 	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode/100 != 2 {
-		return fmt.Errorf("admin endpoint %s answered %s", path, resp.Status)
+	if resp.Status/100 != 2 {
+		return fmt.Errorf("admin endpoint %s answered %d", path, resp.Status)
 	}
 	return nil
 }
